Serve a request end to end through the supervisor tree

Cause: the first working path from caller to upstream fixes the shape for all that follows. Change: HTTP listener, upstream client with a pool of exclusive connections, request runner, control thread with mailbox, VM list poller, stand-ins for workers and the VM list, and a demo.

--- /dev/null
+++ b/include/skylarkbridge/standin/platform.hpp
@@ -0,0 +1,39 @@
+#ifndef SKYLARKBRIDGE_STANDIN_PLATFORM_HPP
+#define SKYLARKBRIDGE_STANDIN_PLATFORM_HPP
+
+#include <boost/leaf/result.hpp>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "skylarkbridge/base/stop_signal.hpp"
+#include "skylarkbridge/gateway/http_listener.hpp"
+#include "skylarkbridge/wire/vm_list.hpp"
+
+namespace skylarkbridge::standin {
+
+/// @brief Stand-in for the platform's services: serves the VM list.
+class platform {
+ public:
+  platform();
+
+  /// @brief Body of a supervisor child.
+  boost::leaf::result<void> Run(stop_signal& stop) {
+    return listener_.Run(stop);
+  }
+
+  /// @brief Address once it listens; waits until @p deadline.
+  ip_address Address(time_point deadline);
+
+  void SetVmList(wire::vm_list list);
+
+ private:
+  void Install(httplib::Server& server);
+
+  gateway::http_listener listener_;
+  absl::Mutex mutex_;
+  wire::vm_list list_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace skylarkbridge::standin
+
+#endif  // SKYLARKBRIDGE_STANDIN_PLATFORM_HPP
--- a/include/skylarkbridge/telemetry/span.hpp
+++ b/include/skylarkbridge/telemetry/span.hpp
@@ -39,7 +39,7 @@
 
 /// @brief Sink that drops all spans.
 struct null_span_sink {
-  void Record(finished_span) {}
+  void Record(const finished_span&) {}
 };
 
 }  // namespace skylarkbridge::telemetry
--- a/src/skylarkbridge/cli/main.cpp
+++ b/src/skylarkbridge/cli/main.cpp
@@ -1,1 +1,7 @@
-int main() {}
+#include <iostream>
+
+#include "skylarkbridge/daemon/demo.hpp"
+
+int main() {
+  return skylarkbridge::daemon::RunDemo({}, std::cout);
+}
--- /dev/null
+++ b/src/skylarkbridge/daemon/request_table.cpp
@@ -0,0 +1,76 @@
+#include "skylarkbridge/daemon/request_table.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace skylarkbridge::daemon {
+namespace {
+
+request_id RequestOf(const scheduling::request_command& command) {
+  return std::visit([](const auto& one) { return one.request; }, command);
+}
+
+}  // namespace
+
+void request_table::Handle(request_message message, time_point now) {
+  replies_[message.arrived.request] = std::move(message.reply);
+  Carry(dispatcher_.Arrive(message.arrived, now), now);
+}
+
+void request_table::Handle(attempt_message message, time_point now) {
+  replies_[message.finished.request] = std::move(message.reply);
+  Carry(dispatcher_.Finish(message.finished, now), now);
+}
+
+void request_table::Configure(const declaration::configuration& configuration,
+                              time_point now) {
+  Carry(dispatcher_.Configure(configuration, now), now);
+}
+
+void request_table::Update(const scheduling::upstream_state& state,
+                           time_point now) {
+  Carry(dispatcher_.Update(state, now), now);
+}
+
+void request_table::Tick(time_point now) {
+  Carry(dispatcher_.Tick(now), now);
+}
+
+std::optional<time_point> request_table::NextDeadline() const {
+  return dispatcher_.NextDeadline();
+}
+
+void request_table::Carry(scheduling::request_commands commands,
+                          time_point now) {
+  while (!commands.empty()) {
+    scheduling::request_commands more;
+    for (const scheduling::request_command& command : commands) {
+      if (Deliver(command)) {
+        continue;
+      }
+      // The traffic thread stopped waiting, so the attempt never starts.
+      if (const auto* start =
+              std::get_if<scheduling::start_attempt>(&command)) {
+        auto next = dispatcher_.Finish(
+            {.request = start->request,
+             .attempt = start->attempt,
+             .result = scheduling::attempt_result::kNotStarted},
+            now);
+        more.insert(more.end(), next.begin(), next.end());
+      }
+    }
+    commands = std::move(more);
+  }
+}
+
+bool request_table::Deliver(const scheduling::request_command& command) {
+  const auto found = replies_.find(RequestOf(command));
+  if (found == replies_.end()) {
+    return false;
+  }
+  const std::shared_ptr<entry::request_reply> reply = std::move(found->second);
+  replies_.erase(found);
+  return reply->Set(command);
+}
+
+}  // namespace skylarkbridge::daemon
--- /dev/null
+++ b/src/skylarkbridge/standin/worker.cpp
@@ -0,0 +1,60 @@
+#include "skylarkbridge/standin/worker.hpp"
+
+#include <httplib.h>
+
+#include "absl/cleanup/cleanup.h"
+
+namespace skylarkbridge::standin {
+namespace {
+
+constexpr char kLoopback[] = "127.0.0.1";
+
+void RaiseTo(std::atomic<std::int64_t>& highest, std::int64_t value) {
+  std::int64_t seen = highest.load();
+  while (seen < value && !highest.compare_exchange_weak(seen, value)) {
+  }
+}
+
+}  // namespace
+
+worker::worker(worker_options options)
+    : options_(options),
+      listener_({.address = {kLoopback, 0},
+                 .threads = static_cast<std::size_t>(options.connections),
+                 .lame_duck = std::chrono::milliseconds(0)},
+                [this](httplib::Server& server) { Install(server); }) {}
+
+boost::leaf::result<void> worker::Run(stop_signal& stop) {
+  return listener_.Run(stop);
+}
+
+wire::worker_vm worker::Describe(time_point deadline) {
+  return {.worker = options_.worker,
+          .address = {kLoopback, listener_.WaitForPort(deadline)},
+          .data_centre = options_.data_centre,
+          .rack = options_.rack,
+          .slots = options_.slots,
+          .connections = options_.connections,
+          .capacity = options_.capacity};
+}
+
+void worker::Install(httplib::Server& server) {
+  const auto serve = [this](const httplib::Request& request,
+                            httplib::Response& response) {
+    RaiseTo(most_at_once_, running_.fetch_add(1) + 1);
+    const absl::Cleanup leave = [this] { running_.fetch_sub(1); };
+    if (options_.service_time.count() > 0) {
+      stop_signal never;
+      never.WaitUntil(boot_clock::now() + options_.service_time);
+    }
+    served_.fetch_add(1);
+    response.set_content(request.body.empty() ? request.path : request.body,
+                         "application/octet-stream");
+  };
+  server.Get(".*", serve);
+  server.Post(".*", serve);
+  server.Put(".*", serve);
+  server.Delete(".*", serve);
+}
+
+}  // namespace skylarkbridge::standin
