Test the request path and measure it against direct HTTP

Cause: the path had no tests of late, halved and overtaking answers, of a stop under load, or of its cost. Change: tests with hand-written fakes for upstream_client and request_runner, a daemon test over loopback, standin/callers and standin/fleet shared by demo, tests and bench/entry_bench.

--- /dev/null
+++ b/include/skylarkbridge/daemon/running_daemon.hpp
@@ -0,0 +1,39 @@
+#ifndef SKYLARKBRIDGE_DAEMON_RUNNING_DAEMON_HPP
+#define SKYLARKBRIDGE_DAEMON_RUNNING_DAEMON_HPP
+
+#include <memory>
+
+#include "skylarkbridge/base/posix_thread.hpp"
+#include "skylarkbridge/base/stop_signal.hpp"
+#include "skylarkbridge/daemon/daemon.hpp"
+
+namespace skylarkbridge::daemon {
+
+/// @brief A daemon on a thread of this process; for the demo, benchmarks and
+/// tests. It is stopped when the object ends.
+class running_daemon {
+ public:
+  explicit running_daemon(daemon_options options);
+  running_daemon(const running_daemon&) = delete;
+  running_daemon& operator=(const running_daemon&) = delete;
+  ~running_daemon();
+
+  daemon& Get() { return daemon_; }
+  ip_address CallersAddress();
+
+  /// @brief Asks for a graceful stop; returns at once.
+  void RequestStop();
+  /// @brief Stops gracefully. Returns false when the daemon ended with an
+  /// error.
+  bool Stop();
+
+ private:
+  daemon daemon_;
+  stop_signal stop_;
+  bool ended_well_ = false;
+  posix_thread thread_;
+};
+
+}  // namespace skylarkbridge::daemon
+
+#endif  // SKYLARKBRIDGE_DAEMON_RUNNING_DAEMON_HPP
--- /dev/null
+++ b/include/skylarkbridge/standin/fleet.hpp
@@ -0,0 +1,50 @@
+#ifndef SKYLARKBRIDGE_STANDIN_FLEET_HPP
+#define SKYLARKBRIDGE_STANDIN_FLEET_HPP
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+#include "skylarkbridge/base/posix_thread.hpp"
+#include "skylarkbridge/base/stop_signal.hpp"
+#include "skylarkbridge/standin/platform.hpp"
+#include "skylarkbridge/standin/worker.hpp"
+#include "skylarkbridge/supervisor/supervisor.hpp"
+
+namespace skylarkbridge::standin {
+
+struct fleet_options {
+  std::size_t workers = 4;
+  std::size_t workers_per_rack = 2;
+  /// Applied to each worker; its ids are set by the fleet.
+  worker_options worker;
+};
+
+/// @brief The platform and its workers on loopback, run by a supervisor of
+/// their own until the object ends.
+class fleet {
+ public:
+  explicit fleet(fleet_options options);
+  fleet(const fleet&) = delete;
+  fleet& operator=(const fleet&) = delete;
+  ~fleet();
+
+  ip_address PlatformAddress() const { return platform_address_; }
+  platform& Platform() { return platform_; }
+  worker& Worker(std::size_t index) { return *workers_[index]; }
+  std::size_t Size() const { return workers_.size(); }
+  /// @brief VM list of all workers, live.
+  wire::vm_list Describe();
+
+ private:
+  platform platform_;
+  std::vector<std::unique_ptr<worker>> workers_;
+  supervisor::supervisor tree_;
+  stop_signal stop_;
+  posix_thread thread_;
+  ip_address platform_address_;
+};
+
+}  // namespace skylarkbridge::standin
+
+#endif  // SKYLARKBRIDGE_STANDIN_FLEET_HPP
