Add span export, metrics and the catalogue of events

Cause: one span per hop must leave the process, and latencies, counts and events must be readable by operators, without slowing traffic. Change: a bounded span buffer that drops and counts, an OTLP/JSON exporter as a supervisor child, counters, gauges and latency histograms in the Prometheus text format, docs/events.md with a test against the code.

--- /dev/null
+++ b/src/skylarkbridge/cli/event_lists.hpp
@@ -0,0 +1,25 @@
+#ifndef SKYLARKBRIDGE_CLI_EVENT_LISTS_HPP
+#define SKYLARKBRIDGE_CLI_EVENT_LISTS_HPP
+
+#include <span>
+#include <string_view>
+
+#include "skylarkbridge/supervisor/events.hpp"
+#include "skylarkbridge/telemetry/events.hpp"
+
+namespace skylarkbridge::cli {
+
+struct event_list {
+  std::string_view module;
+  std::span<const event_definition> events;
+};
+
+/// The events of all modules. A new events.hpp is added here.
+inline constexpr event_list kEventLists[] = {
+    {"supervisor", supervisor::kEvents},
+    {"telemetry", telemetry::kEvents},
+};
+
+}  // namespace skylarkbridge::cli
+
+#endif  // SKYLARKBRIDGE_CLI_EVENT_LISTS_HPP
