--- a/include/skylarkbridge/coordination/task_lifecycle.hpp
+++ b/include/skylarkbridge/coordination/task_lifecycle.hpp
@@ -164,7 +164,8 @@
   /// @brief The log shows the end of the task, recorded by any owner.
   lifecycle_commands Recorded(task_id task, time_point now);
   /// @brief The fold has reached an end of the log that was read after the
-  /// takeover; attempts of tasks that are still unknown belong to ended tasks.
+  /// takeover and after the latest Joined; attempts of tasks that are still
+  /// unknown belong to ended tasks.
   lifecycle_commands LogCurrent(time_point now);
   lifecycle_commands Joined(const worker_inventory& inventory, time_point now);
   lifecycle_commands Unreachable(worker_id worker, time_point now);
