--- a/include/skylarkbridge/coordination/membership.hpp
+++ b/include/skylarkbridge/coordination/membership.hpp
@@ -40,8 +40,8 @@
   /// A tick that is this late shows that this VM itself was paused.
   std::chrono::milliseconds pause_threshold{500};
   /// Dead members and workers that are gone are remembered against stale news
-  /// for this time. Members of other data centres that the VM list lacks are
-  /// dropped after it.
+  /// for this time. Members of other data centres that the VM list lacks for
+  /// this time are declared dead.
   std::chrono::minutes forget_after{10};
   std::size_t max_members = 1000;
   std::size_t max_upstreams = 20'000;
@@ -92,7 +92,7 @@
   std::optional<upstream_entry> Find(worker_id worker) const;
   std::size_t Size() const { return members_.size(); }
   /// @brief Equal on VMs that know the same members and upstreams.
-  std::uint64_t TableDigest() const;
+  std::uint64_t TableDigest();
 
  private:
   enum scope : unsigned { kLocal = 1, kRemote = 2 };
@@ -105,7 +105,8 @@
     /// Until when a contact in another data centre must be heard.
     std::optional<time_point> contact_deadline;
     time_point avoid_until;
-    /// A dead member, or one that the list lacks, is dropped at this time.
+    /// When a dead member is forgotten, or one that the list lacks is declared
+    /// dead.
     std::optional<time_point> drop_at;
     time_point changed_at;
     /// Heartbeats in a row with a different digest, and entries sent since.
@@ -144,15 +145,17 @@
                        unsigned scopes,
                        time_point now,
                        membership_commands& commands);
+  void JudgeAll(time_point now, membership_commands& commands);
   void Judge(member_state& state,
              time_point now,
              membership_commands& commands);
   void DropForgotten(time_point now);
-  void BeatLocal(membership_commands& commands) const;
+  void BeatLocal(membership_commands& commands);
+  void ProbeDead(membership_commands& commands);
   void BeatRemote(time_point now, membership_commands& commands);
   std::vector<entry_vm_id> Contacts(data_centre_id other, time_point now) const;
   std::vector<data_centre_id> OtherDataCentres() const;
-  heartbeat Heartbeat() const;
+  heartbeat Heartbeat();
 
   void Flush(time_point now, membership_commands& commands);
   void SendNews(unsigned scope, time_point now, membership_commands& commands);
@@ -173,7 +176,12 @@
   /// Scopes in which the own entry has to be announced.
   unsigned self_unsent_ = 0;
   bool news_waiting_ = false;
-  time_point last_tick_;
+  /// Digest of the table; nothing after a change.
+  std::optional<std::uint64_t> digest_;
+  /// Time at which the last Tick asked for the next one.
+  time_point expected_tick_;
+  /// No member of the data centre is due for suspicion or death before this.
+  time_point next_judgement_ = time_point::max();
   time_point next_local_;
   time_point next_remote_;
   time_point next_news_;
--- a/src/skylarkbridge/coordination/membership.cpp
+++ b/src/skylarkbridge/coordination/membership.cpp
@@ -12,7 +12,7 @@
                        time_point now)
     : self_(std::move(self)),
       options_(options),
-      last_tick_(now),
+      expected_tick_(now),
       next_local_(now),
       next_remote_(now),
       next_news_(now),
@@ -104,6 +104,11 @@
       state.drop_at.reset();
     } else if (!IsLocal(news) && !state.drop_at) {
       state.drop_at = now + options_.forget_after;
+    } else if (!IsLocal(news) && now >= *state.drop_at) {
+      // Nobody is left there to tell of its death. It is declared dead and not
+      // erased, or VMs that erase it at different times would pass it round.
+      news.status = member_status::kDead;
+      Accept(news, kLocal | kRemote, now, commands);
     }
   }
   Flush(now, commands);
@@ -122,6 +127,7 @@
   membership_commands commands;
   self_.status = status;
   ++self_.sequence;
+  digest_.reset();
   self_unsent_ = kLocal | kRemote;
   news_waiting_ = true;
   // The process may end right after this call, so the news does not wait.
@@ -132,19 +138,15 @@
 
 membership_commands membership::Tick(time_point now) {
   membership_commands commands;
-  if (now - last_tick_ > options_.pause_threshold) {
+  if (now - expected_tick_ > options_.pause_threshold) {
     // The silence is this VM's own: heartbeats wait unread in its sockets.
     for (auto& [id, state] : members_) {
       Postpone(state, now);
     }
   }
-  last_tick_ = now;
-  for (auto& [id, state] : members_) {
-    if (IsLocal(state.entry) && !Ended(state.entry)) {
-      Judge(state, now, commands);
-    }
+  if (now >= next_judgement_) {
+    JudgeAll(now, commands);
   }
-  DropForgotten(now);
   if (rival_ && now >= rival_->report_at) {
     commands.emplace_back(duplicate_vm{rival_->entry});
     rival_.reset();
@@ -155,23 +157,19 @@
   }
   if (now >= next_remote_) {
     next_remote_ = now + options_.remote_interval;
+    DropForgotten(now);
     BeatRemote(now, commands);
+    ProbeDead(commands);
   }
   Flush(now, commands);
+  expected_tick_ = NextDeadline();
   return commands;
 }
 
 time_point membership::NextDeadline() const {
-  time_point next = std::min(next_local_, next_remote_);
-  if (news_waiting_) {
-    next = std::min(next, next_news_);
-  }
-  for (const auto& [id, state] : members_) {
-    if (IsLocal(state.entry) && !Ended(state.entry)) {
-      next = std::min(next, state.suspected ? state.dead_at : state.suspect_at);
-    }
-  }
-  return next;
+  const time_point next =
+      std::min({next_local_, next_remote_, next_judgement_});
+  return news_waiting_ ? std::min(next, next_news_) : next;
 }
 
 std::optional<member_entry> membership::Find(entry_vm_id vm) const {
@@ -218,6 +216,20 @@
   }
 }
 
+void membership::JudgeAll(time_point now, membership_commands& commands) {
+  next_judgement_ = time_point::max();
+  for (auto& [id, state] : members_) {
+    if (!IsLocal(state.entry) || Ended(state.entry)) {
+      continue;
+    }
+    Judge(state, now, commands);
+    if (!Ended(state.entry)) {
+      next_judgement_ = std::min(
+          next_judgement_, state.suspected ? state.dead_at : state.suspect_at);
+    }
+  }
+}
+
 void membership::Judge(member_state& state,
                        time_point now,
                        membership_commands& commands) {
@@ -235,18 +247,19 @@
 
 void membership::DropForgotten(time_point now) {
   std::erase_if(members_, [now](const auto& entry) {
-    return entry.second.drop_at && now >= *entry.second.drop_at;
+    const member_state& state = entry.second;
+    return Ended(state.entry) && state.drop_at && now >= *state.drop_at;
   });
   std::erase_if(upstreams_, [now](const auto& entry) {
     return now >= entry.second.drop_at;
   });
 }
 
-heartbeat membership::Heartbeat() const {
+heartbeat membership::Heartbeat() {
   return {self_, configuration_, TableDigest()};
 }
 
-void membership::BeatLocal(membership_commands& commands) const {
+void membership::BeatLocal(membership_commands& commands) {
   const heartbeat message = Heartbeat();
   for (const auto& [id, state] : members_) {
     if (IsLocal(state.entry) && !Ended(state.entry)) {
@@ -260,6 +273,17 @@
   }
 }
 
+void membership::ProbeDead(membership_commands& commands) {
+  // After a partition both sides hold the other one dead; a probe lets each
+  // refute that.
+  for (const auto& [id, state] : members_) {
+    if (IsLocal(state.entry) && state.entry.status == member_status::kDead) {
+      commands.emplace_back(
+          send_heartbeat{id, state.entry.address, Heartbeat()});
+    }
+  }
+}
+
 void membership::BeatRemote(time_point now, membership_commands& commands) {
   const heartbeat message = Heartbeat();
   for (const data_centre_id other : OtherDataCentres()) {
--- a/src/skylarkbridge/coordination/membership_news.cpp
+++ b/src/skylarkbridge/coordination/membership_news.cpp
@@ -21,7 +21,10 @@
 
 }  // namespace
 
-std::uint64_t membership::TableDigest() const {
+std::uint64_t membership::TableDigest() {
+  if (digest_) {
+    return *digest_;
+  }
   // A sum does not depend on the order. Members that have ended are left out,
   // as VMs forget them at different times.
   std::uint64_t sum = Ended(self_) ? 0 : EntryDigest(self_);
@@ -35,6 +38,7 @@
       sum += Mix(Mix(id.value) ^ Nanoseconds(state.entry.noted_at));
     }
   }
+  digest_ = sum;
   return sum;
 }
 
@@ -57,6 +61,8 @@
     state.drop_at = now + options_.forget_after;
   }
   Postpone(state, now);
+  next_judgement_ = std::min(next_judgement_, state.suspect_at);
+  digest_.reset();
   state.unsent |= scopes;
   news_waiting_ = true;
   seeds_.erase(news.vm);
@@ -105,6 +111,7 @@
   } else {
     self_.sequence = news.sequence + 1;
   }
+  digest_.reset();
   self_unsent_ = kLocal | kRemote;
   news_waiting_ = true;
 }
@@ -130,6 +137,7 @@
   state.drop_at = news.status == upstream_status::kLeaving
                       ? time_point::max()
                       : now + options_.forget_after;
+  digest_.reset();
   state.unsent |= scopes;
   news_waiting_ = true;
   commands.emplace_back(upstream_news{news});
