--- a/src/skylarkbridge/coordination/entry_vm_fake.hpp
+++ b/src/skylarkbridge/coordination/entry_vm_fake.hpp
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-#include "skylarkbridge/coordination/log_fake.hpp"
+#include "skylarkbridge/coordination/task_log_fake.hpp"
 #include "skylarkbridge/coordination/network_fake.hpp"
 #include "skylarkbridge/coordination/shard_map.hpp"
 #include "skylarkbridge/coordination/shard_owner.hpp"
@@ -22,7 +22,7 @@
 struct cluster_fake {
   network_fake net;
   invariant_checker checker{};
-  log_fake log{checker};
+  task_log_fake log{checker};
   std::map<worker_id, std::unique_ptr<worker_fake>> workers;
   owner_test_options owner_test;
   lifecycle_test_options lifecycle_test;
--- a/src/skylarkbridge/coordination/log_fake.hpp
+++ b/src/skylarkbridge/coordination/log_fake.hpp
@@ -1,62 +1,137 @@
 #ifndef SKYLARKBRIDGE_COORDINATION_LOG_FAKE_HPP
 #define SKYLARKBRIDGE_COORDINATION_LOG_FAKE_HPP
 
-#include <cstdint>
+#include <algorithm>
+#include <chrono>
+#include <functional>
 #include <set>
-#include <string>
-#include <utility>
+#include <variant>
 #include <vector>
 
-#include "skylarkbridge/coordination/ballot.hpp"
-#include "skylarkbridge/coordination/invariant_checker.hpp"
-#include "skylarkbridge/coordination/open_task.hpp"
+#include "skylarkbridge/coordination/log_cursor.hpp"
+#include "skylarkbridge/coordination/log_outbox.hpp"
+#include "virtual_time_fake.hpp"
 
 namespace skylarkbridge::coordination {
 
-enum class record_kind_fake {
-  kAccepted,
-  kClaimed,
-  kCheckpoint,
-  kEnded,
-  kCancelled
-};
+/// One stream of the platform's log, with the faults that tests need.
+struct log_fake {
+  std::vector<log_record> records;
+  log_offset first = 0;
+  bool up = true;
+  std::chrono::milliseconds latency{20};
+  /// Appends that take effect although their reply is lost.
+  int lost_replies = 0;
+  /// Writes that take effect this long after their reply was lost.
+  std::chrono::milliseconds write_delay{0};
 
-struct record_fake {
-  /// Writer and its sequence number; a second copy is ignored.
-  std::pair<std::uint64_t, std::uint64_t> id;
-  record_kind_fake kind = record_kind_fake::kAccepted;
-  open_task task;
-  std::uint32_t attempt = 0;
-  ballot claimant;
-  std::string checkpoint;
+  void Trim(log_offset offset) { first = offset; }
+  void Write(const std::vector<log_record>& added) {
+    records.insert(records.end(), added.begin(), added.end());
+  }
+  read_page Read(log_offset offset, std::size_t limit) const {
+    read_page page{.first = first, .end = records.size()};
+    for (log_offset i = std::max(offset, first);
+         i < records.size() && page.records.size() < limit; ++i) {
+      page.records.push_back({i, records[i]});
+    }
+    return page;
+  }
 };
 
-/// @brief Log service that can be down and ignores repeated record ids.
-class log_fake {
+/// Outbox and cursor of one VM on a stream.
+class log_client_fake {
  public:
-  explicit log_fake(invariant_checker& checker) : checker_(checker) {}
+  log_client_fake(virtual_time& time,
+                  log_fake& log,
+                  std::uint64_t vm,
+                  log_stream stream = log_stream::kTasks,
+                  log_outbox_options options = {})
+      : outbox({vm}, options), time_(time), log_(log), stream_(stream) {
+    TickLater();
+  }
 
-  bool Append(const record_fake& record) {
-    if (!up) {
-      return false;
-    }
-    if (ids_.insert(record.id).second) {
-      records.push_back(record);
-      if (record.kind == record_kind_fake::kEnded) {
-        checker_.SubmitterTold(record.task.task);
-        ended.insert(record.task.task);
-      }
-    }
-    return true;
+  std::variant<record_id, add_refusal> Add(record_body body) {
+    return outbox.Add(std::move(body), time_.Now(), time_.Wall());
   }
 
-  bool up = true;
-  std::vector<record_fake> records;
-  std::set<task_id> ended;
+  log_outbox outbox;
+  log_cursor cursor{{}};
+  std::set<record_id> durable;
+  std::set<record_id> refused;
+  std::vector<offset_gap> gaps;
+  int rewinds = 0;
+  std::function<void(const stored_record&)> on_record = [](const auto&) {};
+  std::function<void(const offset_gap&)> on_gap = [](const auto&) {};
+  std::function<void()> on_end = [] {};
 
  private:
-  invariant_checker& checker_;
-  std::set<std::pair<std::uint64_t, std::uint64_t>> ids_;
+  void TickLater() {
+    time_.After(std::chrono::milliseconds(10), [this] {
+      Run(outbox.Tick(time_.Now()));
+      Run(cursor.Tick(time_.Now()));
+      TickLater();
+    });
+  }
+  void Run(const outbox_commands& commands) {
+    for (const auto& command : commands) {
+      std::visit([this](const auto& c) { Do(c); }, command);
+    }
+  }
+  void Run(const cursor_commands& commands) {
+    for (const auto& command : commands) {
+      std::visit([this](const auto& c) { Do(c); }, command);
+    }
+  }
+  void Do(const append_records& command) {
+    if (!log_.up) {
+      Reply(command.append, append_result::kNotWritten);
+    } else if (log_.lost_replies > 0) {
+      --log_.lost_replies;
+      time_.After(log_.write_delay,
+                  [this, command] { log_.Write(command.records); });
+    } else {
+      log_.Write(command.records);
+      Reply(command.append, append_result::kWritten);
+    }
+  }
+  void Reply(std::uint64_t append, append_result result) {
+    time_.After(log_.latency, [this, append, result] {
+      Run(outbox.Finish(append, result, time_.Now()));
+    });
+  }
+  void Do(const read_log& command) {
+    const bool up = log_.up;
+    read_page page = log_.Read(command.offset, command.limit);
+    time_.After(log_.latency, [this, command, up, page] {
+      if (up) {
+        Run(cursor.Receive(command.read, page, time_.Now()));
+      } else {
+        cursor.Fail(command.read, time_.Now());
+      }
+    });
+  }
+  void Do(const read_to_end& /*command*/) { cursor.ReadSoon(); }
+  void Do(const record_durable& command) { durable.insert(command.id); }
+  void Do(const record_refused& command) { refused.insert(command.id); }
+  void Do(const log_availability& /*command*/) {}
+  void Do(const stored_record& stored) {
+    on_record(stored);
+    Run(outbox.Observe(stream_, stored.record.id));
+  }
+  void Do(const offset_gap& gap) {
+    gaps.push_back(gap);
+    on_gap(gap);
+  }
+  void Do(const log_rewound& /*command*/) { ++rewinds; }
+  void Do(const reached_end& command) {
+    on_end();
+    Run(outbox.ReachedEnd(stream_, command.read_sent, time_.Now()));
+  }
+
+  virtual_time& time_;
+  log_fake& log_;
+  const log_stream stream_;
 };
 
 }  // namespace skylarkbridge::coordination
