Replace the thin dispatcher by admission, routing and retry parts

Cause: the thin dispatcher knew no shares, retried without a budget, called not-run whatever had one attempt, and scanned all upstreams and the whole queue for each event. Change: share ledger, per-service queues, latency estimate, upstream table with dense candidate lists, routing policies, outlier ejection, retry budget and request table, one file each; the dispatcher composes them.

--- /dev/null
+++ b/include/skylarkbridge/scheduling/routing_policies.hpp
@@ -0,0 +1,96 @@
+#ifndef SKYLARKBRIDGE_SCHEDULING_ROUTING_POLICIES_HPP
+#define SKYLARKBRIDGE_SCHEDULING_ROUTING_POLICIES_HPP
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+
+#include "skylarkbridge/scheduling/upstream_table.hpp"
+
+namespace skylarkbridge::scheduling {
+
+/// @brief Source of the random choices of routing; seeded by the options.
+using routing_random = std::mt19937_64;
+
+/// @brief Random position below @p size, which must not be zero.
+///
+/// It scales the upper 32 bits; the bias of at most size / 2^32 is negligible
+/// here and the division of std::uniform_int_distribution is saved.
+inline std::size_t RandomBelow(routing_random& random, std::size_t size) {
+  return static_cast<std::size_t>(((random() >> 32U) * size) >> 32U);
+}
+
+/// @brief Chooses a position in a view that is not empty.
+template <class T>
+concept routing_policy = requires(T& policy,
+                                  const candidate_view& candidates,
+                                  routing_random& random) {
+  { policy.Choose(candidates, random) } -> std::same_as<std::size_t>;
+};
+
+/// @brief Compares outstanding attempts only.
+struct outstanding_cost {
+  double operator()(const upstream_entry& entry) const {
+    return static_cast<double>(entry.in_use + 1);
+  }
+};
+
+/// @brief Compares outstanding attempts times the learnt relative latency.
+struct latency_cost {
+  double operator()(const upstream_entry& entry) const {
+    return static_cast<double>(entry.in_use + 1) * entry.relative_latency;
+  }
+};
+
+/// @brief Takes the cheaper of two random candidates.
+template <class Cost>
+struct two_choices {
+  std::size_t Choose(const candidate_view& candidates,
+                     routing_random& random) const {
+    const std::size_t first = RandomBelow(random, candidates.size());
+    const std::size_t second = RandomBelow(random, candidates.size());
+    const Cost cost;
+    return cost(candidates[second]) < cost(candidates[first]) ? second : first;
+  }
+};
+
+/// @brief Takes the cheapest of all candidates; linear in their number.
+template <class Cost>
+struct full_scan {
+  std::size_t Choose(const candidate_view& candidates,
+                     routing_random& random) const {
+    const Cost cost;
+    // A random first candidate spreads ties.
+    const std::size_t start = RandomBelow(random, candidates.size());
+    std::size_t best = start;
+    for (std::size_t step = 1; step < candidates.size(); ++step) {
+      const std::size_t at = (start + step) % candidates.size();
+      if (cost(candidates[at]) < cost(candidates[best])) {
+        best = at;
+      }
+    }
+    return best;
+  }
+};
+
+struct random_choice {
+  std::size_t Choose(const candidate_view& candidates,
+                     routing_random& random) const {
+    return RandomBelow(random, candidates.size());
+  }
+};
+
+/// @brief Takes candidates in turn. The order shifts a little when candidates
+/// come and go.
+struct round_robin {
+  std::size_t next = 0;
+
+  std::size_t Choose(const candidate_view& candidates, routing_random&) {
+    return next++ % candidates.size();
+  }
+};
+
+}  // namespace skylarkbridge::scheduling
+
+#endif  // SKYLARKBRIDGE_SCHEDULING_ROUTING_POLICIES_HPP
--- a/src/skylarkbridge/scheduling/dispatcher.cpp
+++ b/src/skylarkbridge/scheduling/dispatcher.cpp
@@ -1,183 +1,455 @@
 #include "skylarkbridge/scheduling/dispatcher.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkbridge::scheduling {
 
-dispatcher::dispatcher(dispatcher_options options) : options_(options) {}
+namespace {
 
-request_commands dispatcher::Configure(const declaration::configuration& config,
-                                       time_point now) {
-  services_.clear();
-  for (const declaration::service& declared : config.services) {
-    services_[declared.name] = declared;
-  }
-  request_commands commands;
-  StartWaiting(now, commands);
-  return commands;
+/// Weight of one answer in the fault rate of a service.
+constexpr double kFaultWeight = 0.05;
+/// Above this fault rate the service itself is at fault, and its faults say
+/// nothing about single upstreams.
+constexpr double kServiceAtFault = 0.7;
+/// Retries that may wait for another upstream while a tried one has room.
+/// Bounds the work of one event.
+constexpr std::size_t kMostPassedOver = 4;
+/// Services whose first request is considered for another data centre.
+constexpr std::size_t kMostSpillHeads = 8;
+constexpr std::int64_t kPermille = 1000;
+
+void Refuse(request_id request,
+            refusal_reason reason,
+            std::optional<time_point> retry_at,
+            request_commands& commands) {
+  commands.emplace_back(
+      finish_request{request, request_outcome::kNotRun, reason, retry_at});
 }
 
-request_commands dispatcher::Update(const upstream_state& state,
-                                    time_point now) {
-  upstream& entry = upstreams_[state.upstream];
-  entry.state = state;
-  if (state.status == upstream_status::kGone && entry.in_use == 0) {
-    upstreams_.erase(state.upstream);
-  }
-  request_commands commands;
-  StartWaiting(now, commands);
-  return commands;
+}  // namespace
+
+template <routing_policy Policy>
+basic_dispatcher<Policy>::basic_dispatcher(dispatcher_options options)
+    : options_(options),
+      admission_(options.admission),
+      upstreams_(options.upstreams),
+      router_(options.seed) {}
+
+template <routing_policy Policy>
+request_commands basic_dispatcher<Policy>::Configure(
+    const declaration::configuration& config,
+    time_point now) {
+  admission_.Configure(config);
+  services_.resize(admission_.Services(),
+                   service_state{.budget = retry_budget(options_.retry)});
+  return Tick(now);
 }
 
-request_commands dispatcher::Arrive(const request_arrived& event,
-                                    time_point now) {
+template <routing_policy Policy>
+request_commands basic_dispatcher<Policy>::Update(const upstream_state& state,
+                                                  time_point now) {
+  upstreams_.Update(state, now);
+  return Tick(now);
+}
+
+template <routing_policy Policy>
+request_commands basic_dispatcher<Policy>::Arrive(const request_arrived& event,
+                                                  time_point now) {
   request_commands commands;
-  const auto declared = services_.find(event.service);
-  if (declared == services_.end()) {
+  Advance(now, commands);
+  const std::optional<service_index> service = admission_.Find(event.service);
+  if (!service) {
     Refuse(event.request,
-           services_.empty() ? refusal_reason::kNoConfiguration
-                             : refusal_reason::kUnknownService,
+           admission_.Services() == 0 ? refusal_reason::kNoConfiguration
+                                      : refusal_reason::kUnknownService,
+           std::nullopt, commands);
+  } else if (event.deadline <= now) {
+    Refuse(event.request, refusal_reason::kDeadlinePassed, std::nullopt,
            commands);
-    return commands;
+  } else if (admission_.TooLate(*service, event.deadline, now)) {
+    Refuse(event.request, refusal_reason::kDeadlineTooClose,
+           RetryAt(*service, now), commands);
+  } else if (!upstreams_.Any()) {
+    Refuse(event.request, refusal_reason::kNoUpstream, RetryAt(*service, now),
+           commands);
+  } else if (const std::optional<request_index> index =
+                 requests_.Add({.request = event.request,
+                                .service = *service,
+                                .deadline = event.deadline,
+                                .idempotent = event.idempotent})) {
+    if (admission_.MayStartNow(*service) &&
+        (TryStart(*index, locality::kLocal, true, now, commands) ||
+         (MaySpill(requests_.At(*index), now) &&
+          TryStart(*index, locality::kRemote, true, now, commands)))) {
+      return commands;
+    }
+    const time_point start_by =
+        admission_.StartBy(*service, event.deadline, false, now);
+    const refusal_reason reason =
+        admission_.CheckQueue(*service, start_by, now);
+    if (reason != refusal_reason::kNone) {
+      GiveUp(*index, reason, now, commands);
+    } else {
+      requests_.At(*index).waiting_until = start_by;
+      admission_.Enqueue({*service, *index, start_by}, now);
+    }
   }
-  if (event.deadline <= now) {
-    Refuse(event.request, refusal_reason::kDeadlinePassed, commands);
+  StartWaiting(now, commands);
+  return commands;
+}
+
+template <routing_policy Policy>
+request_commands basic_dispatcher<Policy>::Finish(const attempt_finished& event,
+                                                  time_point now) {
+  request_commands commands;
+  Advance(now, commands);
+  const std::optional<request_index> index = requests_.Find(event.request);
+  if (!index) {
     return commands;
   }
-  request& added = requests_[event.request];
-  added.arrival = event;
-  if (TryStart(added, now, commands)) {
+  request_record& record = requests_.At(*index);
+  const auto found = std::ranges::find(record.running, event.attempt,
+                                       &running_attempt::attempt);
+  if (found == record.running.end()) {
     return commands;
   }
-  if (static_cast<std::int64_t>(queue_.size()) >=
-      declared->second.queue_limit) {
-    requests_.erase(event.request);
-    Refuse(event.request, refusal_reason::kQueueFull, commands);
-    return commands;
+  const running_attempt ended = *found;
+  record.running.erase(found);
+  if (ended.check_at) {
+    checks_.Erase(*ended.check_at, {*index, ended.attempt});
   }
-  queue_.push_back(event.request);
-  return commands;
-}
+  Learn(record, ended, event, now);
+  upstreams_.Return(ended.upstream);
+  admission_.Return(record.service);
+  record.may_have_run |= event.result == attempt_result::kUnknown;
 
-request_commands dispatcher::Finish(const attempt_finished& event,
-                                    time_point now) {
-  request_commands commands;
-  const auto found = requests_.find(event.request);
-  if (found == requests_.end() || !found->second.upstream) {
-    return commands;
+  if (!record.finished && event.result == attempt_result::kAnswered) {
+    commands.emplace_back(finish_request{.request = event.request,
+                                         .outcome = request_outcome::kDone});
+    record.finished = true;
   }
-  request& ended = found->second;
-  upstream& server = upstreams_[*ended.upstream];
-  --server.in_use;
-  if (server.state.status == upstream_status::kGone && server.in_use == 0) {
-    upstreams_.erase(*ended.upstream);
-  }
-  ended.upstream.reset();
-  const bool may_retry =
-      event.result == attempt_result::kNotStarted ||
-      (event.result == attempt_result::kUnknown && ended.arrival.idempotent);
-  if (may_retry && ended.attempts < options_.max_attempts &&
-      now < ended.arrival.deadline) {
-    queue_.push_front(event.request);
-  } else {
-    finish_request finish{.request = event.request,
-                          .outcome = request_outcome::kUnknown};
-    if (event.result == attempt_result::kAnswered) {
-      finish.outcome = request_outcome::kDone;
-    } else if (event.result == attempt_result::kNotStarted &&
-               ended.attempts == 1) {
-      finish.outcome = request_outcome::kNotRun;
-      finish.reason = refusal_reason::kUpstreamRefused;
+  if (record.finished) {
+    if (record.running.empty()) {
+      requests_.Remove(*index);
+    }
+  } else if (record.running.empty()) {
+    if (MayRetry(record, now)) {
+      services_[record.service].budget.Withdraw();
+      const time_point start_by =
+          admission_.StartBy(record.service, record.deadline, true, now);
+      record.waiting_until = start_by;
+      admission_.Enqueue({record.service, *index, start_by}, now);
+    } else {
+      GiveUp(*index,
+             record.cancelled         ? refusal_reason::kCancelled
+             : record.deadline <= now ? refusal_reason::kDeadlinePassed
+             : record.may_have_run    ? refusal_reason::kNone
+                                      : refusal_reason::kUpstreamRefused,
+             now, commands);
     }
-    commands.emplace_back(finish);
-    requests_.erase(found);
   }
   StartWaiting(now, commands);
   return commands;
 }
 
-request_commands dispatcher::Cancel(request_id request, time_point) {
+template <routing_policy Policy>
+request_commands basic_dispatcher<Policy>::Cancel(request_id request,
+                                                  time_point now) {
   request_commands commands;
-  const auto found = requests_.find(request);
-  if (found != requests_.end() && !found->second.upstream &&
-      found->second.attempts == 0) {
-    std::erase(queue_, request);
-    requests_.erase(found);
-    Refuse(request, refusal_reason::kCancelled, commands);
+  Advance(now, commands);
+  if (const std::optional<request_index> index = requests_.Find(request)) {
+    request_record& record = requests_.At(*index);
+    record.cancelled = true;
+    if (record.waiting_until) {
+      StopWaiting(*index);
+      GiveUp(*index, refusal_reason::kCancelled, now, commands);
+    }
   }
+  StartWaiting(now, commands);
   return commands;
 }
 
-request_commands dispatcher::Tick(time_point now) {
+template <routing_policy Policy>
+request_commands basic_dispatcher<Policy>::Tick(time_point now) {
   request_commands commands;
+  Advance(now, commands);
   StartWaiting(now, commands);
   return commands;
 }
 
-std::optional<time_point> dispatcher::NextDeadline() const {
+template <routing_policy Policy>
+std::optional<time_point> basic_dispatcher<Policy>::NextDeadline() const {
   std::optional<time_point> next;
-  for (const request_id id : queue_) {
-    const time_point deadline = requests_.at(id).arrival.deadline;
-    next = next ? std::min(*next, deadline) : deadline;
+  for (const std::optional<time_point>& due :
+       {admission_.Queues().NextDeadline(), checks_.First(),
+        upstreams_.NextDeadline()}) {
+    if (due && (!next || *due < *next)) {
+      next = due;
+    }
   }
   return next;
 }
 
-std::optional<worker_id> dispatcher::Choose(time_point now) const {
-  std::optional<worker_id> best;
-  std::int64_t least = 0;
-  for (const auto& [id, candidate] : upstreams_) {
-    const std::int64_t limit =
-        std::min(candidate.state.slots, candidate.state.connections);
-    if (candidate.state.status != upstream_status::kLive ||
-        candidate.in_use >= limit || candidate.state.lease_deadline <= now) {
-      continue;
-    }
-    if (!best || candidate.in_use < least) {
-      best = id;
-      least = candidate.in_use;
-    }
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::Advance(time_point now,
+                                       request_commands& commands) {
+  upstreams_.Advance(now);
+  while (const std::optional<attempt_key> key = checks_.PopDue(now)) {
+    CheckAttempt(*key, now, commands);
+  }
+  admission_.SetCapacity(upstreams_.Capacity());
+}
+
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::CheckAttempt(const attempt_key& key,
+                                            time_point now,
+                                            request_commands& commands) {
+  const auto [index, number] = key;
+  request_record& record = requests_.At(index);
+  running_attempt& attempt =
+      *std::ranges::find(record.running, number, &running_attempt::attempt);
+  attempt.check_at.reset();
+  if (!attempt.hedge_next) {
+    attempt.stalled = true;
+    upstreams_.Failed(attempt.upstream, now);
+    return;
+  }
+  attempt.hedge_next = false;
+  ArmCheck(index, attempt, now);
+  TryHedge(index, now, commands);
+}
+
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::TryHedge(request_index index,
+                                        time_point now,
+                                        request_commands& commands) {
+  const request_record& record = requests_.At(index);
+  // A hedge takes no slot that a waiting request could use.
+  if (record.finished || record.running.size() != 1 || !MayRetry(record, now) ||
+      !admission_.MayStartNow(record.service)) {
+    return;
+  }
+  if (TryStart(index, locality::kLocal, false, now, commands)) {
+    services_[record.service].budget.Withdraw();
   }
-  return best;
 }
 
-bool dispatcher::TryStart(request& waiting,
-                          time_point now,
-                          request_commands& commands) {
-  const std::optional<worker_id> target = Choose(now);
-  if (!target) {
+template <routing_policy Policy>
+bool basic_dispatcher<Policy>::MaySpill(const request_record& record,
+                                        time_point now) {
+  return admission_.Declared(record.service).spill &&
+         !admission_.TooLate(record.service,
+                             record.deadline - options_.remote_round_trip, now);
+}
+
+template <routing_policy Policy>
+bool basic_dispatcher<Policy>::TryStart(request_index index,
+                                        locality where,
+                                        bool allow_tried,
+                                        time_point now,
+                                        request_commands& commands) {
+  request_record& record = requests_.At(index);
+  const candidate_view candidates = upstreams_.Candidates(where);
+  std::optional<upstream_index> chosen =
+      router_.Choose(candidates, record.tried);
+  if (!chosen && allow_tried) {
+    chosen = router_.Choose(candidates, {});
+  }
+  if (!chosen || !upstreams_.Take(*chosen, now)) {
     return false;
   }
-  ++upstreams_[*target].in_use;
-  waiting.upstream = target;
-  ++waiting.attempts;
-  commands.emplace_back(start_attempt{waiting.arrival.request, waiting.attempts,
-                                      *target, waiting.arrival.deadline});
+  admission_.Take(record.service);
+  if (record.attempts == 0) {
+    services_[record.service].budget.Deposit();
+  }
+  ++record.attempts;
+  if (std::ranges::find(record.tried, *chosen) == record.tried.end()) {
+    record.tried.push_back(*chosen);
+  }
+  record.running.push_back(
+      {.attempt = record.attempts,
+       .upstream = *chosen,
+       .started_at = now,
+       .hedge_next = options_.retry.hedging && record.idempotent});
+  ArmCheck(index, record.running.back(), now);
+  commands.emplace_back(start_attempt{record.request, record.attempts,
+                                      upstreams_.At(*chosen).state.upstream,
+                                      record.deadline});
   return true;
 }
 
-void dispatcher::StartWaiting(time_point now, request_commands& commands) {
-  std::deque<request_id> still_waiting;
-  for (const request_id id : queue_) {
-    request& waiting = requests_.at(id);
-    if (waiting.arrival.deadline <= now) {
-      const bool started = waiting.attempts > 0;
-      commands.emplace_back(finish_request{
-          id, started ? request_outcome::kUnknown : request_outcome::kNotRun,
-          refusal_reason::kDeadlinePassed, std::nullopt});
-      requests_.erase(id);
-    } else if (!TryStart(waiting, now, commands)) {
-      still_waiting.push_back(id);
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::ArmCheck(request_index index,
+                                        running_attempt& attempt,
+                                        time_point now) {
+  const request_record& record = requests_.At(index);
+  const latency_estimate& latency = admission_.Latency(record.service);
+  if (!latency.Usable(now)) {
+    return;
+  }
+  const std::chrono::nanoseconds stall = std::max<std::chrono::nanoseconds>(
+      latency.High() * options_.stall_permille / kPermille,
+      options_.shortest_stall);
+  const time_point check_at =
+      attempt.started_at + (attempt.hedge_next ? latency.High() : stall);
+  if (check_at < record.deadline) {
+    attempt.check_at = check_at;
+    checks_.Insert(check_at, {index, attempt.attempt});
+  }
+}
+
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::StartWaiting(time_point now,
+                                            request_commands& commands) {
+  admission_.SetCapacity(upstreams_.Capacity());
+  while (const std::optional<waiting_request> late =
+             admission_.Queues().Overdue(now)) {
+    StopWaiting(late->request);
+    GiveUp(late->request,
+           requests_.At(late->request).deadline <= now
+               ? refusal_reason::kDeadlinePassed
+           : upstreams_.Capacity() == 0 ? refusal_reason::kNoUpstream
+           : admission_.BelowCap(late->service)
+               ? refusal_reason::kDeadlineTooClose
+               : refusal_reason::kOverShare,
+           now, commands);
+  }
+  StartLocal(now, commands);
+  StartRemote(now, commands);
+}
+
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::StartLocal(time_point now,
+                                          request_commands& commands) {
+  absl::InlinedVector<waiting_request, kMostPassedOver> passed_over;
+  while (upstreams_.Candidates(locality::kLocal).size() > 0) {
+    const std::optional<waiting_request> next = admission_.Queues().Next(false);
+    if (!next) {
+      break;
     }
+    const bool allow_tried = passed_over.size() == kMostPassedOver;
+    if (TryStart(next->request, locality::kLocal, allow_tried, now, commands)) {
+      StopWaiting(next->request);
+    } else if (allow_tried) {
+      break;
+    } else {
+      admission_.Remove(*next);
+      passed_over.push_back(*next);
+    }
+  }
+  for (const waiting_request& passed : passed_over) {
+    admission_.Enqueue(passed, now);
   }
-  queue_.swap(still_waiting);
 }
 
-void dispatcher::Refuse(request_id id,
-                        refusal_reason reason,
-                        request_commands& commands) {
-  commands.emplace_back(
-      finish_request{id, request_outcome::kNotRun, reason, std::nullopt});
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::StartRemote(time_point now,
+                                           request_commands& commands) {
+  bool started = true;
+  while (started && upstreams_.Candidates(locality::kRemote).size() > 0) {
+    started = false;
+    for (const waiting_request& head :
+         admission_.Queues().SpillHeads(kMostSpillHeads)) {
+      if (MaySpill(requests_.At(head.request), now) &&
+          TryStart(head.request, locality::kRemote, true, now, commands)) {
+        StopWaiting(head.request);
+        started = true;
+        break;
+      }
+    }
+  }
 }
 
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::StopWaiting(request_index index) {
+  request_record& record = requests_.At(index);
+  admission_.Remove({record.service, index, *record.waiting_until});
+  record.waiting_until.reset();
+}
+
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::Learn(const request_record& record,
+                                     const running_attempt& attempt,
+                                     const attempt_finished& event,
+                                     time_point now) {
+  if (event.result != attempt_result::kAnswered) {
+    // The daemon itself ends the attempts of a request that is finished or
+    // cancelled, and a stalled attempt has been counted. An attempt that ran
+    // into a tight deadline within the usual service time shows nothing.
+    const latency_estimate& latency = admission_.Latency(record.service);
+    const bool tight = now >= record.deadline && latency.Usable(now) &&
+                       now - attempt.started_at < latency.High();
+    if (!record.finished && !record.cancelled && !attempt.stalled && !tight) {
+      upstreams_.Failed(attempt.upstream, now);
+    }
+    return;
+  }
+  service_state& service = services_[record.service];
+  service.fault_rate +=
+      ((event.upstream_fault ? 1 : 0) - service.fault_rate) * kFaultWeight;
+  if (event.upstream_fault) {
+    if (service.fault_rate < kServiceAtFault) {
+      upstreams_.Failed(attempt.upstream, now);
+    }
+    return;
+  }
+  latency_estimate& latency = admission_.Latency(record.service);
+  const std::chrono::nanoseconds taken = now - attempt.started_at;
+  const std::chrono::nanoseconds mean = latency.Mean();
+  latency.Add(taken, now);
+  if (!attempt.stalled) {
+    upstreams_.Answered(attempt.upstream,
+                        mean.count() > 0 ? static_cast<double>(taken.count()) /
+                                               static_cast<double>(mean.count())
+                                         : 1.0);
+  }
+}
+
+template <routing_policy Policy>
+bool basic_dispatcher<Policy>::MayRetry(const request_record& record,
+                                        time_point now) {
+  return !record.cancelled && record.attempts < options_.max_attempts &&
+         (record.idempotent ||
+          (!record.may_have_run && record.running.empty())) &&
+         !admission_.TooLate(record.service, record.deadline, now) &&
+         services_[record.service].budget.CanWithdraw();
+}
+
+template <routing_policy Policy>
+std::optional<time_point> basic_dispatcher<Policy>::RetryAt(
+    service_index service,
+    time_point now) {
+  const std::chrono::nanoseconds wait = std::max<std::chrono::nanoseconds>(
+      admission_.Backlog(service), options_.shortest_retry);
+  // Up to half as much again, so that refused callers do not come back at once.
+  const auto spread = static_cast<std::int64_t>(
+      RandomBelow(router_.Random(), static_cast<std::size_t>(kPermille / 2)));
+  return now + wait + wait * spread / kPermille;
+}
+
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::GiveUp(request_index index,
+                                      refusal_reason reason,
+                                      time_point now,
+                                      request_commands& commands) {
+  const request_record& record = requests_.At(index);
+  if (record.may_have_run) {
+    commands.emplace_back(finish_request{
+        record.request, request_outcome::kUnknown, reason, std::nullopt});
+  } else {
+    Refuse(record.request, reason,
+           reason == refusal_reason::kCancelled ? std::nullopt
+                                                : RetryAt(record.service, now),
+           commands);
+  }
+  requests_.Remove(index);
+}
+
+template class basic_dispatcher<two_choices<latency_cost>>;
+template class basic_dispatcher<two_choices<outstanding_cost>>;
+template class basic_dispatcher<full_scan<outstanding_cost>>;
+template class basic_dispatcher<round_robin>;
+template class basic_dispatcher<random_choice>;
+
 }  // namespace skylarkbridge::scheduling
--- /dev/null
+++ b/src/skylarkbridge/scheduling/dispatcher_test.cpp
@@ -0,0 +1,297 @@
+#include "skylarkbridge/scheduling/dispatcher.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace skylarkbridge::scheduling {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kStart = time_point(seconds(100));
+
+time_point At(milliseconds offset) {
+  return kStart + offset;
+}
+
+/// One dispatcher with two services, and short forms of its events.
+class dispatcher_fixture {
+ public:
+  explicit dispatcher_fixture(dispatcher_options options = {})
+      : dispatcher_(options) {
+    config_.teams = {{.name = "crew"}};
+    config_.services = {
+        {.name = "entries", .team = "crew", .claim = {500, 1000}},
+        {.name = "heats", .team = "crew", .claim = {0, 800}}};
+    dispatcher_.Configure(config_, kStart);
+  }
+
+  dispatcher& Get() { return dispatcher_; }
+  void Upstream(std::uint64_t id,
+                std::int64_t slots,
+                upstream_status status = upstream_status::kLive,
+                time_point lease = time_point::max()) {
+    dispatcher_.Update({.upstream = {id},
+                        .status = status,
+                        .data_centre = {1},
+                        .slots = slots,
+                        .connections = 64,
+                        .lease_deadline = lease},
+                       kStart);
+  }
+  request_commands Arrive(std::uint64_t id,
+                          milliseconds now,
+                          bool idempotent = false,
+                          const std::string& service = "entries",
+                          milliseconds deadline = seconds(1)) {
+    return dispatcher_.Arrive({{id}, service, At(now) + deadline, idempotent},
+                              At(now));
+  }
+  request_commands Finish(std::uint64_t id,
+                          attempt_result result,
+                          milliseconds now,
+                          std::uint32_t attempt = 1) {
+    return dispatcher_.Finish({{id}, attempt, result}, At(now));
+  }
+  /// Teaches a service time of @p taken to the service.
+  void Teach(const std::string& service, milliseconds taken) {
+    for (std::uint64_t id = 9000; id < 9030; ++id) {
+      Arrive(id, milliseconds(0), false, service);
+      Finish(id, attempt_result::kAnswered, taken);
+    }
+  }
+
+ private:
+  declaration::configuration config_;
+  dispatcher dispatcher_;
+};
+
+const start_attempt* Start(const request_commands& commands) {
+  return commands.empty() ? nullptr
+                          : std::get_if<start_attempt>(&commands.front());
+}
+
+const finish_request* End(const request_commands& commands) {
+  return commands.empty() ? nullptr
+                          : std::get_if<finish_request>(&commands.front());
+}
+
+// A request marked non-idempotent must not run twice.
+TEST(DispatcherTest, NeverRetriesNonIdempotentThatMayHaveRun) {
+  dispatcher_fixture fixture;
+  fixture.Upstream(1, 1);
+  fixture.Upstream(2, 1);
+  ASSERT_TRUE(Start(fixture.Arrive(1, milliseconds(0))));
+  const request_commands ended =
+      fixture.Finish(1, attempt_result::kUnknown, milliseconds(5));
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_EQ(End(ended)->outcome, request_outcome::kUnknown);
+}
+
+// "not-run" would be a lie when an earlier attempt may have run.
+TEST(DispatcherTest, SaysNotRunOnlyWhenAllAttemptsAreProven) {
+  dispatcher_fixture fixture({.max_attempts = 2});
+  fixture.Upstream(1, 2);
+  fixture.Upstream(2, 2);
+  fixture.Arrive(1, milliseconds(0), true);
+  const start_attempt* again = nullptr;
+  const request_commands retried =
+      fixture.Finish(1, attempt_result::kUnknown, milliseconds(5));
+  ASSERT_TRUE(again = Start(retried));
+  EXPECT_EQ(again->attempt, 2U);
+  EXPECT_EQ(
+      End(fixture.Finish(1, attempt_result::kNotStarted, milliseconds(6), 2))
+          ->outcome,
+      request_outcome::kUnknown);
+
+  fixture.Arrive(2, milliseconds(10));
+  ASSERT_TRUE(
+      Start(fixture.Finish(2, attempt_result::kNotStarted, milliseconds(11))));
+  const request_commands ended =
+      fixture.Finish(2, attempt_result::kNotStarted, milliseconds(12), 2);
+  EXPECT_EQ(End(ended)->outcome, request_outcome::kNotRun);
+  EXPECT_EQ(End(ended)->reason, refusal_reason::kUpstreamRefused);
+  EXPECT_TRUE(End(ended)->retry_at);
+}
+
+// A retry on the upstream that just failed would most likely fail again.
+TEST(DispatcherTest, RetriesOnAnotherUpstream) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    dispatcher_fixture fixture({.seed = seed});
+    fixture.Upstream(1, 8);
+    fixture.Upstream(2, 8);
+    const request_commands first = fixture.Arrive(1, milliseconds(0), true);
+    const request_commands second =
+        fixture.Finish(1, attempt_result::kNotStarted, milliseconds(1));
+    ASSERT_TRUE(Start(second)) << "seed " << seed;
+    EXPECT_NE(Start(first)->upstream, Start(second)->upstream)
+        << "seed " << seed;
+  }
+}
+
+// A late or repeated report must not free a slot twice or end a request that
+// runs again.
+TEST(DispatcherTest, IgnoresReportsOfOldAttempts) {
+  dispatcher_fixture fixture;
+  fixture.Upstream(1, 1);
+  fixture.Upstream(2, 1);
+  fixture.Arrive(1, milliseconds(0), true);
+  fixture.Finish(1, attempt_result::kNotStarted, milliseconds(1));
+  EXPECT_TRUE(
+      fixture.Finish(1, attempt_result::kAnswered, milliseconds(2)).empty());
+  ASSERT_TRUE(Start(fixture.Arrive(2, milliseconds(3))));
+  EXPECT_TRUE(fixture.Arrive(3, milliseconds(3)).empty());
+}
+
+// More attempts than slots would put a worker over its capacity.
+TEST(DispatcherTest, KeepsSlotsConnectionsAndLeases) {
+  dispatcher_fixture fixture;
+  fixture.Upstream(1, 2);
+  fixture.Get().Update({.upstream = {2}, .slots = 8, .connections = 1}, kStart);
+  fixture.Upstream(3, 8, upstream_status::kLive, At(milliseconds(10)));
+  fixture.Upstream(4, 8, upstream_status::kLeaving);
+  std::multiset<std::uint64_t> used;
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    const request_commands commands = fixture.Arrive(id, milliseconds(10));
+    if (const start_attempt* start = Start(commands)) {
+      used.insert(start->upstream.value);
+    }
+  }
+  EXPECT_EQ(used, (std::multiset<std::uint64_t>{1, 1, 2}));
+}
+
+// A guaranteed share must come back as soon as slots free up, also when another
+// service with earlier deadlines floods.
+TEST(DispatcherTest, ServiceBelowItsMinimumGoesFirst) {
+  dispatcher_fixture fixture;
+  fixture.Upstream(1, 10);
+  for (std::uint64_t id = 1; id <= 40; ++id) {
+    fixture.Arrive(id, milliseconds(0), false, "heats", milliseconds(500));
+  }
+  // The cap of 800 permille holds while two slots idle.
+  ASSERT_TRUE(Start(fixture.Arrive(100, milliseconds(1))));
+  ASSERT_TRUE(Start(fixture.Arrive(101, milliseconds(1))));
+  for (std::uint64_t id = 102; id <= 104; ++id) {
+    ASSERT_TRUE(fixture.Arrive(id, milliseconds(1)).empty());
+  }
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    const request_commands freed =
+        fixture.Finish(id, attempt_result::kAnswered, milliseconds(9));
+    ASSERT_EQ(freed.size(), 2U);
+    EXPECT_EQ(std::get<start_attempt>(freed[1]).request.value, 101 + id);
+  }
+}
+
+// Work that will be late only takes slots from work that can still succeed.
+TEST(DispatcherTest, RefusesWhatCannotMeetItsDeadline) {
+  dispatcher_fixture fixture;
+  fixture.Upstream(1, 1);
+  fixture.Teach("entries", milliseconds(100));
+  EXPECT_EQ(End(fixture.Arrive(1, milliseconds(200), false, "entries",
+                               milliseconds(50)))
+                ->reason,
+            refusal_reason::kDeadlineTooClose);
+  fixture.Arrive(2, milliseconds(200));
+  for (std::uint64_t id = 3; id <= 11; ++id) {
+    EXPECT_TRUE(fixture.Arrive(id, milliseconds(200)).empty()) << id;
+  }
+  const request_commands refused = fixture.Arrive(20, milliseconds(200));
+  ASSERT_TRUE(End(refused));
+  EXPECT_EQ(End(refused)->outcome, request_outcome::kNotRun);
+  EXPECT_GT(End(refused)->retry_at, At(milliseconds(600)));
+}
+
+// A request must not wait past its latest start, and the timer must move on
+// after each tick.
+TEST(DispatcherTest, DropsOverdueRequestsOnTick) {
+  dispatcher_fixture fixture;
+  fixture.Upstream(1, 1);
+  fixture.Arrive(1, milliseconds(0));
+  fixture.Arrive(2, milliseconds(0), false, "entries", milliseconds(300));
+  ASSERT_EQ(fixture.Get().NextDeadline(), At(milliseconds(300)));
+  const request_commands dropped = fixture.Get().Tick(At(milliseconds(300)));
+  ASSERT_TRUE(End(dropped));
+  EXPECT_EQ(End(dropped)->outcome, request_outcome::kNotRun);
+  EXPECT_EQ(fixture.Get().NextDeadline(), std::nullopt);
+}
+
+// Retries must not multiply the load while upstreams fail.
+TEST(DispatcherTest, RetryBudgetBoundsAttempts) {
+  dispatcher_fixture fixture;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    fixture.Upstream(id, 8);
+  }
+  std::size_t attempts = 0;
+  for (std::uint64_t id = 1; id <= 1000; ++id) {
+    request_commands commands = fixture.Arrive(id, milliseconds(id), true);
+    while (const start_attempt* start = Start(commands)) {
+      ++attempts;
+      commands = fixture.Finish(id, attempt_result::kNotStarted,
+                                milliseconds(id), start->attempt);
+    }
+  }
+  EXPECT_GT(attempts, 1050U);
+  EXPECT_LE(attempts, 1100U);
+}
+
+// A hedge must use another upstream and a higher attempt number, and the slot
+// of the slower attempt stays in use until it ends.
+TEST(DispatcherTest, HedgesSlowIdempotentRequests) {
+  dispatcher_fixture fixture({.retry = {.hedging = true}});
+  fixture.Upstream(1, 1);
+  fixture.Upstream(2, 1);
+  fixture.Teach("entries", milliseconds(10));
+  const request_commands first = fixture.Arrive(1, milliseconds(100), true);
+  const request_commands hedge = fixture.Get().Tick(At(milliseconds(130)));
+  ASSERT_TRUE(Start(hedge));
+  EXPECT_EQ(Start(hedge)->attempt, 2U);
+  EXPECT_NE(Start(hedge)->upstream, Start(first)->upstream);
+  EXPECT_EQ(
+      End(fixture.Finish(1, attempt_result::kAnswered, milliseconds(135), 2))
+          ->outcome,
+      request_outcome::kDone);
+  EXPECT_TRUE(Start(fixture.Arrive(2, milliseconds(136))));
+  EXPECT_TRUE(fixture.Arrive(3, milliseconds(136)).empty());
+  EXPECT_TRUE(
+      Start(fixture.Finish(1, attempt_result::kUnknown, milliseconds(140), 1)));
+}
+
+// A request of a service that may not spill must stay in its data centre, and
+// one that may must not go elsewhere too late.
+TEST(DispatcherTest, SpillsOnlyWhenAllowedAndInTime) {
+  dispatcher spilling({.upstreams = {.data_centre = data_centre_id{1}}});
+  declaration::configuration config;
+  config.services = {{.name = "a", .spill = true}, {.name = "b"}};
+  spilling.Configure(config, kStart);
+  spilling.Update({{1}, upstream_status::kLive, {1}, 1, 1}, kStart);
+  spilling.Update({{2}, upstream_status::kLive, {2}, 2, 2}, kStart);
+  const time_point later = kStart + seconds(1);
+  EXPECT_EQ(Start(spilling.Arrive({{1}, "b", later}, kStart))->upstream.value,
+            1U);
+  EXPECT_TRUE(spilling.Arrive({{2}, "b", later}, kStart).empty());
+  const request_commands spilled = spilling.Arrive({{3}, "a", later}, kStart);
+  ASSERT_TRUE(Start(spilled));
+  EXPECT_EQ(Start(spilled)->upstream.value, 2U);
+  EXPECT_TRUE(
+      spilling.Arrive({{4}, "a", kStart + milliseconds(2)}, kStart).empty());
+}
+
+// A cancelled request must not start later, and a running one keeps its slot.
+TEST(DispatcherTest, CancelledRequestsDoNotStart) {
+  dispatcher_fixture fixture;
+  fixture.Upstream(1, 1);
+  fixture.Arrive(1, milliseconds(0), true);
+  fixture.Arrive(2, milliseconds(0));
+  EXPECT_EQ(End(fixture.Get().Cancel({2}, kStart))->reason,
+            refusal_reason::kCancelled);
+  EXPECT_TRUE(fixture.Get().Cancel({1}, kStart).empty());
+  const request_commands ended =
+      fixture.Finish(1, attempt_result::kUnknown, milliseconds(5));
+  ASSERT_TRUE(End(ended));
+  EXPECT_EQ(End(ended)->outcome, request_outcome::kUnknown);
+}
+
+}  // namespace
+}  // namespace skylarkbridge::scheduling
