--- a/include/skylarkbridge/scheduling/task_events.hpp
+++ b/include/skylarkbridge/scheduling/task_events.hpp
@@ -25,6 +25,11 @@
   std::uint32_t attempts = 0;
   /// Checkpoint to resume from, if any.
   std::optional<std::string> checkpoint;
+  /// Attempts among them that failed.
+  std::uint32_t failed_attempts = 0;
+  /// Accepted earlier, for example before a takeover: it then waits instead of
+  /// being refused for its size or for a full queue.
+  bool resumed = false;
 };
 
 /// @brief A worker confirmed the start of a task, or an inventory showed that
@@ -115,12 +120,16 @@
   bool operator==(const start_task&) const = default;
 };
 
-/// @brief Limits the processor time of a running task.
+/// @brief Limits the processor time of a running task, or changes its lease.
 struct throttle_task {
   task_id task;
   worker_id worker;
   /// Thousandths of the leased processors; 1000 lifts the limit.
   std::int64_t processor_permille = 1000;
+  /// Attempt that is meant; a worker ignores the command for any other.
+  std::uint32_t attempt = 0;
+  /// The lease from now on, which may differ from that of start_task.
+  resources leased;
 
   bool operator==(const throttle_task&) const = default;
 };
@@ -129,6 +138,8 @@
 struct checkpoint_task {
   task_id task;
   worker_id worker;
+  /// Attempt that is meant; a worker ignores the command for any other.
+  std::uint32_t attempt = 0;
 
   bool operator==(const checkpoint_task&) const = default;
 };
@@ -139,6 +150,8 @@
   task_id task;
   worker_id worker;
   stop_reason reason = stop_reason::kCancelled;
+  /// Attempt that is meant; a worker ignores the command for any other.
+  std::uint32_t attempt = 0;
 
   bool operator==(const stop_task&) const = default;
 };
