Place, share, learn and reclaim batch tasks

Cause: the batch scheduler was declared without definitions. Change: task, kind and worker tables with constant-time queues, a tree of maxima that finds room, shares with reclaim, learnt leases, failure tracking, a pairwise slowdown model and its actions in steps.

--- a/include/skylarkbridge/scheduling/task_events.hpp
+++ b/include/skylarkbridge/scheduling/task_events.hpp
@@ -162,6 +162,9 @@
   kQueueFull,
   kTooManyFailures,
   kOverQuota,
+  /// A task that is not idempotent was started, and its worker is gone or
+  /// stopped it without a checkpoint.
+  kOutcomeUnknown,
 };
 
 /// @brief The task will not run; reported to who submitted it.
--- /dev/null
+++ b/src/skylarkbridge/scheduling/batch_core.hpp
@@ -0,0 +1,191 @@
+#ifndef SKYLARKBRIDGE_SCHEDULING_BATCH_CORE_HPP
+#define SKYLARKBRIDGE_SCHEDULING_BATCH_CORE_HPP
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/declaration/configuration.hpp"
+#include "skylarkbridge/scheduling/batch_options.hpp"
+#include "skylarkbridge/scheduling/batch_status.hpp"
+#include "skylarkbridge/scheduling/deadline_queue.hpp"
+#include "skylarkbridge/scheduling/eviction_budget.hpp"
+#include "skylarkbridge/scheduling/kind_table.hpp"
+#include "skylarkbridge/scheduling/room_index.hpp"
+#include "skylarkbridge/scheduling/slowdown_model.hpp"
+#include "skylarkbridge/scheduling/task_events.hpp"
+#include "skylarkbridge/scheduling/task_table.hpp"
+#include "skylarkbridge/scheduling/worker_table.hpp"
+
+namespace skylarkbridge::scheduling {
+
+/// @brief State and rules behind basic_batch_scheduler. The members are defined
+/// by topic in the batch_core_*.hpp files.
+template <slowdown_estimator Estimator>
+class batch_core {
+ public:
+  batch_core(batch_options options, Estimator estimator)
+      : options_(options),
+        estimator_(std::move(estimator)),
+        budget_(options.interference),
+        random_(options.seed) {}
+
+  // batch_core_events.hpp
+  void Configure(const declaration::configuration& config, time_point now);
+  void Submit(const task_submitted& event, time_point now);
+  void CancelTask(task_id id, time_point now);
+  void Started(const task_started& event, time_point now);
+  void Finished(const task_finished& event, time_point now);
+  void Checkpointed(const task_checkpointed& event, time_point now);
+  void Update(const worker_state& state, time_point now);
+  void Tick(time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  // batch_core_reports.hpp
+  void Report(const usage_report& report, time_point now);
+
+  // batch_core_status.hpp
+  std::optional<waiting_status> WhyWaiting(task_id id) const;
+  std::optional<worker_holdings> Holdings(worker_id id) const;
+  std::vector<worker_id> Workers() const;
+  std::vector<kind_status> Kinds() const;
+  const batch_counters& Counters() const { return counters_; }
+
+  task_commands TakeCommands() { return std::exchange(commands_, {}); }
+
+ private:
+  enum class eviction_cause { kInterference, kShare, kRoom };
+  struct candidate {
+    worker_index worker = kNone;
+    double cost = 0;
+  };
+
+  // batch_core_queues.hpp: the state of kinds and workers as it affects the
+  // search for work and room.
+  resources LeaseFor(kind_index kind, const task_entry& task) const;
+  void RefreshKind(kind_index kind, bool retry, time_point now);
+  void RefreshTeam(kind_index kind, time_point now);
+  void RefreshAllKinds(time_point now);
+  void RefreshWorker(worker_index worker, time_point now);
+  bool Eligible(const worker_entry& worker, time_point now) const;
+  void Reserve(worker_index worker,
+               kind_index kind,
+               const resources& need,
+               time_point until);
+  void ClearReservation(worker_index worker);
+
+  // batch_core_placement.hpp
+  void Dispatch(time_point now);
+  void StartReady(const queue_key* before, time_point now);
+  void OfferRoom(worker_index worker, time_point now);
+  bool StartHead(kind_index kind, time_point now);
+  bool TryOn(kind_index kind, worker_index worker, time_point now);
+  std::optional<double> Cost(kind_index kind,
+                             const task_entry& task,
+                             const resources& need,
+                             worker_index worker,
+                             time_point now) const;
+  /// @brief Largest expected slowdown of a service, as part of its latency,
+  /// with one more task of the kind.
+  double ExpectedHarm(const worker_entry& worker, kind_index kind) const;
+  void Place(task_index task,
+             worker_index worker,
+             const resources& need,
+             time_point now);
+  void Hold(task_index task,
+            worker_index worker,
+            const resources& lease,
+            time_point now);
+  void ShiftHarm(worker_entry& worker, kind_index kind, double amount);
+  void RecomputeHarm(worker_entry& worker);
+
+  // batch_core_endings.hpp
+  void EndRun(task_index task, time_point now);
+  void Requeue(task_index task, time_point now);
+  void End(task_index task, time_point now);
+  void Refuse(task_index task,
+              task_refusal reason,
+              std::string detail,
+              time_point now);
+  void Fail(task_index task, worker_index worker, time_point now);
+  void QueueAgainOrRefuse(task_index task, time_point now);
+  bool Evictable(const task_entry& task) const;
+  bool Evict(task_index task, eviction_cause cause, time_point now);
+  void GraceOver(task_index task, time_point now);
+  /// @brief Work that an eviction would lose, in processor seconds.
+  double LostWork(const task_entry& task, time_point now) const;
+  void LeaveWorker(worker_index worker, time_point now);
+  void ShrinkToCapacity(worker_index worker, time_point now);
+
+  // batch_core_reclaim.hpp
+  void ReclaimRound(time_point now);
+  bool ReclaimFor(kind_index kind, time_point now);
+  void ReserveForAged(kind_index kind, time_point now);
+  /// @brief Tasks to evict from a worker so that one task of the kind can run
+  /// there, for the least lost work; nothing when it is not possible.
+  std::optional<std::vector<task_index>> VictimsOn(worker_index worker,
+                                                   kind_index kind,
+                                                   const resources& need,
+                                                   time_point now) const;
+  bool MayTakeFrom(const task_entry& victim,
+                   kind_index kind,
+                   const std::vector<task_index>& chosen) const;
+
+  // batch_core_reports.hpp
+  void LearnUse(worker_index worker,
+                const task_usage& usage,
+                const usage_report& report,
+                time_point now);
+  void AdjustLease(task_index task, const resources& used, time_point now);
+  void SetLease(task_index task, const resources& lease, time_point now);
+  void Throttle(task_index task, std::int64_t permille, time_point now);
+  double LearnSlowdown(worker_index worker,
+                       const usage_report& report,
+                       time_point now);
+  void Act(worker_index worker,
+           double slowdown,
+           const usage_report& report,
+           time_point now);
+  bool ThrottleHarm(worker_index worker, double excess, time_point now);
+  bool EvictHarm(worker_index worker, double excess, time_point now);
+  bool LiftThrottle(worker_index worker, time_point now);
+  double TaskHarm(const worker_entry& worker, const task_entry& task) const;
+
+  std::uint64_t Random();
+
+  batch_options options_;
+  Estimator estimator_;
+  eviction_budget budget_;
+  std::uint64_t random_;
+  task_commands commands_;
+  batch_counters counters_;
+
+  task_table tasks_;
+  ended_tasks ended_;
+  kind_table kinds_;
+  worker_table workers_;
+  absl::flat_hash_map<std::string, std::uint32_t> services_;
+  std::vector<declaration::service> service_declarations_;
+  std::uint64_t next_sequence_ = 0;
+  /// Capacity of all known workers.
+  resources fleet_;
+  std::size_t quarantined_ = 0;
+  room_index room_;
+  room_index capacities_;
+  std::set<queue_key> ready_;
+  std::set<queue_key> no_room_;
+  std::vector<worker_index> freed_;
+  std::vector<worker_index> reserved_;
+  std::vector<kind_index> offer_order_;
+  deadline_queue deadlines_;
+  std::optional<time_point> next_round_;
+};
+
+}  // namespace skylarkbridge::scheduling
+
+#endif  // SKYLARKBRIDGE_SCHEDULING_BATCH_CORE_HPP
--- /dev/null
+++ b/src/skylarkbridge/scheduling/batch_core_reports.hpp
@@ -0,0 +1,371 @@
+#ifndef SKYLARKBRIDGE_SCHEDULING_BATCH_CORE_REPORTS_HPP
+#define SKYLARKBRIDGE_SCHEDULING_BATCH_CORE_REPORTS_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "skylarkbridge/scheduling/batch_core.hpp"
+
+namespace skylarkbridge::scheduling {
+
+// Oldest window that a report may be about; older reports are ignored.
+inline constexpr std::chrono::seconds kLongestLag{60};
+// A larger difference between lease and need is worth a command to the worker.
+inline constexpr double kLeaseSlack = 1.25;
+
+template <slowdown_estimator Estimator>
+void batch_core<Estimator>::Report(const usage_report& report, time_point now) {
+  const worker_index worker = workers_.Find(report.worker);
+  if (worker == kNone || report.window_end <= report.window_begin ||
+      report.window_end > now || report.window_begin < now - kLongestLag) {
+    ++counters_.stale_events;
+    return;
+  }
+  for (const task_usage& usage : report.tasks) {
+    LearnUse(worker, usage, report, now);
+  }
+  const double slowdown = LearnSlowdown(worker, report, now);
+  if (options_.interference.enabled) {
+    Act(worker, slowdown, report, now);
+  }
+  workers_[worker].ForgetBefore(now - kLongestLag);
+  RefreshWorker(worker, now);
+  Dispatch(now);
+}
+
+template <slowdown_estimator Estimator>
+void batch_core<Estimator>::LearnUse(worker_index worker,
+                                     const task_usage& usage,
+                                     const usage_report& report,
+                                     time_point now) {
+  const task_index task = tasks_.Find(usage.task);
+  if (!options_.usage.learn || task == kNone ||
+      tasks_[task].phase != task_phase::kRunning ||
+      tasks_[task].worker != worker ||
+      tasks_[task].started > report.window_begin) {
+    return;
+  }
+  const resources& capacity = workers_[worker].state.capacity;
+  const resources used{.millicores = std::clamp<std::int64_t>(
+                           usage.used.millicores, 0,
+                           std::max<std::int64_t>(capacity.millicores, 0)),
+                       .memory_mib = std::clamp<std::int64_t>(
+                           usage.used.memory_mib, 0,
+                           std::max<std::int64_t>(capacity.memory_mib, 0))};
+  const kind_index kind = tasks_[task].kind;
+  kinds_[kind].usage.AddUse(used, tasks_[task].processor_permille == 1000,
+                            options_.usage);
+  AdjustLease(task, used, now);
+  if (kinds_[kind].state == queue_state::kNoRoom) {
+    const resources lease = LeaseFor(kind, tasks_[kinds_[kind].waiting.head]);
+    const resources& tried = kinds_[kind].tried;
+    if (10 * lease.millicores < 9 * tried.millicores ||
+        10 * lease.memory_mib < 9 * tried.memory_mib) {
+      RefreshKind(kind, true, now);
+    }
+  }
+}
+
+template <slowdown_estimator Estimator>
+void batch_core<Estimator>::AdjustLease(task_index task,
+                                        const resources& used,
+                                        time_point now) {
+  task_entry& entry = tasks_[task];
+  const worker_entry& host = workers_[entry.worker];
+  const auto with_headroom = [&](std::int64_t value) {
+    return static_cast<std::int64_t>(static_cast<double>(value) *
+                                     options_.usage.headroom) +
+           1;
+  };
+  const bool over_memory = used.memory_mib > entry.leased.memory_mib;
+  // A throttled task shows less use than it would have.
+  const bool over_processors =
+      used.millicores * 1000 >
+      entry.leased.millicores * entry.processor_permille;
+  if (over_memory || over_processors || entry.throttled_for_room) {
+    resources larger = entry.leased;
+    if (over_memory) {
+      larger.memory_mib = with_headroom(used.memory_mib);
+      entry.needed.memory_mib =
+          std::max(entry.needed.memory_mib, larger.memory_mib);
+    }
+    if (over_processors && entry.processor_permille == 1000) {
+      larger.millicores = with_headroom(used.millicores);
+      entry.needed.millicores =
+          std::max(entry.needed.millicores, larger.millicores);
+    }
+    if (entry.throttled_for_room) {
+      larger.millicores = std::max(larger.millicores, entry.needed.millicores);
+    }
+    const resources more = larger - entry.leased;
+    if (Fits(more, host.Room() - host.reserved) &&
+        !kinds_.Blocked(entry.kind, more, fleet_)) {
+      SetLease(task, larger, now);
+      if (entry.throttled_for_room) {
+        entry.throttled_for_room = false;
+        Throttle(task, 1000, now);
+      }
+    } else if (over_memory) {
+      Evict(task, eviction_cause::kRoom, now);
+    } else if (over_processors && entry.processor_permille == 1000) {
+      entry.throttled_for_room = true;
+      Throttle(task,
+               std::clamp<std::int64_t>(
+                   entry.leased.millicores * 1000 / used.millicores, 100, 999),
+               now);
+    }
+    return;
+  }
+  if (!kinds_[entry.kind].usage.Learnt(options_.usage) ||
+      entry.processor_permille != 1000) {
+    return;
+  }
+  const resources learnt = LeaseFor(entry.kind, entry);
+  const resources target{
+      .millicores = std::max(learnt.millicores, with_headroom(used.millicores)),
+      .memory_mib = std::max(learnt.memory_mib, with_headroom(used.memory_mib)),
+      .accelerators = entry.leased.accelerators};
+  const auto much_less = [](std::int64_t wanted, std::int64_t held) {
+    return static_cast<double>(wanted) * kLeaseSlack <
+           static_cast<double>(held);
+  };
+  if (much_less(target.millicores, entry.leased.millicores) ||
+      much_less(target.memory_mib, entry.leased.memory_mib)) {
+    SetLease(
+        task,
+        {.millicores = std::min(target.millicores, entry.leased.millicores),
+         .memory_mib = std::min(target.memory_mib, entry.leased.memory_mib),
+         .accelerators = target.accelerators},
+        now);
+  }
+}
+
+template <slowdown_estimator Estimator>
+void batch_core<Estimator>::SetLease(task_index task,
+                                     const resources& lease,
+                                     time_point now) {
+  task_entry& entry = tasks_[task];
+  worker_entry& host = workers_[entry.worker];
+  const resources more = lease - entry.leased;
+  entry.leased = lease;
+  host.leased += more;
+  kinds_.Lease(entry.kind, more);
+  if (entry.phase != task_phase::kRunning) {
+    kinds_.MarkEnding(entry.kind, more);
+  }
+  commands_.emplace_back(
+      throttle_task{.task = entry.id,
+                    .worker = host.state.worker,
+                    .processor_permille = entry.processor_permille,
+                    .attempt = entry.attempt,
+                    .leased = lease});
+  RefreshTeam(entry.kind, now);
+}
+
+template <slowdown_estimator Estimator>
+void batch_core<Estimator>::Throttle(task_index task,
+                                     std::int64_t permille,
+                                     time_point now) {
+  task_entry& entry = tasks_[task];
+  worker_entry& host = workers_[entry.worker];
+  ShiftHarm(host, entry.kind,
+            static_cast<double>(permille - entry.processor_permille) / 1000);
+  counters_.throttled += permille < entry.processor_permille ? 1 : 0;
+  entry.processor_permille = permille;
+  host.Expose(entry, now);
+  commands_.emplace_back(throttle_task{.task = entry.id,
+                                       .worker = host.state.worker,
+                                       .processor_permille = permille,
+                                       .attempt = entry.attempt,
+                                       .leased = entry.leased});
+}
+
+template <slowdown_estimator Estimator>
+double batch_core<Estimator>::LearnSlowdown(worker_index worker,
+                                            const usage_report& report,
+                                            time_point now) {
+  worker_entry& entry = workers_[worker];
+  const double seconds =
+      std::chrono::duration<double>(report.window_end - report.window_begin)
+          .count();
+  const std::vector<exposure> beside =
+      entry.Beside(report.window_begin, report.window_end);
+  std::erase_if(entry.services, [&](const service_view& view) {
+    return view.seen < now - kLongestLag;
+  });
+  double highest = 1.0;
+  for (const service_latency& measured : report.services) {
+    const auto known = services_.find(measured.service);
+    if (known == services_.end()) {
+      continue;
+    }
+    const std::uint32_t service = known->second;
+    auto view = std::find_if(
+        entry.services.begin(), entry.services.end(),
+        [&](const service_view& v) { return v.service == service; });
+    if (view == entry.services.end()) {
+      view = entry.services.insert(view, {.service = service});
+    }
+    view->seen = now;
+    view->load = static_cast<double>(measured.requests) / seconds;
+    if (measured.requests < options_.interference.min_requests) {
+      continue;
+    }
+    const std::optional<double> slowdown = estimator_.Learn(
+        service, static_cast<double>(measured.p99.count()), view->load, beside);
+    if (!slowdown) {
+      continue;
+    }
+    double expected = 1.0;
+    for (const exposure& part : beside) {
+      expected +=
+          part.amount * estimator_.Harm(service, part.kind, view->load).mean;
+    }
+    view->unexplained += 0.3 * (*slowdown - expected - view->unexplained);
+    highest = std::max(highest, *slowdown);
+  }
+  RecomputeHarm(entry);
+  entry.interference.slowdown = highest;
+  return highest;
+}
+
+template <slowdown_estimator Estimator>
+double batch_core<Estimator>::TaskHarm(const worker_entry& worker,
+                                       const task_entry& task) const {
+  double highest = 0;
+  for (const service_view& view : worker.services) {
+    highest = std::max(
+        highest, estimator_.Harm(view.service, task.kind, view.load).mean);
+  }
+  return highest * worker.Scale() *
+         static_cast<double>(task.processor_permille) / 1000;
+}
+
+template <slowdown_estimator Estimator>
+void batch_core<Estimator>::Act(worker_index worker,
+                                double slowdown,
+                                const usage_report& report,
+                                time_point now) {
+  const interference_options& options = options_.interference;
+  interference_state& state = workers_[worker].interference;
+  if (options.wait_for_effect && report.window_begin < state.last_action) {
+    return;
+  }
+  if (slowdown > options.start_above) {
+    state.acting = true;
+    state.good_windows = 0;
+    ++state.bad_windows;
+    const double excess =
+        slowdown - (options.start_above + options.stop_below) / 2;
+    if ((options.throttle_first && ThrottleHarm(worker, excess, now)) ||
+        (state.bad_windows >= options.windows_before_eviction &&
+         EvictHarm(worker, excess, now))) {
+      state.last_action = now;
+    }
+    return;
+  }
+  state.bad_windows = 0;
+  if (slowdown > options.stop_below) {
+    state.good_windows = 0;
+    return;
+  }
+  // Two good windows: one alone may be chance.
+  if (++state.good_windows < 2) {
+    return;
+  }
+  state.acting = false;
+  if (LiftThrottle(worker, now)) {
+    state.good_windows = 0;
+    state.last_action = now;
+  }
+}
+
+template <slowdown_estimator Estimator>
+bool batch_core<Estimator>::ThrottleHarm(worker_index worker,
+                                         double excess,
+                                         time_point now) {
+  // Halving twice keeps some progress; below a quarter an eviction loses less.
+  constexpr std::int64_t kLowest = 250;
+  worker_entry& entry = workers_[worker];
+  std::vector<task_index> running;
+  for (task_index task = entry.tasks.head; task != kNone;
+       task = tasks_[task].next) {
+    if (tasks_[task].phase == task_phase::kRunning &&
+        tasks_[task].processor_permille / 2 >= kLowest &&
+        TaskHarm(entry, tasks_[task]) > 0.005) {
+      running.push_back(task);
+    }
+  }
+  std::sort(running.begin(), running.end(), [&](task_index a, task_index b) {
+    return TaskHarm(entry, tasks_[a]) > TaskHarm(entry, tasks_[b]);
+  });
+  double left = excess;
+  bool acted = false;
+  for (const task_index task : running) {
+    if (left <= 0) {
+      break;
+    }
+    left -= TaskHarm(entry, tasks_[task]) / 2;
+    Throttle(task, tasks_[task].processor_permille / 2, now);
+    acted = true;
+  }
+  return acted;
+}
+
+template <slowdown_estimator Estimator>
+bool batch_core<Estimator>::EvictHarm(worker_index worker,
+                                      double excess,
+                                      time_point now) {
+  const worker_entry& entry = workers_[worker];
+  task_index best = kNone;
+  double best_value = 0;
+  for (task_index task = entry.tasks.head; task != kNone;
+       task = tasks_[task].next) {
+    const double harm = std::min(TaskHarm(entry, tasks_[task]), excess);
+    const double value = harm / (LostWork(tasks_[task], now) + 1.0);
+    if (Evictable(tasks_[task]) && value > best_value) {
+      best = task;
+      best_value = value;
+    }
+  }
+  return best != kNone && budget_.Take(workers_.Size(), now) &&
+         Evict(best, eviction_cause::kInterference, now);
+}
+
+template <slowdown_estimator Estimator>
+bool batch_core<Estimator>::LiftThrottle(worker_index worker, time_point now) {
+  const worker_entry& entry = workers_[worker];
+  task_index least = kNone;
+  for (task_index task = entry.tasks.head; task != kNone;
+       task = tasks_[task].next) {
+    if (tasks_[task].phase == task_phase::kRunning &&
+        tasks_[task].processor_permille < 1000 &&
+        !tasks_[task].throttled_for_room &&
+        (least == kNone ||
+         TaskHarm(entry, tasks_[task]) < TaskHarm(entry, tasks_[least]))) {
+      least = task;
+    }
+  }
+  if (least == kNone) {
+    return false;
+  }
+  // Doubling the speed doubles the harm of the task.
+  double highest = 0;
+  for (const service_view& view : entry.services) {
+    highest = std::max(highest, view.harm + std::max(view.unexplained, 0.0));
+  }
+  if (highest + TaskHarm(entry, tasks_[least]) >
+      options_.interference.place_below - 1.0) {
+    return false;
+  }
+  Throttle(least,
+           std::min<std::int64_t>(tasks_[least].processor_permille * 2, 1000),
+           now);
+  return true;
+}
+
+}  // namespace skylarkbridge::scheduling
+
+#endif  // SKYLARKBRIDGE_SCHEDULING_BATCH_CORE_REPORTS_HPP
--- /dev/null
+++ b/src/skylarkbridge/scheduling/failure_tracker.cpp
@@ -0,0 +1,106 @@
+#include "skylarkbridge/scheduling/failure_tracker.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace skylarkbridge::scheduling {
+namespace {
+
+// A kind that failed on this many workers gains nothing from a longer list.
+constexpr std::size_t kMostRemembered = 16;
+
+std::chrono::nanoseconds Wait(std::chrono::milliseconds first,
+                              std::chrono::milliseconds longest,
+                              unsigned level) {
+  return std::min<std::chrono::nanoseconds>(
+      first * (1LL << std::min(level - 1, 20U)), longest);
+}
+
+}  // namespace
+
+bool kind_failures::Fail(worker_id worker,
+                         time_point now,
+                         const failure_options& options) {
+  if (!FailedOn(worker)) {
+    if (workers_.size() == kMostRemembered) {
+      workers_.erase(workers_.begin());
+    }
+    workers_.push_back(worker);
+  }
+  // Tasks that were started before the wait began say nothing new.
+  if (now < held_until_ ||
+      (level_ == 0 && workers_.size() < options.kind_workers)) {
+    return false;
+  }
+  ++level_;
+  held_until_ =
+      now + Wait(options.kind_wait, options.longest_kind_wait, level_);
+  return true;
+}
+
+void kind_failures::Succeed(time_point now) {
+  workers_.clear();
+  level_ = 0;
+  held_until_ = {};
+  last_success_ = now;
+}
+
+void kind_failures::Forgive(worker_id worker) {
+  std::erase(workers_, worker);
+}
+
+bool kind_failures::FailedOn(worker_id worker) const {
+  return std::find(workers_.begin(), workers_.end(), worker) != workers_.end();
+}
+
+std::optional<time_point> kind_failures::HeldUntil() const {
+  return level_ > 0 ? std::optional(held_until_) : std::nullopt;
+}
+
+bool worker_failures::Fail(kind_index kind,
+                           std::optional<time_point> kind_last_success,
+                           time_point now,
+                           const failure_options& options) {
+  if (std::find(kinds_.begin(), kinds_.end(), kind) == kinds_.end()) {
+    kinds_.push_back(kind);
+  }
+  if (in_a_row_ == 0) {
+    first_of_row_ = now;
+  }
+  ++in_a_row_;
+  successes_ = 0;
+  if (now < until_) {
+    return false;
+  }
+  return Probation() || kinds_.size() >= options.worker_kinds ||
+         (in_a_row_ >= options.worker_failures && kind_last_success &&
+          *kind_last_success >= first_of_row_);
+}
+
+bool worker_failures::Succeed(const failure_options& options) {
+  kinds_.clear();
+  in_a_row_ = 0;
+  if (!Probation() || ++successes_ < options.probation_successes) {
+    return false;
+  }
+  level_ = 0;
+  until_ = {};
+  return true;
+}
+
+void worker_failures::Quarantine(time_point now,
+                                 const failure_options& options) {
+  ++level_;
+  until_ = now + Wait(options.worker_wait, options.longest_worker_wait, level_);
+  kinds_.clear();
+  in_a_row_ = 0;
+  successes_ = 0;
+}
+
+void worker_failures::Forgive(kind_index kind) {
+  if (std::erase(kinds_, kind) > 0 && kinds_.empty()) {
+    in_a_row_ = 0;
+  }
+}
+
+}  // namespace skylarkbridge::scheduling
