Run log, shards, tasks and operators' calls through the control thread

Cause: the daemon carried requests only; configuration came from a call and batch tasks had no path. Adds NotClaimed to task_lifecycle, as a refused start claim left its task waiting for ever, and the claimant to start claims. Conclusion: one VM is whole; peers and slot leases between VMs come next.

--- a/bench/entry_bench.cpp
+++ b/bench/entry_bench.cpp
@@ -19,14 +19,14 @@
 constexpr int kRounds = 5;
 constexpr std::int64_t kRequests = 4000;
 
-std::shared_ptr<const declaration::configuration> Declared() {
+declaration::configuration Declared() {
   declaration::configuration declared;
   declared.teams = {{.name = "bench"}};
   declared.services = {{.name = "label-and-slip",
                         .team = "bench",
                         .default_deadline = std::chrono::seconds(10),
                         .idempotent = true}};
-  return std::make_shared<const declaration::configuration>(declared);
+  return declared;
 }
 
 struct figures {
@@ -53,9 +53,8 @@
                           .worker = {.data_centre = data_centre_id{1},
                                      .service_time = service_time}});
   daemon::running_daemon entry_vm(
-      {.callers = {.address = {"127.0.0.1", 0}},
-       .vm_list = {.address = workers.PlatformAddress()}});
-  entry_vm.Get().Configure(Declared());
+      daemon::LoopbackOptions(workers.PlatformAddress()));
+  entry_vm.Publish(Declared());
   const ip_address callers_address = entry_vm.CallersAddress();
   std::vector<ip_address> direct_addresses;
   for (const wire::worker_vm& worker : workers.Describe().workers) {
--- a/include/skylarkbridge/coordination/log_record.hpp
+++ b/include/skylarkbridge/coordination/log_record.hpp
@@ -12,8 +12,10 @@
 
 #include "skylarkbridge/base/ids.hpp"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/coordination/ballot.hpp"
 #include "skylarkbridge/coordination/configuration_version.hpp"
 #include "skylarkbridge/coordination/open_task.hpp"
+#include "skylarkbridge/coordination/task_outcome.hpp"
 
 /// @brief Records of the streams on the platform's log.
 namespace skylarkbridge::coordination {
@@ -57,6 +59,8 @@
 struct task_start_claimed {
   task_id task;
   std::uint32_t attempt = 0;
+  /// Takeover ballot of the owner that claims the start.
+  ballot claimant;
 
   bool operator==(const task_start_claimed&) const = default;
 };
@@ -72,8 +76,6 @@
   bool operator==(const task_checkpointed&) const = default;
 };
 
-enum class task_outcome { kSucceeded, kFailed, kCancelled, kUnknown };
-
 /// @brief Ends the task; it is no longer open.
 struct task_finished {
   task_id task;
--- a/include/skylarkbridge/coordination/open_task.hpp
+++ b/include/skylarkbridge/coordination/open_task.hpp
@@ -9,17 +9,12 @@
 
 namespace skylarkbridge::coordination {
 
-<<<<<<< HEAD
 /// @brief What the durable records say of a task that is accepted and not
 /// finished.
-=======
-/// @brief An accepted task that has not finished.
->>>>>>> ledger
 struct open_task {
   task_id task;
   /// Name of a declared batch kind.
   std::string kind;
-<<<<<<< HEAD
   /// The task runs only on workers of this shard.
   shard_id shard;
   /// Whether the task may run more than once.
@@ -32,15 +27,6 @@
   /// A start claim is recorded; a non-idempotent task may have run.
   bool start_claimed = false;
   /// Cancellation was requested; the task is open until it has stopped.
-=======
-  shard_id shard;
-  bool idempotent = true;
-  /// Attempts known to have been started.
-  std::uint32_t attempts = 0;
-  std::optional<std::string> checkpoint;
-  /// A start of this non-idempotent task may have taken place.
-  bool start_claimed = false;
->>>>>>> ledger
   bool cancelled = false;
 
   bool operator==(const open_task&) const = default;
--- a/include/skylarkbridge/coordination/shard_map.hpp
+++ b/include/skylarkbridge/coordination/shard_map.hpp
@@ -7,18 +7,10 @@
 #include <vector>
 
 #include "skylarkbridge/base/ids.hpp"
+#include "skylarkbridge/coordination/digest.hpp"
 
 namespace skylarkbridge::coordination {
 
-/// @brief 64-bit mixing function (splitmix64) that gives the same value in
-/// every process; absl::Hash is seeded per process.
-constexpr std::uint64_t Mix(std::uint64_t value) {
-  value += 0x9e3779b97f4a7c15ULL;
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31U);
-}
-
 /// @brief Assigns the workers and tasks of one data centre to a fixed number of
 /// shards, and names the expected owner of each shard.
 class shard_map {
--- a/include/skylarkbridge/coordination/task_lifecycle.hpp
+++ b/include/skylarkbridge/coordination/task_lifecycle.hpp
@@ -13,18 +13,10 @@
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/coordination/open_task.hpp"
 #include "skylarkbridge/coordination/owner_events.hpp"
+#include "skylarkbridge/coordination/task_outcome.hpp"
 
 namespace skylarkbridge::coordination {
 
-/// @brief How a task ended for whoever submitted it.
-enum class task_outcome {
-  kSucceeded,
-  kFailed,
-  kCancelled,
-  /// A non-idempotent task may have run, wholly or in part.
-  kUnknown,
-};
-
 /// @brief The task may be started; the scheduler chooses a worker.
 struct offer_task {
   task_id task;
@@ -83,6 +75,8 @@
   task_id task;
   std::uint32_t attempt = 0;
   std::string checkpoint;
+  /// The attempt was stopped at this checkpoint.
+  bool stopped = false;
 
   bool operator==(const record_checkpoint&) const = default;
 };
@@ -144,6 +138,11 @@
                              std::uint32_t attempt,
                              const ballot& claimant,
                              time_point now);
+  /// @brief The start claim of this attempt was not written and will not be;
+  /// the task is offered again.
+  lifecycle_commands NotClaimed(task_id task,
+                                std::uint32_t attempt,
+                                time_point now);
   /// @brief The first run_attempt of this attempt was not sent because the
   /// worker is not usable; the task is offered again.
   lifecycle_commands NotSent(task_id task,
--- /dev/null
+++ b/include/skylarkbridge/daemon/control_state.hpp
@@ -0,0 +1,108 @@
+#ifndef SKYLARKBRIDGE_DAEMON_CONTROL_STATE_HPP
+#define SKYLARKBRIDGE_DAEMON_CONTROL_STATE_HPP
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "skylarkbridge/coordination/shard_map.hpp"
+#include "skylarkbridge/daemon/control_outputs.hpp"
+#include "skylarkbridge/daemon/control_port.hpp"
+#include "skylarkbridge/daemon/log_part.hpp"
+#include "skylarkbridge/daemon/request_table.hpp"
+#include "skylarkbridge/daemon/shard_part.hpp"
+#include "skylarkbridge/daemon/task_desk.hpp"
+#include "skylarkbridge/gateway/address_book.hpp"
+#include "skylarkbridge/gateway/upstream_client.hpp"
+
+namespace skylarkbridge::daemon {
+
+struct control_options {
+  entry_vm_id vm{1};
+  data_centre_id data_centre{1};
+  /// Shards of the data centre; the same on all of its VMs.
+  std::uint64_t shards = 4;
+  scheduling::dispatcher_options dispatcher;
+  log_part_options log;
+  /// Applied to each shard; its ids are set by the control state.
+  shard_part_options shard;
+  task_desk_options tasks;
+};
+
+/// @brief Owns all control state and handles one message after another. Used by
+/// the control thread only.
+class control_state {
+ public:
+  /// @param incarnation random number of this process, unlike any other's.
+  control_state(const control_options& options,
+                incarnation_id incarnation,
+                control_port& port,
+                gateway::upstream_client& upstreams,
+                gateway::address_book& workers);
+
+  control_outputs Handle(control_message message, const instant& at);
+  control_outputs Tick(const instant& at);
+  time_point NextDeadline() const;
+  /// @brief Gives up all shards, at a graceful stop.
+  control_outputs Leave(const instant& at);
+
+ private:
+  struct waiting_publish {
+    reply_to<entry::publish_answer> reply;
+  };
+
+  void On(request_message message, const instant& at);
+  void On(attempt_message message, const instant& at);
+  void On(const vm_list_message& message, const instant& at);
+  void On(submit_message message, const instant& at);
+  void On(const find_task_message& message, const instant& at);
+  void On(cancel_task_message message, const instant& at);
+  void On(const list_tasks_message& message, const instant& at);
+  void On(const publish_message& message, const instant& at);
+  void On(const configuration_query& message, const instant& at);
+  void On(const status_query& message, const instant& at);
+  void On(const drain_message& message, const instant& at);
+  void On(const worker_message& message, const instant& at);
+  void On(const append_message& message, const instant& at);
+  void On(page_message message, const instant& at);
+
+  void Take(log_step step, const instant& at);
+  void OnLog(const task_record_folded& folded, const instant& at);
+  void OnLog(const tasks_current& current, const instant& at);
+  void OnLog(const coordination::configuration_event& event, const instant& at);
+  void OnLog(const coordination::record_durable& durable, const instant& at);
+  void OnLog(const coordination::record_refused& refused, const instant& at);
+  void OnLog(const coordination::log_availability& state, const instant& at);
+
+  void Add(control_outputs outputs);
+  void Answer(const coordination::record_id& record,
+              entry::publish_answer answer);
+  void PutIntoEffect(const instant& at);
+  void UpdateWorkers(const instant& at);
+  void UpdateReadiness();
+  wire::vm_status StatusOf(const wire::worker_vm& worker) const;
+  entry::task_answer Describe(const coordination::open_task& task) const;
+  const shard_part* FindShard(shard_id shard) const;
+
+  const control_options options_;
+  control_port& port_;
+  gateway::upstream_client& upstreams_;
+  gateway::address_book& addresses_;
+  const coordination::shard_map shard_map_;
+  log_part log_;
+  request_table requests_;
+  task_desk tasks_;
+  std::map<shard_id, std::unique_ptr<shard_part>> shards_;
+  std::vector<wire::worker_vm> workers_;
+  /// Workers that an operator drains, until the VM list lacks them.
+  absl::flat_hash_set<worker_id> drained_;
+  std::map<coordination::record_id, waiting_publish> publishes_;
+  control_outputs outputs_;
+};
+
+}  // namespace skylarkbridge::daemon
+
+#endif  // SKYLARKBRIDGE_DAEMON_CONTROL_STATE_HPP
--- a/include/skylarkbridge/daemon/control_thread.hpp
+++ b/include/skylarkbridge/daemon/control_thread.hpp
@@ -2,49 +2,51 @@
 #define SKYLARKBRIDGE_DAEMON_CONTROL_THREAD_HPP
 
 #include <boost/leaf/result.hpp>
+#include <chrono>
+#include <concepts>
+#include <utility>
+#include <vector>
 
-#include "absl/container/flat_hash_set.h"
 #include "skylarkbridge/base/stop_signal.hpp"
-#include "skylarkbridge/daemon/control_port.hpp"
-#include "skylarkbridge/daemon/request_table.hpp"
-#include "skylarkbridge/gateway/upstream_client.hpp"
+#include "skylarkbridge/daemon/control_state.hpp"
 
 namespace skylarkbridge::daemon {
 
-struct control_options {
-  scheduling::dispatcher_options dispatcher;
+/// @brief Hands what the control state asks for to traffic threads. Never
+/// blocks; what it cannot hand over is lost and asked for again later.
+template <class T>
+concept output_router = requires(T& router, control_output output) {
+  router.Route(std::move(output));
 };
 
-/// @brief Owns all control state and handles one message after another.
-class control_state {
- public:
-  control_state(const control_options& options,
-                control_port& port,
-                gateway::upstream_client& upstreams);
-
-  void Handle(control_message message, time_point now);
-  void Tick(time_point now);
-  std::optional<time_point> NextDeadline() const;
-
- private:
-  void On(request_message message, time_point now);
-  void On(attempt_message message, time_point now);
-  void On(configuration_message message, time_point now);
-  void On(const vm_list_message& message, time_point now);
-
-  control_port& port_;
-  gateway::upstream_client& upstreams_;
-  request_table requests_;
-  absl::flat_hash_set<worker_id> known_workers_;
-};
-
-/// @brief Body of the control child: runs until @p stop is requested. Each run
-/// starts with empty state, which is filled again from the log, the VM list and
-/// the peers.
-boost::leaf::result<void> RunControl(const control_options& options,
+/// @brief Body of the control child: runs until @p stop is requested. The state
+/// belongs to one run; it is filled again from the log, the VM list and the
+/// peers.
+template <output_router Router>
+boost::leaf::result<void> RunControl(control_state state,
                                      control_port& port,
-                                     gateway::upstream_client& upstreams,
-                                     stop_signal& stop);
+                                     Router& router,
+                                     stop_signal& stop) {
+  const auto route = [&](control_outputs outputs) {
+    for (control_output& output : outputs) {
+      router.Route(std::move(output));
+    }
+  };
+  const auto now = [] {
+    return instant{boot_clock::now(), std::chrono::system_clock::now()};
+  };
+  mailbox<control_message>& messages = port.Messages();
+  messages.Reopen();
+  stop.OnRequest([&messages](time_point) { messages.Close(); });
+  while (!messages.Closed()) {
+    for (control_message& message : messages.ReceiveAll(state.NextDeadline())) {
+      route(state.Handle(std::move(message), now()));
+    }
+    route(state.Tick(now()));
+  }
+  route(state.Leave(now()));
+  return {};
+}
 
 }  // namespace skylarkbridge::daemon
 
--- /dev/null
+++ b/include/skylarkbridge/daemon/events.hpp
@@ -0,0 +1,21 @@
+#ifndef SKYLARKBRIDGE_DAEMON_EVENTS_HPP
+#define SKYLARKBRIDGE_DAEMON_EVENTS_HPP
+
+#include "skylarkbridge/base/event_log.hpp"
+
+/// @brief Log events 4000 to 4099.
+namespace skylarkbridge::daemon {
+
+inline constexpr event_definition kConfigurationInEffect{
+    4001, event_severity::kInfo, "configuration_in_effect", "version"};
+inline constexpr event_definition kLogDown{4002, event_severity::kWarning,
+                                           "log_down", "stream"};
+inline constexpr event_definition kLogUp{4003, event_severity::kInfo, "log_up",
+                                         "stream"};
+
+inline constexpr event_definition kEvents[] = {kConfigurationInEffect, kLogDown,
+                                               kLogUp};
+
+}  // namespace skylarkbridge::daemon
+
+#endif  // SKYLARKBRIDGE_DAEMON_EVENTS_HPP
--- a/include/skylarkbridge/daemon/running_daemon.hpp
+++ b/include/skylarkbridge/daemon/running_daemon.hpp
@@ -6,9 +6,14 @@
 #include "skylarkbridge/base/posix_thread.hpp"
 #include "skylarkbridge/base/stop_signal.hpp"
 #include "skylarkbridge/daemon/daemon.hpp"
+#include "skylarkbridge/declaration/configuration.hpp"
 
 namespace skylarkbridge::daemon {
 
+/// @brief Options of a daemon on loopback with free ports, for a platform at
+/// @p platform.
+daemon_options LoopbackOptions(const ip_address& platform);
+
 /// @brief A daemon on a thread of this process; for the demo, benchmarks and
 /// tests. It is stopped when the object ends.
 class running_daemon {
@@ -20,6 +25,12 @@
 
   daemon& Get() { return daemon_; }
   ip_address CallersAddress();
+  ip_address OperatorsAddress();
+
+  /// @brief Publishes @p configuration on version @p base and waits until it is
+  /// in effect and an upstream is known. Returns false when that fails.
+  bool Publish(const declaration::configuration& configuration,
+               coordination::version_number base = 0);
 
   /// @brief Asks for a graceful stop; returns at once.
   void RequestStop();
--- a/include/skylarkbridge/standin/platform.hpp
+++ b/include/skylarkbridge/standin/platform.hpp
@@ -7,11 +7,13 @@
 #include "absl/synchronization/mutex.h"
 #include "skylarkbridge/base/stop_signal.hpp"
 #include "skylarkbridge/gateway/http_listener.hpp"
+#include "skylarkbridge/standin/log.hpp"
 #include "skylarkbridge/wire/vm_list.hpp"
 
 namespace skylarkbridge::standin {
 
-/// @brief Stand-in for the platform's services: serves the VM list.
+/// @brief Stand-in for the platform's services: serves the VM list and
+/// the log.
 class platform {
  public:
   platform();
@@ -25,10 +27,13 @@
   ip_address Address(time_point deadline);
 
   void SetVmList(wire::vm_list list);
+  log& Log() { return log_; }
 
  private:
   void Install(httplib::Server& server);
+  void InstallLog(httplib::Server& server);
 
+  log log_;
   gateway::http_listener listener_;
   absl::Mutex mutex_;
   wire::vm_list list_ ABSL_GUARDED_BY(mutex_);
--- a/include/skylarkbridge/standin/worker.hpp
+++ b/include/skylarkbridge/standin/worker.hpp
@@ -8,6 +8,7 @@
 
 #include "skylarkbridge/base/stop_signal.hpp"
 #include "skylarkbridge/gateway/http_listener.hpp"
+#include "skylarkbridge/standin/worker_tasks.hpp"
 #include "skylarkbridge/wire/vm_list.hpp"
 
 namespace skylarkbridge::standin {
@@ -21,9 +22,12 @@
   resources capacity{.millicores = 32'000, .memory_mib = 125'000};
   /// Time that a request takes, spent waiting.
   std::chrono::microseconds service_time{0};
+  /// Time that a batch task takes, spent waiting.
+  std::chrono::milliseconds task_run_time = std::chrono::milliseconds(200);
 };
 
-/// @brief Stand-in for a worker: answers requests with the bytes that it got.
+/// @brief Stand-in for a worker: answers requests with the bytes that it got,
+/// and runs batch tasks by waiting.
 ///
 /// It counts the requests that run at a time, so that tests see whether it was
 /// ever given more than it has slots for.
@@ -39,11 +43,14 @@
 
   std::int64_t Served() const { return served_.load(); }
   std::int64_t MostAtOnce() const { return most_at_once_.load(); }
+  worker_tasks& Tasks() { return tasks_; }
 
  private:
   void Install(httplib::Server& server);
+  void InstallTasks(httplib::Server& server);
 
   const worker_options options_;
+  worker_tasks tasks_;
   gateway::http_listener listener_;
   std::atomic<std::int64_t> running_ = 0;
   std::atomic<std::int64_t> most_at_once_ = 0;
--- a/src/skylarkbridge/coordination/entry_vm_fake.hpp
+++ b/src/skylarkbridge/coordination/entry_vm_fake.hpp
@@ -9,11 +9,11 @@
 #include <variant>
 #include <vector>
 
-#include "skylarkbridge/coordination/task_log_fake.hpp"
 #include "skylarkbridge/coordination/network_fake.hpp"
 #include "skylarkbridge/coordination/shard_map.hpp"
 #include "skylarkbridge/coordination/shard_owner.hpp"
 #include "skylarkbridge/coordination/task_lifecycle.hpp"
+#include "skylarkbridge/coordination/task_log_fake.hpp"
 #include "skylarkbridge/coordination/worker_fake.hpp"
 
 namespace skylarkbridge::coordination {
--- a/src/skylarkbridge/coordination/task_lifecycle.cpp
+++ b/src/skylarkbridge/coordination/task_lifecycle.cpp
@@ -246,6 +246,18 @@
   return out;
 }
 
+lifecycle_commands task_lifecycle::NotClaimed(task_id id,
+                                              std::uint32_t attempt,
+                                              time_point) {
+  lifecycle_commands out;
+  const auto found = tasks_.find(id);
+  if (found != tasks_.end() && found->second.attempt == attempt &&
+      found->second.state == phase::kClaiming) {
+    Offer(found->second, out);
+  }
+  return out;
+}
+
 lifecycle_commands task_lifecycle::NotSent(task_id id,
                                            std::uint32_t attempt,
                                            time_point) {
@@ -313,7 +325,7 @@
       if (attempt.checkpoint) {
         task.facts.checkpoint = attempt.checkpoint;
         out.emplace_back(record_checkpoint{attempt.task, attempt.attempt,
-                                           *attempt.checkpoint});
+                                           *attempt.checkpoint, true});
       }
       // A checkpoint taken at the stop loses no work, so that a non-idempotent
       // task can resume from it.
@@ -338,8 +350,8 @@
     return out;
   }
   found->second.facts.checkpoint = checkpoint;
-  out.emplace_back(
-      record_checkpoint{attempt.task, attempt.attempt, std::move(checkpoint)});
+  out.emplace_back(record_checkpoint{attempt.task, attempt.attempt,
+                                     std::move(checkpoint), false});
   return out;
 }
 
--- a/src/skylarkbridge/daemon/daemon.cpp
+++ b/src/skylarkbridge/daemon/daemon.cpp
@@ -1,6 +1,26 @@
 #include "skylarkbridge/daemon/daemon.hpp"
 
+#include <string>
+#include <utility>
+
+#include "absl/random/random.h"
+#include "skylarkbridge/telemetry/span_export_child.hpp"
+
 namespace skylarkbridge::daemon {
+namespace {
+
+/// Drops spans when no trace file is set.
+struct null_writer {
+  boost::leaf::result<void> operator()(std::string_view) const { return {}; }
+};
+
+incarnation_id DrawIncarnation() {
+  // Seeded from the operating system, so that no two processes draw the same.
+  absl::BitGen generator;
+  return {absl::Uniform<std::uint64_t>(generator)};
+}
+
+}  // namespace
 
 using supervisor::restart_strategy;
 
@@ -8,9 +28,23 @@
     : options_(std::move(options)),
       port_(options_.mailbox_capacity),
       upstreams_(options_.upstreams),
-      front_end_(port_, upstreams_, spans_),
+      spans_(options_.span_buffer),
+      router_(options_.router, port_, addresses_),
+      request_front_end_(port_, upstreams_, spans_),
+      task_front_end_(port_),
+      operator_front_end_(port_,
+                          options_.token,
+                          [this] { return metrics_.PrometheusText(); }),
       callers_(options_.callers,
-               [this](httplib::Server& server) { front_end_.Install(server); }),
+               [this](httplib::Server& server) {
+                 request_front_end_.Install(server);
+                 task_front_end_.Install(server);
+               }),
+      operators_(options_.operators,
+                 [this](httplib::Server& server) {
+                   operator_front_end_.Install(server);
+                   task_front_end_.Install(server);
+                 }),
       root_("root", {.strategy = restart_strategy::kRestForOne}) {
   BuildTree();
 }
@@ -19,19 +53,44 @@
   return root_.Run(stop);
 }
 
+boost::leaf::result<void> daemon::ExportSpans(stop_signal& stop) {
+  const telemetry::otlp_resource resource{
+      .service_instance = std::to_string(options_.control.vm.value),
+      .data_centre = std::to_string(options_.control.data_centre.value)};
+  if (options_.trace_file.empty()) {
+    telemetry::span_export_child child(
+        spans_, telemetry::otlp_json_exporter(resource, null_writer()));
+    return child(stop);
+  }
+  telemetry::span_export_child child(
+      spans_, telemetry::otlp_json_exporter(
+                  resource, telemetry::file_writer(options_.trace_file)));
+  return child(stop);
+}
+
 void daemon::BuildTree() {
+  root_.Add({.name = "telemetry",
+             .run = [this](stop_signal& stop) { return ExportSpans(stop); }});
   root_.Add({.name = "control", .run = [this](stop_signal& stop) {
-               return RunControl(options_.control, port_, upstreams_, stop);
+               return RunControl(
+                   control_state(options_.control, DrawIncarnation(), port_,
+                                 upstreams_, addresses_),
+                   port_, router_, stop);
              }});
   supervisor::supervisor& platform = root_.AddSupervisor("platform", {});
+  router_.AddChildren(platform);
   platform.Add({.name = "vm_list", .run = [this](stop_signal& stop) {
                   gateway::vm_list_poller poller(
                       options_.vm_list, [this](wire::vm_list list) {
-                        port_.Update(std::move(list));
+                        port_.Messages().TrySend(
+                            vm_list_message{std::move(list)});
                       });
                   return poller.Run(stop);
                 }});
   supervisor::supervisor& entry = root_.AddSupervisor("entry", {});
+  entry.Add({.name = "operators", .run = [this](stop_signal& stop) {
+               return operators_.Run(stop);
+             }});
   entry.Add({.name = "callers",
              .run = [this](stop_signal& stop) { return callers_.Run(stop); }});
 }
--- a/src/skylarkbridge/daemon/daemon_test.cpp
+++ b/src/skylarkbridge/daemon/daemon_test.cpp
@@ -12,22 +12,22 @@
 
 constexpr char kPath[] = "/v1/services/label-and-slip";
 
-std::shared_ptr<const declaration::configuration> Declared() {
+declaration::configuration Declared() {
   declaration::configuration declared;
   declared.teams = {{.name = "despacho"}};
   declared.services = {{.name = "label-and-slip",
                         .team = "despacho",
                         .default_deadline = std::chrono::seconds(20),
                         .idempotent = true}};
-  return std::make_shared<const declaration::configuration>(declared);
+  return declared;
 }
 
 daemon_options Options(const standin::fleet& workers) {
-  return {.callers = {.address = {"127.0.0.1", 0},
-                      .keep_alive = std::chrono::seconds(1),
-                      .lame_duck = std::chrono::milliseconds(300)},
-          .vm_list = {.address = workers.PlatformAddress(),
-                      .interval = std::chrono::milliseconds(50)}};
+  daemon_options options = LoopbackOptions(workers.PlatformAddress());
+  options.callers.keep_alive = std::chrono::seconds(1);
+  options.callers.lame_duck = std::chrono::milliseconds(300);
+  options.vm_list.interval = std::chrono::milliseconds(50);
+  return options;
 }
 
 /// Daemon on a fleet of two workers with 2 slots each.
@@ -38,7 +38,7 @@
                   .worker = {.slots = 2,
                              .service_time = std::chrono::milliseconds(1)}}),
         entry_vm_(Options(workers_)) {
-    entry_vm_.Get().Configure(Declared());
+    EXPECT_TRUE(entry_vm_.Publish(Declared()));
   }
 
   httplib::Result Post(const std::string& path,
@@ -71,7 +71,8 @@
 // A planned stop must cut off no request: callers move to the other VM.
 TEST_F(DaemonTest, GracefulStopCutsOffNothing) {
   running_daemon other(Options(workers_));
-  other.Get().Configure(Declared());
+  ASSERT_TRUE(other.Get().Port().WaitUntilReady(boot_clock::now() +
+                                                std::chrono::seconds(20)));
   standin::caller_tally tally;
   posix_thread load =
       posix_thread::Start("load", [&] {
--- a/src/skylarkbridge/daemon/demo.cpp
+++ b/src/skylarkbridge/daemon/demo.cpp
@@ -14,15 +14,14 @@
 
 using standin::caller_tally;
 
-std::shared_ptr<const declaration::configuration> DemoConfiguration() {
+declaration::configuration DemoConfiguration() {
   declaration::configuration declared;
   declared.teams = {{.name = "despacho"}};
   declared.services = {{.name = "label-and-slip",
                         .team = "despacho",
                         .default_deadline = std::chrono::seconds(2),
                         .idempotent = true}};
-  return std::make_shared<const declaration::configuration>(
-      std::move(declared));
+  return declared;
 }
 
 std::int64_t MostAtOnce(standin::fleet& workers) {
@@ -61,9 +60,11 @@
                                      .service_time = options.service_time}});
   out << "stand-ins: " << options.workers << " workers, VM list at "
       << Format(workers.PlatformAddress()) << "\n";
-  running_daemon entry_vm({.callers = {.address = {"127.0.0.1", 0}},
-                           .vm_list = {.address = workers.PlatformAddress()}});
-  entry_vm.Get().Configure(DemoConfiguration());
+  running_daemon entry_vm(LoopbackOptions(workers.PlatformAddress()));
+  if (!entry_vm.Publish(DemoConfiguration())) {
+    out << "the configuration was not put into effect\n";
+    return 1;
+  }
   const ip_address callers = entry_vm.CallersAddress();
   out << "entry VM: callers at " << Format(callers) << "\n";
   const caller_tally total =
--- a/src/skylarkbridge/daemon/running_daemon.cpp
+++ b/src/skylarkbridge/daemon/running_daemon.cpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <utility>
 
+#include "skylarkbridge/declaration/json.hpp"
+
 namespace skylarkbridge::daemon {
 namespace {
 
@@ -11,6 +13,13 @@
 
 }  // namespace
 
+daemon_options LoopbackOptions(const ip_address& platform) {
+  return {.callers = {.address = {"127.0.0.1", 0}},
+          .token = "loopback-demonstration",
+          .vm_list = {.address = platform},
+          .router = {.log = {.address = platform}}};
+}
+
 running_daemon::running_daemon(daemon_options options)
     : daemon_(std::move(options)),
       thread_(posix_thread::Start("daemon", [this] {
@@ -25,6 +34,19 @@
   return {"127.0.0.1", daemon_.CallersPort(boot_clock::now() + kStartTime)};
 }
 
+ip_address running_daemon::OperatorsAddress() {
+  return {"127.0.0.1", daemon_.OperatorsPort(boot_clock::now() + kStartTime)};
+}
+
+bool running_daemon::Publish(const declaration::configuration& configuration,
+                             coordination::version_number base) {
+  const time_point deadline = boot_clock::now() + kStartTime;
+  const entry::publish_answer answer = daemon_.Port().Publish(
+      base, declaration::PrintJson(configuration), deadline);
+  return answer.outcome == entry::publish_answer::result::kAccepted &&
+         daemon_.Port().WaitUntilReady(deadline);
+}
+
 void running_daemon::RequestStop() {
   stop_.Request(boot_clock::now() + kDrainTime);
 }
--- a/src/skylarkbridge/standin/worker.cpp
+++ b/src/skylarkbridge/standin/worker.cpp
@@ -9,6 +9,9 @@
 
 constexpr char kLoopback[] = "127.0.0.1";
 
+// Threads for commands of entry VMs, besides those for requests.
+constexpr std::size_t kCommandConnections = 16;
+
 void RaiseTo(std::atomic<std::int64_t>& highest, std::int64_t value) {
   std::int64_t seen = highest.load();
   while (seen < value && !highest.compare_exchange_weak(seen, value)) {
@@ -19,8 +22,12 @@
 
 worker::worker(worker_options options)
     : options_(options),
+      tasks_({.worker = options.worker,
+              .capacity = options.capacity,
+              .run_time = options.task_run_time}),
       listener_({.address = {kLoopback, 0},
-                 .threads = static_cast<std::size_t>(options.connections),
+                 .threads = static_cast<std::size_t>(options.connections) +
+                            kCommandConnections,
                  .lame_duck = std::chrono::milliseconds(0)},
                 [this](httplib::Server& server) { Install(server); }) {}
 
@@ -51,10 +58,28 @@
     response.set_content(request.body.empty() ? request.path : request.body,
                          "application/octet-stream");
   };
+  InstallTasks(server);
   server.Get(".*", serve);
   server.Post(".*", serve);
   server.Put(".*", serve);
   server.Delete(".*", serve);
 }
 
+void worker::InstallTasks(httplib::Server& server) {
+  server.Post(R"(/v1/worker/([a-z]+))", [this](const httplib::Request& request,
+                                               httplib::Response& response) {
+    findings found;
+    const auto command = wire::DecodeCommand(std::string(request.matches[1]),
+                                             request.body, found);
+    if (!command) {
+      response.status = 400;
+      response.set_content(Format(found), "text/plain");
+      return;
+    }
+    response.set_content(
+        wire::EncodeReply(tasks_.Handle(*command, boot_clock::now())),
+        "application/json");
+  });
+}
+
 }  // namespace skylarkbridge::standin
