--- a/src/skylarkbridge/cli/event_lists.hpp
+++ b/src/skylarkbridge/cli/event_lists.hpp
@@ -4,6 +4,7 @@
 #include <span>
 #include <string_view>
 
+#include "skylarkbridge/gateway/events.hpp"
 #include "skylarkbridge/supervisor/events.hpp"
 #include "skylarkbridge/telemetry/events.hpp"
 
@@ -16,6 +17,7 @@
 
 /// The events of all modules. A new events.hpp is added here.
 inline constexpr event_list kEventLists[] = {
+    {"gateway", gateway::kEvents},
     {"supervisor", supervisor::kEvents},
     {"telemetry", telemetry::kEvents},
 };
