Fix two lies of the worker fake

Cause: (one fault) left a task stopping for ever, because a refused start left no trace that a lost answer could be read from; (four faults) started a non-idempotent task twice, because a late copy of a start was listed as not started after its attempt had run and was acknowledged. Change: refusals of attempts never seen are kept until acknowledged, others are only answered; a stop is answered as well. Conclusion: the platform's workers need the same two rules; the stand-in has to follow them.

--- a/src/skylarkbridge/coordination/entry_vm_fake.hpp
+++ b/src/skylarkbridge/coordination/entry_vm_fake.hpp
@@ -368,9 +368,16 @@
   }
   void Do(const stop_attempt& c) {
     if (const auto permission = owner->MayCommand(c.worker, Now())) {
-      net_.Send(id.value, c.worker.value, [c, this, lease = permission->lease] {
-        cluster_.workers.at(c.worker)->Stop(lease, c.task, c.attempt);
-      });
+      Call(
+          c.worker,
+          [c, lease = permission->lease](worker_fake& w) {
+            return w.Stop(lease, c.task, c.attempt);
+          },
+          [this, c](const std::optional<attempt_end>& r) {
+            if (r == attempt_end::kNotStarted) {
+              Ended(c.worker, {c.task, c.attempt, *r});
+            }
+          });
     }
   }
   void Do(const acknowledge_attempt& c) {
--- a/src/skylarkbridge/coordination/worker_fake.hpp
+++ b/src/skylarkbridge/coordination/worker_fake.hpp
@@ -80,8 +80,8 @@
     if (!Obeys(lease)) {
       return std::nullopt;
     }
-    const auto ended = ended_.find(what.task);
-    if (ended != ended_.end() && ended->second.attempt == what.attempt) {
+    const auto ended = ended_.find({what.task, what.attempt});
+    if (ended != ended_.end()) {
       return ended->second.end;
     }
     const auto run = running_.find(what.task);
@@ -91,8 +91,7 @@
     if (what.attempt <= last_attempt_[what.task] || !Fresh(up_for) ||
         Now() >= lease_end_ || running_.size() >= kSlots ||
         run != running_.end()) {
-      last_attempt_[what.task] =
-          std::max(last_attempt_[what.task], what.attempt);
+      Refuse(what.task, what.attempt);
       return attempt_end::kNotStarted;
     }
     last_attempt_[what.task] = what.attempt;
@@ -115,28 +114,28 @@
     return attempt_end::kSucceeded;
   }
 
-  void Stop(const ballot& lease, task_id task, std::uint32_t attempt) {
+  /// @brief Stops an attempt, or tells that it does not run and never will.
+  std::optional<attempt_end> Stop(const ballot& lease,
+                                  task_id task,
+                                  std::uint32_t attempt) {
     Expire();
     if (!Obeys(lease)) {
-      return;
+      return std::nullopt;
     }
-    const bool seen =
-        attempt <= std::exchange(last_attempt_[task],
-                                 std::max(last_attempt_[task], attempt));
     const auto found = running_.find(task);
     if (found != running_.end() && found->second.attempt == attempt) {
       End(task, attempt_end::kStopped,
           absl::StrCat(task.value, "@", id.value, ".", attempt, ".", life_));
-    } else if (!seen) {
-      ended_[task] = {task, attempt, attempt_end::kNotStarted};
+    } else if (!ended_.contains({task, attempt})) {
+      Refuse(task, attempt);
+      return attempt_end::kNotStarted;
     }
+    return attempt_end::kStopped;
   }
 
   void Acknowledge(const ballot& lease, task_id task, std::uint32_t attempt) {
-    const auto found = ended_.find(task);
-    if (Obeys(lease) && found != ended_.end() &&
-        found->second.attempt == attempt) {
-      ended_.erase(found);
+    if (Obeys(lease)) {
+      ended_.erase({task, attempt});
     }
   }
 
@@ -195,10 +194,19 @@
     }
     const ended_attempt ended{task, found->second.attempt, end, checkpoint};
     running_.erase(found);
-    ended_[task] = ended;
+    ended_[{task, ended.attempt}] = ended;
     checker_.TaskEnded(task, id, end, std::move(checkpoint));
     on_end(obeyed_, ended);
   }
+  void Refuse(task_id task, std::uint32_t attempt) {
+    std::uint32_t& last = last_attempt_[task];
+    // An attempt seen before may have run and been acknowledged; listing it as
+    // not started would tell a successor a falsehood.
+    if (attempt > last) {
+      last = attempt;
+      ended_[{task, attempt}] = {task, attempt, attempt_end::kNotStarted};
+    }
+  }
   void Expire() {
     while (!running_.empty() && Now() >= lease_end_) {
       End(running_.begin()->first, attempt_end::kStopped, std::nullopt);
@@ -214,7 +222,7 @@
   time_point lease_end_;
   int life_ = 0;
   std::map<task_id, start> running_;
-  std::map<task_id, ended_attempt> ended_;
+  std::map<std::pair<task_id, std::uint32_t>, ended_attempt> ended_;
   std::map<task_id, std::uint32_t> last_attempt_;
 };
 
