Tie slot grants to the latest request and keep keys past their deadline

Cause: lent slots twice: a late report of slots that the holder had since returned was adopted after a takeover. Change: a holder applies only the answer to its latest request; keys are remembered for an unread margin of 1 s beyond their deadline.

--- a/include/skylarkbridge/coordination/key_registry.hpp
+++ b/include/skylarkbridge/coordination/key_registry.hpp
@@ -53,6 +53,10 @@
   /// Longest deadline that a request may ask for. A key chosen by the caller
   /// may have run under an earlier owner within this time after a takeover.
   std::chrono::milliseconds longest_deadline = std::chrono::seconds(30);
+  /// A key is remembered this much longer than its deadline, for repeats that
+  /// wait unread in a stalled front end. Front ends drop requests that may have
+  /// waited longer.
+  std::chrono::milliseconds unread_margin = std::chrono::seconds(1);
   /// Keys remembered at a time; further new keys are refused as not-run.
   std::size_t max_keys = 10'000;
   std::size_t max_key_bytes = 256;
@@ -77,8 +81,9 @@
   /// @brief Issues a key that embeds the takeover ballot.
   idempotency_key Issue();
 
-  /// @brief Looks the key up for one request and remembers it until
-  /// @p deadline. A copy of a request that was answered not-run stays not-run.
+  /// @brief Looks the key up for one request and remembers it until the margin
+  /// after @p deadline. A copy of a request that was answered not-run stays
+  /// not-run.
   key_answer Begin(const idempotency_key& key,
                    request_id request,
                    time_point deadline,
--- a/include/skylarkbridge/coordination/slot_leases.hpp
+++ b/include/skylarkbridge/coordination/slot_leases.hpp
@@ -46,12 +46,14 @@
 /// held.
 struct slot_request {
   slot_holder_id holder;
+  /// Rises with each request of the holder, to whichever lender.
+  std::uint64_t sequence = 0;
   /// Issue time by the holder's clock.
   time_point sent;
-  /// Ballot and version of the last grant that the holder applied.
+  /// Lender of the last grant that the holder applied.
   ballot lender;
-  std::uint64_t version = 0;
-  /// What the holder keeps; the rest of the last grant is returned.
+  /// All that the holder has; the rest of the last grant is returned. Grants
+  /// that answer earlier requests are ignored from now on.
   worker_slots held;
   /// Slots that the holder wants in total.
   std::int64_t wanted = 0;
@@ -61,7 +63,8 @@
 struct slot_grant {
   slot_holder_id holder;
   ballot lender;
-  std::uint64_t version = 0;
+  /// Taken from the request.
+  std::uint64_t sequence = 0;
   /// Taken from the request; the holder's deadline counts from it.
   time_point sent;
   std::chrono::nanoseconds duration{0};
@@ -85,8 +88,10 @@
 
   /// @brief Sets what a worker has; zero for one that is leaving.
   void SetWorker(worker_id worker, const slot_room& room, time_point now);
-  /// @brief Lends, renews and takes back slots in one step.
-  slot_grant Request(const slot_request& request, time_point now);
+  /// @brief Lends, renews and takes back slots in one step. None when a later
+  /// request of the holder came first.
+  std::optional<slot_grant> Request(const slot_request& request,
+                                    time_point now);
   /// @brief Frees what holders did not renew in time.
   void Tick(time_point now);
 
@@ -97,7 +102,7 @@
 
  private:
   struct borrower {
-    std::uint64_t version = 0;
+    std::uint64_t sequence = 0;
     worker_slots lent;
     std::int64_t wanted = 0;
     time_point expired_at;
@@ -124,8 +129,9 @@
   /// @brief A request for @p wanted slots, keeping those in use and up to the
   /// number that the lender lets it keep.
   slot_request MakeRequest(std::int64_t wanted, time_point now);
-  /// @brief Ignores grants of older ballots, older versions and other holders.
-  void Apply(const slot_grant& grant);
+  /// @brief Applies the answer to the latest request, once. Other grants are
+  /// ignored: the lender relies on what the latest request says.
+  void Apply(const slot_grant& grant, time_point now);
 
   /// @brief Takes one slot and connection for an attempt that has ended by
   /// @p ends_by. False when none is free or the lease ends before.
@@ -140,7 +146,8 @@
   slot_lease_options options_;
   slot_holder_id self_;
   ballot lender_;
-  std::uint64_t version_ = 0;
+  std::uint64_t sequence_ = 0;
+  bool answered_ = true;
   time_point deadline_;
   std::int64_t keep_ = 0;
   worker_slots held_;
--- a/src/skylarkbridge/coordination/key_registry.cpp
+++ b/src/skylarkbridge/coordination/key_registry.cpp
@@ -11,7 +11,8 @@
                            time_point exclusive_since)
     : options_(options),
       takeover_(takeover),
-      callers_keys_from_(exclusive_since + options.longest_deadline) {}
+      callers_keys_from_(exclusive_since + options.longest_deadline +
+                         options.unread_margin) {}
 
 idempotency_key key_registry::Issue() {
   return {absl::StrCat(takeover_.round, "-", takeover_.vm.value, "-",
@@ -38,7 +39,9 @@
   if (refused_.contains(request)) {
     return {key_state::kNotRun, std::nullopt};
   }
-  deadline = std::min(deadline, now + options_.longest_deadline);
+  const bool passed = deadline <= now;
+  deadline = std::min(deadline, now + options_.longest_deadline) +
+             options_.unread_margin;
   const auto found = keys_.find(key.text);
   if (found != keys_.end()) {
     entry& known = found->second;
@@ -55,7 +58,7 @@
     // An earlier owner may have dispatched the key.
     return {key_state::kUnknown, std::nullopt};
   }
-  if (deadline <= now || key.text.size() > options_.max_key_bytes ||
+  if (passed || key.text.size() > options_.max_key_bytes ||
       keys_.size() >= options_.max_keys) {
     return Refuse(request);
   }
--- a/src/skylarkbridge/coordination/request_fake.hpp
+++ b/src/skylarkbridge/coordination/request_fake.hpp
@@ -34,8 +34,11 @@
 
   void Arrive(request_id request, const std::string& key) {
     cluster_.checker.CallerAsked(request, key);
-    vm_.Deliver([=, this] {
+    vm_.Deliver([=, this, sent = net_.Now()] {
       Sync();
+      if (net_.Now() - sent > key_registry_options{}.unread_margin) {
+        return;  // The front end drops what it read after a stall.
+      }
       request_side_fake* home = Home();
       if (home == nullptr) {
         Tell(request, told_outcome::kNotRun);
@@ -259,7 +262,7 @@
             },
             [this](const std::optional<slot_grant>& grant) {
               if (grant) {
-                holder_->Apply(*grant);
+                holder_->Apply(*grant, vm_.Now());
               }
             });
       }
--- a/src/skylarkbridge/coordination/slot_holder.cpp
+++ b/src/skylarkbridge/coordination/slot_holder.cpp
@@ -27,16 +27,23 @@
       total -= give;
     }
   }
-  return {self_, now, lender_, version_, held_, wanted};
+  answered_ = false;
+  return {self_, ++sequence_, now, lender_, held_, wanted};
 }
 
-void slot_holder::Apply(const slot_grant& grant) {
+void slot_holder::Apply(const slot_grant& grant, time_point now) {
   if (grant.holder != self_ || grant.lender < lender_ ||
-      (grant.lender == lender_ && grant.version <= version_)) {
+      grant.sequence != sequence_ || answered_) {
+    return;
+  }
+  answered_ = true;
+  if (grant.lender != lender_ && !held_.empty() && now >= deadline_) {
+    // The earlier lender may have lent the reported slots to another holder
+    // before the new one took over.
+    held_.clear();
     return;
   }
   lender_ = grant.lender;
-  version_ = grant.version;
   keep_ = grant.keep;
   held_ = grant.lent;
   deadline_ = HolderDeadline(grant.sent, grant.duration, options_.clock);
--- a/src/skylarkbridge/coordination/slot_lender.cpp
+++ b/src/skylarkbridge/coordination/slot_lender.cpp
@@ -120,13 +120,19 @@
   }
 }
 
-slot_grant slot_lender::Request(const slot_request& request, time_point now) {
+std::optional<slot_grant> slot_lender::Request(const slot_request& request,
+                                               time_point now) {
   Tick(now);
   const auto [found, added] = borrowers_.try_emplace(request.holder);
   borrower& to = found->second;
+  if (!added && request.sequence < to.sequence) {
+    return std::nullopt;
+  }
+  const bool repeated = !added && request.sequence == to.sequence;
+  to.sequence = request.sequence;
   if (added) {
     AdoptReported(to, request, now);
-  } else if (request.lender == takeover_ && request.version == to.version) {
+  } else if (!repeated) {
     for (auto& [worker, room] : to.lent) {
       const auto kept = request.held.find(worker);
       const slot_room held =
@@ -139,14 +145,16 @@
   }
   to.wanted = std::max<std::int64_t>(request.wanted, 0);
   const std::int64_t share = FairShare(request.holder, to.wanted);
-  Lend(to, share - Slots(to.lent), now);
-  ++to.version;
+  if (!repeated) {
+    Lend(to, share - Slots(to.lent), now);
+  }
   to.expired_at = std::max(
       to.expired_at,
       now + WithRateMargin(options_.duration + options_.clock.max_command_age,
                            options_.clock));
-  return {request.holder,    takeover_, to.version, request.sent,
-          options_.duration, to.lent,   share};
+  return slot_grant{request.holder, takeover_,         request.sequence,
+                    request.sent,   options_.duration, to.lent,
+                    share};
 }
 
 void slot_lender::Tick(time_point now) {
