Rank the entries of inventories at a takeover

Cause: (two faults) ran task 24 twice: a stale not-started entry of attempt 1 on one worker was adopted before the running attempt 2 on another, which was then taken for a duplicate. Change: running attempts are adopted first; then successes, then later attempts.

--- a/include/skylarkbridge/coordination/task_lifecycle.hpp
+++ b/include/skylarkbridge/coordination/task_lifecycle.hpp
@@ -215,7 +215,7 @@
                worker_id worker,
                std::uint32_t attempt) const;
   void Adopt(entry& task, worker_id worker, std::uint32_t attempt, phase state);
-  void Inventory(const worker_inventory& inventory,
+  void Inventory(std::span<const worker_inventory> inventories,
                  time_point now,
                  lifecycle_commands& out);
 
--- a/src/skylarkbridge/coordination/task_lifecycle.cpp
+++ b/src/skylarkbridge/coordination/task_lifecycle.cpp
@@ -83,9 +83,7 @@
     task.attempts = facts.attempts;
     task.attempt = facts.attempts;
   }
-  for (const worker_inventory& inventory : takeover.inventories) {
-    Inventory(inventory, now, out);
-  }
+  Inventory(takeover.inventories, now, out);
   for (auto& [id, task] : tasks_) {
     if (task.state == phase::kOffered) {
       Release(task, task.facts.start_claimed, out);
@@ -106,33 +104,48 @@
   task.state = state;
 }
 
-void task_lifecycle::Inventory(const worker_inventory& inventory,
+void task_lifecycle::Inventory(std::span<const worker_inventory> inventories,
                                time_point now,
                                lifecycle_commands& out) {
-  for (const running_attempt& running : inventory.running) {
-    const auto [found, added] = tasks_.try_emplace(running.task);
-    entry& task = found->second;
-    task.known = task.known && !added;
-    if (task.state == phase::kEnding ||
-        (task.worker && task.worker != inventory.worker)) {
-      out.emplace_back(
-          stop_attempt{running.task, inventory.worker, running.attempt});
-      continue;
+  std::vector<std::pair<worker_id, ended_attempt>> all_ended;
+  for (const worker_inventory& inventory : inventories) {
+    for (const running_attempt& running : inventory.running) {
+      const auto [found, added] = tasks_.try_emplace(running.task);
+      entry& task = found->second;
+      task.known = task.known && !added;
+      if (task.state == phase::kEnding ||
+          (task.worker && task.worker != inventory.worker)) {
+        out.emplace_back(
+            stop_attempt{running.task, inventory.worker, running.attempt});
+        continue;
+      }
+      Adopt(task, inventory.worker, running.attempt, phase::kRunning);
+      if (task.facts.cancelled) {
+        StopRunning(task, now, out);
+      }
     }
-    Adopt(task, inventory.worker, running.attempt, phase::kRunning);
-    if (task.facts.cancelled) {
-      StopRunning(task, now, out);
+    for (const ended_attempt& ended : inventory.ended) {
+      all_ended.emplace_back(inventory.worker, ended);
     }
   }
-  for (const ended_attempt& ended : inventory.ended) {
+  // A running attempt outweighs any ended one, a success outweighs other ends,
+  // and a later attempt an earlier one.
+  std::stable_sort(
+      all_ended.begin(), all_ended.end(), [](const auto& a, const auto& b) {
+        const auto rank = [](const ended_attempt& e) {
+          return std::pair(e.end == attempt_end::kSucceeded, e.attempt);
+        };
+        return rank(a.second) > rank(b.second);
+      });
+  for (const auto& [worker, ended] : all_ended) {
     const auto [found, added] = tasks_.try_emplace(ended.task);
     entry& task = found->second;
     task.known = task.known && !added;
-    if (!task.worker && (added || task.state == phase::kOffered)) {
-      // At a takeover the inventory is the only witness of the attempt.
-      Adopt(task, inventory.worker, ended.attempt, phase::kRunning);
+    if (!task.worker && task.state == phase::kOffered &&
+        ended.attempt >= task.attempts) {
+      Adopt(task, worker, ended.attempt, phase::kRunning);
     }
-    const lifecycle_commands more = Ended(inventory.worker, ended, now);
+    const lifecycle_commands more = Ended(worker, ended, now);
     out.insert(out.end(), more.begin(), more.end());
   }
 }
@@ -373,7 +386,7 @@
 lifecycle_commands task_lifecycle::Joined(const worker_inventory& inventory,
                                           time_point now) {
   lifecycle_commands out;
-  Inventory(inventory, now, out);
+  Inventory(std::span(&inventory, 1), now, out);
   for (auto& [id, task] : tasks_) {
     const bool listed = std::any_of(
         inventory.running.begin(), inventory.running.end(),
