Keep a takeover safe when worker lists differ

Change: a takeover leaves the stored set alone until it is complete; workers take renewals in order; a worker is used once a majority knows a set with it.

--- a/include/skylarkbridge/coordination/owner_events.hpp
+++ b/include/skylarkbridge/coordination/owner_events.hpp
@@ -99,8 +99,10 @@
   time_point sent;
   std::chrono::nanoseconds granted{0};
   /// Latest known value of the worker's clock; the worker refuses the command
-  /// when max_command_age has passed since.
+  /// when max_command_age has passed since, and a renewal also when it is below
+  /// that of the last one accepted.
   std::chrono::nanoseconds up_for{0};
+  /// The worker stores it and lists it in its replies; 0 keeps the stored one.
   std::uint64_t worker_set = 0;
 
   bool operator==(const renew_lease&) const = default;
--- a/include/skylarkbridge/coordination/shard_owner.hpp
+++ b/include/skylarkbridge/coordination/shard_owner.hpp
@@ -97,7 +97,8 @@
     std::uint64_t worker_set = 0;
     /// A renewal was sent under the current ballot.
     bool granted = false;
-    /// Not used until a majority knows a worker set that contains it.
+    /// Nothing is started on it until a majority knows a worker set that
+    /// contains it, so that a successor whose list lacks it sees a difference.
     bool pending = true;
     worker_inventory inventory;
     std::uint64_t renewals = 0;
@@ -112,6 +113,8 @@
   void SendDue(time_point now, owner_commands& out);
   void ExpireWorkers(time_point now, owner_commands& out);
   void FinishTakeover(time_point now, owner_commands& out);
+  bool WorkerSetKnown() const;
+  void ConfirmWorkerSet();
   void ApplyWorkerChange(time_point now);
   void UpdateWorkerSet();
   std::chrono::nanoseconds ClockOf(const worker_entry& entry,
--- a/src/skylarkbridge/coordination/entry_vm_fake.hpp
+++ b/src/skylarkbridge/coordination/entry_vm_fake.hpp
@@ -60,11 +60,7 @@
     unwritten_.clear();
     heard_.clear();
     offset_ = 0;
-    std::vector<worker_id> workers;
-    for (const auto& [worker, fake] : cluster_.workers) {
-      workers.push_back(worker);
-    }
-    Do(owner->SetWorkers(workers, Now()));
+    ListWorkers(std::nullopt);
     Timer();
   }
   void Kill() {
@@ -111,6 +107,16 @@
     }
   }
   time_point Now() const { return clock_.Read(net_.Now()); }
+  /// Gives the VM the list of workers, perhaps without one of them.
+  void ListWorkers(std::optional<worker_id> missing) {
+    std::vector<worker_id> workers;
+    for (const auto& [worker, fake] : cluster_.workers) {
+      if (worker != missing) {
+        workers.push_back(worker);
+      }
+    }
+    Do(owner->SetWorkers(workers, Now()));
+  }
   std::uint64_t Incarnation() const { return incarnation_; }
 
  private:
--- a/src/skylarkbridge/coordination/explorer_fake.hpp
+++ b/src/skylarkbridge/coordination/explorer_fake.hpp
@@ -25,6 +25,8 @@
   kLostReplies,
   kLogDown,
   kTwoOwners,
+  /// A VM's list of workers lacks one of them.
+  kShortList,
   kCount,
 };
 
@@ -240,6 +242,15 @@
         cluster_.all_expected = true;
         Net().After(length, [this] { cluster_.all_expected = false; });
         break;
+      case fault_fake::kShortList: {
+        entry_vm_fake* reader =
+            vms_[static_cast<std::size_t>(Net().Uniform(3))].get();
+        reader->Deliver([=] { reader->ListWorkers(worker->id); });
+        Net().After(length, [reader] {
+          reader->Deliver([reader] { reader->ListWorkers(std::nullopt); });
+        });
+        break;
+      }
       case fault_fake::kCount:
         break;
     }
--- a/src/skylarkbridge/coordination/shard_owner.cpp
+++ b/src/skylarkbridge/coordination/shard_owner.cpp
@@ -254,8 +254,11 @@
                                              *authority - now);
       entry.expired_at = std::max(entry.expired_at,
                                   SurelyExpired(now, granted, options_.lease));
-      out.emplace_back(renew_lease{worker, entry.lease, now, granted,
-                                   ClockOf(entry, now), worker_set_});
+      // The set of the last owner must stay readable until its leases have
+      // expired, also for a successor that interrupts this takeover.
+      out.emplace_back(
+          renew_lease{worker, entry.lease, now, granted, ClockOf(entry, now),
+                      state_ == ownership::kOwner ? worker_set_ : 0});
       entry.granted = true;
       entry.next_send = RenewalDue(worker, entry, now);
     }
@@ -319,6 +322,10 @@
   ready done{.takeover = takeover_, .exclusive_since = now};
   for (auto& [worker, entry] : workers_) {
     if (entry.phase == worker_phase::kHeld) {
+      if (!complete) {
+        // Sends the worker set at once.
+        entry.next_send = now;
+      }
       done.inventories.push_back(entry.inventory);
     } else {
       entry.phase = worker_phase::kExpired;
@@ -335,21 +342,26 @@
   }
 }
 
-void shard_owner::ApplyWorkerChange(time_point now) {
-  if (state_ != ownership::kOwner) {
-    return;
+bool shard_owner::WorkerSetKnown() const {
+  return static_cast<std::size_t>(std::count_if(
+             workers_.begin(), workers_.end(), [this](const auto& item) {
+               return item.second.phase == worker_phase::kHeld &&
+                      item.second.worker_set == worker_set_;
+             })) >= Majority();
+}
+
+void shard_owner::ConfirmWorkerSet() {
+  if (state_ == ownership::kOwner && WorkerSetKnown()) {
+    for (auto& [worker, entry] : workers_) {
+      entry.pending = false;
+    }
   }
-  const auto confirmed = static_cast<std::size_t>(
-      std::count_if(workers_.begin(), workers_.end(), [this](const auto& item) {
-        return item.second.phase == worker_phase::kHeld &&
-               item.second.worker_set == worker_set_;
-      }));
-  if (confirmed < Majority()) {
+}
+
+void shard_owner::ApplyWorkerChange(time_point now) {
+  if (state_ != ownership::kOwner || !WorkerSetKnown()) {
     return;
   }
-  for (auto& [worker, entry] : workers_) {
-    entry.pending = false;
-  }
   for (auto& [worker, entry] : workers_) {
     if (!wanted_.contains(worker) && entry.phase == worker_phase::kExpired) {
       workers_.erase(worker);
@@ -379,6 +391,7 @@
   if (Active()) {
     FinishTakeover(now, out);
     ExpireWorkers(now, out);
+    ConfirmWorkerSet();
     ApplyWorkerChange(now);
     SendDue(now, out);
   }
--- a/src/skylarkbridge/coordination/slot_holder.cpp
+++ b/src/skylarkbridge/coordination/slot_holder.cpp
@@ -8,7 +8,7 @@
     : options_(options), self_(self) {}
 
 slot_request slot_holder::MakeRequest(std::int64_t wanted, time_point now) {
-  if (now >= deadline_) {
+  if (options_.check_deadline && now >= deadline_) {
     held_.clear();
   }
   std::int64_t total = 0;
--- a/src/skylarkbridge/coordination/worker_fake.hpp
+++ b/src/skylarkbridge/coordination/worker_fake.hpp
@@ -38,6 +38,7 @@
   fence_reply Fence(const fence_worker& command) {
     if (command.fence > obeyed_) {
       displaced_ = std::exchange(obeyed_, command.fence);
+      renewed_up_for_ = {};
     }
     fence_reply reply{.fence = command.fence,
                       .sent = command.sent,
@@ -58,9 +59,12 @@
                       .lease = command.lease,
                       .sent = command.sent,
                       .granted = command.granted};
-    if (Obeys(command.lease) && Fresh(command.up_for)) {
+    // In order, so that a late renewal does not bring back an older worker set.
+    if (Obeys(command.lease) && Fresh(command.up_for) &&
+        command.up_for >= renewed_up_for_) {
       reply.accepted = true;
-      worker_set_ = command.worker_set;
+      renewed_up_for_ = command.up_for;
+      worker_set_ = command.worker_set == 0 ? worker_set_ : command.worker_set;
       lease_end_ = std::max(lease_end_, Now() + command.granted);
       net_.After(command.granted + command.granted / 200,
                  [this, life = life_] { life == life_ ? Expire() : void(); });
@@ -220,6 +224,7 @@
   ballot obeyed_;
   ballot displaced_;
   std::uint64_t worker_set_ = 0;
+  std::chrono::nanoseconds renewed_up_for_{0};
   time_point lease_end_;
   int life_ = 0;
   std::map<task_id, start> running_;
