Measure takeovers with and without an unreachable worker

Cause: the aim of 3 s needs its figure for the common case and for the next one; the check of slot deadlines was not exercised by the explorer. Change: faults can be chosen; requests without a key, and one slot per worker, so that a holder beyond its lease shows up.

--- a/src/skylarkbridge/coordination/explorer_fake.hpp
+++ b/src/skylarkbridge/coordination/explorer_fake.hpp
@@ -34,8 +34,8 @@
   std::uint64_t seed = 1;
   /// Faults beside the first; they also strike while the system recovers.
   int more_faults = 1;
-  /// The first fault; drawn from the seed when kCount.
-  fault_fake first = fault_fake::kCount;
+  /// Faults that strike together, first; drawn from the seed when empty.
+  std::vector<fault_fake> first;
   bool fencing = true;
   owner_test_options owner;
   lifecycle_test_options lifecycle;
@@ -78,23 +78,26 @@
       requests_.push_back(std::make_unique<request_side_fake>(
           *vm, cluster_, requests_, options_.check_slot_deadline));
     }
-    for (std::uint64_t request = 1; request <= 60; ++request) {
+    for (std::uint64_t request = 1; request <= 120; ++request) {
       // Callers repeat some keys, also while the first request is in progress.
-      const std::string key = absl::StrCat("k", request - (request % 3 == 2));
+      const std::string key =
+          request % 3 == 0 ? absl::StrCat("none", request)
+                           : absl::StrCat("k", request - (request % 3 == 2));
       const auto side = static_cast<std::size_t>(Net().Uniform(3));
-      Net().After(std::chrono::milliseconds(2500 + (request * 120)),
+      Net().After(std::chrono::milliseconds(2500 + (request * 60)),
                   [=, this] { requests_[side]->Arrive({request}, key); });
     }
     for (int i = 0; i < 4; ++i) {
       Net().After(Net().Milliseconds(3500, 9000), [this] { EvictOne(); });
     }
     std::chrono::nanoseconds at = Net().Milliseconds(3500, 5000);
-    for (int i = 0; i <= options_.more_faults; ++i) {
-      const fault_fake fault =
-          i == 0 && options_.first != fault_fake::kCount
-              ? options_.first
-              : static_cast<fault_fake>(Net().Uniform(
-                    static_cast<std::int64_t>(fault_fake::kCount)));
+    for (const fault_fake fault : options_.first) {
+      Net().After(at, [this, fault] { Strike(fault); });
+    }
+    for (int i = options_.first.empty() ? 0 : 1; i <= options_.more_faults;
+         ++i) {
+      const auto fault = static_cast<fault_fake>(
+          Net().Uniform(static_cast<std::int64_t>(fault_fake::kCount)));
       Net().After(at, [this, fault] { Strike(fault); });
       at += Net().Milliseconds(0, 2500);
     }
--- a/src/skylarkbridge/coordination/explorer_test.cpp
+++ b/src/skylarkbridge/coordination/explorer_test.cpp
@@ -77,23 +77,34 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, ExplorerTest, testing::Range(1, 4));
 
-// The shard must be served again within 3 s of its owner's death when nothing
-// else fails; the leases of running tasks must survive it.
-TEST(TakeoverTest, EndsWithinThreeSeconds) {
+/// Times from an owner's death to the end of the takeover, sorted.
+std::vector<std::chrono::nanoseconds> TakeoverTimes(
+    const std::vector<fault_fake>& faults) {
   std::vector<std::chrono::nanoseconds> times;
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
     const schedule_result result =
-        explorer_fake(
-            {.seed = seed, .more_faults = 0, .first = fault_fake::kKillVm})
-            .Run();
+        explorer_fake({.seed = seed, .more_faults = 0, .first = faults}).Run();
     times.insert(times.end(), result.takeovers.begin(), result.takeovers.end());
   }
-  ASSERT_FALSE(times.empty());
   std::sort(times.begin(), times.end());
-  std::cout << "takeover median " << times[times.size() / 2].count() / 1000000
-            << " ms, max " << times.back().count() / 1000000 << " ms of "
-            << times.size() << '\n';
-  EXPECT_LT(times.back(), std::chrono::seconds(3));
+  std::cout << "takeover median "
+            << times.at(times.size() / 2).count() / 1000000 << " ms, max "
+            << times.back().count() / 1000000 << " ms of " << times.size()
+            << '\n';
+  return times;
+}
+
+// The shard must be served again within 3 s of its owner's death when nothing
+// else fails, before the leases of running tasks end.
+TEST(TakeoverTest, EndsWithinAimWhenWorkersAnswer) {
+  EXPECT_LT(TakeoverTimes({fault_fake::kKillVm}).back(),
+            std::chrono::milliseconds(1000));
+}
+
+// A worker that cannot be reached must not delay the others beyond 3 s.
+TEST(TakeoverTest, EndsWithinAimWithUnreachableWorker) {
+  EXPECT_LT(TakeoverTimes({fault_fake::kCutWorker, fault_fake::kKillVm}).back(),
+            std::chrono::seconds(3));
 }
 
 /// Number of schedules until invariant @p number is violated, or 0.
--- a/src/skylarkbridge/coordination/request_fake.hpp
+++ b/src/skylarkbridge/coordination/request_fake.hpp
@@ -32,6 +32,8 @@
     BorrowSlots();
   }
 
+  /// @param key one that starts with "none" is not looked up, like a request
+  /// without a key.
   void Arrive(request_id request, const std::string& key) {
     cluster_.checker.CallerAsked(request, key);
     vm_.Deliver([=, this, sent = net_.Now()] {
@@ -39,13 +41,18 @@
       if (net_.Now() - sent > key_registry_options{}.unread_margin) {
         return;  // The front end drops what it read after a stall.
       }
+      const time_point deadline = vm_.Now() + std::chrono::seconds(1);
+      waiting_[request] = {{key, std::nullopt}, deadline};
+      if (key.starts_with("none")) {
+        Answered(request, key_answer{key_state::kRun, std::nullopt});
+        return;
+      }
       request_side_fake* home = Home();
       if (home == nullptr) {
+        waiting_.erase(request);
         Tell(request, told_outcome::kNotRun);
         return;
       }
-      const time_point deadline = vm_.Now() + std::chrono::seconds(1);
-      waiting_[request] = {{key, std::nullopt}, deadline};
       Ask(
           *home,
           [=](request_side_fake& owner) {
@@ -92,7 +99,7 @@
       takeover_ = vm_.owner->Takeover();
       lender_.emplace(slots_, takeover_, vm_.Now());
       for (const auto& [worker, fake] : cluster_.workers) {
-        lender_->SetWorker(worker, {3, 3}, vm_.Now());
+        lender_->SetWorker(worker, {1, 1}, vm_.Now());
       }
       keys_.emplace(
           key_registry_options{.longest_deadline = std::chrono::seconds(2)},
--- a/src/skylarkbridge/coordination/worker_fake.hpp
+++ b/src/skylarkbridge/coordination/worker_fake.hpp
@@ -32,7 +32,7 @@
       : id(worker), net_(net), checker_(checker) {
     clock.rate_ppm = net.Uniform(8000) - 4000;
     started_ = -std::chrono::seconds(10);
-    checker.WorkerAdded(id, {.slots = kSlots + 3, .connections = 3});
+    checker.WorkerAdded(id, {.slots = kSlots + 1, .connections = 1});
   }
 
   fence_reply Fence(const fence_worker& command) {
