--- a/src/skylarkbridge/coordination/entry_vm_fake.hpp
+++ b/src/skylarkbridge/coordination/entry_vm_fake.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_COORDINATION_ENTRY_VM_FAKE_HPP
 #define SKYLARKBRIDGE_COORDINATION_ENTRY_VM_FAKE_HPP
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +30,10 @@
   /// Every VM believes that it is the expected owner.
   bool all_expected = false;
   std::uint64_t incarnations = 0;
+  /// Requests that reached an upstream, and how often callers were told each
+  /// outcome.
+  std::set<request_id> carried;
+  std::array<std::uint64_t, 3> told{};
   /// Times at which a VM completed a takeover.
   std::vector<std::pair<std::chrono::nanoseconds, entry_vm_id>> takeovers;
 };
@@ -55,11 +60,7 @@
     unwritten_.clear();
     heard_.clear();
     offset_ = 0;
-    std::vector<worker_id> workers;
-    for (const auto& [worker, fake] : cluster_.workers) {
-      workers.push_back(worker);
-    }
-    Do(owner->SetWorkers(workers, Now()));
+    ListWorkers(std::nullopt);
     Timer();
   }
   void Kill() {
@@ -105,11 +106,20 @@
       Do(tasks->Ended(worker, ended, Now()));
     }
   }
+  time_point Now() const { return clock_.Read(net_.Now()); }
+  /// Gives the VM the list of workers, perhaps without one of them.
+  void ListWorkers(std::optional<worker_id> missing) {
+    std::vector<worker_id> workers;
+    for (const auto& [worker, fake] : cluster_.workers) {
+      if (worker != missing) {
+        workers.push_back(worker);
+      }
+    }
+    Do(owner->SetWorkers(workers, Now()));
+  }
   std::uint64_t Incarnation() const { return incarnation_; }
 
  private:
-  time_point Now() const { return clock_.Read(net_.Now()); }
-
   /// Sends @p what to a worker and its result, if any, back to this process.
   template <class Command, class Reply>
   void Call(worker_id worker, Command command, Reply on_reply) {
@@ -368,9 +378,16 @@
   }
   void Do(const stop_attempt& c) {
     if (const auto permission = owner->MayCommand(c.worker, Now())) {
-      net_.Send(id.value, c.worker.value, [c, this, lease = permission->lease] {
-        cluster_.workers.at(c.worker)->Stop(lease, c.task, c.attempt);
-      });
+      Call(
+          c.worker,
+          [c, lease = permission->lease](worker_fake& w) {
+            return w.Stop(lease, c.task, c.attempt);
+          },
+          [this, c](const std::optional<attempt_end>& r) {
+            if (r == attempt_end::kNotStarted) {
+              Ended(c.worker, {c.task, c.attempt, *r});
+            }
+          });
     }
   }
   void Do(const acknowledge_attempt& c) {
