--- a/include/skylarkbridge/wire/frame.hpp
+++ b/include/skylarkbridge/wire/frame.hpp
@@ -4,7 +4,6 @@
 #include <boost/leaf/result.hpp>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,10 +32,10 @@
   /// @brief Adds bytes as they arrive.
   void Feed(std::string_view bytes);
 
-  /// @brief Takes the next body; nothing when more bytes are needed. Fails with
-  /// decode_error (kTooLarge, kWrongVersion, kMalformed); the header is checked
-  /// as soon as it is complete.
-  boost::leaf::result<std::optional<std::string>> Next();
+  /// @brief Moves the next body to @p body; false when more bytes are needed.
+  /// Fails with decode_error (kTooLarge, kWrongVersion, kMalformed); the header
+  /// is checked as soon as it is complete.
+  boost::leaf::result<bool> Next(std::string& body);
 
   std::size_t Buffered() const { return buffer_.size() - begin_; }
 
--- a/src/skylarkbridge/coordination/membership.cpp
+++ b/src/skylarkbridge/coordination/membership.cpp
@@ -90,24 +90,25 @@
   for (auto& [id, state] : members_) {
     const auto found = listed.find(id);
     const bool leaving = found != listed.end() && found->second->leaving;
-    member_entry news = state.entry;
-    if (Ended(news)) {
+    if (Ended(state.entry)) {
       continue;
     }
-    if (state.suspected && (found == listed.end() || leaving)) {
-      news.status = member_status::kDead;
-      Accept(news, kLocal | kRemote, now, commands);
-    } else if (leaving && news.status == member_status::kAlive) {
-      news.status = member_status::kLeaving;
-      Accept(news, kLocal | kRemote, now, commands);
-    } else if (found != listed.end()) {
+    if (found != listed.end()) {
       state.drop_at.reset();
-    } else if (!IsLocal(news) && !state.drop_at) {
+    } else if (!IsLocal(state.entry) && !state.drop_at) {
       state.drop_at = now + options_.forget_after;
-    } else if (!IsLocal(news) && now >= *state.drop_at) {
-      // Nobody is left there to tell of its death. It is declared dead and not
-      // erased, or VMs that erase it at different times would pass it round.
+    }
+    member_entry news = state.entry;
+    // When a whole data centre is gone, nobody is left there to tell of it. Its
+    // members are declared dead and not erased, or VMs that erase them at
+    // different times would pass them round.
+    if ((state.suspected && (found == listed.end() || leaving)) ||
+        (state.drop_at && now >= *state.drop_at)) {
       news.status = member_status::kDead;
+    } else if (leaving && news.status == member_status::kAlive) {
+      news.status = member_status::kLeaving;
+    }
+    if (news.status != state.entry.status) {
       Accept(news, kLocal | kRemote, now, commands);
     }
   }
--- a/src/skylarkbridge/wire/frame.cpp
+++ b/src/skylarkbridge/wire/frame.cpp
@@ -48,10 +48,10 @@
   buffer_.append(bytes);
 }
 
-boost::leaf::result<std::optional<std::string>> frame_decoder::Next() {
+boost::leaf::result<bool> frame_decoder::Next(std::string& body) {
   const std::string_view waiting = std::string_view(buffer_).substr(begin_);
   if (waiting.size() < kFrameHeaderBytes) {
-    return std::optional<std::string>();
+    return false;
   }
   const std::uint32_t length = GetLittleEndian(waiting.substr(0, 4));
   const std::uint32_t version = GetLittleEndian(waiting.substr(4, 2));
@@ -70,12 +70,11 @@
                      absl::StrCat(length, " bytes are above ", kMaxBodyBytes)});
   }
   if (waiting.size() < kFrameHeaderBytes + length) {
-    return std::optional<std::string>();
+    return false;
   }
-  std::optional<std::string> body(
-      std::string(waiting.substr(kFrameHeaderBytes, length)));
+  body.assign(waiting.substr(kFrameHeaderBytes, length));
   begin_ += kFrameHeaderBytes + length;
-  return body;
+  return true;
 }
 
 }  // namespace skylarkbridge::wire
--- a/src/skylarkbridge/wire/peer_encode.cpp
+++ b/src/skylarkbridge/wire/peer_encode.cpp
@@ -143,6 +143,7 @@
   flat::Offset<flat::Vector<const fbs::SlotLot*>> Lots(
       const std::vector<slot_lot>& lots) const {
     std::vector<fbs::SlotLot> encoded_lots;
+    encoded_lots.reserve(lots.size());
     for (const slot_lot& lot : lots) {
       encoded_lots.emplace_back(lot.worker.value, lot.slots, lot.connections);
     }
--- a/src/skylarkbridge/wire/peer_test.cpp
+++ b/src/skylarkbridge/wire/peer_test.cpp
@@ -120,8 +120,9 @@
   std::vector<std::string> bodies;
   for (const char byte : stream) {
     decoder.Feed({&byte, 1});
-    while (auto body = decoder.Next().value()) {
-      bodies.push_back(*body);
+    std::string body;
+    while (decoder.Next(body).value()) {
+      bodies.push_back(body);
     }
   }
   EXPECT_EQ(bodies, (std::vector<std::string>{"first", ""}));
@@ -130,11 +131,12 @@
 
 // A wrong header must end the connection before its length is waited for.
 TEST(FrameDecoderTest, RefusesBadHeaders) {
-  const auto fault_of = [](std::string header) {
+  const auto fault_of = [](std::string_view header) {
     frame_decoder decoder;
     decoder.Feed(header);
     decode_error error;
-    EXPECT_FALSE(Outcome([&] { return decoder.Next(); }, error));
+    std::string body;
+    EXPECT_FALSE(Outcome([&] { return decoder.Next(body); }, error));
     return error;
   };
   EXPECT_EQ(fault_of({"\x05\0\0\0\x02\0\0\0", 8}).fault,
@@ -204,9 +206,9 @@
     } else {
       frame_decoder decoder;
       decoder.Feed(Mutate(EncodeFrame(original).value(), random));
-      std::optional<std::optional<std::string>> body;
-      while ((body = Outcome([&] { return decoder.Next(); }, error)) && *body) {
-        Outcome([&] { return DecodePeerMessage(**body); }, error);
+      std::string body;
+      while (Outcome([&] { return decoder.Next(body); }, error) == true) {
+        Outcome([&] { return DecodePeerMessage(body); }, error);
       }
     }
     ASSERT_TRUE(error.message.empty() || !error.place.empty());
