--- a/include/skylarkbridge/coordination/digest.hpp
+++ b/include/skylarkbridge/coordination/digest.hpp
@@ -1,7 +1,11 @@
 #ifndef SKYLARKBRIDGE_COORDINATION_DIGEST_HPP
 #define SKYLARKBRIDGE_COORDINATION_DIGEST_HPP
 
+#include <algorithm>
+#include <bit>
+#include <cstddef>
 #include <cstdint>
+#include <cstring>
 #include <string_view>
 
 namespace skylarkbridge::coordination {
@@ -15,12 +19,16 @@
   return value ^ (value >> 31U);
 }
 
-/// @brief 64-bit FNV-1a. Equal on every VM, which absl::Hash is not, as it is
-/// seeded per process.
-constexpr std::uint64_t Digest(std::string_view text) {
-  std::uint64_t hash = 0xcbf29ce484222325U;
-  for (const char letter : text) {
-    hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001b3U;
+/// @brief Digest of a text, eight bytes at a time. Equal on every VM, which
+/// absl::Hash is not, as it is seeded per process.
+inline std::uint64_t Digest(std::string_view text) {
+  static_assert(std::endian::native == std::endian::little);
+  std::uint64_t hash = Mix(text.size());
+  for (std::size_t i = 0; i < text.size(); i += sizeof(std::uint64_t)) {
+    std::uint64_t word = 0;
+    std::memcpy(&word, text.data() + i,
+                std::min(sizeof(word), text.size() - i));
+    hash = Mix(hash ^ word);
   }
   return hash;
 }
--- a/include/skylarkbridge/coordination/log_record.hpp
+++ b/include/skylarkbridge/coordination/log_record.hpp
@@ -35,6 +35,8 @@
   /// log in this order, apart from repetitions.
   std::uint64_t sequence = 0;
 
+  // clang-tidy 14 takes the 0 in rewritten comparisons for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const record_id&) const = default;
 
   template <class H>
--- a/include/skylarkbridge/coordination/member.hpp
+++ b/include/skylarkbridge/coordination/member.hpp
@@ -32,6 +32,8 @@
   wall_time started_at;
   incarnation_id incarnation;
 
+  // clang-tidy 14 takes the 0 in rewritten comparisons for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const member_life&) const = default;
 };
 
