--- a/include/skylarkbridge/scheduling/batch_options.hpp
+++ b/include/skylarkbridge/scheduling/batch_options.hpp
@@ -18,8 +18,8 @@
   std::size_t min_samples = 6;
   /// Factor on the declared size until then. Declared sizes are often a quarter
   /// of the use, and a fleet filled at the declared size would then be over its
-  /// memory before the first report arrives.
-  double unlearnt_margin = 4.0;
+  /// memory before the first report arrives; 5 leaves 25% for single tasks.
+  double unlearnt_margin = 5.0;
 };
 
 struct placement_options {
@@ -60,13 +60,16 @@
   /// False takes no action and places without regard to harm.
   bool enabled = true;
   /// A slowdown above this starts an action.
-  double start_above = 1.20;
+  double start_above = 1.25;
   /// A slowdown below this lifts throttles step by step.
-  double stop_below = 1.10;
+  double stop_below = 1.15;
   /// Most expected slowdown after a placement.
-  double place_below = 1.15;
+  double place_below = 1.20;
   /// Standard deviations added to the expected slowdown of a placement.
   double caution = 0.5;
+  /// Acts on what the model and several windows show together. False acts on
+  /// single windows, whose p99 scatters.
+  bool smooth = true;
   bool throttle_first = true;
   /// False acts on every report, also on those that cannot show the last
   /// action.
--- a/src/skylarkbridge/scheduling/batch_core_placement.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_placement.hpp
@@ -11,6 +11,12 @@
 // Kinds that are offered the room of one worker; bounds the cost of one event.
 inline constexpr std::size_t kMostOffers = 64;
 
+/// @brief Slowdown that the model does not explain. The first 4% are taken for
+/// the scatter of p99 that is left after averaging.
+inline double Unexplained(const service_view& view) {
+  return std::max(view.unexplained - 0.04, 0.0);
+}
+
 template <slowdown_estimator Estimator>
 std::uint64_t batch_core<Estimator>::Random() {
   // SplitMix64: small state, and every seed is usable.
@@ -143,7 +149,7 @@
   for (const service_view& view : worker.services) {
     const harm_estimate added = estimator_.Harm(view.service, kind, view.load);
     const double harm =
-        view.harm + std::max(view.unexplained, 0.0) +
+        view.harm + Unexplained(view) +
         scale * (added.mean + options_.interference.caution * added.deviation);
     highest = std::max(highest, harm);
   }
--- a/src/skylarkbridge/scheduling/batch_core_reports.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_reports.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "skylarkbridge/scheduling/batch_core.hpp"
+#include "skylarkbridge/scheduling/batch_core_placement.hpp"
 
 namespace skylarkbridge::scheduling {
 
@@ -14,6 +15,7 @@
 inline constexpr std::chrono::seconds kLongestLag{60};
 // A larger difference between lease and need is worth a command to the worker.
 inline constexpr double kLeaseSlack = 1.25;
+inline constexpr double kUnexplainedGain = 0.3;
 
 template <slowdown_estimator Estimator>
 void batch_core<Estimator>::Report(const usage_report& report, time_point now) {
@@ -223,8 +225,11 @@
       expected +=
           part.amount * estimator_.Harm(service, part.kind, view->load).mean;
     }
-    view->unexplained += 0.3 * (*slowdown - expected - view->unexplained);
-    highest = std::max(highest, *slowdown);
+    view->unexplained +=
+        kUnexplainedGain * (*slowdown - expected - view->unexplained);
+    highest = std::max(highest, options_.interference.smooth
+                                    ? expected + Unexplained(*view)
+                                    : *slowdown);
   }
   RecomputeHarm(entry);
   entry.interference.slowdown = highest;
@@ -354,7 +359,7 @@
   // Doubling the speed doubles the harm of the task.
   double highest = 0;
   for (const service_view& view : entry.services) {
-    highest = std::max(highest, view.harm + std::max(view.unexplained, 0.0));
+    highest = std::max(highest, view.harm + Unexplained(view));
   }
   if (highest + TaskHarm(entry, tasks_[least]) >
       options_.interference.place_below - 1.0) {
