--- a/bench/batch_bench.cpp
+++ b/bench/batch_bench.cpp
@@ -20,6 +20,7 @@
 #include <variant>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "skylarkbridge/scheduling/batch_scheduler_impl.hpp"
 
 namespace skylarkbridge::scheduling {
@@ -362,8 +363,8 @@
   time_point now_ = time_point(std::chrono::hours(1));
   double time_ = 0, shift_ = 1, share_sum_ = 0, share_samples_ = 0;
   std::vector<host> workers_;
-  std::map<std::uint64_t, run> running_;
-  std::map<std::uint64_t, job> jobs_;
+  absl::flat_hash_map<std::uint64_t, run> running_;
+  absl::flat_hash_map<std::uint64_t, job> jobs_;
   std::array<std::int64_t, kKinds> open_{};
   std::multimap<time_point, usage_report> reports_;
   std::vector<float> latency_[kServices], alone_[kServices];
@@ -409,10 +410,18 @@
       threshold.known = &facts;
       return play(threshold);
     }
-    case variant::kOracle:
-      options.interference.start_above = 1.25;
-      options.interference.place_below = 1.22;
-      return play(oracle);
+    case variant::kOracle: {
+      // The most throughput of several limits that keep the aim for p99.
+      outcome best;
+      for (const double limit : {1.18, 1.20, 1.22}) {
+        options.interference.place_below = limit;
+        const outcome tried = play(oracle);
+        if (best.throughput == 0 ||
+            (tried.p99_ratio <= 1.25 && tried.throughput > best.throughput))
+          best = tried;
+      }
+      return best;
+    }
     case variant::kDeclared:
       options.usage.learn = false;
       break;
@@ -513,8 +522,8 @@
     add("same, declared sizes only", "baseline", 0, false, [&](auto i) { return declared[i].over_use; });
 
     for (const bool urgent : {false, true}) {
-      scenario flood{.harm = false, .steady = {0}, .flood = {1}, .minimum = {400, 400}, .length = 300};
-      flood.urgency[1] = urgent ? 10 : 0;
+      scenario flood{.harm = false, .steady = {1}, .flood = {0}, .minimum = {400, 400}, .length = 300};
+      flood.urgency[0] = urgent ? 10 : 0;
       const auto kept = all(flood, variant::kOurs);
       const auto lost = all(flood, variant::kNoShares);
       add(urgent ? "share kept in a 10x flood of more urgent work" : "share kept in a 10x flood", ">= 0.95", 0.95, true, [&](auto i) { return kept[i].kept_share; });
--- a/include/skylarkbridge/scheduling/batch_options.hpp
+++ b/include/skylarkbridge/scheduling/batch_options.hpp
@@ -89,6 +89,11 @@
   bool shares = true;
   /// Time that an entitled task waits before lent share is taken back.
   std::chrono::milliseconds after = std::chrono::milliseconds(300);
+  /// Time after which an urgent task is started beside less urgent ones even if
+  /// the expected harm to services is above the limit: urgent work has an aim
+  /// of 3.2 s, and the less urgent tasks can be throttled afterwards.
+  std::chrono::milliseconds despite_harm_after =
+      std::chrono::milliseconds(1500);
   /// Time between two rounds.
   std::chrono::milliseconds interval = std::chrono::milliseconds(250);
   /// Workers that are looked at for one waiting task.
--- a/include/skylarkbridge/scheduling/slowdown_model.hpp
+++ b/include/skylarkbridge/scheduling/slowdown_model.hpp
@@ -19,7 +19,8 @@
 };
 
 /// @brief Expected slowdown that one task of a kind adds, as part of the
-/// service's own latency (0.1 means 10%).
+/// service's own latency (0.1 means 10%). The mean may be slightly negative:
+/// cut off at zero, the errors of many harmless tasks would add up.
 struct harm_estimate {
   double mean = 0;
   double deviation = 0;
--- a/src/skylarkbridge/scheduling/batch_core_placement.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_placement.hpp
@@ -267,10 +267,7 @@
                                       double amount) {
   const double scaled = amount * worker.Scale();
   for (service_view& view : worker.services) {
-    view.harm = std::max(
-        view.harm +
-            scaled * estimator_.Harm(view.service, kind, view.load).mean,
-        0.0);
+    view.harm += scaled * estimator_.Harm(view.service, kind, view.load).mean;
   }
 }
 
--- a/src/skylarkbridge/scheduling/batch_core_reclaim.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_reclaim.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <vector>
 
 #include "skylarkbridge/scheduling/batch_core.hpp"
@@ -13,6 +14,9 @@
 // Kinds that one round tries again, and those it takes room back for.
 inline constexpr std::size_t kMostRetries = 64;
 inline constexpr std::size_t kMostClaims = 8;
+// Processor seconds of lost work that weigh as much as doubling the latency of
+// a service.
+inline constexpr double kHarmCost = 100;
 // A reserved worker frees its room after at most the grace for checkpoints and
 // the time of one stop.
 inline constexpr std::chrono::seconds kReclaimReservation{6};
@@ -92,7 +96,7 @@
     if (!found) {
       continue;
     }
-    double cost = ExpectedHarm(workers_[worker], kind);
+    double cost = kHarmCost * ExpectedHarm(workers_[worker], kind);
     for (const task_index victim : *found) {
       cost += LostWork(tasks_[victim], now);
     }
@@ -176,7 +180,16 @@
                          ? urgency_a < urgency_b
                          : LostWork(tasks_[a], now) < LostWork(tasks_[b], now);
             });
-  const double limit = options_.interference.place_below - 1.0;
+  const bool outranks =
+      std::any_of(candidates.begin(), candidates.end(), [&](task_index task) {
+        return kinds_[tasks_[task].kind].declared.urgency <
+               claimant.declared.urgency;
+      });
+  const bool despite_harm =
+      outranks && now - tasks_[claimant.waiting.head].queued >=
+                      options_.reclaim.despite_harm_after;
+  const double limit = despite_harm ? std::numeric_limits<double>::infinity()
+                                    : options_.interference.place_below - 1.0;
   std::vector<task_index> chosen;
   for (const task_index task : candidates) {
     if (Fits(need, room) && harm <= limit) {
--- a/src/skylarkbridge/scheduling/slowdown_model.cpp
+++ b/src/skylarkbridge/scheduling/slowdown_model.cpp
@@ -136,7 +136,7 @@
       service < services_.size() ? Relative(services_[service], load) : 0.0;
   const double variance =
       pair.aa + 2 * pair.ab * relative + pair.bb * relative * relative;
-  return {.mean = std::max(pair.a + pair.b * relative, 0.0),
+  return {.mean = pair.a + pair.b * relative,
           .deviation = std::sqrt(std::max(variance, 0.0))};
 }
 
