Keep the full covariance of baselines and pairs

Change: one extended Kalman filter per service with the full covariance, a smooth prior over load levels, and bounded influence of single windows. Conclusion: the full covariance stays; 128 kinds per service bound its cost.

--- a/include/skylarkbridge/scheduling/slowdown_model.hpp
+++ b/include/skylarkbridge/scheduling/slowdown_model.hpp
@@ -1,7 +1,6 @@
 #ifndef SKYLARKBRIDGE_SCHEDULING_SLOWDOWN_MODEL_HPP
 #define SKYLARKBRIDGE_SCHEDULING_SLOWDOWN_MODEL_HPP
 
-#include <array>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -42,12 +41,12 @@
 
 /// @brief Learns pairwise slowdowns from windows.
 ///
-/// One Kalman filter over the latency of each service alone, per level of load
-/// and interpolated between levels, and over two coefficients per pair of
-/// service and kind, linear in load. Only covariances within a pair are kept.
-/// The filter gives the uncertainty, and decides whether an error is the fault
-/// of a pair or of the baseline; windows without batch work teach the baseline
-/// alone. Process noise makes old windows lose weight.
+/// One extended Kalman filter per service. Its state is the latency of the
+/// service alone at several levels of load, interpolated between levels, and
+/// two coefficients per kind beside it, linear in load. The full covariance is
+/// kept: whether a latency is high by itself or by what runs beside it can only
+/// be told from many windows together. The filter gives the uncertainty, and
+/// process noise makes old windows lose weight.
 class slowdown_model {
  public:
   /// @brief Takes one window: p99 in any fixed unit, load in requests per
@@ -64,36 +63,34 @@
                      double load) const;
 
  private:
-  static constexpr std::size_t kLevels = 26;
-  struct baseline {
-    double latency = 0;
-    /// Of the relative error of the latency; 0 while nothing is known.
-    double variance = 0;
-  };
   struct service_entry {
-    std::array<baseline, kLevels> levels{};
+    /// Latency that the states of the levels are relative to; 0 when unknown.
+    double scale = 0;
     double mean_load = 0;
+    /// First the levels, then two coefficients a and b per kind: the harm is
+    /// a + b * (load / mean load - 1).
+    std::vector<double> state;
+    /// Rows of length kMostStates.
+    std::vector<double> covariance;
+    /// Position in the state by kind; 0 when the kind was never seen beside.
+    std::vector<std::size_t> position;
   };
-  /// Harm is a + b * (load / mean load - 1).
-  struct pair_entry {
-    double a = 0.03;
-    double b = 0.0;
-    double aa = 0.01;
-    double ab = 0.0;
-    double bb = 0.01;
+  /// @brief One non-zero partial derivative of the expected latency.
+  struct derivative {
+    std::size_t position = 0;
+    double value = 0;
   };
 
   static double Relative(const service_entry& service, double load);
-  /// @brief Fills an unknown level from the nearest known one, or from a
-  /// sample.
-  static baseline& Level(service_entry& service,
-                         std::size_t level,
-                         double sample);
-  pair_entry& Pair(std::uint32_t service, std::uint32_t kind);
+  static void Begin(service_entry& service, double latency);
+  /// @return 0 when the service has too many kinds already.
+  static std::size_t Position(service_entry& service, std::uint32_t kind);
+  static void Correct(service_entry& service,
+                      std::span<const derivative> gradient,
+                      double error,
+                      double noise);
 
   std::vector<service_entry> services_;
-  /// By kind, then by service; grown when a pair is first seen.
-  std::vector<std::vector<pair_entry>> pairs_;
 };
 
 }  // namespace skylarkbridge::scheduling
--- a/src/skylarkbridge/scheduling/slowdown_model.cpp
+++ b/src/skylarkbridge/scheduling/slowdown_model.cpp
@@ -6,18 +6,25 @@
 namespace skylarkbridge::scheduling {
 namespace {
 
-// Variance of one window's p99 relative to its expectation: windows of a few
+// Two levels per doubling of load, up to 4,096 requests per second.
+constexpr std::size_t kLevels = 26;
+// Bounds memory to 0.6 MB and one update to some 30 us per service. Further
+// kinds keep the prior, and their harm counts as unexplained.
+constexpr std::size_t kMostKinds = 128;
+constexpr std::size_t kStates = kLevels + 2 * kMostKinds;
+// Deviation of one window's p99 relative to its expectation: windows of a few
 // hundred requests scatter by about 8%.
-constexpr double kWindowVariance = 0.0064;
-// Variance added per window. It keeps the gain near 4%, so a pair follows a
-// change within about 25 windows.
-constexpr double kProcessNoise = 1e-5;
-constexpr double kMostVariance = 0.04;
-// Of a baseline: the first sample, a level taken from its neighbour, and the
-// noise per window, which follows a change within some hundred windows.
-constexpr double kFirstVariance = 0.04;
-constexpr double kNeighbourVariance = 0.01;
-constexpr double kBaselineNoise = 1e-6;
+constexpr double kWindowDeviation = 0.08;
+// Before any window, levels deviate by 30% together and by 16% from level to
+// level.
+constexpr double kLevelVariance = 0.09;
+constexpr double kLevelRange = 6.0;
+// Before any window, a task of a kind adds 3% +- 6%, in proportion to load.
+constexpr double kPriorHarm = 0.03;
+constexpr double kPairVariance = 0.0036;
+// Variance added per window, so that the last few hundred windows count.
+constexpr double kPairNoise = 2e-8;
+constexpr double kLevelNoise = 1e-7;
 constexpr double kMostSlowdown = 20.0;
 
 }  // namespace
@@ -29,35 +36,68 @@
   return std::clamp(load / service.mean_load - 1.0, -1.0, 3.0);
 }
 
-slowdown_model::baseline& slowdown_model::Level(service_entry& service,
-                                                std::size_t level,
-                                                double sample) {
-  baseline& wanted = service.levels[level];
-  for (std::size_t distance = 1; wanted.variance == 0 && distance < kLevels;
-       ++distance) {
-    for (const std::size_t near : {level - distance, level + distance}) {
-      if (near < kLevels && service.levels[near].variance > 0) {
-        wanted = service.levels[near];
-        wanted.variance += kNeighbourVariance;
-        break;
-      }
+void slowdown_model::Begin(service_entry& service, double latency) {
+  service.scale = latency;
+  service.state.assign(kLevels, 1.0);
+  service.covariance.assign(kLevels * kStates, 0.0);
+  for (std::size_t i = 0; i < kLevels; ++i) {
+    for (std::size_t j = 0; j < kLevels; ++j) {
+      const double distance =
+          i > j ? static_cast<double>(i - j) : static_cast<double>(j - i);
+      service.covariance[i * kStates + j] =
+          kLevelVariance * std::exp(-distance / kLevelRange);
     }
   }
-  if (wanted.variance == 0) {
-    wanted = {.latency = sample, .variance = kFirstVariance};
+}
+
+std::size_t slowdown_model::Position(service_entry& service,
+                                     std::uint32_t kind) {
+  if (service.position.size() <= kind) {
+    service.position.resize(kind + 1, 0);
   }
-  return wanted;
+  std::size_t& position = service.position[kind];
+  if (position == 0 && service.state.size() < kStates) {
+    position = service.state.size();
+    service.state.insert(service.state.end(), {kPriorHarm, kPriorHarm});
+    service.covariance.resize(service.state.size() * kStates, 0.0);
+    for (const std::size_t i : {position, position + 1}) {
+      service.covariance[i * kStates + i] = kPairVariance;
+    }
+  }
+  return position;
 }
 
-slowdown_model::pair_entry& slowdown_model::Pair(std::uint32_t service,
-                                                 std::uint32_t kind) {
-  if (pairs_.size() <= kind) {
-    pairs_.resize(kind + 1);
+void slowdown_model::Correct(service_entry& service,
+                             std::span<const derivative> gradient,
+                             double error,
+                             double noise) {
+  std::vector<derivative> shared;
+  double total = noise;
+  for (std::size_t i = 0; i < service.state.size(); ++i) {
+    double sum = 0;
+    for (const derivative& d : gradient) {
+      sum += service.covariance[i * kStates + d.position] * d.value;
+    }
+    if (std::abs(sum) > 1e-12) {
+      shared.push_back({.position = i, .value = sum});
+    }
   }
-  if (pairs_[kind].size() <= service) {
-    pairs_[kind].resize(service + 1);
+  for (const derivative& d : gradient) {
+    for (const derivative& s : shared) {
+      total += s.position == d.position ? s.value * d.value : 0.0;
+    }
+  }
+  // One impossible window must not overturn what many have shown.
+  const double most = 4.0 * std::sqrt(total);
+  const double bounded = std::clamp(error, -most, most);
+  for (const derivative& row : shared) {
+    service.state[row.position] += row.value / total * bounded;
+    double* covariance = &service.covariance[row.position * kStates];
+    for (const derivative& column : shared) {
+      covariance[column.position] -= row.value * column.value / total;
+    }
+    covariance[row.position] = std::max(covariance[row.position], 1e-9);
   }
-  return pairs_[kind][service];
 }
 
 std::optional<double> slowdown_model::Learn(std::uint32_t service,
@@ -74,69 +114,70 @@
   entry.mean_load +=
       (load - entry.mean_load) * (entry.mean_load == 0 ? 1.0 : 0.002);
   const double relative = Relative(entry, load);
-
-  double explained = 0;
-  double variance = 0;
-  for (const exposure& part : beside) {
-    pair_entry& pair = Pair(service, part.kind);
-    pair.aa = std::min(pair.aa + kProcessNoise, kMostVariance);
-    pair.bb = std::min(pair.bb + kProcessNoise, kMostVariance);
-    explained += part.amount * (pair.a + pair.b * relative);
-    variance +=
-        part.amount * part.amount *
-        (pair.aa + 2 * pair.ab * relative + pair.bb * relative * relative);
-  }
-  const double expected = std::clamp(1.0 + explained, 1.0, kMostSlowdown);
-  const double position =
-      std::min(2.0 * std::log2(load + 1.0), static_cast<double>(kLevels) - 2.0);
-  const auto below = static_cast<std::size_t>(position);
-  const double above_weight = position - static_cast<double>(below);
-  baseline* levels[] = {&Level(entry, below, p99 / expected),
-                        &Level(entry, below + 1, p99 / expected)};
-  const double weights[] = {1.0 - above_weight, above_weight};
-  double alone = 0;
-  for (int i = 0; i < 2; ++i) {
-    levels[i]->variance =
-        std::min(levels[i]->variance + kBaselineNoise, kFirstVariance);
-    alone += weights[i] * levels[i]->latency;
-    variance +=
-        weights[i] * weights[i] * expected * expected * levels[i]->variance;
+  if (entry.scale == 0) {
+    double prior = 1.0;
+    for (const exposure& part : beside) {
+      prior += part.amount * kPriorHarm;
+    }
+    Begin(entry, p99 / prior);
   }
 
-  const double slowdown = std::min(p99 / alone, kMostSlowdown);
-  const double error = slowdown - expected;
-  const double total = variance + kWindowVariance * expected * expected;
+  const double at = std::min(2.0 * std::log2(load + 1.0),
+                             static_cast<double>(kLevels) - 1.001);
+  const auto below = static_cast<std::size_t>(at);
+  const double upper = at - static_cast<double>(below);
+  const double alone = std::max(
+      (1.0 - upper) * entry.state[below] + upper * entry.state[below + 1],
+      0.01);
+  double explained = 0;
+  std::vector<derivative> gradient;
   for (const exposure& part : beside) {
-    pair_entry& pair = Pair(service, part.kind);
-    const double gain_a = part.amount * (pair.aa + pair.ab * relative) / total;
-    const double gain_b = part.amount * (pair.ab + pair.bb * relative) / total;
-    pair.a += gain_a * error;
-    pair.b += gain_b * error;
-    pair.aa = std::max(pair.aa - gain_a * gain_a * total, 1e-9);
-    pair.ab -= gain_a * gain_b * total;
-    pair.bb = std::max(pair.bb - gain_b * gain_b * total, 1e-9);
+    const std::size_t position = Position(entry, part.kind);
+    if (position == 0) {
+      continue;
+    }
+    explained += part.amount *
+                 (entry.state[position] + entry.state[position + 1] * relative);
+    gradient.push_back({position, alone * part.amount});
+    gradient.push_back({position + 1, alone * part.amount * relative});
+    for (const std::size_t i : {position, position + 1}) {
+      double& variance = entry.covariance[i * kStates + i];
+      variance = std::min(variance + kPairNoise, kPairVariance);
+    }
   }
-  for (int i = 0; i < 2; ++i) {
-    const double gain = weights[i] * expected * levels[i]->variance / total;
-    levels[i]->latency *= std::clamp(1.0 + gain * error, 0.5, 2.0);
-    levels[i]->variance =
-        std::max(levels[i]->variance - gain * gain * total, 1e-9);
+  const double expected = std::clamp(1.0 + explained, 0.5, kMostSlowdown);
+  gradient.push_back({below, (1.0 - upper) * expected});
+  gradient.push_back({below + 1, upper * expected});
+  for (const std::size_t i : {below, below + 1}) {
+    double& variance = entry.covariance[i * kStates + i];
+    variance = std::min(variance + kLevelNoise, kLevelVariance);
   }
-  return slowdown;
+  const double observed = std::min(p99 / entry.scale, kMostSlowdown * alone);
+  const double deviation = kWindowDeviation * alone * expected;
+  Correct(entry, gradient, observed - alone * expected, deviation * deviation);
+  const double corrected = std::max(
+      (1.0 - upper) * entry.state[below] + upper * entry.state[below + 1],
+      0.01);
+  return std::min(observed / corrected, kMostSlowdown);
 }
 
 harm_estimate slowdown_model::Harm(std::uint32_t service,
                                    std::uint32_t kind,
                                    double load) const {
-  pair_entry pair;
-  if (kind < pairs_.size() && service < pairs_[kind].size()) {
-    pair = pairs_[kind][service];
+  if (service >= services_.size()) {
+    return {.mean = kPriorHarm, .deviation = std::sqrt(kPairVariance)};
+  }
+  const service_entry& entry = services_[service];
+  const double relative = Relative(entry, load);
+  if (kind >= entry.position.size() || entry.position[kind] == 0) {
+    return {.mean = kPriorHarm * (1.0 + relative),
+            .deviation = std::sqrt(kPairVariance * (1 + relative * relative))};
   }
-  const double relative =
-      service < services_.size() ? Relative(services_[service], load) : 0.0;
+  const std::size_t i = entry.position[kind];
+  const double* row = &entry.covariance[i * kStates + i];
   const double variance =
-      pair.aa + 2 * pair.ab * relative + pair.bb * relative * relative;
-  return {.mean = pair.a + pair.b * relative,
+      row[0] + 2.0 * relative * row[1] + relative * relative * row[kStates + 1];
+  return {.mean = entry.state[i] + entry.state[i + 1] * relative,
           .deviation = std::sqrt(std::max(variance, 0.0))};
 }
 
