--- /dev/null
+++ b/src/skylarkbridge/scheduling/batch_interference_test.cpp
@@ -0,0 +1,166 @@
+#include <random>
+
+#include "gtest/gtest.h"
+#include "skylarkbridge/scheduling/batch_fleet_fake.hpp"
+#include "skylarkbridge/scheduling/eviction_budget.hpp"
+#include "skylarkbridge/scheduling/room_index.hpp"
+#include "skylarkbridge/scheduling/slowdown_model.hpp"
+
+namespace skylarkbridge::scheduling {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr resources kWorker{.millicores = 16'000, .memory_mib = 16'000};
+
+// Guards against harm that is charged to the wrong kind, and against a baseline
+// that is wrong because the service never ran alone.
+TEST(SlowdownModelTest, TellsPairsAndBaselineApart) {
+  std::mt19937_64 random(1);
+  std::normal_distribution<> noise(0, 0.06);
+  slowdown_model model;
+  const auto draw = [&] { return static_cast<double>(random() % 8); };
+  for (int window = 0; window < 1500; ++window) {
+    const double load = 50.0 + static_cast<double>(random() % 100);
+    const exposure beside[] = {{0, 1 + draw()}, {1, 1 + draw()}, {2, draw()}};
+    const double harm =
+        (0.05 * beside[0].amount + 0.002 * beside[1].amount) * load / 100;
+    model.Learn(0, 8000 * (1 + harm) * std::exp(noise(random)), load, beside);
+  }
+  EXPECT_NEAR(model.Harm(0, 0, 100).mean, 0.05, 0.012);
+  EXPECT_NEAR(model.Harm(0, 1, 100).mean, 0.002, 0.008);
+  EXPECT_NEAR(model.Harm(0, 2, 100).mean, 0.0, 0.008);
+  EXPECT_GT(model.Harm(0, 0, 140).mean, model.Harm(0, 0, 60).mean + 0.02);
+  EXPECT_LT(model.Harm(0, 0, 100).deviation, 0.02);
+  EXPECT_GT(model.Harm(0, 7, 100).deviation, 0.03);
+  EXPECT_EQ(model.Learn(0, -1, 100, {}), std::nullopt);
+}
+
+// Guards against memory of a pair that no longer holds.
+TEST(SlowdownModelTest, ForgetsWhatChanged) {
+  slowdown_model model;
+  const auto learn = [&](double harm) {
+    for (int window = 0; window < 1500; ++window) {
+      const exposure beside[] = {{0, static_cast<double>(window % 5)}};
+      model.Learn(0, 8000 * (1 + harm * beside[0].amount), 100, beside);
+    }
+  };
+  learn(0.05);
+  EXPECT_NEAR(model.Harm(0, 0, 100).mean, 0.05, 0.01);
+  learn(0.0);
+  EXPECT_NEAR(model.Harm(0, 0, 100).mean, 0.0, 0.01);
+}
+
+struct noisy_fleet : batch_fleet_fake {
+  explicit noisy_fleet(interference_options interference = {})
+      : batch_fleet_fake(batch_options{.usage = {.learn = false},
+                                       .interference = interference}) {
+    scheduler.Configure({.services = {{.name = "desk"}},
+                         .batch_kinds = {{.name = "noisy",
+                                          .size = {.millicores = 1000},
+                                          .checkpoints = true}}},
+                        now);
+    Worker(1, kWorker);
+    Worker(2, {.millicores = 100});
+    for (int i = 0; i < 20; ++i) {
+      Quiet();
+    }
+  }
+  void Latency(std::int64_t p99) {
+    Report(1, {},
+           {{.service = "desk", .requests = 500, .p99 = microseconds(p99)}});
+  }
+  void Quiet() {
+    Advance(seconds(6));
+    Latency(1000);
+  }
+};
+
+// Guards against an eviction without a throttle before it, and against a second
+// action before a report can show the first.
+TEST(BatchInterferenceTest, ActsInStepsAndWaitsForTheEffect) {
+  noisy_fleet fleet;
+  fleet.Submit(1, "noisy");
+  fleet.Submit(2, "noisy");
+  ASSERT_EQ(fleet.running.size(), 2U);
+  std::vector<std::int64_t> speeds;
+  for (int i = 0; i < 60 && fleet.saving.empty(); ++i) {
+    fleet.Advance(seconds(6));
+    fleet.Latency(1900);
+    const std::uint64_t before = fleet.scheduler.Counters().throttled;
+    fleet.Advance(seconds(2));
+    // This window began before the last action.
+    fleet.Latency(1900);
+    EXPECT_EQ(fleet.scheduler.Counters().throttled, before);
+  }
+  EXPECT_EQ(fleet.saving.size(), 1U);
+  EXPECT_GE(fleet.scheduler.Counters().throttled, 2U);
+  const std::uint64_t task = fleet.saving.front();
+  fleet.ObeyStops();
+  EXPECT_FALSE(fleet.running.contains(task));
+  EXPECT_EQ(fleet.scheduler.Counters().evicted_for_interference, 1U);
+}
+
+// Guards against throttles that stay after the harm is gone.
+TEST(BatchInterferenceTest, LiftsThrottlesAgain) {
+  noisy_fleet fleet;
+  fleet.Submit(1, "noisy");
+  for (int i = 0; i < 60 && fleet.running.at(1).permille == 1000; ++i) {
+    fleet.Advance(seconds(6));
+    fleet.Latency(1900);
+  }
+  EXPECT_LT(fleet.running.at(1).permille, 1000);
+  for (int i = 0; i < 200 && fleet.running.at(1).permille < 1000; ++i) {
+    fleet.Quiet();
+  }
+  EXPECT_EQ(fleet.running.at(1).permille, 1000);
+}
+
+// Guards against eviction storms after one wrong measurement.
+TEST(BatchInterferenceTest, KeepsTheEvictionBudget) {
+  eviction_budget budget(
+      {.evictions_per_worker_minute = 0.1, .eviction_burst = 0.05});
+  const time_point start(seconds(100));
+  int taken = 0;
+  for (int i = 0; i < 100; ++i) {
+    taken += budget.Take(100, start) ? 1 : 0;
+  }
+  EXPECT_EQ(taken, 5);
+  EXPECT_FALSE(budget.Take(100, start + milliseconds(1)));
+  EXPECT_TRUE(budget.Take(100, start + seconds(7)));
+}
+
+// Guards against a search that misses a worker with room or returns one
+// without.
+TEST(RoomIndexTest, FindsExactlyWhatFits) {
+  std::mt19937_64 random(7);
+  room_index index;
+  std::vector<resources> rooms;
+  const auto draw = [&] {
+    return resources{.millicores = static_cast<std::int64_t>(random() % 10),
+                     .memory_mib = static_cast<std::int64_t>(random() % 10),
+                     .accelerators = static_cast<std::int64_t>(random() % 3)};
+  };
+  for (std::size_t i = 0; i < 100; ++i) {
+    rooms.push_back(draw());
+    index.Set(i, rooms[i]);
+  }
+  for (int round = 0; round < 2000; ++round) {
+    const std::size_t changed = random() % rooms.size();
+    rooms[changed] = draw();
+    index.Set(changed, rooms[changed]);
+    const resources need = draw();
+    const std::size_t from = random() % rooms.size();
+    std::size_t expected = from;
+    while (expected < rooms.size() && !Fits(need, rooms[expected])) {
+      ++expected;
+    }
+    EXPECT_EQ(index.NextFrom(from, need),
+              expected == rooms.size() ? room_index::kNotFound : expected);
+  }
+}
+
+}  // namespace
+}  // namespace skylarkbridge::scheduling
