Fix the reference load of slowdowns and smooth the baseline over load

Change: the reference load is fixed after 100 windows, the prior over levels is smooth, harm is quadratic in load, throttles are lifted together.

--- a/include/skylarkbridge/scheduling/batch_options.hpp
+++ b/include/skylarkbridge/scheduling/batch_options.hpp
@@ -62,7 +62,7 @@
   /// A slowdown above this starts an action.
   double start_above = 1.25;
   /// A slowdown below this lifts throttles step by step.
-  double stop_below = 1.15;
+  double stop_below = 1.18;
   /// Most expected slowdown after a placement.
   double place_below = 1.20;
   /// Standard deviations added to the expected slowdown of a placement.
--- a/include/skylarkbridge/scheduling/slowdown_model.hpp
+++ b/include/skylarkbridge/scheduling/slowdown_model.hpp
@@ -43,10 +43,10 @@
 ///
 /// One extended Kalman filter per service. Its state is the latency of the
 /// service alone at several levels of load, interpolated between levels, and
-/// two coefficients per kind beside it, linear in load. The full covariance is
-/// kept: whether a latency is high by itself or by what runs beside it can only
-/// be told from many windows together. The filter gives the uncertainty, and
-/// process noise makes old windows lose weight.
+/// three coefficients per kind beside it, quadratic in load. The full
+/// covariance is kept: whether a latency is high by itself or by what runs
+/// beside it can only be told from many windows together. The filter gives the
+/// uncertainty, and process noise makes old windows lose weight.
 class slowdown_model {
  public:
   /// @brief Takes one window: p99 in any fixed unit, load in requests per
@@ -66,9 +66,11 @@
   struct service_entry {
     /// Latency that the states of the levels are relative to; 0 when unknown.
     double scale = 0;
+    /// Mean of the first windows, then fixed: the coefficients depend on it.
     double mean_load = 0;
-    /// First the levels, then two coefficients a and b per kind: the harm is
-    /// a + b * (load / mean load - 1).
+    int windows = 0;
+    /// First the levels, then three coefficients per kind: the harm is
+    /// a + b * r + c * r^2 with r = load / mean load - 1.
     std::vector<double> state;
     /// Rows of length kMostStates.
     std::vector<double> covariance;
--- a/src/skylarkbridge/scheduling/batch_core_reports.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_reports.hpp
@@ -342,33 +342,35 @@
 template <slowdown_estimator Estimator>
 bool batch_core<Estimator>::LiftThrottle(worker_index worker, time_point now) {
   const worker_entry& entry = workers_[worker];
-  task_index least = kNone;
+  std::vector<task_index> slowed;
   for (task_index task = entry.tasks.head; task != kNone;
        task = tasks_[task].next) {
     if (tasks_[task].phase == task_phase::kRunning &&
         tasks_[task].processor_permille < 1000 &&
-        !tasks_[task].throttled_for_room &&
-        (least == kNone ||
-         TaskHarm(entry, tasks_[task]) < TaskHarm(entry, tasks_[least]))) {
-      least = task;
+        !tasks_[task].throttled_for_room) {
+      slowed.push_back(task);
     }
   }
-  if (least == kNone) {
-    return false;
-  }
-  // Doubling the speed doubles the harm of the task.
-  double highest = 0;
+  std::sort(slowed.begin(), slowed.end(), [&](task_index a, task_index b) {
+    return TaskHarm(entry, tasks_[a]) < TaskHarm(entry, tasks_[b]);
+  });
+  double expected = 0;
   for (const service_view& view : entry.services) {
-    highest = std::max(highest, view.harm + Unexplained(view));
+    expected = std::max(expected, view.harm + Unexplained(view));
   }
-  if (highest + TaskHarm(entry, tasks_[least]) >
-      options_.interference.place_below - 1.0) {
-    return false;
+  bool acted = false;
+  for (const task_index task : slowed) {
+    // Doubling the speed doubles the harm of the task.
+    expected += TaskHarm(entry, tasks_[task]);
+    if (expected > options_.interference.place_below - 1.0) {
+      break;
+    }
+    Throttle(task,
+             std::min<std::int64_t>(tasks_[task].processor_permille * 2, 1000),
+             now);
+    acted = true;
   }
-  Throttle(least,
-           std::min<std::int64_t>(tasks_[least].processor_permille * 2, 1000),
-           now);
-  return true;
+  return acted;
 }
 
 }  // namespace skylarkbridge::scheduling
