--- a/include/skylarkbridge/scheduling/slowdown_model.hpp
+++ b/include/skylarkbridge/scheduling/slowdown_model.hpp
@@ -1,7 +1,6 @@
 #ifndef SKYLARKBRIDGE_SCHEDULING_SLOWDOWN_MODEL_HPP
 #define SKYLARKBRIDGE_SCHEDULING_SLOWDOWN_MODEL_HPP
 
-#include <array>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -19,7 +18,8 @@
 };
 
 /// @brief Expected slowdown that one task of a kind adds, as part of the
-/// service's own latency (0.1 means 10%).
+/// service's own latency (0.1 means 10%). The mean may be slightly negative:
+/// cut off at zero, the errors of many harmless tasks would add up.
 struct harm_estimate {
   double mean = 0;
   double deviation = 0;
@@ -41,10 +41,12 @@
 
 /// @brief Learns pairwise slowdowns from windows.
 ///
-/// The baseline of a service is learnt per level of load, from windows without
-/// batch tasks where there are any. The contribution of each kind is linear in
-/// load: a Kalman filter per pair with two coefficients, which gives the
-/// uncertainty; its process noise makes old windows lose weight.
+/// One extended Kalman filter per service. Its state is the latency of the
+/// service alone at several levels of load, interpolated between levels, and
+/// three coefficients per kind beside it, quadratic in load. The full
+/// covariance is kept: whether a latency is high by itself or by what runs
+/// beside it can only be told from many windows together. The filter gives the
+/// uncertainty, and process noise makes old windows lose weight.
 class slowdown_model {
  public:
   /// @brief Takes one window: p99 in any fixed unit, load in requests per
@@ -61,39 +63,36 @@
                      double load) const;
 
  private:
-  static constexpr std::size_t kLevels = 24;
-  struct baseline {
-    double latency = 0;
-    double weight = 0;
-    bool alone = false;
-  };
   struct service_entry {
-    std::array<baseline, kLevels> levels{};
+    /// Latency that the states of the levels are relative to; 0 when unknown.
+    double scale = 0;
+    /// Mean of the first windows, then fixed: the coefficients depend on it.
     double mean_load = 0;
+    int windows = 0;
+    /// First the levels, then three coefficients per kind: the harm is
+    /// a + b * r + c * r^2 with r = load / mean load - 1.
+    std::vector<double> state;
+    /// Rows of length kMostStates.
+    std::vector<double> covariance;
+    /// Position in the state by kind; 0 when the kind was never seen beside.
+    std::vector<std::size_t> position;
   };
-  /// Harm is a + b * (load / mean load - 1).
-  struct pair_entry {
-    double a = 0.03;
-    double b = 0.0;
-    double aa = 0.01;
-    double ab = 0.0;
-    double bb = 0.01;
+  /// @brief One non-zero partial derivative of the expected latency.
+  struct derivative {
+    std::size_t position = 0;
+    double value = 0;
   };
 
-  static std::size_t Level(double load);
   static double Relative(const service_entry& service, double load);
-  static const baseline* Nearest(const service_entry& service,
-                                 std::size_t level);
-  void LearnBaseline(service_entry& service,
-                     double p99,
-                     double load,
-                     double expected,
-                     bool alone);
-  pair_entry& Pair(std::uint32_t service, std::uint32_t kind);
+  static void Begin(service_entry& service, double latency);
+  /// @return 0 when the service has too many kinds already.
+  static std::size_t Position(service_entry& service, std::uint32_t kind);
+  static void Correct(service_entry& service,
+                      std::span<const derivative> gradient,
+                      double error,
+                      double noise);
 
   std::vector<service_entry> services_;
-  /// By kind, then by service; grown when a pair is first seen.
-  std::vector<std::vector<pair_entry>> pairs_;
 };
 
 }  // namespace skylarkbridge::scheduling
--- a/src/skylarkbridge/scheduling/batch_core_reports.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_reports.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "skylarkbridge/scheduling/batch_core.hpp"
+#include "skylarkbridge/scheduling/batch_core_placement.hpp"
 
 namespace skylarkbridge::scheduling {
 
@@ -14,6 +15,7 @@
 inline constexpr std::chrono::seconds kLongestLag{60};
 // A larger difference between lease and need is worth a command to the worker.
 inline constexpr double kLeaseSlack = 1.25;
+inline constexpr double kUnexplainedGain = 0.3;
 
 template <slowdown_estimator Estimator>
 void batch_core<Estimator>::Report(const usage_report& report, time_point now) {
@@ -223,8 +225,11 @@
       expected +=
           part.amount * estimator_.Harm(service, part.kind, view->load).mean;
     }
-    view->unexplained += 0.3 * (*slowdown - expected - view->unexplained);
-    highest = std::max(highest, *slowdown);
+    view->unexplained +=
+        kUnexplainedGain * (*slowdown - expected - view->unexplained);
+    highest = std::max(highest, options_.interference.smooth
+                                    ? expected + Unexplained(*view)
+                                    : *slowdown);
   }
   RecomputeHarm(entry);
   entry.interference.slowdown = highest;
@@ -337,33 +342,35 @@
 template <slowdown_estimator Estimator>
 bool batch_core<Estimator>::LiftThrottle(worker_index worker, time_point now) {
   const worker_entry& entry = workers_[worker];
-  task_index least = kNone;
+  std::vector<task_index> slowed;
   for (task_index task = entry.tasks.head; task != kNone;
        task = tasks_[task].next) {
     if (tasks_[task].phase == task_phase::kRunning &&
         tasks_[task].processor_permille < 1000 &&
-        !tasks_[task].throttled_for_room &&
-        (least == kNone ||
-         TaskHarm(entry, tasks_[task]) < TaskHarm(entry, tasks_[least]))) {
-      least = task;
+        !tasks_[task].throttled_for_room) {
+      slowed.push_back(task);
     }
   }
-  if (least == kNone) {
-    return false;
-  }
-  // Doubling the speed doubles the harm of the task.
-  double highest = 0;
+  std::sort(slowed.begin(), slowed.end(), [&](task_index a, task_index b) {
+    return TaskHarm(entry, tasks_[a]) < TaskHarm(entry, tasks_[b]);
+  });
+  double expected = 0;
   for (const service_view& view : entry.services) {
-    highest = std::max(highest, view.harm + std::max(view.unexplained, 0.0));
+    expected = std::max(expected, view.harm + Unexplained(view));
   }
-  if (highest + TaskHarm(entry, tasks_[least]) >
-      options_.interference.place_below - 1.0) {
-    return false;
+  bool acted = false;
+  for (const task_index task : slowed) {
+    // Doubling the speed doubles the harm of the task.
+    expected += TaskHarm(entry, tasks_[task]);
+    if (expected > options_.interference.place_below - 1.0) {
+      break;
+    }
+    Throttle(task,
+             std::min<std::int64_t>(tasks_[task].processor_permille * 2, 1000),
+             now);
+    acted = true;
   }
-  Throttle(least,
-           std::min<std::int64_t>(tasks_[least].processor_permille * 2, 1000),
-           now);
-  return true;
+  return acted;
 }
 
 }  // namespace skylarkbridge::scheduling
--- a/src/skylarkbridge/scheduling/slowdown_model.cpp
+++ b/src/skylarkbridge/scheduling/slowdown_model.cpp
@@ -1,29 +1,41 @@
 #include "skylarkbridge/scheduling/slowdown_model.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace skylarkbridge::scheduling {
 namespace {
 
-// Variance of one window's p99 relative to its expectation: windows of a few
+// Two levels per doubling of load, up to 4,096 requests per second.
+constexpr std::size_t kLevels = 26;
+// Bounds memory to 0.4 MB per service. Further kinds keep the prior, and their
+// harm counts as unexplained.
+constexpr std::size_t kMostKinds = 64;
+constexpr std::size_t kCoefficients = 3;
+constexpr std::size_t kStates = kLevels + kCoefficients * kMostKinds;
+// Deviation of one window's p99 relative to its expectation: windows of a few
 // hundred requests scatter by about 8%.
-constexpr double kWindowVariance = 0.0064;
-// Variance added per window. It keeps the gain near 4%, so a pair follows a
-// change within about 25 windows.
-constexpr double kProcessNoise = 1e-5;
-constexpr double kMostVariance = 0.04;
-// Below this amount of batch work a window counts as the service alone.
-constexpr double kAlone = 0.05;
+constexpr double kWindowDeviation = 0.08;
+// Before any window, levels deviate by 30% together. Latency is a smooth
+// function of load, so levels within 6, a factor of 8 in load, go together.
+constexpr double kLevelVariance = 0.09;
+constexpr double kLevelRange = 6.0;
+constexpr double kLevelNugget = 1e-4;
+// A reference that followed the load would change the meaning of every
+// coefficient, and the filter would trust what it learnt under another one.
+constexpr int kReferenceWindows = 100;
+// Before any window, a task of a kind adds 3% +- 6%, in proportion to load.
+constexpr double kPriorHarm = 0.03;
+constexpr std::array<double, kCoefficients> kPairVariance{0.0036, 0.0036,
+                                                          0.0009};
+// Variance added per window, so that the last few hundred windows count.
+constexpr double kPairNoise = 2e-8;
+constexpr double kLevelNoise = 1e-7;
 constexpr double kMostSlowdown = 20.0;
 
 }  // namespace
 
-std::size_t slowdown_model::Level(double load) {
-  const double level = 2.0 * std::log2(std::max(load, 0.0) + 1.0);
-  return std::min(static_cast<std::size_t>(level + 0.5), kLevels - 1);
-}
-
 double slowdown_model::Relative(const service_entry& service, double load) {
   if (service.mean_load <= 0) {
     return 0;
@@ -31,54 +43,71 @@
   return std::clamp(load / service.mean_load - 1.0, -1.0, 3.0);
 }
 
-const slowdown_model::baseline* slowdown_model::Nearest(
-    const service_entry& service,
-    std::size_t level) {
-  for (std::size_t distance = 0; distance < kLevels; ++distance) {
-    if (level >= distance && service.levels[level - distance].weight > 0) {
-      return &service.levels[level - distance];
-    }
-    if (level + distance < kLevels &&
-        service.levels[level + distance].weight > 0) {
-      return &service.levels[level + distance];
+void slowdown_model::Begin(service_entry& service, double latency) {
+  service.scale = latency;
+  service.state.assign(kLevels, 1.0);
+  service.covariance.assign(kLevels * kStates, 0.0);
+  for (std::size_t i = 0; i < kLevels; ++i) {
+    for (std::size_t j = 0; j < kLevels; ++j) {
+      const double distance =
+          i > j ? static_cast<double>(i - j) : static_cast<double>(j - i);
+      service.covariance[i * kStates + j] =
+          kLevelVariance *
+              std::exp(-distance * distance / (2 * kLevelRange * kLevelRange)) +
+          (i == j ? kLevelNugget : 0.0);
     }
   }
-  return nullptr;
 }
 
-void slowdown_model::LearnBaseline(service_entry& service,
-                                   double p99,
-                                   double load,
-                                   double expected,
-                                   bool alone) {
-  baseline& level = service.levels[Level(load)];
-  const double sample = p99 / expected;
-  if (level.weight == 0) {
-    level = {.latency = sample, .weight = 1, .alone = alone};
-    return;
-  }
-  // Without windows of the service alone, the baseline follows low values
-  // faster than high ones, because unexplained delay only adds to it.
-  double gain = 1.0 / std::min(level.weight + 1, 20.0);
-  if (!alone) {
-    gain = level.alone ? 0.005 : sample < level.latency ? 0.1 : 0.02;
-  } else if (!level.alone) {
-    level.alone = true;
-    gain = 0.5;
-  }
-  level.weight += 1;
-  level.latency += gain * (sample - level.latency);
+std::size_t slowdown_model::Position(service_entry& service,
+                                     std::uint32_t kind) {
+  if (service.position.size() <= kind) {
+    service.position.resize(kind + 1, 0);
+  }
+  std::size_t& position = service.position[kind];
+  if (position == 0 && service.state.size() < kStates) {
+    position = service.state.size();
+    service.state.insert(service.state.end(), {kPriorHarm, kPriorHarm, 0.0});
+    service.covariance.resize(service.state.size() * kStates, 0.0);
+    for (std::size_t i = 0; i < kCoefficients; ++i) {
+      service.covariance[(position + i) * kStates + position + i] =
+          kPairVariance[i];
+    }
+  }
+  return position;
 }
 
-slowdown_model::pair_entry& slowdown_model::Pair(std::uint32_t service,
-                                                 std::uint32_t kind) {
-  if (pairs_.size() <= kind) {
-    pairs_.resize(kind + 1);
+void slowdown_model::Correct(service_entry& service,
+                             std::span<const derivative> gradient,
+                             double error,
+                             double noise) {
+  std::vector<derivative> shared;
+  double total = noise;
+  for (std::size_t i = 0; i < service.state.size(); ++i) {
+    double sum = 0;
+    for (const derivative& d : gradient) {
+      sum += service.covariance[i * kStates + d.position] * d.value;
+    }
+    if (std::abs(sum) > 1e-12) {
+      shared.push_back({.position = i, .value = sum});
+    }
+  }
+  for (const derivative& d : gradient) {
+    for (const derivative& s : shared) {
+      total += s.position == d.position ? s.value * d.value : 0.0;
+    }
   }
-  if (pairs_[kind].size() <= service) {
-    pairs_[kind].resize(service + 1);
+  // One impossible window must not overturn what many have shown.
+  const double most = 4.0 * std::sqrt(total);
+  const double bounded = std::clamp(error, -most, most);
+  for (const derivative& row : shared) {
+    service.state[row.position] += row.value / total * bounded;
+    double* covariance = &service.covariance[row.position * kStates];
+    for (const derivative& column : shared) {
+      covariance[column.position] -= row.value * column.value / total;
+    }
+    covariance[row.position] = std::max(covariance[row.position], 1e-9);
   }
-  return pairs_[kind][service];
 }
 
 std::optional<double> slowdown_model::Learn(std::uint32_t service,
@@ -92,58 +121,84 @@
     services_.resize(service + 1);
   }
   service_entry& entry = services_[service];
-  entry.mean_load +=
-      (load - entry.mean_load) * (entry.mean_load == 0 ? 1.0 : 0.002);
+  if (entry.windows < kReferenceWindows) {
+    ++entry.windows;
+    entry.mean_load += (load - entry.mean_load) / entry.windows;
+  }
   const double relative = Relative(entry, load);
+  if (entry.scale == 0) {
+    double prior = 1.0;
+    for (const exposure& part : beside) {
+      prior += part.amount * kPriorHarm;
+    }
+    Begin(entry, p99 / prior);
+  }
 
-  double amount = 0;
+  const double at = std::min(2.0 * std::log2(load + 1.0),
+                             static_cast<double>(kLevels) - 1.001);
+  const auto below = static_cast<std::size_t>(at);
+  const double upper = at - static_cast<double>(below);
+  const double alone = std::max(
+      (1.0 - upper) * entry.state[below] + upper * entry.state[below + 1],
+      0.01);
   double explained = 0;
-  double variance = 0;
+  std::vector<derivative> gradient;
   for (const exposure& part : beside) {
-    pair_entry& pair = Pair(service, part.kind);
-    pair.aa = std::min(pair.aa + kProcessNoise, kMostVariance);
-    pair.bb = std::min(pair.bb + kProcessNoise, kMostVariance);
-    amount += part.amount;
-    explained += part.amount * (pair.a + pair.b * relative);
-    variance +=
-        part.amount * part.amount *
-        (pair.aa + 2 * pair.ab * relative + pair.bb * relative * relative);
-  }
-  const double expected = std::clamp(1.0 + explained, 1.0, kMostSlowdown);
-  LearnBaseline(entry, p99, load, expected, amount < kAlone);
-  const double slowdown =
-      std::min(p99 / Nearest(entry, Level(load))->latency, kMostSlowdown);
-  if (amount < kAlone) {
-    return slowdown;
-  }
-  const double error = slowdown - 1.0 - explained;
-  const double total = variance + kWindowVariance * expected * expected;
-  for (const exposure& part : beside) {
-    pair_entry& pair = Pair(service, part.kind);
-    const double gain_a = part.amount * (pair.aa + pair.ab * relative) / total;
-    const double gain_b = part.amount * (pair.ab + pair.bb * relative) / total;
-    pair.a += gain_a * error;
-    pair.b += gain_b * error;
-    pair.aa = std::max(pair.aa - gain_a * gain_a * total, 1e-9);
-    pair.ab -= gain_a * gain_b * total;
-    pair.bb = std::max(pair.bb - gain_b * gain_b * total, 1e-9);
-  }
-  return slowdown;
+    const std::size_t position = Position(entry, part.kind);
+    if (position == 0) {
+      continue;
+    }
+    double power = 1.0;
+    for (std::size_t i = 0; i < kCoefficients; ++i) {
+      const std::size_t at_state = position + i;
+      explained += part.amount * entry.state[at_state] * power;
+      gradient.push_back({at_state, alone * part.amount * power});
+      double& variance = entry.covariance[at_state * kStates + at_state];
+      variance = std::min(variance + kPairNoise, kPairVariance[i]);
+      power *= relative;
+    }
+  }
+  const double expected = std::clamp(1.0 + explained, 0.5, kMostSlowdown);
+  gradient.push_back({below, (1.0 - upper) * expected});
+  gradient.push_back({below + 1, upper * expected});
+  for (const std::size_t i : {below, below + 1}) {
+    double& variance = entry.covariance[i * kStates + i];
+    variance = std::min(variance + kLevelNoise, kLevelVariance);
+  }
+  const double observed = std::min(p99 / entry.scale, kMostSlowdown * alone);
+  const double deviation = kWindowDeviation * alone * expected;
+  Correct(entry, gradient, observed - alone * expected, deviation * deviation);
+  const double corrected = std::max(
+      (1.0 - upper) * entry.state[below] + upper * entry.state[below + 1],
+      0.01);
+  return std::min(observed / corrected, kMostSlowdown);
 }
 
 harm_estimate slowdown_model::Harm(std::uint32_t service,
                                    std::uint32_t kind,
                                    double load) const {
-  pair_entry pair;
-  if (kind < pairs_.size() && service < pairs_[kind].size()) {
-    pair = pairs_[kind][service];
-  }
-  const double relative =
-      service < services_.size() ? Relative(services_[service], load) : 0.0;
-  const double variance =
-      pair.aa + 2 * pair.ab * relative + pair.bb * relative * relative;
-  return {.mean = std::max(pair.a + pair.b * relative, 0.0),
-          .deviation = std::sqrt(std::max(variance, 0.0))};
+  if (service >= services_.size()) {
+    return {.mean = kPriorHarm, .deviation = std::sqrt(kPairVariance[0])};
+  }
+  const service_entry& entry = services_[service];
+  const double relative = Relative(entry, load);
+  if (kind >= entry.position.size() || entry.position[kind] == 0) {
+    return {.mean = kPriorHarm * (1.0 + relative),
+            .deviation = std::sqrt(kPairVariance[0])};
+  }
+  const std::size_t first = entry.position[kind];
+  const std::array<double, kCoefficients> basis{1.0, relative,
+                                                relative * relative};
+  double mean = 0;
+  double variance = 0;
+  for (std::size_t i = 0; i < kCoefficients; ++i) {
+    mean += entry.state[first + i] * basis[i];
+    const double* row = &entry.covariance[(first + i) * kStates + first];
+    for (std::size_t j = 0; j < kCoefficients; ++j) {
+      variance += basis[i] * basis[j] * row[j];
+    }
+  }
+  return {.mean = mean, .deviation = std::sqrt(std::max(variance, 0.0))};
 }
 
 }  // namespace skylarkbridge::scheduling
