--- a/include/skylarkbridge/scheduling/dispatcher.hpp
+++ b/include/skylarkbridge/scheduling/dispatcher.hpp
@@ -4,14 +4,14 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "skylarkbridge/base/ids.hpp"
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/declaration/configuration.hpp"
 #include "skylarkbridge/scheduling/admission.hpp"
-#include "skylarkbridge/scheduling/deadline_index.hpp"
+#include "skylarkbridge/scheduling/attempt_feedback.hpp"
+#include "skylarkbridge/scheduling/attempt_watch.hpp"
 #include "skylarkbridge/scheduling/request_events.hpp"
 #include "skylarkbridge/scheduling/request_table.hpp"
 #include "skylarkbridge/scheduling/retry_budget.hpp"
@@ -28,13 +28,10 @@
   admission_options admission = {};
   upstream_options upstreams = {};
   retry_options retry = {};
+  watch_options watch = {};
   /// Time that an attempt in another data centre takes in addition; two ways of
   /// 1.5 ms.
   std::chrono::milliseconds remote_round_trip = std::chrono::milliseconds(3);
-  /// An attempt counts as stalled after this many thousandths of the high
-  /// quantile of its service's latency, and after at least shortest_stall.
-  std::int64_t stall_permille = 4000;
-  std::chrono::milliseconds shortest_stall = std::chrono::milliseconds(20);
   /// Shortest time after which a refused caller is asked to come back.
   std::chrono::milliseconds shortest_retry = std::chrono::milliseconds(50);
 };
@@ -68,14 +65,11 @@
   std::optional<time_point> NextDeadline() const;
 
  private:
-  struct service_state {
-    retry_budget budget;
-    /// Part of the answers that report a fault.
-    double fault_rate = 0;
-  };
-  using attempt_key = std::pair<request_index, std::uint32_t>;
-
   void Advance(time_point now, request_commands& commands);
+  void EndAttempt(request_index index,
+                  const attempt_finished& event,
+                  time_point now,
+                  request_commands& commands);
   void CheckAttempt(const attempt_key& key,
                     time_point now,
                     request_commands& commands);
@@ -94,13 +88,7 @@
   void StartRemote(time_point now, request_commands& commands);
   void StopWaiting(request_index index);
 
-  void Learn(const request_record& record,
-             const running_attempt& attempt,
-             const attempt_finished& event,
-             time_point now);
   bool MayRetry(const request_record& record, time_point now);
-  void ArmCheck(request_index index, running_attempt& attempt, time_point now);
-
   std::optional<time_point> RetryAt(service_index service, time_point now);
   /// @brief Tells the outcome of a request that was not answered, and drops its
   /// record.
@@ -114,8 +102,10 @@
   upstream_table upstreams_;
   router<Policy> router_;
   request_table requests_;
-  std::vector<service_state> services_;
-  deadline_index<attempt_key> checks_;
+  /// Retry budget of each service.
+  std::vector<retry_budget> budgets_;
+  attempt_watch watch_;
+  attempt_feedback feedback_;
 };
 
 /// Least outstanding requests weighted by learnt latency, with power of two
@@ -125,6 +115,7 @@
 
 extern template class basic_dispatcher<two_choices<latency_cost>>;
 extern template class basic_dispatcher<two_choices<outstanding_cost>>;
+extern template class basic_dispatcher<full_scan<latency_cost>>;
 extern template class basic_dispatcher<full_scan<outstanding_cost>>;
 extern template class basic_dispatcher<round_robin>;
 extern template class basic_dispatcher<random_choice>;
--- a/src/skylarkbridge/scheduling/dispatcher.cpp
+++ b/src/skylarkbridge/scheduling/dispatcher.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-/// Weight of one answer in the fault rate of a service.
-constexpr double kFaultWeight = 0.05;
-/// Above this fault rate the service itself is at fault, and its faults say
-/// nothing about single upstreams.
-constexpr double kServiceAtFault = 0.7;
 /// Retries that may wait for another upstream while a tried one has room.
 /// Bounds the work of one event.
 constexpr std::size_t kMostPassedOver = 4;
@@ -34,15 +29,15 @@
     : options_(options),
       admission_(options.admission),
       upstreams_(options.upstreams),
-      router_(options.seed) {}
+      router_(options.seed),
+      watch_(options.watch) {}
 
 template <routing_policy Policy>
 request_commands basic_dispatcher<Policy>::Configure(
     const declaration::configuration& config,
     time_point now) {
   admission_.Configure(config);
-  services_.resize(admission_.Services(),
-                   service_state{.budget = retry_budget(options_.retry)});
+  budgets_.resize(admission_.Services(), retry_budget(options_.retry));
   return Tick(now);
 }
 
@@ -104,22 +99,30 @@
                                                   time_point now) {
   request_commands commands;
   Advance(now, commands);
-  const std::optional<request_index> index = requests_.Find(event.request);
-  if (!index) {
-    return commands;
+  if (const std::optional<request_index> index =
+          requests_.Find(event.request)) {
+    EndAttempt(*index, event, now, commands);
   }
-  request_record& record = requests_.At(*index);
+  StartWaiting(now, commands);
+  return commands;
+}
+
+template <routing_policy Policy>
+void basic_dispatcher<Policy>::EndAttempt(request_index index,
+                                          const attempt_finished& event,
+                                          time_point now,
+                                          request_commands& commands) {
+  request_record& record = requests_.At(index);
   const auto found = std::ranges::find(record.running, event.attempt,
                                        &running_attempt::attempt);
   if (found == record.running.end()) {
-    return commands;
+    return;
   }
   const running_attempt ended = *found;
   record.running.erase(found);
-  if (ended.check_at) {
-    checks_.Erase(*ended.check_at, {*index, ended.attempt});
-  }
-  Learn(record, ended, event, now);
+  watch_.Disarm(index, ended);
+  feedback_.Learn(record, ended, event, now, admission_.Latency(record.service),
+                  upstreams_);
   upstreams_.Return(ended.upstream);
   admission_.Return(record.service);
   record.may_have_run |= event.result == attempt_result::kUnknown;
@@ -129,28 +132,25 @@
                                          .outcome = request_outcome::kDone});
     record.finished = true;
   }
+  if (!record.running.empty()) {
+    return;
+  }
   if (record.finished) {
-    if (record.running.empty()) {
-      requests_.Remove(*index);
-    }
-  } else if (record.running.empty()) {
-    if (MayRetry(record, now)) {
-      services_[record.service].budget.Withdraw();
-      const time_point start_by =
-          admission_.StartBy(record.service, record.deadline, true, now);
-      record.waiting_until = start_by;
-      admission_.Enqueue({record.service, *index, start_by}, now);
-    } else {
-      GiveUp(*index,
-             record.cancelled         ? refusal_reason::kCancelled
-             : record.deadline <= now ? refusal_reason::kDeadlinePassed
-             : record.may_have_run    ? refusal_reason::kNone
-                                      : refusal_reason::kUpstreamRefused,
-             now, commands);
-    }
+    requests_.Remove(index);
+  } else if (MayRetry(record, now)) {
+    budgets_[record.service].Withdraw();
+    const time_point start_by =
+        admission_.StartBy(record.service, record.deadline, true, now);
+    record.waiting_until = start_by;
+    admission_.Enqueue({record.service, index, start_by}, now);
+  } else {
+    GiveUp(index,
+           record.cancelled         ? refusal_reason::kCancelled
+           : record.deadline <= now ? refusal_reason::kDeadlinePassed
+           : record.may_have_run    ? refusal_reason::kNone
+                                    : refusal_reason::kUpstreamRefused,
+           now, commands);
   }
-  StartWaiting(now, commands);
-  return commands;
 }
 
 template <routing_policy Policy>
@@ -182,7 +182,7 @@
 std::optional<time_point> basic_dispatcher<Policy>::NextDeadline() const {
   std::optional<time_point> next;
   for (const std::optional<time_point>& due :
-       {admission_.Queues().NextDeadline(), checks_.First(),
+       {admission_.Queues().NextDeadline(), watch_.NextDeadline(),
         upstreams_.NextDeadline()}) {
     if (due && (!next || *due < *next)) {
       next = due;
@@ -195,7 +195,7 @@
 void basic_dispatcher<Policy>::Advance(time_point now,
                                        request_commands& commands) {
   upstreams_.Advance(now);
-  while (const std::optional<attempt_key> key = checks_.PopDue(now)) {
+  while (const std::optional<attempt_key> key = watch_.PopDue(now)) {
     CheckAttempt(*key, now, commands);
   }
   admission_.SetCapacity(upstreams_.Capacity());
@@ -216,7 +216,8 @@
     return;
   }
   attempt.hedge_next = false;
-  ArmCheck(index, attempt, now);
+  watch_.Arm(index, attempt, record.deadline,
+             admission_.Latency(record.service), now);
   TryHedge(index, now, commands);
 }
 
@@ -231,7 +232,7 @@
     return;
   }
   if (TryStart(index, locality::kLocal, false, now, commands)) {
-    services_[record.service].budget.Withdraw();
+    budgets_[record.service].Withdraw();
   }
 }
 
@@ -261,7 +262,7 @@
   }
   admission_.Take(record.service);
   if (record.attempts == 0) {
-    services_[record.service].budget.Deposit();
+    budgets_[record.service].Deposit();
   }
   ++record.attempts;
   if (std::ranges::find(record.tried, *chosen) == record.tried.end()) {
@@ -272,33 +273,14 @@
        .upstream = *chosen,
        .started_at = now,
        .hedge_next = options_.retry.hedging && record.idempotent});
-  ArmCheck(index, record.running.back(), now);
+  watch_.Arm(index, record.running.back(), record.deadline,
+             admission_.Latency(record.service), now);
   commands.emplace_back(start_attempt{record.request, record.attempts,
                                       upstreams_.At(*chosen).state.upstream,
                                       record.deadline});
   return true;
 }
 
-template <routing_policy Policy>
-void basic_dispatcher<Policy>::ArmCheck(request_index index,
-                                        running_attempt& attempt,
-                                        time_point now) {
-  const request_record& record = requests_.At(index);
-  const latency_estimate& latency = admission_.Latency(record.service);
-  if (!latency.Usable(now)) {
-    return;
-  }
-  const std::chrono::nanoseconds stall = std::max<std::chrono::nanoseconds>(
-      latency.High() * options_.stall_permille / kPermille,
-      options_.shortest_stall);
-  const time_point check_at =
-      attempt.started_at + (attempt.hedge_next ? latency.High() : stall);
-  if (check_at < record.deadline) {
-    attempt.check_at = check_at;
-    checks_.Insert(check_at, {index, attempt.attempt});
-  }
-}
-
 template <routing_policy Policy>
 void basic_dispatcher<Policy>::StartWaiting(time_point now,
                                             request_commands& commands) {
@@ -368,44 +350,6 @@
   record.waiting_until.reset();
 }
 
-template <routing_policy Policy>
-void basic_dispatcher<Policy>::Learn(const request_record& record,
-                                     const running_attempt& attempt,
-                                     const attempt_finished& event,
-                                     time_point now) {
-  if (event.result != attempt_result::kAnswered) {
-    // The daemon itself ends the attempts of a request that is finished or
-    // cancelled, and a stalled attempt has been counted. An attempt that ran
-    // into a tight deadline within the usual service time shows nothing.
-    const latency_estimate& latency = admission_.Latency(record.service);
-    const bool tight = now >= record.deadline && latency.Usable(now) &&
-                       now - attempt.started_at < latency.High();
-    if (!record.finished && !record.cancelled && !attempt.stalled && !tight) {
-      upstreams_.Failed(attempt.upstream, now);
-    }
-    return;
-  }
-  service_state& service = services_[record.service];
-  service.fault_rate +=
-      ((event.upstream_fault ? 1 : 0) - service.fault_rate) * kFaultWeight;
-  if (event.upstream_fault) {
-    if (service.fault_rate < kServiceAtFault) {
-      upstreams_.Failed(attempt.upstream, now);
-    }
-    return;
-  }
-  latency_estimate& latency = admission_.Latency(record.service);
-  const std::chrono::nanoseconds taken = now - attempt.started_at;
-  const std::chrono::nanoseconds mean = latency.Mean();
-  latency.Add(taken, now);
-  if (!attempt.stalled) {
-    upstreams_.Answered(attempt.upstream,
-                        mean.count() > 0 ? static_cast<double>(taken.count()) /
-                                               static_cast<double>(mean.count())
-                                         : 1.0);
-  }
-}
-
 template <routing_policy Policy>
 bool basic_dispatcher<Policy>::MayRetry(const request_record& record,
                                         time_point now) {
@@ -413,7 +357,7 @@
          (record.idempotent ||
           (!record.may_have_run && record.running.empty())) &&
          !admission_.TooLate(record.service, record.deadline, now) &&
-         services_[record.service].budget.CanWithdraw();
+         budgets_[record.service].CanWithdraw();
 }
 
 template <routing_policy Policy>
@@ -448,6 +392,7 @@
 
 template class basic_dispatcher<two_choices<latency_cost>>;
 template class basic_dispatcher<two_choices<outstanding_cost>>;
+template class basic_dispatcher<full_scan<latency_cost>>;
 template class basic_dispatcher<full_scan<outstanding_cost>>;
 template class basic_dispatcher<round_robin>;
 template class basic_dispatcher<random_choice>;
--- /dev/null
+++ b/src/skylarkbridge/scheduling/dispatcher_random_test.cpp
@@ -0,0 +1,205 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "skylarkbridge/scheduling/dispatcher.hpp"
+
+namespace skylarkbridge::scheduling {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// What the callers and the upstreams know, checked at every command.
+class request_checker {
+ public:
+  void Update(const upstream_state& state) {
+    upstreams_[state.upstream] = state;
+  }
+
+  void Arrived(const request_arrived& arrival) {
+    requests_[arrival.request].idempotent = arrival.idempotent;
+  }
+
+  void Apply(const request_commands& commands, time_point now) {
+    for (const request_command& command : commands) {
+      if (const auto* start = std::get_if<start_attempt>(&command)) {
+        Start(*start, now);
+      } else {
+        Finish(std::get<finish_request>(command));
+      }
+    }
+  }
+
+  /// Removes an attempt that runs.
+  void Ended(const start_attempt& attempt, attempt_result result) {
+    std::erase(running, attempt);
+    --in_use_[attempt.upstream];
+    requests_[attempt.request].may_have_run |=
+        result != attempt_result::kNotStarted;
+  }
+
+  std::size_t Unfinished() const {
+    std::size_t open = 0;
+    for (const auto& [id, request] : requests_) {
+      open += request.finished ? 0 : 1;
+    }
+    return open;
+  }
+
+  std::vector<start_attempt> running;
+
+ private:
+  struct request {
+    bool idempotent = false;
+    bool may_have_run = false;
+    bool finished = false;
+    std::uint32_t attempts = 0;
+  };
+
+  bool Runs(request_id id) const {
+    return std::ranges::find(running, id, &start_attempt::request) !=
+           running.end();
+  }
+
+  void Start(const start_attempt& start, time_point now) {
+    const upstream_state& upstream = upstreams_.at(start.upstream);
+    request& of = requests_.at(start.request);
+    EXPECT_EQ(upstream.status, upstream_status::kLive);
+    EXPECT_LT(now, upstream.lease_deadline);
+    EXPECT_LT(now, start.deadline);
+    EXPECT_LE(++in_use_[start.upstream],
+              std::min(upstream.slots, upstream.connections));
+    EXPECT_FALSE(of.finished);
+    EXPECT_TRUE(of.idempotent || (!of.may_have_run && !Runs(start.request)));
+    EXPECT_EQ(start.attempt, ++of.attempts);
+    running.push_back(start);
+  }
+
+  void Finish(const finish_request& finish) {
+    request& of = requests_.at(finish.request);
+    EXPECT_FALSE(of.finished) << "finished twice";
+    of.finished = true;
+    if (finish.outcome == request_outcome::kNotRun) {
+      EXPECT_FALSE(of.may_have_run);
+      EXPECT_FALSE(Runs(finish.request));
+    }
+  }
+
+  std::map<worker_id, upstream_state> upstreams_;
+  std::map<worker_id, std::int64_t> in_use_;
+  std::map<request_id, request> requests_;
+};
+
+declaration::configuration RandomConfiguration(std::mt19937_64& random) {
+  declaration::configuration config;
+  config.teams = {{.name = "one", .claim = {100, 700}}, {.name = "two"}};
+  for (const char* name : {"a", "b", "c", "d"}) {
+    const auto minimum = static_cast<std::int64_t>(random() % 250);
+    config.services.push_back(
+        {.name = name,
+         .team = random() % 2 == 0 ? "one" : "two",
+         .claim = {minimum,
+                   minimum + static_cast<std::int64_t>(random() % 750)},
+         .spill = random() % 2 == 0,
+         .queue_limit = 20});
+  }
+  // At times a service disappears while its requests are open.
+  config.services.resize(3 + random() % 2);
+  return config;
+}
+
+void RunRandomEvents(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  time_point now{std::chrono::seconds(1000)};
+  dispatcher decisions({.seed = seed,
+                        .upstreams = {.data_centre = data_centre_id{0}},
+                        .retry = {.budget_permille = 500, .hedging = true}});
+  request_checker checker;
+  decisions.Configure(RandomConfiguration(random), now);
+  std::uint64_t last = 0;
+  for (int step = 0; step < 4000; ++step) {
+    now += std::chrono::microseconds(random() % 2000);
+    switch (random() % 16) {
+      case 0:
+        checker.Apply(decisions.Configure(RandomConfiguration(random), now),
+                      now);
+        break;
+      case 1:
+      case 2: {
+        const upstream_state state{
+            {random() % 8},
+            random() % 4 == 0 ? static_cast<upstream_status>(random() % 3)
+                              : upstream_status::kLive,
+            {random() % 2},
+            static_cast<std::int64_t>(random() % 5),
+            static_cast<std::int64_t>(random() % 5),
+            now + milliseconds(random() % 200)};
+        checker.Update(state);
+        checker.Apply(decisions.Update(state, now), now);
+        break;
+      }
+      case 3:
+        checker.Apply(decisions.Cancel({1 + random() % (last + 1)}, now), now);
+        break;
+      case 4:
+        checker.Apply(decisions.Tick(now), now);
+        if (const auto next = decisions.NextDeadline()) {
+          EXPECT_GT(*next, now) << "a tick would repeat for ever";
+        }
+        break;
+      case 5:
+        // A report of an attempt that does not run.
+        checker.Apply(decisions.Finish({{random() % (last + 2)}, 99}, now),
+                      now);
+        break;
+      default:
+        if (random() % 2 == 0 || checker.running.empty()) {
+          const std::string service(1, static_cast<char>('a' + random() % 4));
+          const request_arrived arrival{{++last},
+                                        service,
+                                        now + milliseconds(random() % 100),
+                                        random() % 2 == 0};
+          checker.Arrived(arrival);
+          checker.Apply(decisions.Arrive(arrival, now), now);
+        } else {
+          const start_attempt ended =
+              checker.running[random() % checker.running.size()];
+          const auto result =
+              static_cast<attempt_result>(random() % 3 == 0 ? random() % 3 : 0);
+          checker.Ended(ended, result);
+          checker.Apply(decisions.Finish({ended.request, ended.attempt, result,
+                                          random() % 8 == 0},
+                                         now),
+                        now);
+        }
+    }
+  }
+  while (!checker.running.empty()) {
+    const start_attempt ended = checker.running.front();
+    checker.Ended(ended, attempt_result::kAnswered);
+    checker.Apply(
+        decisions.Finish(
+            {ended.request, ended.attempt, attempt_result::kAnswered}, now),
+        now);
+  }
+  checker.Apply(decisions.Tick(now + std::chrono::seconds(10)),
+                now + std::chrono::seconds(10));
+  EXPECT_EQ(checker.Unfinished(), 0U);
+}
+
+// Slots over their limit, a second run of a non-idempotent request, a false
+// not-run, or a request that is never finished or finished twice.
+TEST(DispatcherRandomTest, KeepsInvariants) {
+  for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+    SCOPED_TRACE(testing::Message() << "seed " << seed);
+    RunRandomEvents(seed);
+    if (testing::Test::HasFailure()) {
+      return;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace skylarkbridge::scheduling
