--- a/include/skylarkbridge/coordination/slot_leases.hpp
+++ b/include/skylarkbridge/coordination/slot_leases.hpp
@@ -57,6 +57,8 @@
   worker_slots held;
   /// Slots that the holder wants in total.
   std::int64_t wanted = 0;
+
+  bool operator==(const slot_request&) const = default;
 };
 
 /// @brief Replaces what the holder has of this shard.
@@ -140,6 +142,8 @@
 
   /// @brief Free slots of @p worker; zero when the lease has expired.
   std::int64_t Free(worker_id worker, time_point now) const;
+  /// @brief Slots of @p worker that this VM has, in use or not.
+  std::int64_t Held(worker_id worker) const;
   time_point Deadline() const { return deadline_; }
 
  private:
--- a/include/skylarkbridge/daemon/control_messages.hpp
+++ b/include/skylarkbridge/daemon/control_messages.hpp
@@ -13,6 +13,7 @@
 #include "skylarkbridge/entry/control_answers.hpp"
 #include "skylarkbridge/entry/request_control.hpp"
 #include "skylarkbridge/scheduling/request_events.hpp"
+#include "skylarkbridge/wire/peer_message.hpp"
 #include "skylarkbridge/wire/vm_list.hpp"
 #include "skylarkbridge/wire/worker_protocol.hpp"
 
@@ -93,7 +94,14 @@
   std::optional<coordination::read_page> page;
 };
 
-using control_message = std::variant<request_message,
+/// @brief A message of another entry VM.
+struct received_message {
+  entry_vm_id from;
+  wire::peer_message message;
+};
+
+using control_message = std::variant<received_message,
+                                     request_message,
                                      attempt_message,
                                      vm_list_message,
                                      submit_message,
--- a/include/skylarkbridge/daemon/control_outputs.hpp
+++ b/include/skylarkbridge/daemon/control_outputs.hpp
@@ -6,6 +6,7 @@
 
 #include "skylarkbridge/coordination/log_cursor.hpp"
 #include "skylarkbridge/coordination/log_outbox.hpp"
+#include "skylarkbridge/wire/peer_message.hpp"
 #include "skylarkbridge/wire/worker_protocol.hpp"
 
 /// @brief What the control state asks traffic threads to do.
@@ -16,8 +17,23 @@
   coordination::read_log read;
 };
 
-using control_output = std::
-    variant<wire::worker_command, coordination::append_records, read_stream>;
+/// @brief Send a message to another entry VM; it may be lost.
+struct send_to_peer {
+  entry_vm_id to;
+  ip_address address;
+  wire::peer_message message;
+};
+
+/// @brief The entry VM is gone; close the link to it.
+struct forget_peer {
+  entry_vm_id vm;
+};
+
+using control_output = std::variant<wire::worker_command,
+                                    coordination::append_records,
+                                    read_stream,
+                                    send_to_peer,
+                                    forget_peer>;
 using control_outputs = std::vector<control_output>;
 
 /// @brief Point in time on both clocks.
--- a/include/skylarkbridge/daemon/control_state.hpp
+++ b/include/skylarkbridge/daemon/control_state.hpp
@@ -12,8 +12,10 @@
 #include "skylarkbridge/daemon/control_outputs.hpp"
 #include "skylarkbridge/daemon/control_port.hpp"
 #include "skylarkbridge/daemon/log_part.hpp"
+#include "skylarkbridge/daemon/peer_part.hpp"
 #include "skylarkbridge/daemon/request_table.hpp"
 #include "skylarkbridge/daemon/shard_part.hpp"
+#include "skylarkbridge/daemon/slot_part.hpp"
 #include "skylarkbridge/daemon/task_desk.hpp"
 #include "skylarkbridge/gateway/address_book.hpp"
 #include "skylarkbridge/gateway/upstream_client.hpp"
@@ -27,6 +29,10 @@
   std::uint64_t shards = 4;
   scheduling::dispatcher_options dispatcher;
   log_part_options log;
+  slot_part_options slots;
+  coordination::membership_options membership;
+  /// Where this VM listens for peers.
+  ip_address peers_address{"127.0.0.1", 0};
   /// Applied to each shard; its ids are set by the control state.
   shard_part_options shard;
   task_desk_options tasks;
@@ -41,7 +47,8 @@
                 incarnation_id incarnation,
                 control_port& port,
                 gateway::upstream_client& upstreams,
-                gateway::address_book& workers);
+                gateway::address_book& workers,
+                const instant& at);
 
   control_outputs Handle(control_message message, const instant& at);
   control_outputs Tick(const instant& at);
@@ -50,10 +57,12 @@
   control_outputs Leave(const instant& at);
 
  private:
+  using peer_body = wire::peer_message;
   struct waiting_publish {
     reply_to<entry::publish_answer> reply;
   };
 
+  void On(const received_message& message, const instant& at);
   void On(request_message message, const instant& at);
   void On(attempt_message message, const instant& at);
   void On(const vm_list_message& message, const instant& at);
@@ -77,6 +86,18 @@
   void OnLog(const coordination::record_refused& refused, const instant& at);
   void OnLog(const coordination::log_availability& state, const instant& at);
 
+  void Take(peer_step step, const instant& at);
+  template <class Message>
+  void Hear(entry_vm_id from, const Message& message, const instant& at);
+  void Lend(entry_vm_id to,
+            const wire::slot_request& message,
+            const instant& at);
+  void ApplyGrant(shard_id shard,
+                  const coordination::slot_grant& grant,
+                  const instant& at);
+  void RequestSlots(const due_slot_request& due, const instant& at);
+  void UpdateExpected(const instant& at);
+
   void Add(control_outputs outputs);
   void Answer(const coordination::record_id& record,
               entry::publish_answer answer);
@@ -93,11 +114,14 @@
   gateway::address_book& addresses_;
   const coordination::shard_map shard_map_;
   log_part log_;
+  peer_part peers_;
+  slot_part slots_;
   request_table requests_;
   task_desk tasks_;
   std::map<shard_id, std::unique_ptr<shard_part>> shards_;
+  /// Workers of this data centre.
   std::vector<wire::worker_vm> workers_;
-  /// Workers that an operator drains, until the VM list lacks them.
+  /// Workers that an operator or a peer reported as leaving, until the VM list lacks them.
   absl::flat_hash_set<worker_id> drained_;
   std::map<coordination::record_id, waiting_publish> publishes_;
   control_outputs outputs_;
--- a/include/skylarkbridge/daemon/daemon.hpp
+++ b/include/skylarkbridge/daemon/daemon.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "skylarkbridge/base/ip_address.hpp"
@@ -33,6 +34,8 @@
   gateway::vm_list_poller_options vm_list;
   gateway::upstream_client_options upstreams;
   router_options router;
+  gateway::tcp_peer_transport_options peers{
+      .listener = {.address = {"127.0.0.1", 0}}};
   control_options control;
   /// File to which spans are appended as OTLP/JSON; empty drops them.
   std::string trace_file;
@@ -54,6 +57,8 @@
   /// @brief The control thread, for programs that embed the daemon.
   control_port& Port() { return port_; }
 
+  /// @brief Address of the listener for peers; nothing before Run.
+  std::optional<ip_address> PeersAddress(time_point deadline) const;
   /// @brief Ports of the listeners; zero when one is not listening by
   /// @p deadline.
   std::uint16_t CallersPort(time_point deadline) {
@@ -64,7 +69,10 @@
   }
 
  private:
+  boost::leaf::result<void> OpenPeers();
   void BuildTree();
+  boost::leaf::result<void> RunControlThread(stop_signal& stop);
+  boost::leaf::result<void> PassOnPeerMessages(stop_signal& stop);
   boost::leaf::result<void> ExportSpans(stop_signal& stop);
 
   const daemon_options options_;
@@ -82,6 +90,10 @@
   entry::operator_front_end<control_port> operator_front_end_;
   gateway::http_listener callers_;
   gateway::http_listener operators_;
+  gateway::peer_mailbox peer_messages_;
+  std::unique_ptr<gateway::tcp_peer_transport> peers_;
+  mutable absl::Mutex mutex_;
+  std::optional<ip_address> peers_address_ ABSL_GUARDED_BY(mutex_);
   supervisor::supervisor root_;
 };
 
--- a/include/skylarkbridge/daemon/events.hpp
+++ b/include/skylarkbridge/daemon/events.hpp
@@ -13,8 +13,18 @@
 inline constexpr event_definition kLogUp{4003, event_severity::kInfo, "log_up",
                                          "stream"};
 
-inline constexpr event_definition kEvents[] = {kConfigurationInEffect, kLogDown,
-                                               kLogUp};
+inline constexpr event_definition kMemberChanged{
+    4004, event_severity::kInfo, "member_changed", "vm status"};
+inline constexpr event_definition kDuplicateVm{4005, event_severity::kError,
+                                               "duplicate_vm", "vm address"};
+inline constexpr event_definition kShardOwned{4006, event_severity::kInfo,
+                                              "shard_owned", "shard ballot"};
+inline constexpr event_definition kShardLost{4007, event_severity::kWarning,
+                                             "shard_lost", "shard reason"};
+
+inline constexpr event_definition kEvents[] = {
+    kConfigurationInEffect, kLogDown,    kLogUp,    kMemberChanged,
+    kDuplicateVm,           kShardOwned, kShardLost};
 
 }  // namespace skylarkbridge::daemon
 
--- a/include/skylarkbridge/daemon/request_table.hpp
+++ b/include/skylarkbridge/daemon/request_table.hpp
@@ -3,10 +3,12 @@
 
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/daemon/control_messages.hpp"
+#include "skylarkbridge/daemon/slot_part.hpp"
 #include "skylarkbridge/scheduling/dispatcher.hpp"
 
 namespace skylarkbridge::daemon {
@@ -15,8 +17,8 @@
 /// commands. Used by the control thread only.
 class request_table {
  public:
-  explicit request_table(scheduling::dispatcher_options options)
-      : dispatcher_(options) {}
+  request_table(scheduling::dispatcher_options options, slot_part& slots)
+      : slots_(slots), dispatcher_(options) {}
 
   void Handle(request_message message, time_point now);
   void Handle(attempt_message message, time_point now);
@@ -28,11 +30,16 @@
 
  private:
   void Carry(scheduling::request_commands commands, time_point now);
-  bool Deliver(const scheduling::request_command& command);
+  /// Hands a command to the waiting traffic thread. A start takes a slot
+  /// first. False when the command cannot be carried out.
+  bool Deliver(scheduling::request_command command, time_point now);
 
+  slot_part& slots_;
   scheduling::dispatcher dispatcher_;
   absl::flat_hash_map<request_id, std::shared_ptr<entry::request_reply>>
       replies_;
+  /// Upstream of each attempt that holds a slot.
+  absl::flat_hash_map<std::pair<request_id, std::uint32_t>, worker_id> used_;
 };
 
 }  // namespace skylarkbridge::daemon
--- a/include/skylarkbridge/daemon/router.hpp
+++ b/include/skylarkbridge/daemon/router.hpp
@@ -9,6 +9,7 @@
 #include "skylarkbridge/daemon/control_port.hpp"
 #include "skylarkbridge/gateway/job_queue.hpp"
 #include "skylarkbridge/gateway/log_client.hpp"
+#include "skylarkbridge/gateway/tcp_peer_transport.hpp"
 #include "skylarkbridge/gateway/worker_client.hpp"
 #include "skylarkbridge/supervisor/supervisor.hpp"
 
@@ -34,6 +35,10 @@
   /// @brief Hands an output to the thread that carries it out.
   void Route(control_output output);
 
+  /// @brief Sets what carries messages to peers; call before the control
+  /// thread starts.
+  void SetPeers(gateway::tcp_peer_transport* peers) { peers_ = peers; }
+
   /// @brief Adds the threads to a supervisor.
   void AddChildren(supervisor::supervisor& platform);
 
@@ -41,6 +46,8 @@
   void Route(wire::worker_command command);
   void Route(coordination::append_records append);
   void Route(read_stream read);
+  void Route(send_to_peer send);
+  void Route(forget_peer forget);
   void AddReader(supervisor::supervisor& platform,
                  const char* name,
                  gateway::job_queue<read_stream>& reads);
@@ -49,6 +56,7 @@
   const router_options options_;
   control_port& port_;
   const gateway::address_book& addresses_;
+  gateway::tcp_peer_transport* peers_ = nullptr;
   std::vector<std::unique_ptr<gateway::job_queue<wire::worker_command>>>
       workers_;
   gateway::job_queue<coordination::append_records> appends_;
--- a/include/skylarkbridge/daemon/shard_part.hpp
+++ b/include/skylarkbridge/daemon/shard_part.hpp
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "skylarkbridge/coordination/shard_owner.hpp"
+#include "skylarkbridge/coordination/slot_leases.hpp"
 #include "skylarkbridge/coordination/task_ledger.hpp"
 #include "skylarkbridge/coordination/task_lifecycle.hpp"
 #include "skylarkbridge/daemon/control_outputs.hpp"
@@ -23,6 +24,7 @@
   coordination::shard_owner_options owner;
   coordination::task_lifecycle_options lifecycle;
   scheduling::batch_options batch;
+  coordination::slot_lease_options slots;
   /// Interval at which usage reports of workers are read.
   std::chrono::milliseconds report_interval = std::chrono::seconds(1);
 };
@@ -60,6 +62,8 @@
   coordination::ownership State() const { return owner_.State(); }
   const coordination::shard_owner& Owner() const { return owner_; }
   const std::vector<wire::worker_vm>& Workers() const { return workers_; }
+  /// @brief Lends the request slots of the shard; null unless it is owned.
+  coordination::slot_lender* Lender() { return lender_ ? &*lender_ : nullptr; }
   const scheduling::batch_scheduler* Scheduler() const {
     return scheduler_ ? &*scheduler_ : nullptr;
   }
@@ -130,12 +134,14 @@
   std::string KindOf(task_id task) const;
   control_outputs TakeOutputs(const instant& at);
   void SyncWorkers();
+  void SyncSlots();
 
   const shard_part_options options_;
   log_part& log_;
   coordination::shard_owner owner_;
   std::optional<coordination::task_lifecycle> tasks_;
   std::optional<scheduling::batch_scheduler> scheduler_;
+  std::optional<coordination::slot_lender> lender_;
   declaration::configuration configuration_;
   std::vector<wire::worker_vm> workers_;
   absl::flat_hash_map<task_id, placement> placed_;
--- a/include/skylarkbridge/standin/worker.hpp
+++ b/include/skylarkbridge/standin/worker.hpp
@@ -15,7 +15,7 @@
 
 struct worker_options {
   worker_id worker;
-  data_centre_id data_centre;
+  data_centre_id data_centre{1};
   rack_id rack;
   std::int64_t slots = 8;
   std::int64_t connections = 64;
--- a/include/skylarkbridge/wire/peer_message.hpp
+++ b/include/skylarkbridge/wire/peer_message.hpp
@@ -11,6 +11,7 @@
 #include "skylarkbridge/base/ids.hpp"
 #include "skylarkbridge/coordination/configuration_version.hpp"
 #include "skylarkbridge/coordination/member.hpp"
+#include "skylarkbridge/coordination/slot_leases.hpp"
 
 /// @brief Messages between entry VMs.
 namespace skylarkbridge::wire {
@@ -50,54 +51,23 @@
   bool operator==(const configuration_part&) const = default;
 };
 
-/// @brief Ballot of the owner under which slots are lent.
-struct slot_ballot {
-  std::uint64_t round = 0;
-  entry_vm_id vm;
-  incarnation_id incarnation;
-
-  bool operator==(const slot_ballot&) const = default;
-};
-
-/// @brief Slots and connections of one worker.
-struct slot_lot {
-  worker_id worker;
-  std::uint32_t slots = 0;
-  std::uint32_t connections = 0;
-
-  bool operator==(const slot_lot&) const = default;
-};
-
+/// @brief Asks the owner of a shard for slots; also renews and returns them.
 struct slot_request {
-  std::uint64_t number = 0;
   shard_id shard;
-  std::uint32_t slots = 0;
-  std::uint32_t connections = 0;
+  coordination::slot_request request;
 
   bool operator==(const slot_request&) const = default;
 };
 
+/// @brief Answer of the owner. Its lease counts from the time at which the
+/// holder sent its request, as the two clocks are not comparable.
 struct slot_grant {
-  /// Number of the request.
-  std::uint64_t number = 0;
   shard_id shard;
-  slot_ballot ballot;
-  std::vector<slot_lot> lots;
-  /// Counted from the time at which the holder sent its request, as the two
-  /// clocks are not comparable.
-  std::chrono::nanoseconds lease{0};
+  coordination::slot_grant grant;
 
   bool operator==(const slot_grant&) const = default;
 };
 
-struct slot_return {
-  shard_id shard;
-  slot_ballot ballot;
-  std::vector<slot_lot> lots;
-
-  bool operator==(const slot_return&) const = default;
-};
-
 struct http_header {
   std::string name;
   std::string value;
@@ -151,7 +121,6 @@
                                   configuration_part,
                                   slot_request,
                                   slot_grant,
-                                  slot_return,
                                   forward_request,
                                   forward_answer,
                                   leaving>;
--- a/src/skylarkbridge/coordination/slot_holder.cpp
+++ b/src/skylarkbridge/coordination/slot_holder.cpp
@@ -49,6 +49,11 @@
   deadline_ = HolderDeadline(grant.sent, grant.duration, options_.clock);
 }
 
+std::int64_t slot_holder::Held(worker_id worker) const {
+  const auto found = held_.find(worker);
+  return found == held_.end() ? 0 : found->second.slots;
+}
+
 std::int64_t slot_holder::Free(worker_id worker, time_point now) const {
   const auto held = held_.find(worker);
   if (held == held_.end() || (options_.check_deadline && now >= deadline_)) {
--- a/src/skylarkbridge/daemon/control_state.cpp
+++ b/src/skylarkbridge/daemon/control_state.cpp
@@ -12,20 +12,13 @@
 namespace skylarkbridge::daemon {
 namespace {
 
+// Later than the shortest time between two rounds of news, so that the last
+// news of this VM goes out at once.
+constexpr std::chrono::seconds kNewsDelay{1};
+
 using entry::publish_answer;
 using entry::task_answer;
 
-scheduling::upstream_state ToUpstreamState(const wire::worker_vm& worker,
-                                           wire::vm_status status) {
-  return {.upstream = worker.worker,
-          .status = status == wire::vm_status::kLive
-                        ? scheduling::upstream_status::kLive
-                        : scheduling::upstream_status::kLeaving,
-          .data_centre = worker.data_centre,
-          .slots = worker.slots,
-          .connections = worker.connections};
-}
-
 shard_part_options ShardOptions(const control_options& options,
                                 shard_id shard,
                                 incarnation_id incarnation) {
@@ -33,6 +26,7 @@
   result.owner.shard = shard;
   result.owner.vm = options.vm;
   result.owner.incarnation = incarnation;
+  result.slots = options.slots.lease;
   return result;
 }
 
@@ -62,14 +56,23 @@
                              incarnation_id incarnation,
                              control_port& port,
                              gateway::upstream_client& upstreams,
-                             gateway::address_book& workers)
+                             gateway::address_book& workers,
+                             const instant& at)
     : options_(options),
       port_(port),
       upstreams_(upstreams),
       addresses_(workers),
       shard_map_(options.shards),
       log_(options.log, options.vm, incarnation),
-      requests_(options.dispatcher),
+      peers_({.vm = options.vm,
+              .data_centre = options.data_centre,
+              .address = options.peers_address,
+              .life = {at.wall, incarnation}},
+             options.membership,
+             log_,
+             at.now),
+      slots_(options.slots, shard_map_, {options.vm, incarnation}),
+      requests_(options.dispatcher, slots_),
       tasks_(options.tasks, shard_map_, incarnation, log_) {
   for (std::uint64_t i = 0; i < options.shards; ++i) {
     shards_.emplace(shard_id{i},
@@ -89,12 +92,17 @@
   for (auto& [id, shard] : shards_) {
     Add(shard->Tick(at));
   }
-  Take(log_.Tick({options_.vm}, at), at);
+  Take(peers_.Tick(at.now), at);
+  for (const due_slot_request& due : slots_.Tick(at.now)) {
+    RequestSlots(due, at);
+  }
+  Take(log_.Tick(peers_.Members().Live(options_.data_centre), at), at);
   return std::exchange(outputs_, {});
 }
 
 time_point control_state::NextDeadline() const {
-  time_point next = log_.NextDeadline();
+  time_point next = std::min({log_.NextDeadline(), peers_.NextDeadline(),
+                              slots_.NextDeadline()});
   next = std::min(next, requests_.NextDeadline().value_or(next));
   for (const auto& [id, shard] : shards_) {
     next = std::min(next, shard->NextDeadline().value_or(next));
@@ -103,12 +111,117 @@
 }
 
 control_outputs control_state::Leave(const instant& at) {
+  for (const due_slot_request& due : slots_.Return(at.now)) {
+    RequestSlots(due, at);
+  }
   for (auto& [id, shard] : shards_) {
     Add(shard->Leave(at));
   }
+  Take(peers_.Announce(coordination::member_status::kLeft, at.now), at);
+  Take(peers_.Tick(at.now + kNewsDelay), at);
   return std::exchange(outputs_, {});
 }
 
+void control_state::On(const received_message& message, const instant& at) {
+  std::visit([&](const auto& one) { Hear(message.from, one, at); },
+             message.message);
+}
+
+template <class Message>
+void control_state::Hear(entry_vm_id from,
+                         const Message& message,
+                         const instant& at) {
+  using wire::forward_answer;
+  using wire::forward_request;
+  if constexpr (std::is_same_v<Message, wire::slot_request>) {
+    Lend(from, message, at);
+  } else if constexpr (std::is_same_v<Message, wire::slot_grant>) {
+    ApplyGrant(message.shard, message.grant, at);
+  } else if constexpr (!std::is_same_v<Message, wire::hello> &&
+                       !std::is_same_v<Message, forward_request> &&
+                       !std::is_same_v<Message, forward_answer>) {
+    Take(peers_.Hear(from, message, at.now), at);
+  }
+}
+
+void control_state::Take(peer_step step, const instant& at) {
+  Add(std::move(step.outputs));
+  for (const coordination::configuration_event& event : step.configuration) {
+    OnLog(event, at);
+  }
+  for (const coordination::upstream_entry& upstream : step.upstreams) {
+    if (upstream.status == coordination::upstream_status::kLeaving) {
+      drained_.insert(upstream.worker);
+    }
+  }
+  if (!step.upstreams.empty()) {
+    UpdateWorkers(at);
+  }
+  if (step.members_changed) {
+    UpdateExpected(at);
+  }
+}
+
+void control_state::Lend(entry_vm_id to,
+                         const wire::slot_request& message,
+                         const instant& at) {
+  const auto shard = shards_.find(message.shard);
+  if (shard == shards_.end() || !shard->second->Owned(at.now) ||
+      shard->second->Lender() == nullptr ||
+      message.request.holder.vm != to) {
+    return;
+  }
+  auto grant = shard->second->Lender()->Request(message.request, at.now);
+  if (!grant) {
+    return;
+  }
+  if (auto output =
+          peers_.To(to, wire::slot_grant{message.shard, std::move(*grant)})) {
+    outputs_.push_back(std::move(*output));
+  }
+}
+
+void control_state::ApplyGrant(shard_id shard,
+                               const coordination::slot_grant& grant,
+                               const instant& at) {
+  for (const scheduling::upstream_state& state :
+       slots_.Apply(shard, grant, at.now)) {
+    requests_.Update(state, at.now);
+  }
+  UpdateReadiness();
+}
+
+void control_state::RequestSlots(const due_slot_request& due,
+                                 const instant& at) {
+  shard_part& shard = *shards_.at(due.shard);
+  if (shard.Owned(at.now) && shard.Lender() != nullptr) {
+    if (const auto grant = shard.Lender()->Request(due.request, at.now)) {
+      ApplyGrant(due.shard, *grant, at);
+    }
+    return;
+  }
+  const auto owner = coordination::ExpectedOwner(
+      due.shard, peers_.Members().Live(options_.data_centre));
+  if (!owner || *owner == options_.vm) {
+    return;
+  }
+  if (auto output =
+          peers_.To(*owner, wire::slot_request{due.shard, due.request})) {
+    outputs_.push_back(std::move(*output));
+  }
+}
+
+void control_state::UpdateExpected(const instant& at) {
+  const std::vector<entry_vm_id> live =
+      peers_.Members().Live(options_.data_centre);
+  for (auto& [id, shard] : shards_) {
+    Add(shard->SetExpected(
+        !shard->Workers().empty() &&
+            coordination::ExpectedOwner(id, live) == options_.vm,
+        at));
+  }
+}
+
 void control_state::On(request_message message, const instant& at) {
   requests_.Handle(std::move(message), at.now);
 }
@@ -119,7 +232,12 @@
 
 void control_state::On(const vm_list_message& message, const instant& at) {
   absl::flat_hash_set<worker_id> listed;
+  std::vector<wire::worker_vm> own;
   for (const wire::worker_vm& worker : message.list.workers) {
+    if (worker.data_centre != options_.data_centre) {
+      continue;
+    }
+    own.push_back(worker);
     listed.insert(worker.worker);
     upstreams_.SetAddress(worker.worker, worker.address);
     addresses_.Set(worker.worker, worker.address);
@@ -135,8 +253,9 @@
     addresses_.Remove(worker.worker);
     drained_.erase(worker.worker);
   }
-  workers_ = message.list.workers;
+  workers_ = std::move(own);
   UpdateWorkers(at);
+  Take(peers_.ListVms(message.list, at.now), at);
 }
 
 void control_state::On(submit_message message, const instant& at) {
@@ -231,7 +350,9 @@
     }
     answer.workers.push_back(std::move(row));
   }
-  answer.members.push_back({options_.vm, "alive"});
+  for (const entry_vm_id vm : peers_.Members().Live(options_.data_centre)) {
+    answer.members.push_back({vm, "live"});
+  }
   message.reply->Set(std::move(answer));
 }
 
@@ -243,6 +364,7 @@
   if (known) {
     drained_.insert(message.worker);
     UpdateWorkers(at);
+    Take(peers_.NoteLeaving(message.worker, at), at);
   }
   message.reply->Set(known);
 }
@@ -292,6 +414,9 @@
                           const instant& at) {
   if (std::holds_alternative<coordination::configuration_in_effect>(event)) {
     PutIntoEffect(at);
+  } else if (const auto* fetch =
+                 std::get_if<coordination::fetch_configuration>(&event)) {
+    Take(peers_.Fetch(*fetch), at);
   } else if (const auto* accepted =
                  std::get_if<coordination::publish_accepted>(&event)) {
     Answer(accepted->record, {.outcome = publish_answer::result::kAccepted,
@@ -362,33 +487,36 @@
   for (auto& [id, shard] : shards_) {
     Add(shard->Configure(*declared, at));
   }
+  peers_.SetConfiguration(log_.Configuration().Tag());
   port_.SetDeclared(declared);
   UpdateReadiness();
 }
 
 void control_state::UpdateWorkers(const instant& at) {
   std::map<shard_id, std::vector<wire::worker_vm>> by_shard;
-  std::vector<wire::worker_vm> own;
-  for (const wire::worker_vm& worker : workers_) {
-    const wire::vm_status status = StatusOf(worker);
-    requests_.Update(ToUpstreamState(worker, status), at.now);
-    if (worker.data_centre != options_.data_centre) {
-      continue;
-    }
-    own.push_back(worker);
-    own.back().status = status;
-    by_shard[shard_map_.ShardOf(worker.worker)].push_back(own.back());
+  std::vector<wire::worker_vm> known = workers_;
+  for (wire::worker_vm& worker : known) {
+    worker.status = StatusOf(worker);
+    by_shard[shard_map_.ShardOf(worker.worker)].push_back(worker);
+  }
+  slots_.SetWorkers(known);
+  for (const wire::worker_vm& worker : known) {
+    requests_.Update(slots_.Describe(worker), at.now);
   }
-  tasks_.SetWorkers(std::move(own));
+  tasks_.SetWorkers(std::move(known));
   for (auto& [id, shard] : shards_) {
     Add(shard->SetWorkers(std::move(by_shard[id]), at));
-    Add(shard->SetExpected(!shard->Workers().empty(), at));
   }
+  UpdateExpected(at);
   UpdateReadiness();
 }
 
 void control_state::UpdateReadiness() {
-  port_.SetReady(port_.Declared() != nullptr && !workers_.empty());
+  const bool has_slots = std::any_of(
+      workers_.begin(), workers_.end(), [&](const wire::worker_vm& worker) {
+        return slots_.Describe(worker).slots > 0;
+      });
+  port_.SetReady(port_.Declared() != nullptr && has_slots);
 }
 
 wire::vm_status control_state::StatusOf(const wire::worker_vm& worker) const {
--- a/src/skylarkbridge/daemon/request_table.cpp
+++ b/src/skylarkbridge/daemon/request_table.cpp
@@ -18,6 +18,12 @@
 }
 
 void request_table::Handle(attempt_message message, time_point now) {
+  const auto used =
+      used_.find({message.finished.request, message.finished.attempt});
+  if (used != used_.end()) {
+    slots_.Release(used->second);
+    used_.erase(used);
+  }
   replies_[message.finished.request] = std::move(message.reply);
   Carry(dispatcher_.Finish(message.finished, now), now);
 }
@@ -45,10 +51,11 @@
   while (!commands.empty()) {
     scheduling::request_commands more;
     for (const scheduling::request_command& command : commands) {
-      if (Deliver(command)) {
+      if (Deliver(command, now)) {
         continue;
       }
-      // The traffic thread stopped waiting, so the attempt never starts.
+      // The traffic thread stopped waiting or no slot is held, so the attempt
+      // never starts.
       if (const auto* start =
               std::get_if<scheduling::start_attempt>(&command)) {
         auto next = dispatcher_.Finish(
@@ -63,14 +70,31 @@
   }
 }
 
-bool request_table::Deliver(const scheduling::request_command& command) {
+bool request_table::Deliver(scheduling::request_command command,
+                            time_point now) {
   const auto found = replies_.find(RequestOf(command));
   if (found == replies_.end()) {
     return false;
   }
+  auto* start = std::get_if<scheduling::start_attempt>(&command);
+  if (start != nullptr) {
+    const auto ends_by = slots_.Use(start->upstream, start->deadline, now);
+    if (!ends_by) {
+      return false;
+    }
+    start->deadline = *ends_by;
+    used_[{start->request, start->attempt}] = start->upstream;
+  }
   const std::shared_ptr<entry::request_reply> reply = std::move(found->second);
   replies_.erase(found);
-  return reply->Set(command);
+  if (reply->Set(command)) {
+    return true;
+  }
+  if (start != nullptr) {
+    slots_.Release(start->upstream);
+    used_.erase({start->request, start->attempt});
+  }
+  return false;
 }
 
 }  // namespace skylarkbridge::daemon
--- a/src/skylarkbridge/daemon/router.cpp
+++ b/src/skylarkbridge/daemon/router.cpp
@@ -55,6 +55,18 @@
   }
 }
 
+void router::Route(send_to_peer send) {
+  if (peers_ != nullptr) {
+    peers_->Send(send.to, send.address, send.message);
+  }
+}
+
+void router::Route(forget_peer forget) {
+  if (peers_ != nullptr) {
+    peers_->Forget(forget.vm);
+  }
+}
+
 void router::AddChildren(supervisor::supervisor& platform) {
   for (std::size_t i = 0; i < workers_.size(); ++i) {
     platform.Add({.name = absl::StrCat("workers", i),
--- a/src/skylarkbridge/daemon/shard_part.cpp
+++ b/src/skylarkbridge/daemon/shard_part.cpp
@@ -3,12 +3,33 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "skylarkbridge/daemon/events.hpp"
+
 namespace skylarkbridge::daemon {
 
 using coordination::open_task;
 using scheduling::task_result;
 using scheduling::worker_status;
 
+namespace {
+
+std::string ReasonName(coordination::step_down_reason reason) {
+  switch (reason) {
+    case coordination::step_down_reason::kHigherBallot:
+      return "higher_ballot";
+    case coordination::step_down_reason::kNoQuorum:
+      return "no_quorum";
+    case coordination::step_down_reason::kNotExpected:
+      return "not_expected";
+    case coordination::step_down_reason::kLeaving:
+      return "leaving";
+  }
+  return "";
+}
+
+}  // namespace
+
 shard_part::shard_part(const shard_part_options& options, log_part& log)
     : options_(options), log_(log), owner_(options.owner) {}
 
@@ -34,6 +55,7 @@
   }
   Do(owner_.SetWorkers(ids, at.now));
   SyncWorkers();
+  SyncSlots();
   return TakeOutputs(at);
 }
 
@@ -124,6 +146,9 @@
   if (tasks_) {
     Do(tasks_->Tick(at.now));
   }
+  if (lender_) {
+    lender_->Tick(at.now);
+  }
   if (scheduler_) {
     SyncWorkers();
     ReadReports();
@@ -164,6 +189,10 @@
 }
 
 void shard_part::Do(const coordination::ready& command) {
+  LogEvent(kShardOwned,
+           {{"shard", absl::StrCat(options_.owner.shard.value)},
+            {"ballot", absl::StrCat(command.takeover.round, "/",
+                                    command.takeover.vm.value)}});
   placed_.clear();
   claims_.clear();
   usable_.clear();
@@ -171,6 +200,8 @@
   next_report_ = at_.now;
   scheduler_.emplace(options_.batch);
   tasks_.emplace(options_.lifecycle);
+  lender_.emplace(options_.slots, command.takeover, command.exclusive_since);
+  SyncSlots();
   Do(scheduler_->Configure(configuration_, at_.now));
   SyncWorkers();
   std::vector<open_task> open;
@@ -227,9 +258,12 @@
   UpdateWorker(command.worker, worker_status::kGone);
 }
 
-void shard_part::Do(const coordination::step_down&) {
+void shard_part::Do(const coordination::step_down& command) {
+  LogEvent(kShardLost, {{"shard", absl::StrCat(options_.owner.shard.value)},
+                        {"reason", ReasonName(command.reason)}});
   tasks_.reset();
   scheduler_.reset();
+  lender_.reset();
   placed_.clear();
   claims_.clear();
   usable_.clear();
@@ -562,6 +596,19 @@
   }
 }
 
+void shard_part::SyncSlots() {
+  if (!lender_) {
+    return;
+  }
+  for (const wire::worker_vm& worker : workers_) {
+    coordination::slot_room room;
+    if (worker.status == wire::vm_status::kLive) {
+      room = {worker.slots, worker.connections};
+    }
+    lender_->SetWorker(worker.worker, room, at_.now);
+  }
+}
+
 void shard_part::UpdateWorker(worker_id worker, worker_status status) {
   const auto described = std::find_if(
       workers_.begin(), workers_.end(),
--- a/src/skylarkbridge/wire/peer_check.cpp
+++ b/src/skylarkbridge/wire/peer_check.cpp
@@ -46,13 +46,12 @@
           absl::StrCat(m.part, " is not below ", m.parts));
     }
   }
-  void operator()(const slot_request& /*m*/) {}
-  void operator()(const slot_grant& m) {
-    Count("slot_grant.lots", m.lots.size(), limits_.entries);
-    Duration("slot_grant.lease", m.lease);
+  void operator()(const slot_request& m) {
+    Count("slot_request.held", m.request.held.size(), limits_.entries);
   }
-  void operator()(const slot_return& m) {
-    Count("slot_return.lots", m.lots.size(), limits_.entries);
+  void operator()(const slot_grant& m) {
+    Count("slot_grant.lent", m.grant.lent.size(), limits_.entries);
+    Duration("slot_grant.duration", m.grant.duration);
   }
   void operator()(const forward_request& m) {
     Text("forward_request.service", m.service);
--- a/src/skylarkbridge/wire/peer_decode.cpp
+++ b/src/skylarkbridge/wire/peer_decode.cpp
@@ -37,7 +37,7 @@
   return {version.number(), version.digest()};
 }
 
-slot_ballot ToBallot(const fbs::Ballot& ballot) {
+coordination::ballot ToBallot(const fbs::Ballot& ballot) {
   return {ballot.round(), {ballot.vm()}, {ballot.incarnation()}};
 }
 
@@ -45,11 +45,20 @@
   return text == nullptr ? std::string() : text->str();
 }
 
-std::vector<slot_lot> ToLots(const flat::Vector<const fbs::SlotLot*>* lots) {
-  std::vector<slot_lot> decoded;
+coordination::slot_holder_id ToHolder(const fbs::Ballot& holder) {
+  return {{holder.vm()}, {holder.incarnation()}};
+}
+
+time_point ToTimePoint(std::int64_t nanoseconds) {
+  return time_point(std::chrono::nanoseconds(nanoseconds));
+}
+
+coordination::worker_slots ToLots(
+    const flat::Vector<const fbs::SlotLot*>* lots) {
+  coordination::worker_slots decoded;
   for (flat::uoffset_t i = 0; lots != nullptr && i < lots->size(); ++i) {
     const fbs::SlotLot* lot = lots->Get(i);
-    decoded.push_back({{lot->worker()}, lot->slots(), lot->connections()});
+    decoded[{lot->worker()}] = {lot->slots(), lot->connections()};
   }
   return decoded;
 }
@@ -126,19 +135,24 @@
     }
     case fbs::Body_SlotRequest: {
       const auto& m = *message.body_as_SlotRequest();
-      return slot_request{m.number(), {m.shard()}, m.slots(), m.connections()};
+      return slot_request{{m.shard()},
+                          {.holder = ToHolder(*m.holder()),
+                           .sequence = m.sequence(),
+                           .sent = ToTimePoint(m.sent_ns()),
+                           .lender = ToBallot(*m.lender()),
+                           .held = ToLots(m.held()),
+                           .wanted = m.wanted()}};
     }
     case fbs::Body_SlotGrant: {
       const auto& m = *message.body_as_SlotGrant();
-      return slot_grant{m.number(),
-                        {m.shard()},
-                        ToBallot(*m.ballot()),
-                        ToLots(m.lots()),
-                        std::chrono::nanoseconds(m.lease_ns())};
-    }
-    case fbs::Body_SlotReturn: {
-      const auto& m = *message.body_as_SlotReturn();
-      return slot_return{{m.shard()}, ToBallot(*m.ballot()), ToLots(m.lots())};
+      return slot_grant{{m.shard()},
+                        {.holder = ToHolder(*m.holder()),
+                         .lender = ToBallot(*m.lender()),
+                         .sequence = m.sequence(),
+                         .sent = ToTimePoint(m.sent_ns()),
+                         .duration = std::chrono::nanoseconds(m.duration_ns()),
+                         .lent = ToLots(m.lent()),
+                         .keep = m.keep()}};
     }
     case fbs::Body_ForwardRequest:
       return ToForwardRequest(*message.body_as_ForwardRequest());
--- a/src/skylarkbridge/wire/peer_encode.cpp
+++ b/src/skylarkbridge/wire/peer_encode.cpp
@@ -30,7 +30,7 @@
   return {version.number, version.digest};
 }
 
-fbs::Ballot ToBallot(const slot_ballot& ballot) {
+fbs::Ballot ToBallot(const coordination::ballot& ballot) {
   return {ballot.round, ballot.vm.value, ballot.incarnation.value};
 }
 
@@ -91,25 +91,27 @@
                 .Union()};
   }
   encoded operator()(const slot_request& m) const {
+    const auto held = Lots(m.request.held);
+    const fbs::Ballot holder = ToHolder(m.request.holder);
+    const fbs::Ballot lender = ToBallot(m.request.lender);
     return {fbs::Body_SlotRequest,
-            fbs::CreateSlotRequest(out, m.number, m.shard.value, m.slots,
-                                   m.connections)
+            fbs::CreateSlotRequest(out, m.shard.value, &holder,
+                                   m.request.sequence,
+                                   m.request.sent.time_since_epoch().count(),
+                                   &lender, held, m.request.wanted)
                 .Union()};
   }
   encoded operator()(const slot_grant& m) const {
-    const auto lots = Lots(m.lots);
-    const fbs::Ballot ballot = ToBallot(m.ballot);
+    const auto lent = Lots(m.grant.lent);
+    const fbs::Ballot holder = ToHolder(m.grant.holder);
+    const fbs::Ballot lender = ToBallot(m.grant.lender);
     return {fbs::Body_SlotGrant,
-            fbs::CreateSlotGrant(out, m.number, m.shard.value, &ballot, lots,
-                                 m.lease.count())
+            fbs::CreateSlotGrant(out, m.shard.value, &holder, &lender,
+                                 m.grant.sequence,
+                                 m.grant.sent.time_since_epoch().count(),
+                                 m.grant.duration.count(), lent, m.grant.keep)
                 .Union()};
   }
-  encoded operator()(const slot_return& m) const {
-    const auto lots = Lots(m.lots);
-    const fbs::Ballot ballot = ToBallot(m.ballot);
-    return {fbs::Body_SlotReturn,
-            fbs::CreateSlotReturn(out, m.shard.value, &ballot, lots).Union()};
-  }
   encoded operator()(const forward_request& m) const {
     const auto service = out.CreateString(m.service);
     const auto method = out.CreateString(m.method);
@@ -140,12 +142,17 @@
   }
 
  private:
+  static fbs::Ballot ToHolder(const coordination::slot_holder_id& holder) {
+    return {0, holder.vm.value, holder.incarnation.value};
+  }
   flat::Offset<flat::Vector<const fbs::SlotLot*>> Lots(
-      const std::vector<slot_lot>& lots) const {
+      const coordination::worker_slots& lots) const {
     std::vector<fbs::SlotLot> encoded_lots;
     encoded_lots.reserve(lots.size());
-    for (const slot_lot& lot : lots) {
-      encoded_lots.emplace_back(lot.worker.value, lot.slots, lot.connections);
+    for (const auto& [worker, room] : lots) {
+      encoded_lots.emplace_back(worker.value,
+                                static_cast<std::uint32_t>(room.slots),
+                                static_cast<std::uint32_t>(room.connections));
     }
     return out.CreateVectorOfStructs(encoded_lots);
   }
--- a/src/skylarkbridge/wire/peer_generated.h
+++ b/src/skylarkbridge/wire/peer_generated.h
@@ -54,9 +54,6 @@
 struct SlotGrant;
 struct SlotGrantBuilder;
 
-struct SlotReturn;
-struct SlotReturnBuilder;
-
 struct ForwardRequest;
 struct ForwardRequestBuilder;
 
@@ -79,15 +76,14 @@
   Body_ConfigurationPart = 6,
   Body_SlotRequest = 7,
   Body_SlotGrant = 8,
-  Body_SlotReturn = 9,
-  Body_ForwardRequest = 10,
-  Body_ForwardAnswer = 11,
-  Body_Leaving = 12,
+  Body_ForwardRequest = 9,
+  Body_ForwardAnswer = 10,
+  Body_Leaving = 11,
   Body_MIN = Body_NONE,
   Body_MAX = Body_Leaving
 };
 
-inline const Body (&EnumValuesBody())[13] {
+inline const Body (&EnumValuesBody())[12] {
   static const Body values[] = {
     Body_NONE,
     Body_Hello,
@@ -98,7 +94,6 @@
     Body_ConfigurationPart,
     Body_SlotRequest,
     Body_SlotGrant,
-    Body_SlotReturn,
     Body_ForwardRequest,
     Body_ForwardAnswer,
     Body_Leaving
@@ -107,7 +102,7 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[14] = {
+  static const char * const names[13] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -117,7 +112,6 @@
     "ConfigurationPart",
     "SlotRequest",
     "SlotGrant",
-    "SlotReturn",
     "ForwardRequest",
     "ForwardAnswer",
     "Leaving",
@@ -168,10 +162,6 @@
   static const Body enum_value = Body_SlotGrant;
 };
 
-template<> struct BodyTraits<skylarkbridge::wire::fbs::SlotReturn> {
-  static const Body enum_value = Body_SlotReturn;
-};
-
 template<> struct BodyTraits<skylarkbridge::wire::fbs::ForwardRequest> {
   static const Body enum_value = Body_ForwardRequest;
 };
@@ -834,29 +824,45 @@
 struct SlotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SlotRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NUMBER = 4,
-    VT_SHARD = 6,
-    VT_SLOTS = 8,
-    VT_CONNECTIONS = 10
+    VT_SHARD = 4,
+    VT_HOLDER = 6,
+    VT_SEQUENCE = 8,
+    VT_SENT_NS = 10,
+    VT_LENDER = 12,
+    VT_HELD = 14,
+    VT_WANTED = 16
   };
-  uint64_t number() const {
-    return GetField<uint64_t>(VT_NUMBER, 0);
-  }
   uint64_t shard() const {
     return GetField<uint64_t>(VT_SHARD, 0);
   }
-  uint32_t slots() const {
-    return GetField<uint32_t>(VT_SLOTS, 0);
+  const skylarkbridge::wire::fbs::Ballot *holder() const {
+    return GetStruct<const skylarkbridge::wire::fbs::Ballot *>(VT_HOLDER);
   }
-  uint32_t connections() const {
-    return GetField<uint32_t>(VT_CONNECTIONS, 0);
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  int64_t sent_ns() const {
+    return GetField<int64_t>(VT_SENT_NS, 0);
+  }
+  const skylarkbridge::wire::fbs::Ballot *lender() const {
+    return GetStruct<const skylarkbridge::wire::fbs::Ballot *>(VT_LENDER);
+  }
+  const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *held() const {
+    return GetPointer<const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *>(VT_HELD);
+  }
+  int64_t wanted() const {
+    return GetField<int64_t>(VT_WANTED, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint64_t>(verifier, VT_SHARD, 8) &&
-           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
-           VerifyField<uint32_t>(verifier, VT_CONNECTIONS, 4) &&
+           VerifyFieldRequired<skylarkbridge::wire::fbs::Ballot>(verifier, VT_HOLDER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_NS, 8) &&
+           VerifyFieldRequired<skylarkbridge::wire::fbs::Ballot>(verifier, VT_LENDER, 8) &&
+           VerifyOffset(verifier, VT_HELD) &&
+           verifier.VerifyVector(held()) &&
+           VerifyField<int64_t>(verifier, VT_WANTED, 8) &&
            verifier.EndTable();
   }
 };
@@ -865,17 +871,26 @@
   typedef SlotRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_number(uint64_t number) {
-    fbb_.AddElement<uint64_t>(SlotRequest::VT_NUMBER, number, 0);
-  }
   void add_shard(uint64_t shard) {
     fbb_.AddElement<uint64_t>(SlotRequest::VT_SHARD, shard, 0);
   }
-  void add_slots(uint32_t slots) {
-    fbb_.AddElement<uint32_t>(SlotRequest::VT_SLOTS, slots, 0);
+  void add_holder(const skylarkbridge::wire::fbs::Ballot *holder) {
+    fbb_.AddStruct(SlotRequest::VT_HOLDER, holder);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(SlotRequest::VT_SEQUENCE, sequence, 0);
   }
-  void add_connections(uint32_t connections) {
-    fbb_.AddElement<uint32_t>(SlotRequest::VT_CONNECTIONS, connections, 0);
+  void add_sent_ns(int64_t sent_ns) {
+    fbb_.AddElement<int64_t>(SlotRequest::VT_SENT_NS, sent_ns, 0);
+  }
+  void add_lender(const skylarkbridge::wire::fbs::Ballot *lender) {
+    fbb_.AddStruct(SlotRequest::VT_LENDER, lender);
+  }
+  void add_held(flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> held) {
+    fbb_.AddOffset(SlotRequest::VT_HELD, held);
+  }
+  void add_wanted(int64_t wanted) {
+    fbb_.AddElement<int64_t>(SlotRequest::VT_WANTED, wanted, 0);
   }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -884,56 +899,100 @@
   flatbuffers::Offset<SlotRequest> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<SlotRequest>(end);
+    fbb_.Required(o, SlotRequest::VT_HOLDER);
+    fbb_.Required(o, SlotRequest::VT_LENDER);
     return o;
   }
 };
 
 inline flatbuffers::Offset<SlotRequest> CreateSlotRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t number = 0,
     uint64_t shard = 0,
-    uint32_t slots = 0,
-    uint32_t connections = 0) {
+    const skylarkbridge::wire::fbs::Ballot *holder = nullptr,
+    uint64_t sequence = 0,
+    int64_t sent_ns = 0,
+    const skylarkbridge::wire::fbs::Ballot *lender = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> held = 0,
+    int64_t wanted = 0) {
   SlotRequestBuilder builder_(_fbb);
+  builder_.add_wanted(wanted);
+  builder_.add_sent_ns(sent_ns);
+  builder_.add_sequence(sequence);
   builder_.add_shard(shard);
-  builder_.add_number(number);
-  builder_.add_connections(connections);
-  builder_.add_slots(slots);
+  builder_.add_held(held);
+  builder_.add_lender(lender);
+  builder_.add_holder(holder);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<SlotRequest> CreateSlotRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t shard = 0,
+    const skylarkbridge::wire::fbs::Ballot *holder = nullptr,
+    uint64_t sequence = 0,
+    int64_t sent_ns = 0,
+    const skylarkbridge::wire::fbs::Ballot *lender = nullptr,
+    const std::vector<skylarkbridge::wire::fbs::SlotLot> *held = nullptr,
+    int64_t wanted = 0) {
+  auto held__ = held ? _fbb.CreateVectorOfStructs<skylarkbridge::wire::fbs::SlotLot>(*held) : 0;
+  return skylarkbridge::wire::fbs::CreateSlotRequest(
+      _fbb,
+      shard,
+      holder,
+      sequence,
+      sent_ns,
+      lender,
+      held__,
+      wanted);
+}
+
 struct SlotGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SlotGrantBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NUMBER = 4,
-    VT_SHARD = 6,
-    VT_BALLOT = 8,
-    VT_LOTS = 10,
-    VT_LEASE_NS = 12
+    VT_SHARD = 4,
+    VT_HOLDER = 6,
+    VT_LENDER = 8,
+    VT_SEQUENCE = 10,
+    VT_SENT_NS = 12,
+    VT_DURATION_NS = 14,
+    VT_LENT = 16,
+    VT_KEEP = 18
   };
-  uint64_t number() const {
-    return GetField<uint64_t>(VT_NUMBER, 0);
-  }
   uint64_t shard() const {
     return GetField<uint64_t>(VT_SHARD, 0);
   }
-  const skylarkbridge::wire::fbs::Ballot *ballot() const {
-    return GetStruct<const skylarkbridge::wire::fbs::Ballot *>(VT_BALLOT);
+  const skylarkbridge::wire::fbs::Ballot *holder() const {
+    return GetStruct<const skylarkbridge::wire::fbs::Ballot *>(VT_HOLDER);
+  }
+  const skylarkbridge::wire::fbs::Ballot *lender() const {
+    return GetStruct<const skylarkbridge::wire::fbs::Ballot *>(VT_LENDER);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  int64_t sent_ns() const {
+    return GetField<int64_t>(VT_SENT_NS, 0);
+  }
+  int64_t duration_ns() const {
+    return GetField<int64_t>(VT_DURATION_NS, 0);
   }
-  const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *lots() const {
-    return GetPointer<const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *>(VT_LOTS);
+  const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *lent() const {
+    return GetPointer<const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *>(VT_LENT);
   }
-  int64_t lease_ns() const {
-    return GetField<int64_t>(VT_LEASE_NS, 0);
+  int64_t keep() const {
+    return GetField<int64_t>(VT_KEEP, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint64_t>(verifier, VT_SHARD, 8) &&
-           VerifyFieldRequired<skylarkbridge::wire::fbs::Ballot>(verifier, VT_BALLOT, 8) &&
-           VerifyOffset(verifier, VT_LOTS) &&
-           verifier.VerifyVector(lots()) &&
-           VerifyField<int64_t>(verifier, VT_LEASE_NS, 8) &&
+           VerifyFieldRequired<skylarkbridge::wire::fbs::Ballot>(verifier, VT_HOLDER, 8) &&
+           VerifyFieldRequired<skylarkbridge::wire::fbs::Ballot>(verifier, VT_LENDER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_NS, 8) &&
+           VerifyField<int64_t>(verifier, VT_DURATION_NS, 8) &&
+           VerifyOffset(verifier, VT_LENT) &&
+           verifier.VerifyVector(lent()) &&
+           VerifyField<int64_t>(verifier, VT_KEEP, 8) &&
            verifier.EndTable();
   }
 };
@@ -942,20 +1001,29 @@
   typedef SlotGrant Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_number(uint64_t number) {
-    fbb_.AddElement<uint64_t>(SlotGrant::VT_NUMBER, number, 0);
-  }
   void add_shard(uint64_t shard) {
     fbb_.AddElement<uint64_t>(SlotGrant::VT_SHARD, shard, 0);
   }
-  void add_ballot(const skylarkbridge::wire::fbs::Ballot *ballot) {
-    fbb_.AddStruct(SlotGrant::VT_BALLOT, ballot);
+  void add_holder(const skylarkbridge::wire::fbs::Ballot *holder) {
+    fbb_.AddStruct(SlotGrant::VT_HOLDER, holder);
   }
-  void add_lots(flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> lots) {
-    fbb_.AddOffset(SlotGrant::VT_LOTS, lots);
+  void add_lender(const skylarkbridge::wire::fbs::Ballot *lender) {
+    fbb_.AddStruct(SlotGrant::VT_LENDER, lender);
   }
-  void add_lease_ns(int64_t lease_ns) {
-    fbb_.AddElement<int64_t>(SlotGrant::VT_LEASE_NS, lease_ns, 0);
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(SlotGrant::VT_SEQUENCE, sequence, 0);
+  }
+  void add_sent_ns(int64_t sent_ns) {
+    fbb_.AddElement<int64_t>(SlotGrant::VT_SENT_NS, sent_ns, 0);
+  }
+  void add_duration_ns(int64_t duration_ns) {
+    fbb_.AddElement<int64_t>(SlotGrant::VT_DURATION_NS, duration_ns, 0);
+  }
+  void add_lent(flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> lent) {
+    fbb_.AddOffset(SlotGrant::VT_LENT, lent);
+  }
+  void add_keep(int64_t keep) {
+    fbb_.AddElement<int64_t>(SlotGrant::VT_KEEP, keep, 0);
   }
   explicit SlotGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -964,118 +1032,55 @@
   flatbuffers::Offset<SlotGrant> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<SlotGrant>(end);
-    fbb_.Required(o, SlotGrant::VT_BALLOT);
+    fbb_.Required(o, SlotGrant::VT_HOLDER);
+    fbb_.Required(o, SlotGrant::VT_LENDER);
     return o;
   }
 };
 
 inline flatbuffers::Offset<SlotGrant> CreateSlotGrant(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t number = 0,
     uint64_t shard = 0,
-    const skylarkbridge::wire::fbs::Ballot *ballot = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> lots = 0,
-    int64_t lease_ns = 0) {
+    const skylarkbridge::wire::fbs::Ballot *holder = nullptr,
+    const skylarkbridge::wire::fbs::Ballot *lender = nullptr,
+    uint64_t sequence = 0,
+    int64_t sent_ns = 0,
+    int64_t duration_ns = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> lent = 0,
+    int64_t keep = 0) {
   SlotGrantBuilder builder_(_fbb);
-  builder_.add_lease_ns(lease_ns);
+  builder_.add_keep(keep);
+  builder_.add_duration_ns(duration_ns);
+  builder_.add_sent_ns(sent_ns);
+  builder_.add_sequence(sequence);
   builder_.add_shard(shard);
-  builder_.add_number(number);
-  builder_.add_lots(lots);
-  builder_.add_ballot(ballot);
+  builder_.add_lent(lent);
+  builder_.add_lender(lender);
+  builder_.add_holder(holder);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<SlotGrant> CreateSlotGrantDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t number = 0,
     uint64_t shard = 0,
-    const skylarkbridge::wire::fbs::Ballot *ballot = nullptr,
-    const std::vector<skylarkbridge::wire::fbs::SlotLot> *lots = nullptr,
-    int64_t lease_ns = 0) {
-  auto lots__ = lots ? _fbb.CreateVectorOfStructs<skylarkbridge::wire::fbs::SlotLot>(*lots) : 0;
+    const skylarkbridge::wire::fbs::Ballot *holder = nullptr,
+    const skylarkbridge::wire::fbs::Ballot *lender = nullptr,
+    uint64_t sequence = 0,
+    int64_t sent_ns = 0,
+    int64_t duration_ns = 0,
+    const std::vector<skylarkbridge::wire::fbs::SlotLot> *lent = nullptr,
+    int64_t keep = 0) {
+  auto lent__ = lent ? _fbb.CreateVectorOfStructs<skylarkbridge::wire::fbs::SlotLot>(*lent) : 0;
   return skylarkbridge::wire::fbs::CreateSlotGrant(
-      _fbb,
-      number,
-      shard,
-      ballot,
-      lots__,
-      lease_ns);
-}
-
-struct SlotReturn FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef SlotReturnBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SHARD = 4,
-    VT_BALLOT = 6,
-    VT_LOTS = 8
-  };
-  uint64_t shard() const {
-    return GetField<uint64_t>(VT_SHARD, 0);
-  }
-  const skylarkbridge::wire::fbs::Ballot *ballot() const {
-    return GetStruct<const skylarkbridge::wire::fbs::Ballot *>(VT_BALLOT);
-  }
-  const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *lots() const {
-    return GetPointer<const flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *> *>(VT_LOTS);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_SHARD, 8) &&
-           VerifyFieldRequired<skylarkbridge::wire::fbs::Ballot>(verifier, VT_BALLOT, 8) &&
-           VerifyOffset(verifier, VT_LOTS) &&
-           verifier.VerifyVector(lots()) &&
-           verifier.EndTable();
-  }
-};
-
-struct SlotReturnBuilder {
-  typedef SlotReturn Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_shard(uint64_t shard) {
-    fbb_.AddElement<uint64_t>(SlotReturn::VT_SHARD, shard, 0);
-  }
-  void add_ballot(const skylarkbridge::wire::fbs::Ballot *ballot) {
-    fbb_.AddStruct(SlotReturn::VT_BALLOT, ballot);
-  }
-  void add_lots(flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> lots) {
-    fbb_.AddOffset(SlotReturn::VT_LOTS, lots);
-  }
-  explicit SlotReturnBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<SlotReturn> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<SlotReturn>(end);
-    fbb_.Required(o, SlotReturn::VT_BALLOT);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<SlotReturn> CreateSlotReturn(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t shard = 0,
-    const skylarkbridge::wire::fbs::Ballot *ballot = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<const skylarkbridge::wire::fbs::SlotLot *>> lots = 0) {
-  SlotReturnBuilder builder_(_fbb);
-  builder_.add_shard(shard);
-  builder_.add_lots(lots);
-  builder_.add_ballot(ballot);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<SlotReturn> CreateSlotReturnDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t shard = 0,
-    const skylarkbridge::wire::fbs::Ballot *ballot = nullptr,
-    const std::vector<skylarkbridge::wire::fbs::SlotLot> *lots = nullptr) {
-  auto lots__ = lots ? _fbb.CreateVectorOfStructs<skylarkbridge::wire::fbs::SlotLot>(*lots) : 0;
-  return skylarkbridge::wire::fbs::CreateSlotReturn(
       _fbb,
       shard,
-      ballot,
-      lots__);
+      holder,
+      lender,
+      sequence,
+      sent_ns,
+      duration_ns,
+      lent__,
+      keep);
 }
 
 struct ForwardRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1448,9 +1453,6 @@
   const skylarkbridge::wire::fbs::SlotGrant *body_as_SlotGrant() const {
     return body_type() == skylarkbridge::wire::fbs::Body_SlotGrant ? static_cast<const skylarkbridge::wire::fbs::SlotGrant *>(body()) : nullptr;
   }
-  const skylarkbridge::wire::fbs::SlotReturn *body_as_SlotReturn() const {
-    return body_type() == skylarkbridge::wire::fbs::Body_SlotReturn ? static_cast<const skylarkbridge::wire::fbs::SlotReturn *>(body()) : nullptr;
-  }
   const skylarkbridge::wire::fbs::ForwardRequest *body_as_ForwardRequest() const {
     return body_type() == skylarkbridge::wire::fbs::Body_ForwardRequest ? static_cast<const skylarkbridge::wire::fbs::ForwardRequest *>(body()) : nullptr;
   }
@@ -1501,10 +1503,6 @@
   return body_as_SlotGrant();
 }
 
-template<> inline const skylarkbridge::wire::fbs::SlotReturn *PeerMessage::body_as<skylarkbridge::wire::fbs::SlotReturn>() const {
-  return body_as_SlotReturn();
-}
-
 template<> inline const skylarkbridge::wire::fbs::ForwardRequest *PeerMessage::body_as<skylarkbridge::wire::fbs::ForwardRequest>() const {
   return body_as_ForwardRequest();
 }
@@ -1586,10 +1584,6 @@
       auto ptr = reinterpret_cast<const skylarkbridge::wire::fbs::SlotGrant *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body_SlotReturn: {
-      auto ptr = reinterpret_cast<const skylarkbridge::wire::fbs::SlotReturn *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
     case Body_ForwardRequest: {
       auto ptr = reinterpret_cast<const skylarkbridge::wire::fbs::ForwardRequest *>(obj);
       return verifier.VerifyTable(ptr);
--- a/src/skylarkbridge/wire/peer_test.cpp
+++ b/src/skylarkbridge/wire/peer_test.cpp
@@ -42,7 +42,9 @@
 
 std::vector<peer_message> AllMessages() {
   const coordination::version_tag version{7, 1234567};
-  const slot_ballot ballot{4, {3}, {99}};
+  const coordination::ballot ballot{4, {3}, {99}};
+  const coordination::slot_holder_id holder{{5}, {77}};
+  const time_point sent{std::chrono::seconds(9)};
   return {hello{Entry(), {4}, "secret"},
           coordination::heartbeat{Entry(), version, 42},
           coordination::member_update{
@@ -51,9 +53,10 @@
           configuration_offer{version},
           configuration_fetch{version},
           configuration_part{version, 55, 1, 3, "{\"teams\":[]}"},
-          slot_request{1, {2}, 3, 4},
-          slot_grant{1, {2}, ballot, {{{8}, 3, 4}}, std::chrono::seconds(3)},
-          slot_return{{2}, ballot, {{{8}, 1, 2}}},
+          slot_request{{2}, {holder, 6, sent, ballot, {{{8}, {1, 2}}}, 12}},
+          slot_grant{{2},
+                     {holder, ballot, 6, sent, std::chrono::seconds(3),
+                      {{{8}, {3, 4}}}, 12}},
           forward_request{.number = 9,
                           .service = "entry-desk",
                           .method = "POST",
@@ -98,12 +101,13 @@
   const configuration_part part{.part = 3, .parts = 3};
   EXPECT_FALSE(Outcome([&] { return EncodePeerMessage(part); }, error));
   EXPECT_EQ(Format(error), "configuration_part.part: 3 is not below 3");
-  peer_message late = slot_grant{.lease = std::chrono::hours(30)};
+  peer_message late = slot_grant{
+      .grant = {.duration = std::chrono::hours(30)}};
   const std::string body =
       EncodePeerMessage(late, {.duration = std::chrono::hours(99)}).value();
   EXPECT_FALSE(Outcome([&] { return DecodePeerMessage(body); }, error));
   EXPECT_EQ(error.fault, decode_fault::kOutOfRange);
-  EXPECT_EQ(error.place, "slot_grant.lease");
+  EXPECT_EQ(error.place, "slot_grant.duration");
   const hello loud{.token = std::string(9000, 'x')};
   EXPECT_FALSE(Outcome([&] { return EncodePeerMessage(loud); }, error));
   EXPECT_EQ(Format(error), "hello.token: 9000 bytes are above 8192");
