--- a/include/skylarkbridge/coordination/shard_owner.hpp
+++ b/include/skylarkbridge/coordination/shard_owner.hpp
@@ -52,8 +52,9 @@
   /// @brief Sets the workers of the shard. While the shard is held, one change
   /// is applied at a time so that majorities of two VMs overlap.
   owner_commands SetWorkers(std::span<const worker_id> workers, time_point now);
-  /// @brief Whether this VM is the expected owner. An owner that is no longer
-  /// expected keeps the shard until the successor has fenced a worker.
+  /// @brief Whether this VM is the expected owner. One that is no longer
+  /// expected but has fenced a majority goes on until a successor has fenced a
+  /// worker.
   owner_commands SetExpected(bool expected, time_point now);
   owner_commands Fenced(const fence_reply& reply, time_point now);
   owner_commands Renewed(const renew_reply& reply, time_point now);
--- a/src/skylarkbridge/coordination/shard_owner.cpp
+++ b/src/skylarkbridge/coordination/shard_owner.cpp
@@ -25,7 +25,7 @@
 owner_commands shard_owner::SetExpected(bool expected, time_point now) {
   expected_ = expected;
   owner_commands out;
-  if (!expected && state_ == ownership::kTakingOver) {
+  if (!expected && state_ == ownership::kTakingOver && !majority_fenced_at_) {
     StepDown(step_down_reason::kNotExpected, now, out);
   }
   return Advance(now, std::move(out));
