Keep the owner's next deadline in the future

Cause: a claimant that had fenced a minority kept a renewal due in the past, so that a control loop waiting for NextDeadline would have spun. Change: renewals without a majority are put off; a majority sends them at once. Lint findings are fixed.

--- a/include/skylarkbridge/coordination/invariant_checker.hpp
+++ b/include/skylarkbridge/coordination/invariant_checker.hpp
@@ -133,7 +133,7 @@
     std::optional<told_outcome> told;
   };
 
-  void Violate(int invariant, std::string text);
+  void Violate(int invariant, const std::string& text);
   void Take(worker_id worker, const worker_room& takes, time_point now);
   void Free(worker_id worker, const worker_room& takes);
 
--- a/include/skylarkbridge/coordination/key_registry.hpp
+++ b/include/skylarkbridge/coordination/key_registry.hpp
@@ -62,8 +62,8 @@
   std::size_t max_key_bytes = 256;
   /// Largest single answer that is stored; a repeat of a larger one is answered
   /// unknown.
-  std::size_t max_answer_bytes = 16 * 1024;
-  std::size_t max_total_answer_bytes = 8 * 1024 * 1024;
+  std::size_t max_answer_bytes = std::size_t{16} * 1024;
+  std::size_t max_total_answer_bytes = std::size_t{8} * 1024 * 1024;
   /// Requests answered not-run whose late copies are still recognised.
   std::size_t max_refused_requests = 10'000;
 };
--- a/src/skylarkbridge/coordination/invariant_checker.cpp
+++ b/src/skylarkbridge/coordination/invariant_checker.cpp
@@ -8,7 +8,7 @@
 
 namespace skylarkbridge::coordination {
 
-void invariant_checker::Violate(int invariant, std::string text) {
+void invariant_checker::Violate(int invariant, const std::string& text) {
   std::string line = absl::StrCat("invariant ", invariant, ": ", text);
   if (reported_.insert(line).second) {
     violations_.push_back(std::move(line));
--- a/src/skylarkbridge/coordination/shard_owner.cpp
+++ b/src/skylarkbridge/coordination/shard_owner.cpp
@@ -261,6 +261,9 @@
                       state_ == ownership::kOwner ? worker_set_ : 0});
       entry.granted = true;
       entry.next_send = RenewalDue(worker, entry, now);
+    } else {
+      // Waits for a majority; a due time in the past would make callers spin.
+      entry.next_send = now + options_.fence_interval;
     }
   }
 }
@@ -300,6 +303,10 @@
   }
   if (!majority_fenced_at_) {
     majority_fenced_at_ = now;
+    for (auto& [worker, entry] : workers_) {
+      entry.next_send =
+          entry.phase == worker_phase::kHeld ? now : entry.next_send;
+    }
   }
   // The earlier owner may know workers that this VM does not. Equal worker sets
   // at the fenced workers show that it does not.
--- a/src/skylarkbridge/coordination/shard_owner_test.cpp
+++ b/src/skylarkbridge/coordination/shard_owner_test.cpp
@@ -102,6 +102,8 @@
     for (milliseconds passed{0}; passed < length; passed += milliseconds(50)) {
       now_ += milliseconds(50);
       const owner_commands more = Answer(owner_.Tick(now_), answering);
+      // A deadline that has passed would make the control thread spin.
+      EXPECT_GT(owner_.NextDeadline().value_or(time_point::max()), now_);
       out.insert(out.end(), more.begin(), more.end());
     }
     return out;
--- a/src/skylarkbridge/coordination/task_lifecycle_test.cpp
+++ b/src/skylarkbridge/coordination/task_lifecycle_test.cpp
@@ -30,8 +30,9 @@
 
 class TaskLifecycleTest : public testing::Test {
  protected:
-  lifecycle_commands Own(std::vector<open_task> open,
-                         std::vector<worker_inventory> inventories = {}) {
+  lifecycle_commands Own(
+      const std::vector<open_task>& open,
+      const std::vector<worker_inventory>& inventories = {}) {
     return tasks_.Own({.takeover = kMine, .inventories = inventories}, open,
                       kNow);
   }
