--- a/include/skylarkbridge/coordination/configuration_ledger.hpp
+++ b/include/skylarkbridge/coordination/configuration_ledger.hpp
@@ -96,11 +96,12 @@
     }
     next_ = gap.end;
     uncertain_until_ = next_;
+    gap_accepted_ = false;
   }
 
   /// @brief Goes on from the present version, for when no VM has read past
-  /// the gap.
-  void AcceptGap() { uncertain_until_.reset(); }
+  /// the gap. A snapshot or peer that has still replaces the fold later.
+  void AcceptGap() { gap_accepted_ = true; }
 
   /// @brief The stream was read to its end.
   void ReachedEnd() { read_to_end_ = true; }
@@ -191,7 +192,7 @@
   /// known to hold.
   known_version ForPeer() const {
     known_version version = InEffect();
-    if (!ahead_ && Certain()) {
+    if (!ahead_ && !uncertain_until_) {
       version.valid_until = next_;
     }
     return version;
@@ -204,8 +205,9 @@
     return {std::move(version)};
   }
 
-  /// @brief False from a gap until a snapshot or a peer covers it.
-  bool Certain() const { return !uncertain_until_; }
+  /// @brief False from a gap until a snapshot or a peer covers it or it is
+  /// accepted.
+  bool Certain() const { return !uncertain_until_ || gap_accepted_; }
   log_offset Next() const { return next_; }
 
  private:
@@ -273,6 +275,7 @@
       next_ = version.valid_until;
       history_.Clear();
       uncertain_until_.reset();
+      gap_accepted_ = false;
       events.emplace_back(configuration_replaced{version.valid_until});
       Advance(tag, events);
     } else if (version.number > tag_.number) {
@@ -313,7 +316,9 @@
   std::optional<known_version> ahead_;
   version_tag tag_{0, Digest("")};
   log_offset next_ = 0;
+  /// End of the last gap, until a snapshot or a peer covers it.
   std::optional<log_offset> uncertain_until_;
+  bool gap_accepted_ = false;
   bool read_to_end_ = false;
   std::optional<wanted_version> wanted_;
   /// Last divergence that was reported and last version that was refused, so
--- a/include/skylarkbridge/coordination/task_ledger.hpp
+++ b/include/skylarkbridge/coordination/task_ledger.hpp
@@ -71,11 +71,12 @@
 
   /// @brief Goes on without a snapshot, for when no VM can write one. A
   /// non-idempotent task counts as claimed from then on, as the claim may
-  /// stand in the gap.
+  /// stand in the gap. The next snapshot that covers the gap still replaces
+  /// the tasks, so that all VMs agree again.
   ledger_events AcceptGap();
 
-  /// @brief False from a gap until a snapshot covers it.
-  bool Certain() const { return !uncertain_until_; }
+  /// @brief False from a gap until a snapshot covers it or it is accepted.
+  bool Certain() const { return !uncertain_until_ || gap_accepted_; }
 
   const absl::flat_hash_map<task_id, open_task>& OpenTasks() const {
     return tasks_;
@@ -116,7 +117,9 @@
   absl::flat_hash_map<incarnation_id, writer_state> writers_;
   std::deque<partial_snapshot> partial_;
   log_offset next_ = 0;
+  /// End of the last gap, until a snapshot covers it.
   std::optional<log_offset> uncertain_until_;
+  bool gap_accepted_ = false;
 };
 
 }  // namespace skylarkbridge::coordination
--- a/src/skylarkbridge/coordination/configuration_ledger_test.cpp
+++ b/src/skylarkbridge/coordination/configuration_ledger_test.cpp
@@ -179,6 +179,25 @@
   EXPECT_EQ(ledger.InEffect().text, "x");
 }
 
+// A VM that went on after a gap must return to the versions of the others, or
+// it would refuse every later base.
+TEST(ConfigurationLedgerTest, TakesASnapshotAfterAnAcceptedGap) {
+  ledger_type ledger({}, {});
+  stream_writer log;
+  ledger.Apply(log.Full(0, "a"));
+  ledger.Skip({1, 3});
+  ledger.AcceptGap();
+  log.offset = 3;
+  ledger.Apply(log.Difference(2, "c"));
+  EXPECT_EQ(ledger.Tag().number, 1) << "its base stands in the gap";
+  const stored_record snapshot = log.Next(
+      configuration_snapshot{{.number = 3, .text = "a b c", .valid_until = 4}});
+  EXPECT_NE(FindEvent<configuration_replaced>(ledger.Apply(snapshot)), nullptr);
+  ledger.Apply(snapshot);
+  ledger.Apply(log.Difference(3, "d"));
+  EXPECT_EQ(ledger.InEffect().text, "a b c d");
+}
+
 /// One VM that folds the log and passes versions to its peers.
 struct vm_fake {
   vm_fake(virtual_time& time, log_fake& log, std::uint64_t id)
--- a/src/skylarkbridge/coordination/task_ledger.cpp
+++ b/src/skylarkbridge/coordination/task_ledger.cpp
@@ -95,16 +95,17 @@
   }
   next_ = gap.end;
   uncertain_until_ = next_;
+  gap_accepted_ = false;
   // A part may stand in the gap; later parts alone make no snapshot.
   partial_.clear();
 }
 
 ledger_events task_ledger::AcceptGap() {
   ledger_events events;
-  if (!uncertain_until_) {
+  if (Certain()) {
     return events;
   }
-  uncertain_until_.reset();
+  gap_accepted_ = true;
   for (auto& [id, task] : tasks_) {
     if (!task.idempotent && !task.start_claimed) {
       task.start_claimed = true;
@@ -218,6 +219,7 @@
   }
   next_ = snapshot.valid_until;
   uncertain_until_.reset();
+  gap_accepted_ = false;
 }
 
 }  // namespace skylarkbridge::coordination
--- a/src/skylarkbridge/coordination/task_ledger_test.cpp
+++ b/src/skylarkbridge/coordination/task_ledger_test.cpp
@@ -152,6 +152,22 @@
   EXPECT_FALSE(ledger.Find({2})->start_claimed);
 }
 
+// A task that finished in an accepted gap must go once a VM that read it writes
+// a snapshot, or it would run again after every takeover.
+TEST(TaskLedgerTest, TakesASnapshotAfterAnAcceptedGap) {
+  task_ledger ledger({});
+  stream_writer writer;
+  ledger.Apply(writer.Next(Accepted(1)));
+  ledger.Skip({1, 5});
+  ledger.AcceptGap();
+  EXPECT_TRUE(ledger.Certain());
+  stream_writer other{.writer = 2, .offset = 5};
+  const ledger_events events =
+      ledger.Apply(other.Next(task_snapshot{.valid_until = 5}));
+  EXPECT_EQ(events, (ledger_events{snapshot_seen{5, {}}, tasks_replaced{5}}));
+  EXPECT_TRUE(ledger.OpenTasks().empty());
+}
+
 // The same snapshot written by two VMs must change nothing.
 TEST(TaskLedgerTest, IgnoresASecondSnapshot) {
   task_ledger ledger({});
