Dampen deaths behind a link broken in one direction

Cause: a VM that does not hear a live member declared it dead, took the refutation from others, and declared it dead again 1.45 s later. Each time it would try to take over the member's shards.

Change: each refutation doubles the silence before the next death, up to 16 times, until a heartbeat arrives. News of a death is weighed against the last heartbeat and no longer against the extended silence, so it is still believed at once.

--- a/include/skylarkbridge/coordination/membership.hpp
+++ b/include/skylarkbridge/coordination/membership.hpp
@@ -37,6 +37,10 @@
   std::chrono::milliseconds exchange_interval{500};
   /// Most entries of one message.
   std::size_t page_entries = 32;
+  /// Each refutation of a death doubles the silence before the next one, up to
+  /// this many times, until a heartbeat arrives. Behind a link that is broken
+  /// in one direction, a VM would otherwise try to take over every 2 s.
+  unsigned max_doublings = 4;
   /// A tick that is this late shows that this VM itself was paused.
   std::chrono::milliseconds pause_threshold{500};
   /// Dead members and workers that are gone are remembered against stale news
@@ -102,6 +106,10 @@
     bool suspected = false;
     time_point suspect_at;
     time_point dead_at;
+    /// Until when the last heartbeat counts as hearing the member.
+    time_point heard_until;
+    /// Deaths that this VM declared and the member refuted through others.
+    unsigned refutations = 0;
     /// Until when a contact in another data centre must be heard.
     std::optional<time_point> contact_deadline;
     time_point avoid_until;
--- a/src/skylarkbridge/coordination/membership.cpp
+++ b/src/skylarkbridge/coordination/membership.cpp
@@ -46,6 +46,8 @@
     if (std::exchange(state.suspected, false)) {
       commands.emplace_back(member_news{state.entry});
     }
+    state.heard_until = now + options_.suspect_after;
+    state.refutations = 0;
     Postpone(state, now);
     Exchange(state, message.table_digest, now, commands);
   }
@@ -210,8 +212,9 @@
 }
 
 void membership::Postpone(member_state& state, time_point now) const {
-  state.suspect_at = now + options_.suspect_after;
-  state.dead_at = now + options_.dead_after;
+  const int factor = 1 << state.refutations;
+  state.suspect_at = now + options_.suspect_after * factor;
+  state.dead_at = now + options_.dead_after * factor;
   if (state.contact_deadline) {
     state.contact_deadline = now + options_.contact_timeout;
   }
--- a/src/skylarkbridge/coordination/membership_news.cpp
+++ b/src/skylarkbridge/coordination/membership_news.cpp
@@ -53,6 +53,13 @@
   }
   member_state& state =
       found == members_.end() ? members_[news.vm] : found->second;
+  const bool refuted = state.entry.life == news.life &&
+                       state.entry.status == member_status::kDead &&
+                       !Ended(news);
+  state.refutations =
+      refuted ? std::min(state.refutations + 1, options_.max_doublings)
+      : state.entry.life == news.life ? state.refutations
+                                      : 0;
   state.entry = news;
   state.suspected = false;
   state.changed_at = now;
@@ -83,7 +90,7 @@
     return;
   }
   if (news.status == member_status::kDead && news.life == state.entry.life &&
-      IsLocal(news) && now < state.suspect_at) {
+      IsLocal(news) && now < state.heard_until) {
     // This VM still hears the member, so only the link to the reporter is
     // broken. The member learns of the report and refutes it.
     commands.emplace_back(
--- a/src/skylarkbridge/coordination/membership_test.cpp
+++ b/src/skylarkbridge/coordination/membership_test.cpp
@@ -182,17 +182,29 @@
       8);
 }
 
-// One broken link must not remove a member that all others hear.
+// One broken link must not remove a member that all others hear, and the VM
+// behind it must not try to take over again every few seconds.
 TEST(MembershipTest, KeepsAMemberThatOthersHear) {
   network_fake net(1, 4);
   net.time.RunFor(seconds(5));
   net.cut = [](entry_vm_id a, entry_vm_id b) {
     return a.value == 1 && b.value == 2;
   };
-  for (int i = 0; i < 100; ++i) {
+  int deaths = 0;
+  bool dead = false;
+  for (int i = 0; i < 600; ++i) {
     net.time.RunFor(milliseconds(100));
     EXPECT_TRUE(Sees(1, member_status::kAlive)(net.At(3)));
+    const bool now_dead = Sees(1, member_status::kDead)(net.At(2));
+    deaths += now_dead && !dead ? 1 : 0;
+    dead = now_dead;
   }
+  RecordProperty("deaths_in_a_minute", std::to_string(deaths));
+  EXPECT_LE(deaths, 8);
+  // A death that the others see must still be believed at once.
+  net.nodes.erase({1});
+  net.time.RunFor(milliseconds(1600));
+  EXPECT_TRUE(Sees(1, member_status::kDead)(net.At(2)));
 }
 
 // A VM that was paused must not declare all others dead when it resumes.
