Fill workers with care before their first report

Change: at most 3 tasks per 16 processors until the first report or for 20 s; placement up to 1.22, actions above 1.27; the fake loads have their own seed, so that all schedulers meet the same load.

--- a/bench/batch_workers_fake.hpp
+++ b/bench/batch_workers_fake.hpp
@@ -117,6 +117,7 @@
         script_(script),
         truth_(truth),
         random_(options.seed),
+        loads_(options.seed + 1000),
         scheduler_(options, estimator) {
     declaration::configuration config{
         .services = {{.name = "0"}, {.name = "1"}}};
@@ -133,7 +134,8 @@
     }
     Take(scheduler_.Configure(config, now_));
     for (std::uint64_t w = 0; w < owner.workers; ++w) {
-      hosts_.push_back({.factor = 0.8 + 0.4 * Draw(), .window_begin = now_});
+      hosts_.push_back(
+          {.factor = 0.8 + 0.4 * Draw(loads_), .window_begin = now_});
       Take(scheduler_.Update(
           {.worker = {w}, .rack = {w / owner.rack}, .capacity = owner.capacity},
           now_));
@@ -144,7 +146,7 @@
     for (int step = 0; time_ < script_.length; ++step, time_ = step * 0.1) {
       now_ += milliseconds(100);
       if (step % 600 == 0)
-        shift_ = 0.6 + 0.9 * Draw();
+        shift_ = 0.6 + 0.9 * Draw(loads_);
       if (step % 10 == 0)
         EverySecond(step / 10);
       for (std::uint64_t w = 0; w < hosts_.size(); ++w)
@@ -168,7 +170,9 @@
   }
 
  private:
-  double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
+  static double Draw(std::mt19937_64& random) {
+    return std::uniform_real_distribution<>(0, 1)(random);
+  }
   double Noise(double sigma) {
     return std::exp(std::normal_distribution<>(0, sigma)(random_));
   }
@@ -180,7 +184,7 @@
     const std::uint64_t id = next_++;
     jobs_[id] = {.kind = kind,
                  .use = Scaled(TrueSize(kind), std::min(Noise(0.12), 1.5)),
-                 .work = 20 + 40 * Draw(),
+                 .work = 20 + 40 * Draw(random_),
                  .submitted = time_};
     ++open_[kind];
     Take(scheduler_.Submit({.task = {id}, .kind = std::to_string(kind)}, now_));
@@ -316,8 +320,9 @@
     }
     h.load = h.slowdown = {};
     h.window_begin = now_;
-    reports_.emplace(now_ + milliseconds(std::llround(3000 + 5000 * Draw())),
-                     std::move(report));
+    reports_.emplace(
+        now_ + milliseconds(std::llround(3000 + 5000 * Draw(random_))),
+        std::move(report));
   }
   static double P99(std::vector<double>& values) {
     const auto at = values.begin() + std::ssize(values) * 99 / 100;
@@ -329,6 +334,8 @@
   scenario script_;
   oracle_estimator truth_;
   std::mt19937_64 random_;
+  /// Of its own, so that every scheduler meets the same load.
+  std::mt19937_64 loads_;
   basic_batch_scheduler<Estimator> scheduler_;
   time_point now_ = time_point(std::chrono::hours(1));
   double time_ = 0, shift_ = 1, observed_ = 0;
--- a/include/skylarkbridge/scheduling/batch_options.hpp
+++ b/include/skylarkbridge/scheduling/batch_options.hpp
@@ -60,17 +60,22 @@
   /// False takes no action and places without regard to harm.
   bool enabled = true;
   /// A slowdown above this starts an action.
-  double start_above = 1.25;
+  double start_above = 1.27;
   /// A slowdown below this lifts throttles step by step.
-  double stop_below = 1.18;
+  double stop_below = 1.20;
   /// Most expected slowdown after a placement.
-  double place_below = 1.20;
+  double place_below = 1.22;
   /// Standard deviations added to the expected slowdown of a placement.
   double caution = 0.5;
   /// Acts on what the model and several windows show together. False acts on
   /// single windows, whose p99 scatters.
   bool smooth = true;
   bool throttle_first = true;
+  /// Where services are declared, a worker holds at most so many tasks per 16
+  /// processors until its first report or until the wait is over. Reports lag,
+  /// and a fleet filled before the first one harms its services for minutes.
+  double unreported_tasks = 3.0;
+  std::chrono::milliseconds unreported_wait = std::chrono::seconds(20);
   /// False acts on every report, also on those that cannot show the last
   /// action.
   bool wait_for_effect = true;
--- a/include/skylarkbridge/scheduling/worker_table.hpp
+++ b/include/skylarkbridge/scheduling/worker_table.hpp
@@ -61,6 +61,7 @@
   time_point not_before;
   worker_failures failures;
   std::vector<service_view> services;
+  time_point joined;
   /// Exposure to the tasks that run, and to those that ran lately.
   std::vector<exposure_span> open;
   std::vector<exposure_span> closed;
--- a/src/skylarkbridge/scheduling/batch_core.hpp
+++ b/src/skylarkbridge/scheduling/batch_core.hpp
@@ -92,7 +92,9 @@
                              time_point now) const;
   /// @brief Largest expected slowdown of a service, as part of its latency,
   /// with one more task of the kind.
-  double ExpectedHarm(const worker_entry& worker, kind_index kind) const;
+  double ExpectedHarm(const worker_entry& worker,
+                      kind_index kind,
+                      time_point now) const;
   void Place(task_index task,
              worker_index worker,
              const resources& need,
--- a/src/skylarkbridge/scheduling/batch_core_events.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_events.hpp
@@ -261,6 +261,11 @@
   const worker_index worker = workers_.Ensure(state.worker);
   worker_entry& entry = workers_[worker];
   const worker_state before = entry.state;
+  if (before.status != worker_status::kLive || before.capacity == resources{}) {
+    entry.joined = now;
+    deadlines_.Add({.at = now + options_.interference.unreported_wait,
+                    .worker = state.worker});
+  }
   entry.state = state;
   if (before.rack != state.rack) {
     for (task_index task = entry.tasks.head; task != kNone;
--- a/src/skylarkbridge/scheduling/batch_core_placement.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_placement.hpp
@@ -143,9 +143,17 @@
 
 template <slowdown_estimator Estimator>
 double batch_core<Estimator>::ExpectedHarm(const worker_entry& worker,
-                                           kind_index kind) const {
+                                           kind_index kind,
+                                           time_point now) const {
   double highest = 0;
   const double scale = worker.Scale();
+  if (worker.services.empty() && !service_declarations_.empty() &&
+      now < worker.joined + options_.interference.unreported_wait &&
+      worker.tasks.size > 0 &&
+      static_cast<double>(worker.tasks.size + 1) * scale >
+          options_.interference.unreported_tasks) {
+    return options_.interference.place_below;
+  }
   for (const service_view& view : worker.services) {
     const harm_estimate added = estimator_.Harm(view.service, kind, view.load);
     const double harm =
@@ -181,7 +189,7 @@
   }
   double harm = 0;
   if (options_.interference.enabled) {
-    harm = ExpectedHarm(entry, kind);
+    harm = ExpectedHarm(entry, kind, now);
     const bool relaxed =
         reserved ||
         (entry.state.capacity.millicores > 0 && owner.key.under_minimum &&
--- a/src/skylarkbridge/scheduling/batch_core_reclaim.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_reclaim.hpp
@@ -96,7 +96,7 @@
     if (!found) {
       continue;
     }
-    double cost = kHarmCost * ExpectedHarm(workers_[worker], kind);
+    double cost = kHarmCost * ExpectedHarm(workers_[worker], kind, now);
     for (const task_index victim : *found) {
       cost += LostWork(tasks_[victim], now);
     }
@@ -161,7 +161,8 @@
     }
   }
   resources room = entry.Room();
-  double harm = options_.interference.enabled ? ExpectedHarm(entry, kind) : 0.0;
+  double harm =
+      options_.interference.enabled ? ExpectedHarm(entry, kind, now) : 0.0;
   std::vector<task_index> candidates;
   for (task_index task = entry.tasks.head; task != kNone;
        task = tasks_[task].next) {
--- a/src/skylarkbridge/scheduling/batch_interference_test.cpp
+++ b/src/skylarkbridge/scheduling/batch_interference_test.cpp
@@ -118,6 +118,23 @@
   EXPECT_EQ(fleet.running.at(1).permille, 1000);
 }
 
+// Guards against a fleet that is filled before any report can show its harm,
+// and against a worker without services that never fills.
+TEST(BatchInterferenceTest, FillsAWorkerWithCareBeforeItsFirstReport) {
+  batch_fleet_fake fleet(batch_options{.usage = {.learn = false}});
+  fleet.scheduler.Configure(
+      {.services = {{.name = "desk"}},
+       .batch_kinds = {{.name = "k", .size = {.millicores = 1000}}}},
+      fleet.now);
+  fleet.Worker(1, kWorker);
+  for (std::uint64_t task = 1; task <= 40; ++task) {
+    fleet.Submit(task, "k");
+  }
+  EXPECT_EQ(fleet.running.size(), 3U);
+  fleet.Advance(seconds(21));
+  EXPECT_EQ(fleet.running.size(), 16U);
+}
+
 // Guards against eviction storms after one wrong measurement.
 TEST(BatchInterferenceTest, KeepsTheEvictionBudget) {
   eviction_budget budget(
