--- a/include/skylarkbridge/daemon/shard_part.hpp
+++ b/include/skylarkbridge/daemon/shard_part.hpp
@@ -135,6 +135,7 @@
   control_outputs TakeOutputs(const instant& at);
   void SyncWorkers();
   void SyncSlots();
+  bool NeverOwned() const;
 
   const shard_part_options options_;
   log_part& log_;
@@ -148,6 +149,10 @@
   std::map<coordination::record_id, claim> claims_;
   /// Workers that the scheduler may use now.
   absl::flat_hash_map<worker_id, scheduling::worker_status> usable_;
+  /// Whether a worker had obeyed no ballot for longer than slots are lent when
+  /// it was fenced first, so that no earlier owner can have lent its slots.
+  absl::flat_hash_map<worker_id, bool> never_owned_;
+  time_point next_sync_;
   time_point joined_at_;
   time_point next_report_;
   instant at_;
--- a/include/skylarkbridge/daemon/slot_part.hpp
+++ b/include/skylarkbridge/daemon/slot_part.hpp
@@ -15,9 +15,9 @@
 namespace skylarkbridge::daemon {
 
 struct slot_part_options {
-  /// An attempt ends with the lease at the latest. 15 s leave at least 14 s for
-  /// one, and the slots of a VM that died are free again after that time.
-  coordination::slot_lease_options lease{.duration = std::chrono::seconds(15)};
+  /// An attempt ends with the lease at the latest, and the slots of a VM that
+  /// died are free again after that time.
+  coordination::slot_lease_options lease;
   /// Interval at which the leases are renewed.
   std::chrono::milliseconds renewal_interval = std::chrono::seconds(1);
 };
--- a/include/skylarkbridge/standin/worker_tasks.hpp
+++ b/include/skylarkbridge/standin/worker_tasks.hpp
@@ -34,6 +34,9 @@
   /// Time that each task takes; the worker only waits.
   std::chrono::milliseconds run_time = std::chrono::milliseconds(200);
   coordination::lease_options lease;
+  /// Time that the worker was up before it was created here; workers are
+  /// usually up for long when an entry VM starts.
+  std::chrono::milliseconds up_before = std::chrono::minutes(10);
 };
 
 /// @brief Task side of the stand-in for a worker: ballots, leases, inventory
--- a/src/skylarkbridge/daemon/shard_part.cpp
+++ b/src/skylarkbridge/daemon/shard_part.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+// Interval at which the scheduler and the lender hear which workers the owner
+// may command. Renewals come every 360 to 400 ms.
+constexpr std::chrono::milliseconds kSyncInterval{50};
+
 std::string ReasonName(coordination::step_down_reason reason) {
   switch (reason) {
     case coordination::step_down_reason::kHigherBallot:
@@ -149,8 +153,12 @@
   if (lender_) {
     lender_->Tick(at.now);
   }
-  if (scheduler_) {
+  if (scheduler_ && at.now >= next_sync_) {
+    next_sync_ = at.now + kSyncInterval;
     SyncWorkers();
+    SyncSlots();
+  }
+  if (scheduler_) {
     ReadReports();
     Do(scheduler_->Tick(at.now));
   }
@@ -200,7 +208,14 @@
   next_report_ = at_.now;
   scheduler_.emplace(options_.batch);
   tasks_.emplace(options_.lifecycle);
-  lender_.emplace(options_.slots, command.takeover, command.exclusive_since);
+  const time_point lends_from =
+      NeverOwned() ? command.exclusive_since -
+                         coordination::SurelyExpired(
+                             time_point(), options_.slots.duration,
+                             options_.slots.clock)
+                             .time_since_epoch()
+                   : command.exclusive_since;
+  lender_.emplace(options_.slots, command.takeover, lends_from);
   SyncSlots();
   Do(scheduler_->Configure(configuration_, at_.now));
   SyncWorkers();
@@ -264,6 +279,7 @@
   tasks_.reset();
   scheduler_.reset();
   lender_.reset();
+  never_owned_.clear();
   placed_.clear();
   claims_.clear();
   usable_.clear();
@@ -411,6 +427,13 @@
 void shard_part::On(const coordination::fence_worker&,
                     const wire::worker_reply& reply) {
   if (const auto* fenced = std::get_if<coordination::fence_reply>(&reply)) {
+    never_owned_.try_emplace(
+        fenced->inventory.worker,
+        fenced->displaced == coordination::ballot{} &&
+            fenced->up_for > coordination::WithRateMargin(
+                                 options_.slots.duration +
+                                     options_.slots.clock.max_command_age,
+                                 options_.slots.clock));
     Do(owner_.Fenced(*fenced, at_.now));
   }
 }
@@ -596,13 +619,24 @@
   }
 }
 
+bool shard_part::NeverOwned() const {
+  return std::all_of(workers_.begin(), workers_.end(),
+                     [&](const wire::worker_vm& worker) {
+                       const auto found = never_owned_.find(worker.worker);
+                       return found != never_owned_.end() && found->second;
+                     });
+}
+
 void shard_part::SyncSlots() {
   if (!lender_) {
     return;
   }
   for (const wire::worker_vm& worker : workers_) {
     coordination::slot_room room;
-    if (worker.status == wire::vm_status::kLive) {
+    // Slots are lent only of workers that obey this owner, so that a worker
+    // without a ballot proves that none of its slots are lent.
+    if (worker.status == wire::vm_status::kLive &&
+        owner_.MayCommand(worker.worker, at_.now)) {
       room = {worker.slots, worker.connections};
     }
     lender_->SetWorker(worker.worker, room, at_.now);
--- a/src/skylarkbridge/scheduling/batch_core.hpp
+++ b/src/skylarkbridge/scheduling/batch_core.hpp
@@ -84,6 +84,7 @@
   void StartReady(const queue_key* before, time_point now);
   void OfferRoom(worker_index worker, time_point now);
   bool StartHead(kind_index kind, time_point now);
+  bool StartTask(task_index task, time_point now);
   bool TryOn(kind_index kind, worker_index worker, time_point now);
   std::optional<double> Cost(kind_index kind,
                              const task_entry& task,
@@ -92,7 +93,9 @@
                              time_point now) const;
   /// @brief Largest expected slowdown of a service, as part of its latency,
   /// with one more task of the kind.
-  double ExpectedHarm(const worker_entry& worker, kind_index kind) const;
+  double ExpectedHarm(const worker_entry& worker,
+                      kind_index kind,
+                      time_point now) const;
   void Place(task_index task,
              worker_index worker,
              const resources& need,
--- a/src/skylarkbridge/standin/worker_tasks.cpp
+++ b/src/skylarkbridge/standin/worker_tasks.cpp
@@ -15,8 +15,8 @@
 
 worker_tasks::worker_tasks(worker_tasks_options options)
     : options_(options),
-      started_(boot_clock::now()),
-      reported_until_(started_) {}
+      started_(boot_clock::now() - options.up_before),
+      reported_until_(boot_clock::now()) {}
 
 wire::worker_reply worker_tasks::Handle(const wire::worker_command& command,
                                         time_point now) {
