--- a/include/skylarkbridge/coordination/ballot.hpp
+++ b/include/skylarkbridge/coordination/ballot.hpp
@@ -17,7 +17,6 @@
   entry_vm_id vm;
   incarnation_id incarnation;
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): false report of clang-tidy 14
   auto operator<=>(const ballot&) const = default;
 
   friend std::ostream& operator<<(std::ostream& out, const ballot& b) {
--- a/include/skylarkbridge/coordination/slot_leases.hpp
+++ b/include/skylarkbridge/coordination/slot_leases.hpp
@@ -39,7 +39,6 @@
   entry_vm_id vm;
   incarnation_id incarnation;
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): false report of clang-tidy 14
   auto operator<=>(const slot_holder_id&) const = default;
 };
 
