Offer freed room only to kinds that can use it

Change: kinds whose last lease does not fit are passed over, and a worker at the limit of harm is not offered.

--- a/src/skylarkbridge/scheduling/batch_core_placement.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_placement.hpp
@@ -73,11 +73,27 @@
   if (workers_[worker].reserved_for != kNone) {
     offer_order_.push_back(workers_[worker].reserved_for);
   }
+  const worker_entry& host = workers_[worker];
+  double harm = 0;
+  for (const service_view& view : host.services) {
+    if (view.seen >= now - kLongestLag) {
+      harm = std::max(harm, view.harm + Unexplained(view));
+    }
+  }
+  // A worker at the limit of harm takes only what it is reserved for.
+  const bool open = !options_.interference.enabled ||
+                    harm <= options_.interference.place_below - 1.0;
+  const resources room = host.Room() - host.reserved;
+  std::size_t seen = 0;
   for (const queue_key& key : no_room_) {
-    if (offer_order_.size() == kMostOffers) {
+    if (!open || ++seen > kMostOffers) {
       break;
     }
-    offer_order_.push_back(key.kind);
+    // A lease that became smaller since puts the kind back into ready_.
+    if (Fits(kinds_[key.kind].tried, room) ||
+        kinds_[key.kind].key.under_minimum) {
+      offer_order_.push_back(key.kind);
+    }
   }
   for (const kind_index kind : offer_order_) {
     while (kinds_[kind].state == queue_state::kNoRoom &&
