Run scenarios on shard ownership, task lifecycle and requests with keys

Cause: takeovers, pauses and log outages were explored at random only; no readable course of one such fault stood anywhere.

--- a/src/skylarkbridge/scenario/scenario_test.cpp
+++ b/src/skylarkbridge/scenario/scenario_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "skylarkbridge/scenario/fleet_world.hpp"
+#include "skylarkbridge/scenario/owner_world.hpp"
 #include "skylarkbridge/scenario/script.hpp"
 #include "skylarkbridge/scenario/session.hpp"
 
@@ -20,7 +21,7 @@
 /// Set to 1, it rewrites the files with the present output.
 constexpr const char* kRewriteVariable = "SKYLARKBRIDGE_REWRITE_SCENARIOS";
 
-using session = basic_session<fleet_world>;
+using session = basic_session<fleet_world, owner_world>;
 
 std::vector<std::string> Files() {
   std::vector<std::string> files;
