Run scenarios on configuration and membership of several data centres

Cause: conflicts of operators, log outages over a change and partitions had unit tests, and no course of events that an operator can read.

Conclusion: shard_owner::Holds stays true at a cut-off owner after its successor has completed the takeover, against its comment.

--- a/src/skylarkbridge/scenario/owner_world.cpp
+++ b/src/skylarkbridge/scenario/owner_world.cpp
@@ -198,6 +198,12 @@
     for (const auto& vm : shard.vms) {
       line.Print(absl::StrCat("vm ", vm->id.value, ": ", StateOf(*vm)));
     }
+  } else if (line.Take({"show", "holders"})) {
+    for (const auto& vm : shard.vms) {
+      if (vm->alive && !vm->paused && vm->owner->Holds(vm->Now())) {
+        line.Print(absl::StrCat("vm ", vm->id.value));
+      }
+    }
   } else if (line.Take({"show", "takeovers"})) {
     for (const auto& [at, vm] : cluster.takeovers) {
       line.Print(absl::StrCat(
--- a/src/skylarkbridge/scenario/scenario_test.cpp
+++ b/src/skylarkbridge/scenario/scenario_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -10,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "skylarkbridge/scenario/configuration_world.hpp"
 #include "skylarkbridge/scenario/fleet_world.hpp"
 #include "skylarkbridge/scenario/owner_world.hpp"
 #include "skylarkbridge/scenario/script.hpp"
@@ -21,7 +23,7 @@
 /// Set to 1, it rewrites the files with the present output.
 constexpr const char* kRewriteVariable = "SKYLARKBRIDGE_REWRITE_SCENARIOS";
 
-using session = basic_session<fleet_world, owner_world>;
+using session = basic_session<fleet_world, owner_world, configuration_world>;
 
 std::vector<std::string> Files() {
   std::vector<std::string> files;
@@ -147,5 +149,23 @@
   EXPECT_EQ(error("check"), "no violations");
 }
 
+/// A part that has broken an invariant.
+struct faulty_world {
+  bool Run(command&) { return false; }
+  void Advance(std::chrono::milliseconds duration) { advanced += duration; }
+  std::vector<std::string> Violations() const {
+    return {"invariant 2: after " + std::to_string(advanced.count()) + " ms"};
+  }
+  std::chrono::milliseconds advanced{0};
+};
+
+// Guards against a check that passes although one of the parts is at fault.
+TEST(SessionTest, CheckPrintsTheViolationsOfEveryPart) {
+  basic_session<fleet_world, faulty_world> run;
+  EXPECT_TRUE(run.Run("advance 1500ms").empty());
+  EXPECT_EQ(run.Run("check"),
+            std::vector<std::string>{"invariant 2: after 1500 ms"});
+}
+
 }  // namespace
 }  // namespace skylarkbridge::scenario
