Build scenarios with the present fakes and list peer events

Change: takeovers name their VM again; rows and list of peer events; entry VMs in the VM list of stand-ins.

--- a/include/skylarkbridge/daemon/running_daemon.hpp
+++ b/include/skylarkbridge/daemon/running_daemon.hpp
@@ -12,7 +12,8 @@
 
 /// @brief Options of a daemon on loopback with free ports, for a platform at
 /// @p platform.
-daemon_options LoopbackOptions(const ip_address& platform);
+daemon_options LoopbackOptions(const ip_address& platform,
+                               entry_vm_id vm = entry_vm_id{1});
 
 /// @brief A daemon on a thread of this process; for the demo, benchmarks and
 /// tests. It is stopped when the object ends.
@@ -26,6 +27,8 @@
   daemon& Get() { return daemon_; }
   ip_address CallersAddress();
   ip_address OperatorsAddress();
+  /// @brief Entry for the VM list, so that other entry VMs find this one.
+  wire::entry_vm Describe() const;
 
   /// @brief Publishes @p configuration on version @p base and waits until it is
   /// in effect and an upstream is known. Returns false when that fails.
@@ -39,6 +42,8 @@
   bool Stop();
 
  private:
+  const entry_vm_id vm_;
+  const data_centre_id data_centre_;
   daemon daemon_;
   stop_signal stop_;
   bool ended_well_ = false;
--- a/include/skylarkbridge/standin/fleet.hpp
+++ b/include/skylarkbridge/standin/fleet.hpp
@@ -35,6 +35,8 @@
   std::size_t Size() const { return workers_.size(); }
   /// @brief VM list of all workers, live.
   wire::vm_list Describe();
+  /// @brief Puts these entry VMs into the VM list, besides all workers.
+  void ListEntryVms(std::vector<wire::entry_vm> entry_vms);
 
  private:
   platform platform_;
--- a/src/skylarkbridge/cli/event_lists.hpp
+++ b/src/skylarkbridge/cli/event_lists.hpp
@@ -6,6 +6,7 @@
 
 #include "skylarkbridge/daemon/events.hpp"
 #include "skylarkbridge/gateway/events.hpp"
+#include "skylarkbridge/gateway/peer_events.hpp"
 #include "skylarkbridge/supervisor/events.hpp"
 #include "skylarkbridge/telemetry/events.hpp"
 
@@ -20,6 +21,7 @@
 inline constexpr event_list kEventLists[] = {
     {"daemon", daemon::kEvents},
     {"gateway", gateway::kEvents},
+    {"gateway", gateway::kPeerEvents},
     {"supervisor", supervisor::kEvents},
     {"telemetry", telemetry::kEvents},
 };
--- a/src/skylarkbridge/coordination/entry_vm_fake.hpp
+++ b/src/skylarkbridge/coordination/entry_vm_fake.hpp
@@ -35,7 +35,7 @@
   std::set<request_id> carried;
   std::array<std::uint64_t, 3> told{};
   /// Times at which a VM completed a takeover.
-  std::vector<std::chrono::nanoseconds> takeovers;
+  std::vector<std::pair<std::chrono::nanoseconds, entry_vm_id>> takeovers;
 };
 
 /// @brief Entry VM: a shard owner, a task lifecycle, a log fold and a random
@@ -303,7 +303,7 @@
         });
   }
   void Do(const ready& c) {
-    cluster_.takeovers.push_back(net_.Now());
+    cluster_.takeovers.emplace_back(net_.Now(), id);
     std::vector<open_task> open;
     for (const auto& [task, facts] : open_) {
       open.push_back(facts);
--- a/src/skylarkbridge/coordination/explorer_fake.hpp
+++ b/src/skylarkbridge/coordination/explorer_fake.hpp
@@ -118,7 +118,7 @@
     result.told = cluster_.told;
     result.violations = cluster_.checker.Violations();
     for (const std::chrono::nanoseconds died : owner_deaths_) {
-      for (const std::chrono::nanoseconds time : cluster_.takeovers) {
+      for (const auto& [time, vm] : cluster_.takeovers) {
         if (time > died) {
           result.takeovers.push_back(time - died);
           break;
--- a/src/skylarkbridge/daemon/daemon_test.cpp
+++ b/src/skylarkbridge/daemon/daemon_test.cpp
@@ -22,8 +22,9 @@
   return declared;
 }
 
-daemon_options Options(const standin::fleet& workers) {
-  daemon_options options = LoopbackOptions(workers.PlatformAddress());
+daemon_options Options(const standin::fleet& workers,
+                       entry_vm_id vm = entry_vm_id{1}) {
+  daemon_options options = LoopbackOptions(workers.PlatformAddress(), vm);
   options.callers.keep_alive = std::chrono::seconds(1);
   options.callers.lame_duck = std::chrono::milliseconds(300);
   options.vm_list.interval = std::chrono::milliseconds(50);
@@ -70,7 +71,8 @@
 
 // A planned stop must cut off no request: callers move to the other VM.
 TEST_F(DaemonTest, GracefulStopCutsOffNothing) {
-  running_daemon other(Options(workers_));
+  running_daemon other(Options(workers_, entry_vm_id{2}));
+  workers_.ListEntryVms({entry_vm_.Describe(), other.Describe()});
   ASSERT_TRUE(other.Get().Port().WaitUntilReady(boot_clock::now() +
                                                 std::chrono::seconds(20)));
   standin::caller_tally tally;
--- a/src/skylarkbridge/daemon/running_daemon.cpp
+++ b/src/skylarkbridge/daemon/running_daemon.cpp
@@ -13,15 +13,18 @@
 
 }  // namespace
 
-daemon_options LoopbackOptions(const ip_address& platform) {
+daemon_options LoopbackOptions(const ip_address& platform, entry_vm_id vm) {
   return {.callers = {.address = {"127.0.0.1", 0}},
           .token = "loopback-demonstration",
           .vm_list = {.address = platform},
-          .router = {.log = {.address = platform}}};
+          .router = {.log = {.address = platform}},
+          .control = {.vm = vm}};
 }
 
 running_daemon::running_daemon(daemon_options options)
-    : daemon_(std::move(options)),
+    : vm_(options.control.vm),
+      data_centre_(options.control.data_centre),
+      daemon_(std::move(options)),
       thread_(posix_thread::Start("daemon", [this] {
                 ended_well_ = static_cast<bool>(daemon_.Run(stop_));
               }).value()) {}
@@ -38,6 +41,13 @@
   return {"127.0.0.1", daemon_.OperatorsPort(boot_clock::now() + kStartTime)};
 }
 
+wire::entry_vm running_daemon::Describe() const {
+  return {.vm = vm_,
+          .address = daemon_.PeersAddress(boot_clock::now() + kStartTime)
+                         .value_or(ip_address{"127.0.0.1", 0}),
+          .data_centre = data_centre_};
+}
+
 bool running_daemon::Publish(const declaration::configuration& configuration,
                              coordination::version_number base) {
   const time_point deadline = boot_clock::now() + kStartTime;
--- a/src/skylarkbridge/standin/fleet.cpp
+++ b/src/skylarkbridge/standin/fleet.cpp
@@ -1,6 +1,7 @@
 #include "skylarkbridge/standin/fleet.hpp"
 
 #include <chrono>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -37,6 +38,12 @@
   thread_.Join();
 }
 
+void fleet::ListEntryVms(std::vector<wire::entry_vm> entry_vms) {
+  wire::vm_list list = Describe();
+  list.entry_vms = std::move(entry_vms);
+  platform_.SetVmList(std::move(list));
+}
+
 wire::vm_list fleet::Describe() {
   wire::vm_list list;
   for (const auto& one : workers_) {
