--- a/bench/request_bench.cpp
+++ b/bench/request_bench.cpp
@@ -68,11 +68,6 @@
              .count();
 }
 
-double Ratio(std::int64_t part, std::int64_t whole) {
-  return whole == 0 ? 0
-                    : static_cast<double>(part) / static_cast<double>(whole);
-}
-
 /// One service at @p load of the capacity.
 simulation_options OneService(const fleet& size, double load) {
   simulation_options options{
@@ -367,8 +362,8 @@
       {fault::kAnswersWithFault, "answer 500"},
       {fault::kStalls, "stall"}};
   PrintHeader(
-      "Half of the upstreams fail: load 40% of capacity, from the second "
-      "before the measurement on",
+      "Half of the upstreams fail: load 40% of capacity, measured from the "
+      "fault on",
       {"Fleet", "Fault", "Retries", "attempts / request",
        "answered in time / offered", "p99 ms"});
   for (const fleet& size : kFleets) {
@@ -471,8 +466,7 @@
       "of 20 ms and a sigma of 0.5; deadlines are 500 ms unless stated. Each "
       "worker has 8 slots and 64 connections, all of them held by one VM. "
       "Floods are measured from their start on unless stated. Slots do not "
-      "slow "
-      "one another down except in the runs on routing.\n",
+      "slow one another down except in the runs on routing.\n",
       static_cast<int>(kSeeds));
   std::vector<panel> panels;
   measures aims;
--- a/bench/request_simulation.hpp
+++ b/bench/request_simulation.hpp
@@ -108,6 +108,11 @@
   return values[static_cast<std::size_t>(at)];
 }
 
+inline double Ratio(std::int64_t part, std::int64_t whole) {
+  return whole == 0 ? 0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
 /// @brief Answers per second when all slots are always in use.
 inline double Capacity(const simulation_options& options) {
   double mean = 0;
