Announce the departure of a VM before its links close

Cause: at a graceful stop the links to peers stopped before the control thread, so that the others learnt of the departure by silence, after 1.2 s. Change: a departure child that stops between the listeners and the links. The demo sends batch tasks too.

--- a/include/skylarkbridge/daemon/control_messages.hpp
+++ b/include/skylarkbridge/daemon/control_messages.hpp
@@ -94,13 +94,19 @@
   std::optional<coordination::read_page> page;
 };
 
+/// @brief Give up shards, slots and membership, at a graceful stop.
+struct leave_message {
+  reply_to<bool> reply;
+};
+
 /// @brief A message of another entry VM.
 struct received_message {
   entry_vm_id from;
   wire::peer_message message;
 };
 
-using control_message = std::variant<received_message,
+using control_message = std::variant<leave_message,
+                                     received_message,
                                      request_message,
                                      attempt_message,
                                      vm_list_message,
--- a/include/skylarkbridge/daemon/control_port.hpp
+++ b/include/skylarkbridge/daemon/control_port.hpp
@@ -70,6 +70,12 @@
     return Ask<drain_message, bool>({.worker = worker}, false, deadline);
   }
 
+  /// @brief Gives up what this VM holds for others. Returns true once the
+  /// messages about it are under way.
+  bool Leave(time_point deadline) {
+    return Ask<leave_message, bool>({}, false, deadline);
+  }
+
   /// @brief Configuration in effect, or null while there is none.
   std::shared_ptr<const declaration::configuration> Declared() const {
     absl::MutexLock lock(&mutex_);
--- a/include/skylarkbridge/daemon/control_state.hpp
+++ b/include/skylarkbridge/daemon/control_state.hpp
@@ -53,8 +53,6 @@
   control_outputs Handle(control_message message, const instant& at);
   control_outputs Tick(const instant& at);
   time_point NextDeadline() const;
-  /// @brief Gives up all shards, at a graceful stop.
-  control_outputs Leave(const instant& at);
 
  private:
   using peer_body = wire::peer_message;
@@ -62,6 +60,7 @@
     reply_to<entry::publish_answer> reply;
   };
 
+  void On(const leave_message& message, const instant& at);
   void On(const received_message& message, const instant& at);
   void On(request_message message, const instant& at);
   void On(attempt_message message, const instant& at);
--- a/include/skylarkbridge/daemon/control_thread.hpp
+++ b/include/skylarkbridge/daemon/control_thread.hpp
@@ -44,7 +44,6 @@
     }
     route(state.Tick(now()));
   }
-  route(state.Leave(now()));
   return {};
 }
 
--- a/include/skylarkbridge/daemon/running_daemon.hpp
+++ b/include/skylarkbridge/daemon/running_daemon.hpp
@@ -10,6 +10,9 @@
 
 namespace skylarkbridge::daemon {
 
+/// @brief Token of daemons with LoopbackOptions.
+inline constexpr char kLoopbackToken[] = "loopback-demonstration";
+
 /// @brief Options of a daemon on loopback with free ports, for a platform at
 /// @p platform.
 daemon_options LoopbackOptions(const ip_address& platform,
--- a/src/skylarkbridge/cli/demo_command.cpp
+++ b/src/skylarkbridge/cli/demo_command.cpp
@@ -11,6 +11,7 @@
 DEFINE_uint64(workers, 4, "number of stand-in workers, 1 to 100");
 DEFINE_uint64(callers, 16, "number of callers at a time, 1 to 100");
 DEFINE_int64(requests, 2000, "number of requests, 1 to 1000000");
+DEFINE_int64(batch_tasks, 200, "number of batch tasks, 1 to 100000");
 DEFINE_string(service_time, "2ms", "time that a worker takes for a request");
 DEFINE_bool(keep, false, "leave everything up until interrupted");
 
@@ -32,6 +33,8 @@
   CheckRange<std::size_t>("flag --workers", FLAGS_workers, 100, found);
   CheckRange<std::size_t>("flag --callers", FLAGS_callers, 100, found);
   CheckRange<std::int64_t>("flag --requests", FLAGS_requests, 1'000'000, found);
+  CheckRange<std::int64_t>("flag --batch_tasks", FLAGS_batch_tasks, 100'000,
+                           found);
   const auto service_time =
       ParseDuration(FLAGS_service_time, "flag --service_time", found);
   if (!found.Empty()) {
@@ -41,6 +44,7 @@
   return daemon::RunDemo({.workers = FLAGS_workers,
                           .callers = FLAGS_callers,
                           .requests = FLAGS_requests,
+                          .tasks = FLAGS_batch_tasks,
                           .service_time = service_time,
                           .keep = FLAGS_keep},
                          context.out);
--- a/src/skylarkbridge/daemon/control_state.cpp
+++ b/src/skylarkbridge/daemon/control_state.cpp
@@ -19,6 +19,13 @@
 using entry::publish_answer;
 using entry::task_answer;
 
+scheduling::dispatcher_options DispatcherOptions(
+    const control_options& options) {
+  scheduling::dispatcher_options result = options.dispatcher;
+  result.upstreams.data_centre = options.data_centre;
+  return result;
+}
+
 shard_part_options ShardOptions(const control_options& options,
                                 shard_id shard,
                                 incarnation_id incarnation) {
@@ -72,7 +79,7 @@
              log_,
              at.now),
       slots_(options.slots, shard_map_, {options.vm, incarnation}),
-      requests_(options.dispatcher, slots_),
+      requests_(DispatcherOptions(options), slots_),
       tasks_(options.tasks, shard_map_, incarnation, log_) {
   for (std::uint64_t i = 0; i < options.shards; ++i) {
     shards_.emplace(shard_id{i},
@@ -110,7 +117,7 @@
   return next;
 }
 
-control_outputs control_state::Leave(const instant& at) {
+void control_state::On(const leave_message& message, const instant& at) {
   for (const due_slot_request& due : slots_.Return(at.now)) {
     RequestSlots(due, at);
   }
@@ -119,7 +126,7 @@
   }
   Take(peers_.Announce(coordination::member_status::kLeft, at.now), at);
   Take(peers_.Tick(at.now + kNewsDelay), at);
-  return std::exchange(outputs_, {});
+  message.reply->Set(true);
 }
 
 void control_state::On(const received_message& message, const instant& at) {
--- a/src/skylarkbridge/daemon/daemon.cpp
+++ b/src/skylarkbridge/daemon/daemon.cpp
@@ -141,6 +141,13 @@
   peers.Add({.name = "peer_messages", .run = [this](stop_signal& stop) {
                return PassOnPeerMessages(stop);
              }});
+  // Stops after the listeners and before the links to peers and workers, which
+  // carry what it causes.
+  root_.Add({.name = "departure", .run = [this](stop_signal& stop) {
+               stop.Wait();
+               port_.Leave(*stop.DrainDeadline());
+               return boost::leaf::result<void>();
+             }});
   supervisor::supervisor& entry = root_.AddSupervisor("entry", {});
   entry.Add({.name = "operators", .run = [this](stop_signal& stop) {
                return operators_.Run(stop);
--- a/src/skylarkbridge/daemon/daemon_test.cpp
+++ b/src/skylarkbridge/daemon/daemon_test.cpp
@@ -89,6 +89,9 @@
   EXPECT_EQ(tally.wrong, 0);
   EXPECT_EQ(tally.unknown, 0);
   EXPECT_EQ(tally.done + tally.not_run, 3000);
+  for (std::size_t i = 0; i < workers_.Size(); ++i) {
+    EXPECT_LE(workers_.Worker(i).MostAtOnce(), 2);
+  }
 }
 
 // All faults of a request are reported together, and the request did not run.
--- a/src/skylarkbridge/daemon/running_daemon.cpp
+++ b/src/skylarkbridge/daemon/running_daemon.cpp
@@ -15,7 +15,7 @@
 
 daemon_options LoopbackOptions(const ip_address& platform, entry_vm_id vm) {
   return {.callers = {.address = {"127.0.0.1", 0}},
-          .token = "loopback-demonstration",
+          .token = kLoopbackToken,
           .vm_list = {.address = platform},
           .router = {.log = {.address = platform}},
           .control = {.vm = vm}};
