--- a/src/skylarkbridge/scenario/fleet_world.cpp
+++ b/src/skylarkbridge/scenario/fleet_world.cpp
@@ -220,6 +220,8 @@
     parts_->tasks.ShowWorkers(line);
   } else if (line.Take({"show", "waiting"})) {
     parts_->tasks.ShowWaiting(line);
+  } else if (line.Take({"settled"})) {
+    parts_->fleet.checker.CheckSettled();
   } else {
     return false;
   }
