--- a/include/skylarkbridge/scenario/session.hpp
+++ b/include/skylarkbridge/scenario/session.hpp
@@ -31,11 +31,7 @@
       if (line.Done()) {
         Check(line);
       }
-    } else if (!std::apply(
-                   [&](auto&... part) {
-                     return (false | ... | RunIn(part, text, line));
-                   },
-                   worlds_)) {
+    } else if (!RunInAll(text, line)) {
       line.Fail("unknown command");
     }
     if (line.Error()) {
@@ -45,6 +41,16 @@
   }
 
  private:
+  bool RunInAll(std::string_view text, command& line) {
+    bool known = false;
+    std::apply(
+        [&](auto&... part) {
+          ((known = RunIn(part, text, line) || known), ...);
+        },
+        worlds_);
+    return known;
+  }
+
   /// Each part reads the words from their beginning.
   template <class World>
   static bool RunIn(World& part, std::string_view text, command& all) {
--- a/src/skylarkbridge/scenario/fleet_fake.hpp
+++ b/src/skylarkbridge/scenario/fleet_fake.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_SCENARIO_FLEET_FAKE_HPP
 #define SKYLARKBRIDGE_SCENARIO_FLEET_FAKE_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -57,7 +58,7 @@
   coordination::virtual_time time;
   coordination::invariant_checker checker;
   // The seed is fixed so that each run prints the same.
-  std::mt19937_64 random{1};  // NOLINT(bugprone-random-generator-seed)
+  std::mt19937_64 random{1};
   declaration::configuration declared;
   std::map<std::string, true_behaviour> behaviour;
   std::map<worker_id, fleet_worker> workers;
--- a/src/skylarkbridge/scenario/owner_world.cpp
+++ b/src/skylarkbridge/scenario/owner_world.cpp
@@ -174,7 +174,13 @@
   if (line.Take({"isolate", "worker"})) {
     return apply([&](auto& worker) { shard.Cut(worker.id.value, 0); });
   }
-  if (line.Take({"drop", "replies"})) {
+  if (line.Take({"unsafe", "workers"})) {
+    for (const auto& [id, worker] : shard.cluster.workers) {
+      worker->fencing = false;
+    }
+  } else if (line.Take({"unsafe", "owners"})) {
+    shard.cluster.all_expected = true;
+  } else if (line.Take({"drop", "replies"})) {
     shard.Net().lost_reply_percent =
         static_cast<int>(std::min<std::int64_t>(100, line.Number("percent")));
   } else if (line.Take({"heal"})) {
--- a/src/skylarkbridge/scenario/shard_fake.hpp
+++ b/src/skylarkbridge/scenario/shard_fake.hpp
@@ -91,7 +91,7 @@
     vm.Deliver([this, &vm] {
       vm.owner->Leave(vm.Now());
       vm.tasks.reset();
-      Net().After(kDrain, [this, &vm, incarnation = vm.Incarnation()] {
+      Net().After(kDrain, [&vm, incarnation = vm.Incarnation()] {
         if (vm.alive && vm.Incarnation() == incarnation) {
           vm.Kill();
         }
