Add serve, standin and load, and measure the capacity of the control thread

Cause: the daemon ran only inside the demo, and no slopes were measured. Change: subcommands serve, standin and load run the path as separate processes; the stand-in workers report service latencies, and requests name their service to the upstream; bench/capacity_bench drives the daemon's control state in virtual time.

--- a/include/skylarkbridge/daemon/events.hpp
+++ b/include/skylarkbridge/daemon/events.hpp
@@ -22,9 +22,12 @@
 inline constexpr event_definition kShardLost{4007, event_severity::kWarning,
                                              "shard_lost", "shard reason"};
 
+inline constexpr event_definition kDaemonFailed{4008, event_severity::kError,
+                                                "daemon_failed", "error"};
+
 inline constexpr event_definition kEvents[] = {
-    kConfigurationInEffect, kLogDown,    kLogUp,    kMemberChanged,
-    kDuplicateVm,           kShardOwned, kShardLost};
+    kConfigurationInEffect, kLogDown,    kLogUp,     kMemberChanged,
+    kDuplicateVm,           kShardOwned, kShardLost, kDaemonFailed};
 
 }  // namespace skylarkbridge::daemon
 
--- a/include/skylarkbridge/standin/fleet.hpp
+++ b/include/skylarkbridge/standin/fleet.hpp
@@ -14,6 +14,8 @@
 namespace skylarkbridge::standin {
 
 struct fleet_options {
+  /// Where the log and the VM list are served; port 0 takes any free one.
+  ip_address platform{"127.0.0.1", 0};
   std::size_t workers = 4;
   std::size_t workers_per_rack = 2;
   /// Applied to each worker; its ids are set by the fleet.
--- a/include/skylarkbridge/standin/platform.hpp
+++ b/include/skylarkbridge/standin/platform.hpp
@@ -16,7 +16,7 @@
 /// the log.
 class platform {
  public:
-  platform();
+  explicit platform(const ip_address& address = {"127.0.0.1", 0});
 
   /// @brief Body of a supervisor child.
   boost::leaf::result<void> Run(stop_signal& stop) {
--- a/include/skylarkbridge/standin/worker.hpp
+++ b/include/skylarkbridge/standin/worker.hpp
@@ -5,12 +5,19 @@
 #include <boost/leaf/result.hpp>
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 #include "skylarkbridge/base/stop_signal.hpp"
 #include "skylarkbridge/gateway/http_listener.hpp"
+#include "skylarkbridge/standin/service_window.hpp"
 #include "skylarkbridge/standin/worker_tasks.hpp"
 #include "skylarkbridge/wire/vm_list.hpp"
 
+namespace httplib {
+struct Request;
+struct Response;
+}  // namespace httplib
+
 namespace skylarkbridge::standin {
 
 struct worker_options {
@@ -48,9 +55,12 @@
  private:
   void Install(httplib::Server& server);
   void InstallTasks(httplib::Server& server);
+  void Serve(const httplib::Request& request, httplib::Response& response);
+  std::string Carry(const wire::worker_command& command);
 
   const worker_options options_;
   worker_tasks tasks_;
+  service_window services_;
   gateway::http_listener listener_;
   std::atomic<std::int64_t> running_ = 0;
   std::atomic<std::int64_t> most_at_once_ = 0;
--- a/src/skylarkbridge/cli/commands.hpp
+++ b/src/skylarkbridge/cli/commands.hpp
@@ -22,6 +22,9 @@
 int RunDrain(command_context& context);
 
 int RunDemo(command_context& context);
+int RunServe(command_context& context);
+int RunStandin(command_context& context);
+int RunLoad(command_context& context);
 
 /// @brief Reads a configuration file and reports its findings as
 /// "FILE: place: message". Nothing when there were any.
--- a/src/skylarkbridge/cli/subcommands.cpp
+++ b/src/skylarkbridge/cli/subcommands.cpp
@@ -1,4 +1,5 @@
 #include "skylarkbridge/cli/commands.hpp"
+#include "skylarkbridge/cli/settings.hpp"
 #include "skylarkbridge/cli/subcommand.hpp"
 
 namespace skylarkbridge::cli {
@@ -7,6 +8,13 @@
   static const std::vector<std::string_view> client_flags = {"operator_address",
                                                              "timeout", "json"};
   static const std::vector<subcommand> table = {
+      {.name = "serve",
+       .summary = "Run the daemon of an entry VM until SIGTERM.",
+       .flags = DaemonFlags(),
+       .examples = {"SKYLARKBRIDGE_TOKEN=... skylarkbridge serve --entry_vm 1 "
+                    "--data_centre 1 --region 1 --log_address 10.0.0.2:9000 "
+                    "--vm_list_address 10.0.0.2:9000"},
+       .run = RunServe},
       {.name = "check",
        .summary = "Check a configuration file and report all findings.",
        .operands = {"FILE"},
@@ -60,6 +68,19 @@
        .flags = client_flags,
        .examples = {"skylarkbridge drain 17"},
        .run = RunDrain},
+      {.name = "standin",
+       .summary = "Run stand-ins of the platform and of workers until SIGTERM.",
+       .flags = {"platform_address", "workers", "service_time", "entry_vms"},
+       .examples = {"skylarkbridge standin --workers 4 --entry_vms "
+                    "1=127.0.0.1:8082"},
+       .run = RunStandin},
+      {.name = "load",
+       .summary = "Send requests and batch tasks, and print what was answered.",
+       .flags = {"entry", "service", "callers", "requests", "kind", "submit",
+                 "wait"},
+       .examples = {"skylarkbridge load --entry 127.0.0.1:8080 --requests 1000",
+                    "skylarkbridge load --kind colour-match --submit 50"},
+       .run = RunLoad},
       {.name = "demo",
        .summary = "Run a daemon and stand-ins of the platform on loopback.",
        .flags = {"workers", "callers", "requests", "batch_tasks",
--- a/src/skylarkbridge/entry/caller_request.cpp
+++ b/src/skylarkbridge/entry/caller_request.cpp
@@ -17,6 +17,8 @@
 constexpr char kDeadlineHeader[] = "Skylarkbridge-Deadline-Ms";
 constexpr char kIdempotentHeader[] = "Skylarkbridge-Idempotent";
 constexpr char kTraceHeader[] = "traceparent";
+// Tells an upstream that runs several services which one is meant.
+constexpr char kServiceHeader[] = "Skylarkbridge-Service";
 
 // Headers that belong to one connection, or that this hop writes itself.
 constexpr std::array kHopHeaders = {"connection",
@@ -34,7 +36,8 @@
                                     "remote_addr",
                                     "remote_port",
                                     "local_addr",
-                                    "local_port"};
+                                    "local_port",
+                                    "skylarkbridge-service"};
 
 bool IsHopHeader(const std::string& name) {
   return std::any_of(
@@ -125,6 +128,7 @@
     read.forwarded.path += request.target.substr(query);
   }
   read.forwarded.headers = ReadHeaders(request, limits, faults);
+  read.forwarded.headers.emplace_back(kServiceHeader, service.name);
   read.forwarded.body = request.body;
   if (!faults.Empty()) {
     found.Append(faults);
--- a/src/skylarkbridge/standin/fleet.cpp
+++ b/src/skylarkbridge/standin/fleet.cpp
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-fleet::fleet(fleet_options options) : tree_("standins", {}) {
+fleet::fleet(fleet_options options)
+    : platform_(options.platform), tree_("standins", {}) {
   tree_.Add({.name = "platform",
              .run = [this](stop_signal& stop) { return platform_.Run(stop); }});
   for (std::size_t i = 0; i < options.workers; ++i) {
--- a/src/skylarkbridge/standin/platform.cpp
+++ b/src/skylarkbridge/standin/platform.cpp
@@ -17,8 +17,8 @@
 
 }  // namespace
 
-platform::platform()
-    : listener_({.address = {kLoopback, 0},
+platform::platform(const ip_address& address)
+    : listener_({.address = address,
                  .threads = 64,
                  .max_body = kMaxBody,
                  .lame_duck = std::chrono::milliseconds(0)},
--- a/src/skylarkbridge/standin/worker.cpp
+++ b/src/skylarkbridge/standin/worker.cpp
@@ -46,25 +46,33 @@
 }
 
 void worker::Install(httplib::Server& server) {
+  InstallTasks(server);
   const auto serve = [this](const httplib::Request& request,
                             httplib::Response& response) {
-    RaiseTo(most_at_once_, running_.fetch_add(1) + 1);
-    const absl::Cleanup leave = [this] { running_.fetch_sub(1); };
-    if (options_.service_time.count() > 0) {
-      stop_signal never;
-      never.WaitUntil(boot_clock::now() + options_.service_time);
-    }
-    served_.fetch_add(1);
-    response.set_content(request.body.empty() ? request.path : request.body,
-                         "application/octet-stream");
+    Serve(request, response);
   };
-  InstallTasks(server);
   server.Get(".*", serve);
   server.Post(".*", serve);
   server.Put(".*", serve);
   server.Delete(".*", serve);
 }
 
+void worker::Serve(const httplib::Request& request,
+                   httplib::Response& response) {
+  RaiseTo(most_at_once_, running_.fetch_add(1) + 1);
+  const absl::Cleanup leave = [this] { running_.fetch_sub(1); };
+  const time_point start = boot_clock::now();
+  if (options_.service_time.count() > 0) {
+    stop_signal never;
+    never.WaitUntil(start + options_.service_time);
+  }
+  served_.fetch_add(1);
+  response.set_content(request.body.empty() ? request.path : request.body,
+                       "application/octet-stream");
+  services_.Record(request.get_header_value("Skylarkbridge-Service"),
+                   boot_clock::now() - start);
+}
+
 void worker::InstallTasks(httplib::Server& server) {
   server.Post(R"(/v1/worker/([a-z]+))", [this](const httplib::Request& request,
                                                httplib::Response& response) {
@@ -76,10 +84,16 @@
       response.set_content(Format(found), "text/plain");
       return;
     }
-    response.set_content(
-        wire::EncodeReply(tasks_.Handle(*command, boot_clock::now())),
-        "application/json");
+    response.set_content(Carry(*command), "application/json");
   });
 }
 
+std::string worker::Carry(const wire::worker_command& command) {
+  wire::worker_reply reply = tasks_.Handle(command, boot_clock::now());
+  if (auto* report = std::get_if<wire::report_answer>(&reply)) {
+    report->windows.back().services = services_.Take();
+  }
+  return wire::EncodeReply(reply);
+}
+
 }  // namespace skylarkbridge::standin
