--- a/include/skylarkbridge/entry/control_answers.hpp
+++ b/include/skylarkbridge/entry/control_answers.hpp
@@ -73,7 +73,8 @@
   std::string status;
   shard_id shard;
   std::int64_t slots = 0;
-  std::int64_t slots_in_use = 0;
+  /// Slots that this VM holds under its leases.
+  std::int64_t slots_held = 0;
   std::int64_t tasks = 0;
 };
 
--- a/src/skylarkbridge/cli/subcommands.cpp
+++ b/src/skylarkbridge/cli/subcommands.cpp
@@ -11,7 +11,7 @@
       {.name = "serve",
        .summary = "Run the daemon of an entry VM until SIGTERM.",
        .flags = DaemonFlags(),
-       .examples = {"SKYLARKBRIDGE_TOKEN=... skylarkbridge serve --entry_vm 1 "
+       .examples = {"skylarkbridge serve --entry_vm 1 "
                     "--data_centre 1 --region 1 --log_address 10.0.0.2:9000 "
                     "--vm_list_address 10.0.0.2:9000"},
        .run = RunServe},
--- a/src/skylarkbridge/daemon/control_state.cpp
+++ b/src/skylarkbridge/daemon/control_state.cpp
@@ -347,7 +347,8 @@
         .status =
             StatusOf(worker) == wire::vm_status::kLive ? "live" : "leaving",
         .shard = shard,
-        .slots = worker.slots};
+        .slots = worker.slots,
+        .slots_held = slots_.Describe(worker).slots};
     const shard_part* part = FindShard(shard);
     if (part != nullptr && part->Scheduler() != nullptr) {
       if (const auto held = part->Scheduler()->Holdings(worker.worker)) {
--- a/src/skylarkbridge/entry/answer_json.cpp
+++ b/src/skylarkbridge/entry/answer_json.cpp
@@ -154,7 +154,7 @@
                        {"status", row.status},
                        {"shard", row.shard.value},
                        {"slots", row.slots},
-                       {"slots_in_use", row.slots_in_use},
+                       {"slots_held", row.slots_held},
                        {"tasks", row.tasks}});
   }
   json members = json::array();
