Run a request with an idempotency key once

Cause: the daemon passed Idempotency-Key on and nothing else, so that a caller who repeated an invoice after a lost answer caused a second run. Change: the owner of a key's home shard keeps the outcome and the answer in the key registry and replays it; other VMs refuse the request as not-run. A new owner counts keys and slots from the time at which an earlier one must have noticed.

--- a/include/skylarkbridge/daemon/control_messages.hpp
+++ b/include/skylarkbridge/daemon/control_messages.hpp
@@ -24,12 +24,12 @@
 using reply_to = std::shared_ptr<one_shot<Answer>>;
 
 struct request_message {
-  scheduling::request_arrived arrived;
+  entry::arriving_request request;
   std::shared_ptr<entry::request_reply> reply;
 };
 
 struct attempt_message {
-  scheduling::attempt_finished finished;
+  entry::ending_attempt attempt;
   std::shared_ptr<entry::request_reply> reply;
 };
 
--- a/include/skylarkbridge/daemon/control_port.hpp
+++ b/include/skylarkbridge/daemon/control_port.hpp
@@ -20,16 +20,18 @@
   /// @param capacity most messages that wait for the control thread.
   explicit control_port(std::size_t capacity) : messages_(capacity) {}
 
-  bool Arrive(const scheduling::request_arrived& arrived,
+  bool Arrive(entry::arriving_request arrived,
               std::shared_ptr<entry::request_reply> reply) {
-    return messages_.TrySend(request_message{arrived, std::move(reply)});
+    return messages_.TrySend(
+        request_message{std::move(arrived), std::move(reply)});
   }
 
   // Bounded by the attempts that were started, and never refused: a lost
   // message would leave a slot in use.
-  bool Finish(const scheduling::attempt_finished& finished,
+  bool Finish(entry::ending_attempt finished,
               std::shared_ptr<entry::request_reply> reply) {
-    return messages_.SendUnbounded(attempt_message{finished, std::move(reply)});
+    return messages_.SendUnbounded(
+        attempt_message{std::move(finished), std::move(reply)});
   }
 
   entry::submit_answer Submit(const std::string& kind, time_point deadline) {
--- a/include/skylarkbridge/daemon/control_state.hpp
+++ b/include/skylarkbridge/daemon/control_state.hpp
@@ -11,6 +11,7 @@
 #include "skylarkbridge/coordination/shard_map.hpp"
 #include "skylarkbridge/daemon/control_outputs.hpp"
 #include "skylarkbridge/daemon/control_port.hpp"
+#include "skylarkbridge/daemon/key_part.hpp"
 #include "skylarkbridge/daemon/log_part.hpp"
 #include "skylarkbridge/daemon/peer_part.hpp"
 #include "skylarkbridge/daemon/request_table.hpp"
@@ -96,6 +97,9 @@
                   const instant& at);
   void RequestSlots(const due_slot_request& due, const instant& at);
   void UpdateExpected(const instant& at);
+  shard_id HomeOf(const entry::arriving_request& request) const;
+  /// Tells the registries about requests that ended without an answer.
+  void SettleKeys(const instant& at);
 
   void Add(control_outputs outputs);
   void Answer(const coordination::record_id& record,
@@ -116,6 +120,7 @@
   peer_part peers_;
   slot_part slots_;
   request_table requests_;
+  key_part keys_;
   task_desk tasks_;
   std::map<shard_id, std::unique_ptr<shard_part>> shards_;
   /// Workers of this data centre.
--- a/include/skylarkbridge/daemon/request_table.hpp
+++ b/include/skylarkbridge/daemon/request_table.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "skylarkbridge/base/time.hpp"
@@ -28,6 +29,11 @@
   void Tick(time_point now);
   std::optional<time_point> NextDeadline() const;
 
+  /// @brief Requests that ended without an answer since the last call.
+  std::vector<scheduling::finish_request> TakeEnded() {
+    return std::exchange(ended_, {});
+  }
+
  private:
   void Carry(scheduling::request_commands commands, time_point now);
   /// Hands a command to the waiting traffic thread. A start takes a slot
@@ -35,6 +41,7 @@
   bool Deliver(scheduling::request_command command, time_point now);
 
   slot_part& slots_;
+  std::vector<scheduling::finish_request> ended_;
   scheduling::dispatcher dispatcher_;
   absl::flat_hash_map<request_id, std::shared_ptr<entry::request_reply>>
       replies_;
--- a/include/skylarkbridge/daemon/shard_part.hpp
+++ b/include/skylarkbridge/daemon/shard_part.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "skylarkbridge/coordination/key_registry.hpp"
 #include "skylarkbridge/coordination/shard_owner.hpp"
 #include "skylarkbridge/coordination/slot_leases.hpp"
 #include "skylarkbridge/coordination/task_ledger.hpp"
@@ -25,6 +26,7 @@
   coordination::task_lifecycle_options lifecycle;
   scheduling::batch_options batch;
   coordination::slot_lease_options slots;
+  coordination::key_registry_options keys;
   /// Interval at which usage reports of workers are read.
   std::chrono::milliseconds report_interval = std::chrono::seconds(1);
 };
@@ -64,6 +66,10 @@
   const std::vector<wire::worker_vm>& Workers() const { return workers_; }
   /// @brief Lends the request slots of the shard; null unless it is owned.
   coordination::slot_lender* Lender() { return lender_ ? &*lender_ : nullptr; }
+  /// @brief Outcomes of idempotency keys; null unless the shard is owned.
+  coordination::key_registry* Keys(time_point now) {
+    return keys_ && owner_.Holds(now) ? &*keys_ : nullptr;
+  }
   const scheduling::batch_scheduler* Scheduler() const {
     return scheduler_ ? &*scheduler_ : nullptr;
   }
@@ -143,6 +149,7 @@
   std::optional<coordination::task_lifecycle> tasks_;
   std::optional<scheduling::batch_scheduler> scheduler_;
   std::optional<coordination::slot_lender> lender_;
+  std::optional<coordination::key_registry> keys_;
   declaration::configuration configuration_;
   std::vector<wire::worker_vm> workers_;
   absl::flat_hash_map<task_id, placement> placed_;
--- a/include/skylarkbridge/entry/caller_request.hpp
+++ b/include/skylarkbridge/entry/caller_request.hpp
@@ -19,6 +19,7 @@
 struct caller_request_limits {
   std::size_t max_headers = 64;
   std::size_t max_header_bytes = 16 << 10;
+  std::size_t max_key_bytes = 256;
 };
 
 /// @brief A caller's request, read and checked.
@@ -26,6 +27,8 @@
   std::string service;
   time_point deadline;
   bool idempotent = false;
+  /// Set only for requests that are not idempotent.
+  std::string idempotency_key;
   telemetry::trace_context trace;
   /// What the upstream gets, less the trace header of the hop.
   gateway::upstream_request forwarded;
--- a/include/skylarkbridge/entry/request_runner.hpp
+++ b/include/skylarkbridge/entry/request_runner.hpp
@@ -11,6 +11,7 @@
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/entry/caller_request.hpp"
 #include "skylarkbridge/entry/request_control.hpp"
+#include "skylarkbridge/entry/stored_answer.hpp"
 #include "skylarkbridge/gateway/upstream_client.hpp"
 #include "skylarkbridge/scheduling/request_events.hpp"
 #include "skylarkbridge/telemetry/scoped_span.hpp"
@@ -37,33 +38,38 @@
 
   request_answer Run(request_id id, caller_request request) {
     auto reply = std::make_shared<request_reply>();
-    if (!control_.Arrive({.request = id,
-                          .service = request.service,
-                          .deadline = request.deadline,
-                          .idempotent = request.idempotent},
+    if (!control_.Arrive({.arrived = {.request = id,
+                                      .service = request.service,
+                                      .deadline = request.deadline,
+                                      .idempotent = request.idempotent},
+                          .idempotency_key = request.idempotency_key},
                          reply)) {
       return Refusal(id, scheduling::refusal_reason::kQueueFull);
     }
     bool dispatched = false;
     std::string detail;
     while (true) {
-      std::optional<scheduling::request_command> command =
-          Await(*reply, request);
+      std::optional<request_order> command = Await(*reply, request);
       if (!command) {
         return Abandoned(id, dispatched, std::move(detail));
       }
       if (auto* finish = std::get_if<scheduling::finish_request>(&*command)) {
         return {*finish, std::nullopt, std::move(detail)};
       }
+      if (const auto* replay = std::get_if<replay_answer>(&*command)) {
+        return Replay(*replay);
+      }
       const auto& start = std::get<scheduling::start_attempt>(*command);
       gateway::upstream_result ended = Attempt(start, request);
       detail = ended.detail;
       reply = std::make_shared<request_reply>();
-      const bool reported = control_.Finish({.request = id,
-                                             .attempt = start.attempt,
-                                             .result = ended.result,
-                                             .upstream_fault = IsFault(ended)},
-                                            reply);
+      const bool reported =
+          control_.Finish({.finished = {.request = id,
+                                        .attempt = start.attempt,
+                                        .result = ended.result,
+                                        .upstream_fault = IsFault(ended)},
+                           .stored_answer = Store(request, ended)},
+                          reply);
       if (ended.result == scheduling::attempt_result::kAnswered) {
         return {{.request = id, .outcome = scheduling::request_outcome::kDone},
                 std::move(ended.response),
@@ -87,9 +93,25 @@
     return ended.response && ended.response->status >= 500;
   }
 
-  std::optional<scheduling::request_command> Await(
-      request_reply& reply,
-      const caller_request& request) {
+  static std::optional<std::string> Store(
+      const caller_request& request,
+      const gateway::upstream_result& ended) {
+    return request.idempotency_key.empty() || !ended.response
+               ? std::nullopt
+               : EncodeStoredAnswer(*ended.response);
+  }
+
+  static request_answer Replay(const replay_answer& replay) {
+    request_answer answer{
+        {.request = replay.request}, DecodeStoredAnswer(replay.answer), {}};
+    if (answer.response) {
+      answer.finish.outcome = scheduling::request_outcome::kDone;
+    }
+    return answer;
+  }
+
+  std::optional<request_order> Await(request_reply& reply,
+                                     const caller_request& request) {
     telemetry::scoped_span span(spans_, request.trace, "admission",
                                 telemetry::span_kind::kInternal);
     return reply.Wait(request.deadline + kCommandGrace);
--- a/include/skylarkbridge/scheduling/request_events.hpp
+++ b/include/skylarkbridge/scheduling/request_events.hpp
@@ -97,6 +97,12 @@
   kCancelled,
   kStopping,
   kNoConfiguration,
+  /// Another VM owns the home shard of the idempotency key, or nobody does.
+  kKeyHomeElsewhere,
+  /// An earlier request with the idempotency key is being carried out.
+  kKeyInProgress,
+  /// An earlier request with the idempotency key may have run.
+  kKeyOutcomeUnknown,
 };
 
 /// @brief Ends a request.
--- a/src/skylarkbridge/daemon/control_state.cpp
+++ b/src/skylarkbridge/daemon/control_state.cpp
@@ -96,6 +96,7 @@
 
 control_outputs control_state::Tick(const instant& at) {
   requests_.Tick(at.now);
+  SettleKeys(at);
   for (auto& [id, shard] : shards_) {
     Add(shard->Tick(at));
   }
@@ -229,13 +230,37 @@
 }
 
 void control_state::On(request_message message, const instant& at) {
+  if (!message.request.idempotency_key.empty()) {
+    const shard_id home = HomeOf(message.request);
+    if (!keys_.Admit(message, home, shards_.at(home)->Keys(at.now), at.now)) {
+      return;
+    }
+  }
   requests_.Handle(std::move(message), at.now);
 }
 
 void control_state::On(attempt_message message, const instant& at) {
+  const scheduling::attempt_finished& finished = message.attempt.finished;
+  if (finished.result == scheduling::attempt_result::kAnswered) {
+    if (const auto home = keys_.HomeOf(finished.request)) {
+      keys_.Answered(message.attempt, shards_.at(*home)->Keys(at.now));
+    }
+  }
   requests_.Handle(std::move(message), at.now);
 }
 
+shard_id control_state::HomeOf(const entry::arriving_request& request) const {
+  return shard_map_.ShardOfKey(coordination::Digest(request.idempotency_key));
+}
+
+void control_state::SettleKeys(const instant& at) {
+  for (const scheduling::finish_request& finish : requests_.TakeEnded()) {
+    if (const auto home = keys_.HomeOf(finish.request)) {
+      keys_.Ended(finish, shards_.at(*home)->Keys(at.now));
+    }
+  }
+}
+
 void control_state::On(const vm_list_message& message, const instant& at) {
   absl::flat_hash_set<worker_id> listed;
   std::vector<wire::worker_vm> own;
--- a/src/skylarkbridge/daemon/daemon_test.cpp
+++ b/src/skylarkbridge/daemon/daemon_test.cpp
@@ -31,6 +31,17 @@
   return options;
 }
 
+/// Key whose home shard has worker 1; a shard without workers has no owner.
+std::string KeyWithHome() {
+  const coordination::shard_map shards(control_options{}.shards);
+  std::string key = "invoice";
+  while (shards.ShardOfKey(coordination::Digest(key)) !=
+         shards.ShardOf(worker_id{1})) {
+    key += "-7";
+  }
+  return key;
+}
+
 /// Daemon on a fleet of two workers with 2 slots each.
 class DaemonTest : public testing::Test {
  protected:
@@ -94,6 +105,21 @@
   }
 }
 
+// A caller that repeats an invoice with its key must not cause a second run.
+TEST_F(DaemonTest, RepeatedKeyRunsOnce) {
+  const httplib::Headers headers = {{"Idempotency-Key", KeyWithHome()},
+                                    {"Skylarkbridge-Idempotent", "false"}};
+  const httplib::Result first = Post(kPath, "kit 7", headers);
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->get_header_value("Skylarkbridge-Outcome"), "done")
+      << first->body;
+  const httplib::Result again = Post(kPath, "kit 8", headers);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->status, 200);
+  EXPECT_EQ(again->body, "kit 7");
+  EXPECT_EQ(workers_.Worker(0).Served() + workers_.Worker(1).Served(), 1);
+}
+
 // All faults of a request are reported together, and the request did not run.
 TEST_F(DaemonTest, ReportsAllFaultsOfARequest) {
   const httplib::Result answer =
--- a/src/skylarkbridge/daemon/request_table.cpp
+++ b/src/skylarkbridge/daemon/request_table.cpp
@@ -13,19 +13,20 @@
 }  // namespace
 
 void request_table::Handle(request_message message, time_point now) {
-  replies_[message.arrived.request] = std::move(message.reply);
-  Carry(dispatcher_.Arrive(message.arrived, now), now);
+  const scheduling::request_arrived& arrived = message.request.arrived;
+  replies_[arrived.request] = std::move(message.reply);
+  Carry(dispatcher_.Arrive(arrived, now), now);
 }
 
 void request_table::Handle(attempt_message message, time_point now) {
-  const auto used =
-      used_.find({message.finished.request, message.finished.attempt});
+  const scheduling::attempt_finished& finished = message.attempt.finished;
+  const auto used = used_.find({finished.request, finished.attempt});
   if (used != used_.end()) {
     slots_.Release(used->second);
     used_.erase(used);
   }
-  replies_[message.finished.request] = std::move(message.reply);
-  Carry(dispatcher_.Finish(message.finished, now), now);
+  replies_[finished.request] = std::move(message.reply);
+  Carry(dispatcher_.Finish(finished, now), now);
 }
 
 void request_table::Configure(const declaration::configuration& configuration,
@@ -72,6 +73,11 @@
 
 bool request_table::Deliver(scheduling::request_command command,
                             time_point now) {
+  if (const auto* finish = std::get_if<scheduling::finish_request>(&command);
+      finish != nullptr &&
+      finish->outcome != scheduling::request_outcome::kDone) {
+    ended_.push_back(*finish);
+  }
   const auto found = replies_.find(RequestOf(command));
   if (found == replies_.end()) {
     return false;
@@ -87,7 +93,9 @@
   }
   const std::shared_ptr<entry::request_reply> reply = std::move(found->second);
   replies_.erase(found);
-  if (reply->Set(command)) {
+  if (reply->Set(
+          std::visit([](const auto& one) { return entry::request_order(one); },
+                     command))) {
     return true;
   }
   if (start != nullptr) {
--- a/src/skylarkbridge/daemon/shard_part.cpp
+++ b/src/skylarkbridge/daemon/shard_part.cpp
@@ -207,17 +207,15 @@
   next_report_ = at_.now;
   scheduler_.emplace(options_.batch);
   tasks_.emplace(options_.lifecycle);
-  // An earlier owner that is cut off from the workers may lend until it
-  // notices.
-  const time_point lends_from =
+  // An earlier owner that is cut off from the workers may lend and take keys
+  // until it notices. Without an earlier owner there is nothing to wait for.
+  const time_point exclusive_since =
       NeverOwned()
-          ? command.exclusive_since -
-                coordination::SurelyExpired(
-                    time_point(), options_.slots.duration, options_.slots.clock)
-                    .time_since_epoch()
+          ? time_point()
           : command.exclusive_since +
                 coordination::LongestForeignLease(options_.owner.lease);
-  lender_.emplace(options_.slots, command.takeover, lends_from);
+  lender_.emplace(options_.slots, command.takeover, exclusive_since);
+  keys_.emplace(options_.keys, command.takeover, exclusive_since);
   SyncSlots();
   Do(scheduler_->Configure(configuration_, at_.now));
   SyncWorkers();
@@ -281,6 +279,7 @@
   tasks_.reset();
   scheduler_.reset();
   lender_.reset();
+  keys_.reset();
   never_owned_.clear();
   placed_.clear();
   claims_.clear();
--- a/src/skylarkbridge/entry/caller_answer.cpp
+++ b/src/skylarkbridge/entry/caller_answer.cpp
@@ -32,6 +32,17 @@
   }
 }
 
+int UnknownStatus(refusal_reason reason) {
+  switch (reason) {
+    case refusal_reason::kDeadlinePassed:
+      return 504;
+    case refusal_reason::kKeyInProgress:
+      return 409;
+    default:
+      return 502;
+  }
+}
+
 void PassOn(gateway::upstream_response from, httplib::Response& response) {
   response.status = from.status;
   for (auto& [name, value] : from.headers) {
@@ -74,8 +85,7 @@
                           std::to_string(RetryAfterSeconds(finish, now)));
     }
   } else {
-    response.status =
-        finish.reason == refusal_reason::kDeadlinePassed ? 504 : 502;
+    response.status = UnknownStatus(finish.reason);
   }
   std::string message(wire::RefusalMessage(finish.reason));
   if (!answer.detail.empty()) {
--- a/src/skylarkbridge/entry/caller_request.cpp
+++ b/src/skylarkbridge/entry/caller_request.cpp
@@ -16,6 +16,7 @@
 
 constexpr char kDeadlineHeader[] = "Skylarkbridge-Deadline-Ms";
 constexpr char kIdempotentHeader[] = "Skylarkbridge-Idempotent";
+constexpr char kKeyHeader[] = "Idempotency-Key";
 constexpr char kTraceHeader[] = "traceparent";
 // Tells an upstream that runs several services which one is meant.
 constexpr char kServiceHeader[] = "Skylarkbridge-Service";
@@ -81,6 +82,18 @@
   return text == "true";
 }
 
+std::string ReadKey(const httplib::Request& request,
+                    const caller_request_limits& limits,
+                    findings& found) {
+  const std::string key = request.get_header_value(kKeyHeader);
+  if (key.size() > limits.max_key_bytes) {
+    found.Add(absl::StrCat("header ", kKeyHeader),
+              absl::StrCat(key.size(), " bytes are above the limit of ",
+                           limits.max_key_bytes));
+  }
+  return key;
+}
+
 gateway::header_list ReadHeaders(const httplib::Request& request,
                                  const caller_request_limits& limits,
                                  findings& found) {
@@ -118,6 +131,9 @@
   read.service = service.name;
   read.deadline = ReadDeadline(request, service, now, faults);
   read.idempotent = ReadIdempotent(request, service, faults);
+  if (!read.idempotent) {
+    read.idempotency_key = ReadKey(request, limits, faults);
+  }
   read.trace =
       telemetry::ParseTraceparent(request.get_header_value(kTraceHeader))
           .value_or(telemetry::NewTrace());
--- a/src/skylarkbridge/entry/request_runner_test.cpp
+++ b/src/skylarkbridge/entry/request_runner_test.cpp
@@ -11,7 +11,6 @@
 using scheduling::attempt_result;
 using scheduling::finish_request;
 using scheduling::refusal_reason;
-using scheduling::request_command;
 using scheduling::request_outcome;
 using scheduling::start_attempt;
 
@@ -20,7 +19,7 @@
 /// Control thread that answers with a script; an empty script never answers.
 class control_fake {
  public:
-  bool Arrive(const scheduling::request_arrived&,
+  bool Arrive(const arriving_request&,
               const std::shared_ptr<request_reply>& reply) {
     if (full) {
       return false;
@@ -28,9 +27,10 @@
     Answer(*reply);
     return true;
   }
-  bool Finish(const scheduling::attempt_finished& event,
+  bool Finish(const ending_attempt& event,
               const std::shared_ptr<request_reply>& reply) {
-    finished.push_back(event);
+    finished.push_back(event.finished);
+    stored.push_back(event.stored_answer);
     Answer(*reply);
     return true;
   }
@@ -39,7 +39,8 @@
   }
 
   bool full = false;
-  std::deque<request_command> script;
+  std::deque<request_order> script;
+  std::vector<std::optional<std::string>> stored;
   std::vector<scheduling::attempt_finished> finished;
 
  private:
@@ -85,12 +86,14 @@
     request_runner runner(control_, upstreams_, spans_);
     caller_request request;
     request.service = "label-and-slip";
+    request.idempotency_key = key_;
     request.deadline = boot_clock::now() + deadline;
     request.trace = telemetry::NewTrace();
     trace_ = request.trace.trace;
     return runner.Run(kRequest, request);
   }
 
+  std::string key_;
   control_fake control_;
   upstreams_fake upstreams_;
   span_list spans_;
@@ -142,6 +145,26 @@
   EXPECT_EQ(upstreams_.called, (std::vector{worker_id{3}, worker_id{4}}));
 }
 
+// A repeated key must get the bytes of the first answer without a second run.
+TEST_F(RequestRunnerTest, ReplaysTheStoredAnswer) {
+  key_ = "invoice-7";
+  control_.script = {Start(1, 3)};
+  const std::string bytes("slip \0 7", 8);
+  upstreams_.results = {
+      {attempt_result::kAnswered,
+       gateway::upstream_response{
+           .status = 201, .headers = {{"X-Slip", "7"}}, .body = bytes}}};
+  Run();
+  ASSERT_TRUE(control_.stored[0]);
+  control_.script = {replay_answer{kRequest, *control_.stored[0]}};
+  const request_answer again = Run();
+  EXPECT_EQ(again.finish.outcome, request_outcome::kDone);
+  EXPECT_EQ(again.response->status, 201);
+  EXPECT_EQ(again.response->body, bytes);
+  EXPECT_EQ(again.response->headers, (gateway::header_list{{"X-Slip", "7"}}));
+  EXPECT_EQ(upstreams_.called.size(), 1u);
+}
+
 // Each hop has a span of the caller's trace, and the upstream gets the span of
 // its own attempt.
 TEST_F(RequestRunnerTest, RecordsASpanPerHop) {
--- a/src/skylarkbridge/scenario/names.hpp
+++ b/src/skylarkbridge/scenario/names.hpp
@@ -39,6 +39,12 @@
       return "stopping";
     case kNoConfiguration:
       return "no configuration";
+    case scheduling::refusal_reason::kKeyHomeElsewhere:
+      return "key home elsewhere";
+    case scheduling::refusal_reason::kKeyInProgress:
+      return "key in progress";
+    case scheduling::refusal_reason::kKeyOutcomeUnknown:
+      return "key outcome unknown";
   }
   return "?";
 }
--- a/src/skylarkbridge/wire/error_body.cpp
+++ b/src/skylarkbridge/wire/error_body.cpp
@@ -57,6 +57,12 @@
       return "stopping";
     case refusal_reason::kNoConfiguration:
       return "no_configuration";
+    case refusal_reason::kKeyHomeElsewhere:
+      return "key_home_elsewhere";
+    case refusal_reason::kKeyInProgress:
+      return "key_in_progress";
+    case refusal_reason::kKeyOutcomeUnknown:
+      return "key_outcome_unknown";
     case refusal_reason::kNone:
       break;
   }
@@ -85,6 +91,12 @@
       return "This VM is stopping.";
     case refusal_reason::kNoConfiguration:
       return "This VM has no configuration yet.";
+    case refusal_reason::kKeyHomeElsewhere:
+      return "This VM does not own the home shard of the idempotency key.";
+    case refusal_reason::kKeyInProgress:
+      return "A request with this idempotency key is being carried out.";
+    case refusal_reason::kKeyOutcomeUnknown:
+      return "A request with this idempotency key may have run.";
     case refusal_reason::kNone:
       break;
   }
