Count requests by outcome and time them

Cause: /metrics was empty. Change: request_metrics with counters by outcome and a latency histogram, recorded by the callers' front end. Result: ExposesMetricsToOperatorsOnly passes; without a token it gets 401. Conclusion: queues, leases and tasks are still to be counted.

--- a/include/skylarkbridge/daemon/daemon.hpp
+++ b/include/skylarkbridge/daemon/daemon.hpp
@@ -80,6 +80,7 @@
   gateway::address_book addresses_;
   gateway::upstream_client upstreams_;
   telemetry::metrics_registry metrics_;
+  entry::request_metrics request_metrics_;
   telemetry::span_buffer spans_;
   router router_;
   entry::caller_front_end<control_port,
--- a/include/skylarkbridge/entry/caller_front_end.hpp
+++ b/include/skylarkbridge/entry/caller_front_end.hpp
@@ -13,6 +13,7 @@
 
 #include "skylarkbridge/entry/caller_answer.hpp"
 #include "skylarkbridge/entry/caller_request.hpp"
+#include "skylarkbridge/entry/request_metrics.hpp"
 #include "skylarkbridge/entry/request_runner.hpp"
 #include "skylarkbridge/wire/error_body.hpp"
 
@@ -28,10 +29,12 @@
   caller_front_end(Control& control,
                    Upstreams& upstreams,
                    Sink& spans,
+                   request_metrics& metrics,
                    caller_request_limits limits = {})
       : control_(control),
         runner_(control, upstreams, spans),
         spans_(spans),
+        metrics_(metrics),
         limits_(limits) {}
 
   /// @brief Adds the routes to a server.
@@ -80,6 +83,7 @@
     request_answer answer = runner_.Run(id, std::move(*read));
     span.AddAttribute("outcome",
                       std::string(wire::OutcomeName(answer.finish.outcome)));
+    metrics_.Record(answer.finish.outcome, boot_clock::now() - now);
     WriteCallerAnswer(std::move(answer), boot_clock::now(), response);
   }
 
@@ -107,6 +111,7 @@
   Control& control_;
   request_runner<Control, Upstreams, Sink> runner_;
   Sink& spans_;
+  request_metrics& metrics_;
   const caller_request_limits limits_;
   std::atomic<std::uint64_t> next_id_ = 1;
 };
--- a/src/skylarkbridge/daemon/daemon_test.cpp
+++ b/src/skylarkbridge/daemon/daemon_test.cpp
@@ -120,6 +120,23 @@
   EXPECT_EQ(workers_.Worker(0).Served() + workers_.Worker(1).Served(), 1);
 }
 
+// Metrics count what callers were told, and need the operators' token.
+TEST_F(DaemonTest, ExposesMetricsToOperatorsOnly) {
+  ASSERT_TRUE(Post(kPath, "kit"));
+  const ip_address to = entry_vm_.OperatorsAddress();
+  httplib::Client client(to.host, to.port);
+  const httplib::Result refused = client.Get("/metrics");
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->status, 401);
+  client.set_bearer_token_auth(kLoopbackToken);
+  const httplib::Result metrics = client.Get("/metrics");
+  ASSERT_TRUE(metrics);
+  EXPECT_NE(
+      metrics->body.find("skylarkbridge_requests_total{outcome=\"done\"} 1"),
+      std::string::npos)
+      << metrics->body;
+}
+
 // All faults of a request are reported together, and the request did not run.
 TEST_F(DaemonTest, ReportsAllFaultsOfARequest) {
   const httplib::Result answer =
