--- a/include/skylarkbridge/standin/fleet.hpp
+++ b/include/skylarkbridge/standin/fleet.hpp
@@ -26,7 +26,7 @@
 /// their own until the object ends.
 class fleet {
  public:
-  explicit fleet(fleet_options options);
+  explicit fleet(const fleet_options& options);
   fleet(const fleet&) = delete;
   fleet& operator=(const fleet&) = delete;
   ~fleet();
--- a/src/skylarkbridge/standin/fleet.cpp
+++ b/src/skylarkbridge/standin/fleet.cpp
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-fleet::fleet(fleet_options options)
+fleet::fleet(const fleet_options& options)
     : platform_(options.platform), tree_("standins", {}) {
   tree_.Add({.name = "platform",
              .run = [this](stop_signal& stop) { return platform_.Run(stop); }});
