Name member states in one place

Change: coordination::Name(member_status); the vectors are reserved. Conclusion: no change of behaviour.

--- a/include/skylarkbridge/coordination/member.hpp
+++ b/include/skylarkbridge/coordination/member.hpp
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -26,6 +27,23 @@
   kLeft,
 };
 
+/// @brief For example "alive".
+constexpr std::string_view Name(member_status status) {
+  switch (status) {
+    case member_status::kAlive:
+      return "alive";
+    case member_status::kSuspected:
+      return "suspected";
+    case member_status::kLeaving:
+      return "leaving";
+    case member_status::kDead:
+      return "dead";
+    case member_status::kLeft:
+      return "left";
+  }
+  return "";
+}
+
 /// @brief One process on a VM. Incarnations are random, so the start time
 /// orders them.
 struct member_life {
--- a/src/skylarkbridge/daemon/control_state_test.cpp
+++ b/src/skylarkbridge/daemon/control_state_test.cpp
@@ -39,6 +39,7 @@
 TEST(ControlStateTest, RunsEachAcceptedTaskOnce) {
   virtual_vm vm(4, 2);
   std::vector<reply_to<entry::submit_answer>> replies;
+  replies.reserve(20);
   for (int i = 0; i < 20; ++i) {
     replies.push_back(vm.Submit("kind-0"));
   }
@@ -82,10 +83,9 @@
   declaration::configuration declared = DeclareTeams(1);
   declared.batch_kinds[0].idempotent = false;
   virtual_vm vm(1, declared);
-  std::vector<reply_to<entry::submit_answer>> replies;
   // More than the worker runs at a time, so that claims fall into the outage.
   for (int i = 0; i < 100; ++i) {
-    replies.push_back(vm.Submit("kind-0"));
+    vm.Submit("kind-0");
   }
   vm.Run(seconds(3));
   vm.log_up = false;
--- a/src/skylarkbridge/daemon/peer_part.cpp
+++ b/src/skylarkbridge/daemon/peer_part.cpp
@@ -12,22 +12,6 @@
 
 using coordination::member_status;
 
-std::string StatusName(member_status status) {
-  switch (status) {
-    case member_status::kAlive:
-      return "alive";
-    case member_status::kSuspected:
-      return "suspected";
-    case member_status::kLeaving:
-      return "leaving";
-    case member_status::kDead:
-      return "dead";
-    case member_status::kLeft:
-      return "left";
-  }
-  return "";
-}
-
 bool Ended(member_status status) {
   return status == member_status::kDead || status == member_status::kLeft;
 }
@@ -168,7 +152,7 @@
       const coordination::member_entry& member = news->member;
       known_[member.vm] = member;
       LogEvent(kMemberChanged, {{"vm", absl::StrCat(member.vm.value)},
-                                {"status", StatusName(member.status)}});
+                                {"status", std::string(Name(member.status))}});
       if (Ended(member.status)) {
         step.outputs.emplace_back(forget_peer{member.vm});
         log_.Configuration().Forget(member.vm);
--- a/src/skylarkbridge/scenario/configuration_world.cpp
+++ b/src/skylarkbridge/scenario/configuration_world.cpp
@@ -43,22 +43,6 @@
   return "?";
 }
 
-std::string Name(member_status status) {
-  switch (status) {
-    case member_status::kAlive:
-      return "alive";
-    case member_status::kSuspected:
-      return "suspected";
-    case member_status::kLeaving:
-      return "leaving";
-    case member_status::kDead:
-      return "dead";
-    case member_status::kLeft:
-      return "left";
-  }
-  return "?";
-}
-
 /// For example "11, 12: dead" for each different view.
 template <class View>
 void PrintViews(command& line, const centres_fake& fake, View view) {
@@ -226,7 +210,8 @@
     if (line.Done()) {
       PrintViews(line, fake, [id](const centres_fake::vm& vm) {
         const auto entry = vm.members.Find(id);
-        return entry ? Name(entry->status) : "unknown";
+        return std::string(entry ? coordination::Name(entry->status)
+                                 : "unknown");
       });
     }
   } else if (line.Take({"show", "upstream"})) {
