Say not-run for a keyed request only on the home shard's word

Cause: a request with an idempotency key that met a full mailbox, a silent control thread or a VM other than the key's home was told not-run, although an earlier request with the key may have run. reconnect_delay stored a duration. Change: these cases are told unknown (503 key_home_elsewhere, 502, 504); reconnect_delay counts failures and works the wait out. Conclusion: not-run for a key now rests on its registry alone.

--- a/include/skylarkbridge/entry/request_runner.hpp
+++ b/include/skylarkbridge/entry/request_runner.hpp
@@ -44,9 +44,15 @@
                                       .idempotent = request.idempotent},
                           .idempotency_key = request.idempotency_key},
                          reply)) {
-      return Refusal(id, scheduling::refusal_reason::kQueueFull);
+      request_answer full = Refusal(id, scheduling::refusal_reason::kQueueFull);
+      if (!request.idempotency_key.empty()) {
+        full.finish.outcome = scheduling::request_outcome::kUnknown;
+      }
+      return full;
     }
-    bool dispatched = false;
+    // Without the control thread's word, an earlier request with the key may
+    // have run.
+    bool dispatched = !request.idempotency_key.empty();
     std::string detail;
     while (true) {
       std::optional<request_order> command = Await(*reply, request);
--- a/include/skylarkbridge/gateway/reconnect_delay.hpp
+++ b/include/skylarkbridge/gateway/reconnect_delay.hpp
@@ -19,21 +19,26 @@
 class reconnect_delay {
  public:
   reconnect_delay(reconnect_options options, std::uint64_t seed)
-      : options_(options), random_(seed), next_(options.first) {}
+      : options_(options), random_(seed) {}
 
   std::chrono::milliseconds Next() {
-    const auto half = next_ / 2;
-    next_ = std::min(next_ * 2, options_.longest);
+    const auto half =
+        std::min(options_.first * (1U << failures_), options_.longest) / 2;
+    failures_ = std::min(failures_ + 1, kMaxDoublings);
     std::uniform_int_distribution<std::int64_t> jitter(0, half.count());
     return half + std::chrono::milliseconds(jitter(random_));
   }
 
-  void Reset() { next_ = options_.first; }
+  void Reset() { failures_ = 0; }
 
  private:
+  // 100 ms doubled 16 times is above any limit in use.
+  static constexpr unsigned kMaxDoublings = 16;
+
   const reconnect_options options_;
   std::mt19937_64 random_;
-  std::chrono::milliseconds next_;
+  /// Attempts in a row that failed.
+  unsigned failures_ = 0;
 };
 
 }  // namespace skylarkbridge::gateway
--- a/src/skylarkbridge/daemon/key_part.cpp
+++ b/src/skylarkbridge/daemon/key_part.cpp
@@ -27,7 +27,8 @@
                      coordination::key_registry* registry,
                      time_point now) {
   if (registry == nullptr) {
-    Refuse(message, request_outcome::kNotRun,
+    // Only the home shard knows whether an earlier request with the key ran.
+    Refuse(message, request_outcome::kUnknown,
            refusal_reason::kKeyHomeElsewhere);
     return false;
   }
--- a/src/skylarkbridge/entry/caller_answer.cpp
+++ b/src/skylarkbridge/entry/caller_answer.cpp
@@ -38,6 +38,8 @@
       return 504;
     case refusal_reason::kKeyInProgress:
       return 409;
+    case refusal_reason::kKeyHomeElsewhere:
+      return 503;
     default:
       return 502;
   }
--- a/src/skylarkbridge/entry/request_runner_test.cpp
+++ b/src/skylarkbridge/entry/request_runner_test.cpp
@@ -121,6 +121,18 @@
   EXPECT_TRUE(upstreams_.called.empty());
 }
 
+// Nothing is known of earlier requests with the key, so that not-run would be
+// a claim without proof.
+TEST_F(RequestRunnerTest, KeyedRequestIsNeverNotRunUnasked) {
+  key_ = "invoice-7";
+  control_.full = true;
+  EXPECT_EQ(Run().finish.outcome, request_outcome::kUnknown);
+  control_.full = false;
+  EXPECT_EQ(Run(std::chrono::milliseconds(1)).finish.outcome,
+            request_outcome::kUnknown);
+  EXPECT_TRUE(upstreams_.called.empty());
+}
+
 // A control thread that restarts never answers; nothing was dispatched, so the
 // caller hears not-run.
 TEST_F(RequestRunnerTest, NoCommandIsNotRun) {
