Place and evict best-effort tasks by learned pairwise interference

Cause: best-effort tasks slowed every serving task beside them alike, so all of them were paced down.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -14,6 +14,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
+#include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_book.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
@@ -47,8 +48,8 @@
   /// No new work for a worker that failed several runs in a row.
   std::chrono::milliseconds quarantine{3000};
   int failures_for_quarantine = 4;
-  /// Between two passes over the paces.
-  std::chrono::milliseconds pace_interval{100};
+  /// The same for a worker with a serving task over its target.
+  std::chrono::milliseconds harmed_renewal_wait{400};
   job_table_options jobs;
   placement_options placement;
 };
@@ -181,15 +182,23 @@
                  const run_ref& run,
                  time_point now);
   std::vector<placement_candidate> Candidates(const step_ref& ref,
+                                              const step_spec& spec,
                                               const queue_configuration& queue,
                                               time_point now) const;
   time_point Objective(const open_job& job,
                        const queue_configuration* queue) const;
   const queue_configuration* Queue(job_id job) const;
 
-  // Paces of best-effort tasks.
-  void AdjustPaces(time_point now);
-  void AdjustPace(worker_session& session, time_point now);
+  // Interference of best-effort tasks with serving ones.
+  void LearnInterference(const worker_session& session);
+  double ExpectedHarm(const step_spec& step,
+                      const worker_session& session) const;
+  void AdjustPaces(worker_session& session, time_point now);
+  void AdjustPace(worker_session& session,
+                  const run_ref& run,
+                  worker_run& state,
+                  bool standstill,
+                  time_point now);
 
   void Note(scheduling_event event,
             const run_ref& run,
@@ -212,7 +221,7 @@
   /// Number of the records that name the newest worker as leased.
   std::map<std::string, std::uint64_t> registering_;
   bool place_wanted_ = false;
-  time_point next_pace_;
+  interference_model interference_;
   std::vector<order> orders_;
   std::vector<scheduling_note> notes_;
 };
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -96,7 +96,6 @@
       Renew(session, now);
     }
   }
-  AdjustPaces(now);
   Place(now);
 }
 
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -7,8 +7,8 @@
 namespace skylarkbridge::jobs {
 namespace {
 
-/// Penalty for a worker with a serving task over its target.
-constexpr double kOverTarget = 2;
+/// A best-effort task is not placed where it would harm more.
+constexpr double kMaxHarm = 0;
 
 std::chrono::milliseconds LongestChain(const job_spec& spec) {
   std::vector<std::chrono::milliseconds> ends(spec.steps.size());
@@ -74,6 +74,7 @@
 
 std::vector<placement_candidate> fleet_scheduler::Candidates(
     const step_ref& ref,
+    const step_spec& spec,
     const queue_configuration& queue,
     time_point now) const {
   std::vector<placement_candidate> candidates;
@@ -88,14 +89,15 @@
     if (session.entry.service != queue.service || !Usable(session, now)) {
       continue;
     }
+    const double harm = ExpectedHarm(spec, session);
+    if (spec.best_effort && (harm > kMaxHarm || session.over_target)) {
+      continue;
+    }
     const auto there = siblings.find(id);
-    const bool harmed = std::any_of(
-        session.runs.begin(), session.runs.end(),
-        [](const auto& run) { return run.second.over_target_since; });
     candidates.push_back(
         {.session = &session,
          .siblings = there == siblings.end() ? 0 : there->second,
-         .penalty = harmed ? kOverTarget : 0});
+         .penalty = harm});
   }
   return candidates;
 }
@@ -107,7 +109,7 @@
   if (step == nullptr || queue == nullptr || ready.empty()) {
     return;
   }
-  std::vector<placement_candidate> candidates = Candidates(ref, *queue, now);
+  std::vector<placement_candidate> candidates = Candidates(ref, *step, *queue, now);
   if (step->gang) {
     PlaceGang(ref, *step, ready, candidates, now);
     return;
@@ -167,63 +169,4 @@
   return true;
 }
 
-void fleet_scheduler::AdjustPaces(time_point now) {
-  if (now < next_pace_) {
-    return;
-  }
-  next_pace_ = now + options_.pace_interval;
-  for (auto& [id, session] : workers_) {
-    AdjustPace(session, now);
-  }
-}
-
-void fleet_scheduler::AdjustPace(worker_session& session, time_point now) {
-  /// Share of the target above which best-effort tasks slow down, and below
-  /// which they speed up again.
-  constexpr double kSlowDownAt = 0.9;
-  constexpr double kSpeedUpAt = 0.5;
-  /// Time without speeding up after a tail over its target.
-  constexpr std::chrono::milliseconds kCalm{1000};
-  double worst = 0;
-  bool over = false;
-  for (auto& [run, state] : session.runs) {
-    if (!state.serving || !state.usage || state.percent < 100) {
-      continue;
-    }
-    const double share = static_cast<double>(*state.usage) /
-                         static_cast<double>(state.latency_target.count());
-    worst = std::max(worst, share);
-    if (share >= kSlowDownAt) {
-      over = true;
-      if (!state.over_target_since) {
-        state.over_target_since = now;
-      }
-    } else if (state.over_target_since && share < kSpeedUpAt) {
-      state.over_target_since.reset();
-    }
-  }
-  if (!over && worst > kSpeedUpAt) {
-    return;
-  }
-  for (auto& [run, state] : session.runs) {
-    if (state.best_effort_millicores == 0 || state.pace_under_way ||
-        state.phase != run_phase::kRunning) {
-      continue;
-    }
-    const int percent = over ? state.pace / 2
-                             : std::min(100, state.pace + state.pace / 2 + 10);
-    if (percent == state.pace || (over && state.pace <= 12)) {
-      continue;
-    }
-    if (now - state.progressed_at > kCalm && !over) {
-      continue;
-    }
-    state.pace_under_way = true;
-    orders_.emplace_back(
-        pace_order{.target = Target(session), .run = run, .percent = percent});
-    Note(scheduling_event::kPaceOrdered, run, session.entry.worker,
-         absl::StrCat(percent));
-  }
-}
-
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -65,7 +65,8 @@
   }
   if (session.accounted && session.lease.Synchronised() &&
       session.ends_waiting.empty()) {
-    renewal.wait = options_.renewal_wait;
+    renewal.wait = session.over_target ? options_.harmed_renewal_wait
+                                       : options_.renewal_wait;
   }
   session.renewal_under_way = true;
   orders_.emplace_back(std::move(renewal));
@@ -117,6 +118,8 @@
     TakeRunning(session, row, call, now);
   }
   DropVanished(session, call, report, now);
+  LearnInterference(session);
+  AdjustPaces(session, now);
   if (!session.accounted) {
     session.accounted = true;
     place_wanted_ = true;
