Claim ownership by what the log shows, and let intake try a store that is back

Cause: a VM that was cut off from the store took its own blindness for the owner's silence, and its claim was carried out when the cut ended.

Change: silence counts up to the time to which the log was read; a claim names the end of the log that it expects, and counts once it is read from the log; an item that probes expires by its own deadline only; room is reserved for every run that a worker lists.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -188,11 +188,14 @@
   bool refresh_wanted_ = false;
 
   std::uint64_t appends_ = 0;
-  /// A claim that waits for its answer, and then for the log to be read up to
-  /// it.
+  /// A claim is under way; it counts once it is read from the log.
   bool claiming_ = false;
-  std::optional<std::uint64_t> claim_offset_;
+  bool claim_seen_ = false;
   time_point claim_sent_;
+  /// An attempt had no answer, so the claim may be stored.
+  bool claim_in_doubt_ = false;
+  /// The store refused a claim that is in doubt.
+  std::optional<time_point> claim_refused_at_;
   /// What the write that is under way holds beside the scheduler's records.
   std::uint64_t writing_number_ = 0;
   bool releasing_ = false;
--- a/include/skylarkbridge/control/control_state_owner.hpp
+++ b/include/skylarkbridge/control/control_state_owner.hpp
@@ -9,21 +9,23 @@
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::TakeClaimReply(const append_reply& reply,
                                                       time_point now) {
-  if (reply.result == store_result::kFenced ||
-      reply.result == store_result::kOutOfSequence) {
-    claiming_ = false;
-    writer_.End();
-    ownership_.ClaimFailed(now);
-    refresh_wanted_ = true;
+  refresh_wanted_ = true;
+  const bool in_doubt = claim_in_doubt_;
+  claim_in_doubt_ |= reply.result == store_result::kNoAnswer;
+  if (writer_.Handle(reply, now) || reply.result == store_result::kNoAnswer ||
+      reply.result == store_result::kRefused ||
+      reply.result == store_result::kNotSent) {
     return;
   }
-  if (!writer_.Handle(reply, now)) {
-    return;
+  // Another VM was first, or the log has moved on. After an attempt without an
+  // answer this may be due to the claim itself, so the log is read first.
+  writer_.End();
+  if (!in_doubt || claim_refused_at_) {
+    claiming_ = false;
+    ownership_.ClaimFailed();
+  } else {
+    claim_refused_at_ = now;
   }
-  claiming_ = false;
-  claim_offset_ = reply.offset;
-  claim_sent_ = writer_.Sent();
-  refresh_wanted_ = true;
 }
 
 template <fleet_platform Platform, caller_port Callers>
@@ -33,18 +35,29 @@
     LoseOwnership(scheduler_.Fenced() ? "a worker has seen a higher epoch"
                                       : "another VM has claimed it");
   }
-  if (claim_offset_ && job_reader_.NextOffset() > *claim_offset_) {
-    claim_offset_.reset();
+  if (std::exchange(claim_seen_, false)) {
     BeginOwnership(now, wall);
   }
-  if (claiming_ || claim_offset_ || stopping_ || configuration_ == nullptr) {
+  if (claim_refused_at_ && job_reader_.CurrentAt() &&
+      *job_reader_.CurrentAt() > *claim_refused_at_) {
+    claim_refused_at_.reset();
+    if (claiming_) {
+      claiming_ = false;
+      ownership_.ClaimFailed();
+    }
+  }
+  if (claiming_ || stopping_ || configuration_ == nullptr) {
     return;
   }
   const bool predecessor_released = ownership_.NewestRecord().released;
   if (const auto claim = ownership_.NextClaim(now)) {
     claiming_ = true;
     writer_.Begin(claim->claim, options_.first_sequence);
-    writer_.Write({records::Encode(*claim)});
+    claim_in_doubt_ = false;
+    claim_refused_at_.reset();
+    claim_sent_ = now;
+    // A claim that the store takes late finds the log further on.
+    writer_.Write({records::Encode(*claim)}, job_reader_.NextOffset());
     LogEvent(kOwnershipClaimed,
              {{"epoch", absl::StrCat(claim->claim)},
               {"reason", predecessor_released ? "released" : "silent"}});
@@ -54,11 +67,13 @@
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::BeginOwnership(time_point now,
                                                       wall_time wall) {
+  claiming_ = false;
   ownership_.ClaimAccepted(claim_sent_);
   if (!ownership_.Owner()) {
     writer_.End();
     return;
   }
+  writer_.Begin(ownership_.Own(), options_.first_sequence + 1);
   LogEvent(kOwnershipTaken,
            {{"epoch", absl::StrCat(ownership_.Own())},
             {"jobs", absl::StrCat(book_.Jobs().size())},
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -50,6 +50,7 @@
     return;
   }
   NoteStore(reply.source, store_result::kDone, false);
+  intake_.StoreAnswered();
   if (std::holds_alternative<history_trimmed>(reply.outcome)) {
     reader.Trimmed(reply.number, now);
     return;
@@ -233,6 +234,7 @@
                  std::get_if<jobs::ownership_record>(&record)) {
     const bool news = owner->claim != ownership_.NewestRecord().claim ||
                       owner->released != ownership_.NewestRecord().released;
+    claim_seen_ |= ownership_.IsOwnClaim(*owner);
     ownership_.Observe(*owner, now);
     if (news) {
       LogEvent(kOwnerSeen, {{"epoch", absl::StrCat(owner->claim)},
@@ -282,6 +284,7 @@
     return;
   }
   if (reply.result == store_result::kFenced ||
+      reply.result == store_result::kEndMoved ||
       reply.result == store_result::kOutOfSequence) {
     LoseOwnership(Name(reply.result));
     return;
--- a/include/skylarkbridge/control/intake.hpp
+++ b/include/skylarkbridge/control/intake.hpp
@@ -67,6 +67,8 @@
   /// @brief Whether the append is one of this intake.
   bool Owns(std::uint64_t number) const { return under_way_.contains(number); }
 
+  /// @brief Another call to the store was answered.
+  void StoreAnswered();
   bool StoreDown(time_point now) const;
   std::size_t Waiting() const { return waiting_.size(); }
   std::optional<time_point> NextDeadline() const;
--- a/include/skylarkbridge/control/owner_writer.hpp
+++ b/include/skylarkbridge/control/owner_writer.hpp
@@ -29,7 +29,9 @@
 
   bool Idle() const { return batch_.empty(); }
   /// @brief Takes the records of the next write. Only when idle.
-  void Write(std::vector<records::keyed_record> batch);
+  /// @param at_end where the log has to end; nothing for anywhere.
+  void Write(std::vector<records::keyed_record> batch,
+             std::optional<std::uint64_t> at_end = std::nullopt);
 
   /// @brief The append to send now, if one is due.
   std::optional<append_call> Next(time_point now, std::uint64_t number);
@@ -47,6 +49,7 @@
   jobs::epoch claim_ = 0;
   std::uint64_t sequence_ = 0;
   std::vector<records::keyed_record> batch_;
+  std::optional<std::uint64_t> at_end_;
   bool under_way_ = false;
   std::uint64_t number_ = 0;
   time_point sent_;
--- a/include/skylarkbridge/control/ports.hpp
+++ b/include/skylarkbridge/control/ports.hpp
@@ -36,6 +36,8 @@
 struct append_call {
   std::uint64_t number = 0;
   std::optional<sequenced_write> order;
+  /// The log has to end here, or the store does nothing.
+  std::optional<std::uint64_t> at_end;
   std::vector<records::keyed_record> batch;
 };
 
@@ -45,6 +47,8 @@
   kRefused,
   /// A higher epoch has written.
   kFenced,
+  /// The log does not end where the call expects.
+  kEndMoved,
   /// The number does not follow the last one of the epoch.
   kOutOfSequence,
   /// The call was not sent.
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -65,6 +65,7 @@
   explicit fleet_scheduler(fleet_scheduler_options options);
 
   /// @brief This VM owns the fleet from now on.
+  /// @param book all jobs; stays valid until End.
   /// @param leased workers on which an earlier owner may have started tasks.
   /// @param earlier_stop_by until when an earlier owner may give orders.
   void Begin(epoch own,
@@ -153,6 +154,9 @@
   worker_run& AddRun(worker_session& session,
                      const run_ref& run,
                      const step_spec& step);
+  /// @brief What a run that a worker reports needs; all of the worker when the
+  /// job is not known.
+  step_spec NeedOf(const run_ref& run, const worker_session& session) const;
   void RemoveRun(worker_session& session, const run_ref& run);
   void RequestStop(const std::string& worker, const run_ref& run);
   void RequestStops(const std::vector<run_to_stop>& runs, bool detach);
@@ -211,6 +215,7 @@
   epoch own_ = 0;
   time_point orders_until_;
   std::shared_ptr<const fleet_configuration> configuration_;
+  const job_book* book_ = nullptr;
   job_table jobs_;
   session_map workers_;
   /// Workers of an earlier owner that have not been accounted for.
--- a/include/skylarkbridge/jobs/ownership.hpp
+++ b/include/skylarkbridge/jobs/ownership.hpp
@@ -42,9 +42,12 @@
 
   /// @brief The claim to write now, if one is due.
   std::optional<ownership_record> NextClaim(time_point now);
-  /// @brief Another VM was first, or the store refused or lost the claim.
-  void ClaimFailed(time_point now);
-  /// @brief The store took the claim, which was sent at @p sent.
+  /// @brief Another VM was first, or the log has moved on; a new claim is due
+  /// at once when the reason for it still holds.
+  void ClaimFailed();
+  /// @brief Whether the record is this VM's claim that is under way.
+  bool IsOwnClaim(const ownership_record& record) const;
+  /// @brief The claim was read from the log; it was sent at @p sent.
   void ClaimAccepted(time_point sent);
 
   /// @brief The store took a write of the owner, sent at @p sent.
@@ -80,6 +83,8 @@
   ownership_record newest_;
   /// When the newest owner was last known to be alive.
   std::optional<time_point> heard_;
+  /// Time up to which the log has been read.
+  time_point read_;
   bool owner_ = false;
   bool retired_ = false;
   bool claiming_ = false;
--- a/include/skylarkbridge/jobs/topic_reader.hpp
+++ b/include/skylarkbridge/jobs/topic_reader.hpp
@@ -96,7 +96,7 @@
 
   void SetPause(std::chrono::milliseconds pause) { options_.pause = pause; }
 
-  /// @brief The tail was read to its end, by a call that was sent at this time.
+  /// @brief Time up to which the tail has been read to its end.
   std::optional<time_point> CurrentAt() const { return current_at_; }
   bool Failing() const { return failing_; }
   /// @brief When the next read is due; nothing while one is under way.
@@ -109,6 +109,7 @@
     bool extra = false;
     std::uint64_t from = 0;
     time_point sent;
+    std::chrono::milliseconds wait{};
   };
 
   std::optional<call_state> Finish(std::uint64_t number);
--- a/src/skylarkbridge/control/intake.cpp
+++ b/src/skylarkbridge/control/intake.cpp
@@ -21,6 +21,10 @@
   return true;
 }
 
+void intake::StoreAnswered() {
+  failing_since_.reset();
+}
+
 bool intake::StoreDown(time_point now) const {
   return failing_since_ && now >= *failing_since_ + options_.down_after;
 }
@@ -66,7 +70,11 @@
   due_ = now + options_.retry;
   for (auto item = items.rbegin(); item != items.rend(); ++item) {
     item->uncertain |= reply.result == store_result::kNoAnswer;
-    waiting_.push_front(std::move(*item));
+    if (StoreDown(now)) {
+      results.push_back({std::move(*item), false});
+    } else {
+      waiting_.push_front(std::move(*item));
+    }
   }
   return results;
 }
@@ -74,8 +82,7 @@
 std::vector<intake_result> intake::Expire(time_point now) {
   std::vector<intake_result> results;
   std::erase_if(waiting_, [&](intake_item& item) {
-    // A store that is known to be down won't take it in time either.
-    if (now < item.deadline && !StoreDown(now)) {
+    if (now < item.deadline) {
       return false;
     }
     results.push_back({std::move(item), false});
--- a/src/skylarkbridge/control/owner_writer.cpp
+++ b/src/skylarkbridge/control/owner_writer.cpp
@@ -16,8 +16,10 @@
   due_ = {};
 }
 
-void owner_writer::Write(std::vector<records::keyed_record> batch) {
+void owner_writer::Write(std::vector<records::keyed_record> batch,
+                         std::optional<std::uint64_t> at_end) {
   batch_ = std::move(batch);
+  at_end_ = at_end;
 }
 
 std::optional<append_call> owner_writer::Next(time_point now,
@@ -30,6 +32,7 @@
   sent_ = now;
   return append_call{.number = number,
                      .order = sequenced_write{claim_, sequence_},
+                     .at_end = at_end_,
                      .batch = batch_};
 }
 
--- a/src/skylarkbridge/control/scheduling_text.cpp
+++ b/src/skylarkbridge/control/scheduling_text.cpp
@@ -90,6 +90,8 @@
       return "refused";
     case store_result::kFenced:
       return "fenced";
+    case store_result::kEndMoved:
+      return "end_moved";
     case store_result::kOutOfSequence:
       return "out_of_sequence";
     case store_result::kNotSent:
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -27,6 +27,7 @@
   End();
   active_ = true;
   own_ = own;
+  book_ = &book;
   unaccounted_ = {leased.begin(), leased.end()};
   unaccounted_until_ =
       earlier_stop_by + kLeaseMargin +
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -12,6 +12,15 @@
 
 }  // namespace
 
+step_spec fleet_scheduler::NeedOf(const run_ref& run,
+                                  const worker_session& session) const {
+  const job_state* job = book_->Find(run.task.job);
+  if (job != nullptr && run.task.step < job->spec.steps.size()) {
+    return job->spec.steps[run.task.step];
+  }
+  return {.need = session.entry.capacity};
+}
+
 worker_run& fleet_scheduler::AddRun(worker_session& session,
                                     const run_ref& run,
                                     const step_spec& step) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -228,10 +228,8 @@
 void fleet_scheduler::AdoptOrStop(worker_session& session,
                                   const running_task& row,
                                   time_point now) {
-  const step_spec* step = jobs_.Spec(StepOf(row.run.task));
-  const bool adopt = step != nullptr && jobs_.Adoptable(row.run);
-  worker_run& run =
-      AddRun(session, row.run, step == nullptr ? step_spec{} : *step);
+  const bool adopt = jobs_.Adoptable(row.run);
+  worker_run& run = AddRun(session, row.run, NeedOf(row.run, session));
   run.phase = run_phase::kRunning;
   run.settled_by_call = session.calls;
   run.percent = row.percent;
--- a/src/skylarkbridge/jobs/ownership.cpp
+++ b/src/skylarkbridge/jobs/ownership.cpp
@@ -15,13 +15,10 @@
   }
   const bool own = record.vm == options_.vm &&
                    record.incarnation == options_.incarnation;
-  if (record.claim > newest_.claim) {
+  if (record.claim > newest_.claim || record.released) {
     // Spreads the claims of the VMs that see the same record.
     next_claim_ = now + Spread(record.claim);
   }
-  if (record.released && !newest_.released) {
-    next_claim_ = now + Spread(record.claim);
-  }
   newest_ = record;
   heard_ = now;
   if (owner_ && (!own || record.claim != own_)) {
@@ -30,6 +27,7 @@
 }
 
 void ownership::ReadToEnd(time_point asked, time_point now) {
+  read_ = std::max(read_, asked);
   if (!heard_) {
     heard_ = now;
     if (newest_.claim == 0) {
@@ -45,9 +43,13 @@
   if (owner_ || retired_ || claiming_ || !heard_ || now < next_claim_) {
     return std::nullopt;
   }
-  const bool vacant = newest_.claim == 0 || newest_.released;
-  if (!vacant && now < *heard_ + options_.silence_limit +
-                           Spread(newest_.claim)) {
+  // An earlier process on this VM has ended.
+  const bool own_predecessor = newest_.vm == options_.vm;
+  const bool vacant =
+      newest_.claim == 0 || newest_.released || own_predecessor;
+  // Silence is what the log shows, not what this VM can't read.
+  if (!vacant && read_ < *heard_ + options_.silence_limit +
+                             Spread(newest_.claim)) {
     return std::nullopt;
   }
   claiming_ = true;
@@ -56,9 +58,13 @@
   return Record(own_, false);
 }
 
-void ownership::ClaimFailed(time_point now) {
+void ownership::ClaimFailed() {
   claiming_ = false;
-  next_claim_ = now + options_.claim_spread;
+}
+
+bool ownership::IsOwnClaim(const ownership_record& record) const {
+  return claiming_ && record.claim == own_ && record.vm == options_.vm &&
+         record.incarnation == options_.incarnation && !record.released;
 }
 
 void ownership::ClaimAccepted(time_point sent) {
--- a/src/skylarkbridge/jobs/topic_reader.cpp
+++ b/src/skylarkbridge/jobs/topic_reader.cpp
@@ -13,8 +13,10 @@
     return std::nullopt;
   }
   reader_call call{.number = ++numbers_};
-  calls_[call.number] = {
-      .snapshot = in_snapshot_, .from = next_, .sent = now};
+  calls_[call.number] = {.snapshot = in_snapshot_,
+                         .from = next_,
+                         .sent = now,
+                         .wait = options_.wait};
   if (in_snapshot_) {
     call.snapshot = snapshot_call{after_};
   } else {
@@ -110,7 +112,11 @@
     }
   }
   if (reached >= page.end) {
-    current_at_ = std::max(current_at_.value_or(call->sent), call->sent);
+    // The store waited for a record until it answered.
+    const time_point current =
+        page.records.empty() ? std::min(now, call->sent + call->wait)
+                             : call->sent;
+    current_at_ = std::max(current_at_.value_or(current), current);
   }
   if (!call->extra) {
     due_ = reached < page.end ? now : now + options_.pause;
