Share candidate lists within a placement pass and space the passes of a backlog

Cause: every batch of events placed anew, and each ready step looked at every worker and image; the owner spent 0.15 of its 0.25 cores, read the configuration late and answered 404 for new routes (CONFIG).

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -41,14 +41,14 @@
   std::uint64_t first_sequence = 1;
   /// Limits of one call to the store.
   std::chrono::milliseconds append_timeout{800};
-  std::chrono::milliseconds read_timeout{700};
+  std::chrono::milliseconds read_timeout{400};
   std::chrono::milliseconds snapshot_timeout{1500};
   /// Limits of one order.
   std::chrono::milliseconds order_timeout{700};
   std::chrono::milliseconds renewal_timeout{500};
   /// Pause between reads of the log by a VM that doesn't own the fleet.
   std::chrono::milliseconds follower_pause{200};
-  std::chrono::milliseconds owner_pause{10};
+  std::chrono::milliseconds owner_pause{25};
   /// Longest wait of a caller for a fresh read of the log.
   std::chrono::milliseconds lookup_timeout{1000};
   /// A caller that names no limit waits so long.
@@ -107,7 +107,7 @@
   const jobs::fleet_scheduler& Scheduler() const { return scheduler_; }
 
  private:
-  static constexpr std::chrono::milliseconds kConfigurationWait{1000};
+  static constexpr std::chrono::milliseconds kConfigurationWait{600};
   static constexpr std::chrono::milliseconds kWorkerWait{1000};
   static constexpr std::chrono::milliseconds kWorkerPause{150};
   static constexpr std::chrono::milliseconds kJobWait{800};
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -50,6 +51,10 @@
   int failures_for_quarantine = 4;
   /// The same for a worker with a serving task over its target.
   std::chrono::milliseconds harmed_renewal_wait{400};
+  /// Between two passes over the ready tasks while some find no room.
+  std::chrono::milliseconds pass_interval{20};
+  /// Steps that found no room after which a pass ends.
+  int max_misses = 40;
   job_table_options jobs;
   placement_options placement;
 };
@@ -175,20 +180,28 @@
   };
   std::vector<ready_step> OrderedReadySteps(time_point now) const;
   void Place(time_point now);
-  void PlaceStep(const step_ref& ref, time_point now);
+  /// Candidates of one pass by service, image and whether the step is
+  /// best-effort.
+  using candidate_lists = std::map<std::tuple<std::string, std::string, bool>,
+                                   std::vector<placement_candidate>>;
+  /// Returns false when tasks of the step found no room.
+  bool PlaceStep(const step_ref& ref, candidate_lists& lists, time_point now);
   bool PlaceGang(const step_ref& ref,
                  const step_spec& step,
                  const std::vector<std::uint32_t>& ready,
-                 std::vector<placement_candidate>& candidates,
+                 std::vector<placement_candidate> candidates,
                  time_point now);
   void StartTask(worker_session& session,
                  const step_spec& step,
                  const run_ref& run,
                  time_point now);
-  std::vector<placement_candidate> Candidates(const step_ref& ref,
-                                              const step_spec& spec,
-                                              const queue_configuration& queue,
-                                              time_point now) const;
+  std::vector<placement_candidate>& Candidates(
+      const step_spec& spec,
+      const queue_configuration& queue,
+      candidate_lists& lists,
+      time_point now) const;
+  void CountSiblings(const step_ref& ref,
+                     std::vector<placement_candidate>& candidates) const;
   time_point Objective(const open_job& job,
                        const queue_configuration* queue) const;
   const queue_configuration* Queue(job_id job) const;
@@ -226,6 +239,7 @@
   /// Number of the records that name the newest worker as leased.
   std::map<std::string, std::uint64_t> registering_;
   bool place_wanted_ = false;
+  time_point next_pass_;
   interference_model interference_;
   std::vector<order> orders_;
   std::vector<scheduling_note> notes_;
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -61,29 +61,34 @@
 }
 
 void fleet_scheduler::Place(time_point now) {
-  if (!place_wanted_ || configuration_ == nullptr) {
+  if (!place_wanted_ || configuration_ == nullptr || now < next_pass_) {
     return;
   }
   place_wanted_ = false;
+  candidate_lists lists;
+  int misses = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
-    PlaceStep(step.ref, now);
+    misses += PlaceStep(step.ref, lists, now) ? 0 : 1;
+    if (misses >= options_.max_misses) {
+      break;
+    }
   }
-  // Tasks whose wait is not over, or that found no room, are tried again.
+  // Steps that wait are looked at again with the next change, and a long
+  // backlog not with each.
+  next_pass_ = misses == 0 ? now : now + options_.pass_interval;
   place_wanted_ = !jobs_.ReadySteps().empty();
 }
 
-std::vector<placement_candidate> fleet_scheduler::Candidates(
-    const step_ref& ref,
+std::vector<placement_candidate>& fleet_scheduler::Candidates(
     const step_spec& spec,
     const queue_configuration& queue,
+    candidate_lists& lists,
     time_point now) const {
-  std::vector<placement_candidate> candidates;
-  const step_state* step = jobs_.Find(ref);
-  absl::flat_hash_map<std::string, std::uint32_t> siblings;
-  for (const task_state& task : step->tasks) {
-    for (const task_copy& copy : task.copies) {
-      ++siblings[copy.worker];
-    }
+  const auto [entry, added] = lists.try_emplace(
+      std::make_tuple(queue.service, spec.image, spec.best_effort));
+  std::vector<placement_candidate>& candidates = entry->second;
+  if (!added) {
+    return candidates;
   }
   for (const auto& [id, session] : workers_) {
     if (session.entry.service != queue.service || !Usable(session, now)) {
@@ -93,32 +98,48 @@
     if (spec.best_effort && (harm > kMaxHarm || session.over_target)) {
       continue;
     }
-    const auto there = siblings.find(id);
-    candidates.push_back(
-        {.session = &session,
-         .siblings = there == siblings.end() ? 0 : there->second,
-         .penalty = harm});
+    candidates.push_back({.session = &session, .penalty = harm});
   }
   return candidates;
 }
 
-void fleet_scheduler::PlaceStep(const step_ref& ref, time_point now) {
+void fleet_scheduler::CountSiblings(
+    const step_ref& ref,
+    std::vector<placement_candidate>& candidates) const {
+  absl::flat_hash_map<std::string, std::uint32_t> siblings;
+  for (const task_state& task : jobs_.Find(ref)->tasks) {
+    for (const task_copy& copy : task.copies) {
+      ++siblings[copy.worker];
+    }
+  }
+  for (placement_candidate& candidate : candidates) {
+    const auto there = siblings.find(candidate.session->entry.worker);
+    candidate.siblings = there == siblings.end() ? 0 : there->second;
+  }
+}
+
+bool fleet_scheduler::PlaceStep(const step_ref& ref,
+                                candidate_lists& lists,
+                                time_point now) {
   const step_spec* step = jobs_.Spec(ref);
   const queue_configuration* queue = Queue(ref.job);
   const std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
   if (step == nullptr || queue == nullptr || ready.empty()) {
-    return;
+    return true;
+  }
+  std::vector<placement_candidate>& candidates =
+      Candidates(*step, *queue, lists, now);
+  if (step->max_per_worker > 0) {
+    CountSiblings(ref, candidates);
   }
-  std::vector<placement_candidate> candidates = Candidates(ref, *step, *queue, now);
   if (step->gang) {
-    PlaceGang(ref, *step, ready, candidates, now);
-    return;
+    return PlaceGang(ref, *step, ready, candidates, now);
   }
   for (const std::uint32_t index : ready) {
     const std::optional<std::size_t> chosen =
         ChooseWorker(*step, candidates, "", options_.placement);
     if (!chosen) {
-      return;
+      return false;
     }
     placement_candidate& candidate = candidates[*chosen];
     worker_session& session =
@@ -127,12 +148,13 @@
     StartTask(session, *step, {task, jobs_.NextRun(task, own_)}, now);
     ++candidate.siblings;
   }
+  return true;
 }
 
 bool fleet_scheduler::PlaceGang(const step_ref& ref,
                                 const step_spec& step,
                                 const std::vector<std::uint32_t>& ready,
-                                std::vector<placement_candidate>& candidates,
+                                std::vector<placement_candidate> candidates,
                                 time_point now) {
   if (ready.size() < step.count) {
     return false;
