Cluster serving tasks by image and learn harm by recursive least squares

The first model shared each error over all neighbours alike.

Change: serving tasks of one image share workers; recursive least squares with forgetting learns level and pair harms; placement weighs the probability of a tail over its target; only tasks with a clear share of the blame move; stand still is the last resort before the limit.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -49,6 +49,8 @@
   /// No new work for a worker that failed several runs in a row.
   std::chrono::milliseconds quarantine{3000};
   int failures_for_quarantine = 4;
+  /// A best-effort task that is further on is not moved for what it harms.
+  int evict_below_percent = 70;
   /// The same for a worker with a serving task over its target.
   std::chrono::milliseconds harmed_renewal_wait{400};
   /// Between two passes over the ready tasks while some find no room.
@@ -200,6 +202,8 @@
       const queue_configuration& queue,
       candidate_lists& lists,
       time_point now) const;
+  void CountImages(const std::string& image,
+                   placement_candidate& candidate) const;
   void CountSiblings(const step_ref& ref,
                      std::vector<placement_candidate>& candidates) const;
   time_point Objective(const open_job& job,
@@ -214,7 +218,7 @@
   void AdjustPace(worker_session& session,
                   const run_ref& run,
                   worker_run& state,
-                  bool standstill,
+                  std::optional<time_point> over_since,
                   time_point now);
 
   void Note(scheduling_event event,
--- a/include/skylarkbridge/jobs/interference_model.hpp
+++ b/include/skylarkbridge/jobs/interference_model.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_JOBS_INTERFERENCE_MODEL_HPP
 #define SKYLARKBRIDGE_JOBS_INTERFERENCE_MODEL_HPP
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -17,12 +18,12 @@
 };
 
 struct interference_options {
-  /// Share of an error by which the estimates of the neighbours change.
-  double learning_rate = 0.35;
-  /// Share by which the level without neighbours follows.
-  double level_rate = 0.05;
-  /// Largest harm of one neighbour; the logarithm of the tail over its target.
-  double max_harm = 4;
+  /// Weight that a report keeps with each later one of the same image.
+  double memory = 0.999;
+  /// Uncertainty of an image that was not seen beside yet.
+  double first_variance = 0.5;
+  /// Largest uncertainty; bounds the growth by forgetting.
+  double max_variance = 2;
   /// Expected level without neighbours before anything was seen.
   double first_level = -0.9;
 };
@@ -32,8 +33,8 @@
 ///
 /// The tail, as the logarithm of its ratio to the target, is modelled as a level
 /// of the serving image and a sum over the neighbours of their amount times a
-/// harm for the pair of images. Errors are shared by normalised least mean
-/// squares, so a report with several neighbours teaches about each.
+/// harm for the pair of images. Recursive least squares with forgetting finds
+/// both from reports in which several images run side by side.
 class interference_model {
  public:
   explicit interference_model(interference_options options = {})
@@ -45,15 +46,26 @@
              double ratio,
              const std::vector<neighbour>& neighbours);
 
-  /// @brief Expected rise of the ratio by one unit of the neighbour.
+  /// @brief Expected rise of the ratio by one unit of the neighbour; zero for
+  /// a pair that was not seen.
   double Harm(std::string_view serving, std::string_view neighbour_image) const;
 
+  /// @brief Expected ratio beside the neighbours.
+  double Expected(std::string_view serving,
+                  const std::vector<neighbour>& neighbours) const;
+
  private:
   struct serving_image {
-    double level = 0;
-    std::map<std::string, double, std::less<>> harms;
+    /// Position of an image beside in the state; the level stands first.
+    std::map<std::string, std::size_t, std::less<>> positions;
+    std::vector<double> state;
+    /// Row by row.
+    std::vector<double> covariance;
   };
 
+  std::size_t Position(serving_image& image, std::string_view beside) const;
+  serving_image& Entry(std::string_view serving);
+
   const interference_options options_;
   std::map<std::string, serving_image, std::less<>> images_;
 };
--- a/include/skylarkbridge/jobs/placement.hpp
+++ b/include/skylarkbridge/jobs/placement.hpp
@@ -26,7 +26,10 @@
   const worker_session* session = nullptr;
   /// Tasks of the same occurrence of the step there.
   std::uint32_t siblings = 0;
-  /// More than zero for a worker that has recently harmed what ran there.
+  /// Serving tasks there of the same image, and of others.
+  std::uint32_t same_image = 0;
+  std::uint32_t other_images = 0;
+  /// Expected harm to serving tasks.
   double penalty = 0;
 };
 
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -12,17 +12,18 @@
 constexpr double kReferenceWorker = 32'000;
 /// Bounds of the logarithm of a tail over its target, against outliers.
 constexpr double kMaxRatio = 2.5;
-/// Harm below which a best-effort task counts as harmless to a serving one.
-constexpr double kHarmless = 0.15;
-/// Harm from which a task is blamed for a tail over its target.
-constexpr double kBlame = 0.25;
-/// Expected ratio above which a best-effort task is not placed or sped up:
-/// three quarters of the target.
-const double kSafeRatio = std::log(0.75);
-/// A task that is blamed works at this share of its speed until it is moved.
-constexpr int kBlamedPace = 10;
-/// After so long over the target every best-effort task beside it stands still.
-constexpr std::chrono::milliseconds kStandstillAfter{1600};
+/// Width of the step from a tail surely below its target to one surely above.
+constexpr double kSpread = 0.35;
+/// Rise of the ratio from which a task is blamed for a tail over its target.
+constexpr double kBlame = 0.3;
+/// Rise of the ratio that does not count.
+constexpr double kHarmless = 0.08;
+/// Ratio that a task which stands still may lead to when it goes on.
+constexpr double kSafeRatio = -0.2;
+/// After so long over the target the tasks that are known to raise the tail
+/// stand still, and after the second time all best-effort tasks beside it.
+constexpr std::chrono::milliseconds kBlamedStandstill{1500};
+constexpr std::chrono::milliseconds kStandstill{2200};
 
 double Ratio(const worker_run& run) {
   const double tail = std::max<double>(1, static_cast<double>(*run.usage));
@@ -31,6 +32,11 @@
       -kMaxRatio, kMaxRatio);
 }
 
+/// Probability that a tail with this expected ratio is over its target.
+double OverTarget(double ratio) {
+  return 1 / (1 + std::exp(-ratio / kSpread));
+}
+
 bool Measured(const worker_run& run) {
   return run.serving && run.usage && run.percent >= 100;
 }
@@ -45,6 +51,17 @@
   return Amount(static_cast<double>(run.best_effort_millicores), session);
 }
 
+/// The best-effort tasks of the worker at their declared size.
+std::vector<neighbour> DeclaredNeighbours(const worker_session& session) {
+  std::vector<neighbour> neighbours;
+  for (const auto& [run, state] : session.runs) {
+    if (state.best_effort_millicores > 0) {
+      neighbours.push_back({state.image, FullAmount(state, session)});
+    }
+  }
+  return neighbours;
+}
+
 }  // namespace
 
 void fleet_scheduler::LearnInterference(const worker_session& session) {
@@ -52,8 +69,7 @@
   for (const auto& [run, state] : session.runs) {
     if (state.best_effort_millicores > 0 && state.usage && *state.usage > 0) {
       neighbours.push_back(
-          {state.image,
-           Amount(static_cast<double>(*state.usage), session)});
+          {state.image, Amount(static_cast<double>(*state.usage), session)});
     }
   }
   for (const auto& [run, state] : session.runs) {
@@ -69,30 +85,26 @@
   if (step.best_effort) {
     const double amount =
         Amount(static_cast<double>(step.need.millicores), session);
+    const std::vector<neighbour> neighbours = DeclaredNeighbours(session);
     for (const auto& [run, state] : session.runs) {
-      if (!state.serving) {
+      const double rise =
+          state.serving ? interference_.Harm(state.image, step.image) * amount
+                        : 0;
+      if (rise < kHarmless) {
         continue;
       }
-      const double rise = interference_.Harm(state.image, step.image) * amount;
-      if (rise > kHarmless) {
-        const double now = Measured(state) ? Ratio(state) : kSafeRatio;
-        harm = std::max(harm, now + rise - kSafeRatio);
-      }
+      const double expected = interference_.Expected(state.image, neighbours);
+      harm += OverTarget(expected + rise) - OverTarget(expected);
     }
   } else if (step.latency_target.count() > 0) {
-    for (const auto& [run, state] : session.runs) {
-      if (state.best_effort_millicores > 0) {
-        harm += interference_.Harm(step.image, state.image) *
-                FullAmount(state, session);
-      }
-    }
+    const std::vector<neighbour> neighbours = DeclaredNeighbours(session);
+    harm = OverTarget(interference_.Expected(step.image, neighbours));
   }
   return harm;
 }
 
 void fleet_scheduler::AdjustPaces(worker_session& session, time_point now) {
-  bool over = false;
-  time_point over_since = now;
+  std::optional<time_point> over_since;
   for (auto& [run, state] : session.runs) {
     if (!Measured(state) || Ratio(state) < 0) {
       state.over_target_since.reset();
@@ -101,51 +113,50 @@
     if (!state.over_target_since) {
       state.over_target_since = now;
     }
-    over = true;
-    over_since = std::min(over_since, *state.over_target_since);
+    over_since = std::min(over_since.value_or(now), *state.over_target_since);
   }
-  session.over_target = over;
+  session.over_target = over_since.has_value();
   for (auto& [run, state] : session.runs) {
-    if (state.best_effort_millicores == 0 || state.stop_wanted ||
-        state.phase != run_phase::kRunning) {
-      continue;
+    if (state.best_effort_millicores > 0 && !state.stop_wanted &&
+        state.phase == run_phase::kRunning) {
+      AdjustPace(session, run, state, over_since, now);
     }
-    AdjustPace(session, run, state,
-               over && now >= over_since + kStandstillAfter, now);
   }
 }
 
 void fleet_scheduler::AdjustPace(worker_session& session,
                                  const run_ref& run,
                                  worker_run& state,
-                                 bool standstill,
-                                 time_point /*now*/) {
-  bool blamed = false;
+                                 std::optional<time_point> over_since,
+                                 time_point now) {
+  const double amount = FullAmount(state, session);
+  const double added = amount * (1 - static_cast<double>(state.pace) / 100);
+  double blame = 0;
   bool safe = true;
-  const double added =
-      FullAmount(state, session) * (1 - static_cast<double>(state.pace) / 100);
   for (const auto& [other, victim] : session.runs) {
     if (!Measured(victim)) {
       continue;
     }
     const double harm = interference_.Harm(victim.image, state.image);
-    const double ratio = Ratio(victim);
-    blamed |= ratio >= 0 && harm * FullAmount(state, session) >= kBlame;
-    safe &= ratio + harm * added < kSafeRatio ||
-            harm * FullAmount(state, session) < kHarmless;
+    if (Ratio(victim) >= 0) {
+      blame = std::max(blame, harm * amount);
+    }
+    safe &= harm * amount < kHarmless ||
+            Ratio(victim) + harm * added < kSafeRatio;
   }
   const step_spec* step = jobs_.Spec(StepOf(run.task));
-  if (blamed && step != nullptr && step->checkpoints) {
+  if (blame >= kBlame && step != nullptr && step->checkpoints &&
+      state.percent < options_.evict_below_percent) {
     state.stop_wanted = true;
     Note(scheduling_event::kStopOrdered, run, session.entry.worker,
-         "raises a tail over its target");
+         absl::StrCat("raises a tail over its target by ", blame));
     return;
   }
   int wanted = state.pace;
-  if (standstill) {
+  const auto over_for = over_since ? now - *over_since : time_point::duration{};
+  if (over_for >= kStandstill ||
+      (over_for >= kBlamedStandstill && blame >= kHarmless)) {
     wanted = 0;
-  } else if (blamed) {
-    wanted = kBlamedPace;
   } else if (safe) {
     wanted = 100;
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// A best-effort task is not placed where it would harm more.
-constexpr double kMaxHarm = 0;
+constexpr double kMaxHarm = 0.25;
 
 std::chrono::milliseconds LongestChain(const job_spec& spec) {
   std::vector<std::chrono::milliseconds> ends(spec.steps.size());
@@ -95,14 +95,29 @@
       continue;
     }
     const double harm = ExpectedHarm(spec, session);
-    if (spec.best_effort && (harm > kMaxHarm || session.over_target)) {
+    if (spec.best_effort && harm > kMaxHarm) {
       continue;
     }
-    candidates.push_back({.session = &session, .penalty = harm});
+    placement_candidate candidate{.session = &session, .penalty = harm};
+    if (spec.latency_target.count() > 0) {
+      CountImages(spec.image, candidate);
+    }
+    candidates.push_back(candidate);
   }
   return candidates;
 }
 
+void fleet_scheduler::CountImages(const std::string& image,
+                                  placement_candidate& candidate) const {
+  candidate.same_image = 0;
+  candidate.other_images = 0;
+  for (const auto& [run, state] : candidate.session->runs) {
+    if (state.serving) {
+      ++(state.image == image ? candidate.same_image : candidate.other_images);
+    }
+  }
+}
+
 void fleet_scheduler::CountSiblings(
     const step_ref& ref,
     std::vector<placement_candidate>& candidates) const {
@@ -147,6 +162,7 @@
     const task_ref task = TaskOf(ref, index);
     StartTask(session, *step, {task, jobs_.NextRun(task, own_)}, now);
     ++candidate.siblings;
+    candidate.same_image += step->latency_target.count() > 0 ? 1 : 0;
   }
   return true;
 }
--- a/src/skylarkbridge/jobs/interference_model.cpp
+++ b/src/skylarkbridge/jobs/interference_model.cpp
@@ -3,40 +3,73 @@
 #include <algorithm>
 
 namespace skylarkbridge::jobs {
-namespace {
 
-/// Keeps tiny amounts from taking the whole blame.
-constexpr double kAmountFloor = 0.3;
+interference_model::serving_image& interference_model::Entry(
+    std::string_view serving) {
+  const auto found = images_.find(serving);
+  if (found != images_.end()) {
+    return found->second;
+  }
+  return images_
+      .emplace(std::string(serving),
+               serving_image{.state = {options_.first_level},
+                             .covariance = {options_.first_variance}})
+      .first->second;
+}
 
-}  // namespace
+std::size_t interference_model::Position(serving_image& image,
+                                         std::string_view beside) const {
+  const auto found = image.positions.find(beside);
+  if (found != image.positions.end()) {
+    return found->second;
+  }
+  const std::size_t old_size = image.state.size();
+  const std::size_t size = old_size + 1;
+  std::vector<double> covariance(size * size, 0);
+  for (std::size_t row = 0; row < old_size; ++row) {
+    for (std::size_t column = 0; column < old_size; ++column) {
+      covariance[row * size + column] =
+          image.covariance[row * old_size + column];
+    }
+  }
+  covariance[size * size - 1] = options_.first_variance;
+  image.covariance = std::move(covariance);
+  image.state.push_back(0);
+  image.positions.emplace(std::string(beside), old_size);
+  return old_size;
+}
 
 void interference_model::Learn(std::string_view serving,
                                double ratio,
                                const std::vector<neighbour>& neighbours) {
-  auto entry = images_.find(serving);
-  if (entry == images_.end()) {
-    entry = images_
-                .emplace(std::string(serving),
-                         serving_image{.level = options_.first_level})
-                .first;
-  }
-  serving_image& image = entry->second;
-  double expected = image.level;
-  double square = kAmountFloor;
+  serving_image& image = Entry(serving);
+  std::vector<std::size_t> positions;
   for (const neighbour& other : neighbours) {
-    expected += Harm(serving, other.image) * other.amount;
-    square += other.amount * other.amount;
+    positions.push_back(Position(image, other.image));
   }
-  const double error = ratio - expected;
-  if (neighbours.empty()) {
-    image.level += options_.level_rate * error;
-    return;
+  const std::size_t size = image.state.size();
+  std::vector<double> input(size, 0);
+  input[0] = 1;
+  for (std::size_t index = 0; index < neighbours.size(); ++index) {
+    input[positions[index]] += neighbours[index].amount;
   }
-  for (const neighbour& other : neighbours) {
-    double& harm = image.harms[std::string(other.image)];
-    harm = std::clamp(
-        harm + options_.learning_rate * other.amount * error / square, 0.0,
-        options_.max_harm);
+  std::vector<double> gain(size, 0);
+  double scale = options_.memory;
+  double error = ratio;
+  for (std::size_t row = 0; row < size; ++row) {
+    for (std::size_t column = 0; column < size; ++column) {
+      gain[row] += image.covariance[row * size + column] * input[column];
+    }
+    scale += input[row] * gain[row];
+    error -= input[row] * image.state[row];
+  }
+  for (std::size_t row = 0; row < size; ++row) {
+    image.state[row] += gain[row] / scale * error;
+    for (std::size_t column = 0; column < size; ++column) {
+      double& entry = image.covariance[row * size + column];
+      entry = (entry - gain[row] * gain[column] / scale) / options_.memory;
+      entry = std::clamp(entry, -options_.max_variance, options_.max_variance);
+    }
   }
 }
 
@@ -46,8 +79,22 @@
   if (image == images_.end()) {
     return 0;
   }
-  const auto harm = image->second.harms.find(neighbour_image);
-  return harm == image->second.harms.end() ? 0 : harm->second;
+  const auto position = image->second.positions.find(neighbour_image);
+  return position == image->second.positions.end()
+             ? 0
+             : std::max(0.0, image->second.state[position->second]);
+}
+
+double interference_model::Expected(
+    std::string_view serving,
+    const std::vector<neighbour>& neighbours) const {
+  const auto image = images_.find(serving);
+  double expected = image == images_.end() ? options_.first_level
+                                           : image->second.state.front();
+  for (const neighbour& other : neighbours) {
+    expected += Harm(serving, other.image) * other.amount;
+  }
+  return expected;
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -8,6 +8,10 @@
 
 /// Larger than any other part of a score.
 constexpr double kFarFromData = 100;
+/// Cost of a worker without serving tasks, and of each serving task of another
+/// image, beside the share of the worker that is free.
+constexpr double kNewWorker = 1;
+constexpr double kMixedImages = 1.5;
 
 double Score(const step_spec& step,
              const placement_candidate& candidate,
@@ -24,7 +28,14 @@
     return score - idle / capacity;
   }
   const double room = static_cast<double>(session.Room().millicores);
-  return score - room / capacity;
+  if (step.latency_target.count() == 0) {
+    return score - room / capacity;
+  }
+  // Serving tasks of one image share workers, as each image has its own kind of
+  // best-effort tasks that harm it. An empty worker goes before a mixed one.
+  const bool apart = candidate.same_image == 0 && candidate.other_images == 0;
+  return score + (apart ? kNewWorker : 0) +
+         kMixedImages * candidate.other_images + room / capacity;
 }
 
 bool HasLabel(const worker_entry& entry, const std::string& label) {
