Leave scarce workers to best-effort images that have no others

Tasks that were blamed moved several at a time, before a report could show the effect of the first move.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -182,10 +182,28 @@
   };
   std::vector<ready_step> OrderedReadySteps(time_point now) const;
   void Place(time_point now);
-  /// Candidates of one pass by service, image and whether the step is
-  /// best-effort.
-  using candidate_lists = std::map<std::tuple<std::string, std::string, bool>,
-                                   std::vector<placement_candidate>>;
+  /// Demand for best-effort tasks of one image, and the workers on which they
+  /// do no harm.
+  struct image_demand {
+    step_spec example;
+    /// Of all best-effort tasks that wait or run.
+    double share = 0;
+    absl::flat_hash_set<std::string> harmless;
+  };
+  using best_effort_demand = std::map<std::string, image_demand>;
+  struct candidate_lists {
+    /// By service, image and whether the step is best-effort.
+    std::map<std::tuple<std::string, std::string, bool>,
+             std::vector<placement_candidate>>
+        by_kind;
+    std::optional<best_effort_demand> demand;
+  };
+  best_effort_demand Demand() const;
+  /// Demand of other images for the worker, against what they would find on
+  /// every worker; scarce workers are left to the images that have no others.
+  double BestEffortDemand(const step_spec& spec,
+                          const worker_session& session,
+                          const best_effort_demand& demand) const;
   /// Returns false when tasks of the step found no room.
   bool PlaceStep(const step_ref& ref, candidate_lists& lists, time_point now);
   bool PlaceGang(const step_ref& ref,
@@ -211,10 +229,13 @@
   const queue_configuration* Queue(job_id job) const;
 
   // Interference of best-effort tasks with serving ones.
-  void LearnInterference(const worker_session& session);
+  void LearnInterference(worker_session& session);
   double ExpectedHarm(const step_spec& step,
                       const worker_session& session) const;
   void AdjustPaces(worker_session& session, time_point now);
+  /// How much a best-effort task raises tails that are over their targets.
+  double Blame(const worker_session& session, const worker_run& state) const;
+  void MoveMostHarmful(worker_session& session, time_point now);
   void AdjustPace(worker_session& session,
                   const run_ref& run,
                   worker_run& state,
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -57,6 +57,9 @@
   /// Share of its speed at which the task was last told to work.
   int pace = 100;
   bool pace_under_way = false;
+  /// How far a serving task's tail lies over what its image and its
+  /// neighbours explain; logarithm.
+  double own_level = 0;
   /// Since when a serving task is over its target.
   std::optional<time_point> over_target_since;
 };
@@ -97,6 +100,7 @@
   std::int64_t serving_millicores = 0;
   /// A serving task here is over its target.
   bool over_target = false;
+  time_point next_move;
   /// Ends in a row that were failures, over different jobs.
   int failed_in_a_row = 0;
 
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -14,6 +14,13 @@
 constexpr double kMaxRatio = 2.5;
 /// Width of the step from a tail surely below its target to one surely above.
 constexpr double kSpread = 0.35;
+/// Share by which a serving task's own level, beside that of its image, follows
+/// its reports; it moves with the task's load.
+constexpr double kOwnLevelRate = 0.3;
+/// A task that has run for less has hardly shown in a report.
+constexpr std::chrono::milliseconds kFirstBlame{600};
+/// Between two moves from one worker; the reports lag behind.
+constexpr std::chrono::milliseconds kMoveInterval{600};
 /// Rise of the ratio from which a task is blamed for a tail over its target.
 constexpr double kBlame = 0.3;
 /// Rise of the ratio that does not count.
@@ -64,7 +71,7 @@
 
 }  // namespace
 
-void fleet_scheduler::LearnInterference(const worker_session& session) {
+void fleet_scheduler::LearnInterference(worker_session& session) {
   std::vector<neighbour> neighbours;
   for (const auto& [run, state] : session.runs) {
     if (state.best_effort_millicores > 0 && state.usage && *state.usage > 0) {
@@ -72,10 +79,15 @@
           {state.image, Amount(static_cast<double>(*state.usage), session)});
     }
   }
-  for (const auto& [run, state] : session.runs) {
-    if (Measured(state)) {
-      interference_.Learn(state.image, Ratio(state), neighbours);
+  for (auto& [run, state] : session.runs) {
+    if (!Measured(state)) {
+      continue;
     }
+    const double ratio = Ratio(state);
+    const double error =
+        ratio - interference_.Expected(state.image, neighbours);
+    state.own_level += kOwnLevelRate * (error - state.own_level);
+    interference_.Learn(state.image, ratio, neighbours);
   }
 }
 
@@ -93,7 +105,8 @@
       if (rise < kHarmless) {
         continue;
       }
-      const double expected = interference_.Expected(state.image, neighbours);
+      const double expected =
+          interference_.Expected(state.image, neighbours) + state.own_level;
       harm += OverTarget(expected + rise) - OverTarget(expected);
     }
   } else if (step.latency_target.count() > 0) {
@@ -116,6 +129,9 @@
     over_since = std::min(over_since.value_or(now), *state.over_target_since);
   }
   session.over_target = over_since.has_value();
+  if (session.over_target && now >= session.next_move) {
+    MoveMostHarmful(session, now);
+  }
   for (auto& [run, state] : session.runs) {
     if (state.best_effort_millicores > 0 && !state.stop_wanted &&
         state.phase == run_phase::kRunning) {
@@ -124,6 +140,44 @@
   }
 }
 
+double fleet_scheduler::Blame(const worker_session& session,
+                              const worker_run& state) const {
+  double blame = 0;
+  for (const auto& [other, victim] : session.runs) {
+    if (Measured(victim) && Ratio(victim) >= 0) {
+      blame = std::max(blame, interference_.Harm(victim.image, state.image) *
+                                  FullAmount(state, session));
+    }
+  }
+  return blame;
+}
+
+void fleet_scheduler::MoveMostHarmful(worker_session& session,
+                                      time_point now) {
+  const run_ref* worst = nullptr;
+  double most = kBlame;
+  for (const auto& [run, state] : session.runs) {
+    const step_spec* step = jobs_.Spec(StepOf(run.task));
+    if (state.best_effort_millicores == 0 || state.stop_wanted ||
+        state.phase != run_phase::kRunning || step == nullptr ||
+        !step->checkpoints || state.percent >= options_.evict_below_percent ||
+        now < state.ordered_at + kFirstBlame) {
+      continue;
+    }
+    if (const double blame = Blame(session, state); blame >= most) {
+      most = blame;
+      worst = &run;
+    }
+  }
+  if (worst == nullptr) {
+    return;
+  }
+  session.next_move = now + kMoveInterval;
+  session.runs.find(*worst)->second.stop_wanted = true;
+  Note(scheduling_event::kStopOrdered, *worst, session.entry.worker,
+       absl::StrCat("raises a tail over its target by ", most));
+}
+
 void fleet_scheduler::AdjustPace(worker_session& session,
                                  const run_ref& run,
                                  worker_run& state,
@@ -131,27 +185,16 @@
                                  time_point now) {
   const double amount = FullAmount(state, session);
   const double added = amount * (1 - static_cast<double>(state.pace) / 100);
-  double blame = 0;
+  const double blame = Blame(session, state);
   bool safe = true;
   for (const auto& [other, victim] : session.runs) {
     if (!Measured(victim)) {
       continue;
     }
     const double harm = interference_.Harm(victim.image, state.image);
-    if (Ratio(victim) >= 0) {
-      blame = std::max(blame, harm * amount);
-    }
     safe &= harm * amount < kHarmless ||
             Ratio(victim) + harm * added < kSafeRatio;
   }
-  const step_spec* step = jobs_.Spec(StepOf(run.task));
-  if (blame >= kBlame && step != nullptr && step->checkpoints &&
-      state.percent < options_.evict_below_percent) {
-    state.stop_wanted = true;
-    Note(scheduling_event::kStopOrdered, run, session.entry.worker,
-         absl::StrCat("raises a tail over its target by ", blame));
-    return;
-  }
   int wanted = state.pace;
   const auto over_for = over_since ? now - *over_since : time_point::duration{};
   if (over_for >= kStandstill ||
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -9,6 +9,9 @@
 
 /// A best-effort task is not placed where it would harm more.
 constexpr double kMaxHarm = 0.25;
+/// Weight of the demand of other images that can use the worker without harm,
+/// beside the share of the worker that is idle.
+constexpr double kScarcity = 0.5;
 
 std::chrono::milliseconds LongestChain(const job_spec& spec) {
   std::vector<std::chrono::milliseconds> ends(spec.steps.size());
@@ -79,12 +82,58 @@
   place_wanted_ = !jobs_.ReadySteps().empty();
 }
 
+double fleet_scheduler::BestEffortDemand(
+    const step_spec& spec,
+    const worker_session& session,
+    const best_effort_demand& demand) const {
+  double wanted = 0;
+  for (const auto& [image, entry] : demand) {
+    if (image != spec.image && entry.harmless.contains(session.entry.worker)) {
+      wanted += entry.share / static_cast<double>(entry.harmless.size());
+    }
+  }
+  return wanted * static_cast<double>(workers_.size());
+}
+
+fleet_scheduler::best_effort_demand fleet_scheduler::Demand() const {
+  best_effort_demand demand;
+  double total = 0;
+  const auto add = [&](const std::string& image, const resources& need,
+                       std::size_t tasks) {
+    image_demand& entry = demand[image];
+    entry.example = {.need = need, .image = image, .best_effort = true};
+    entry.share += static_cast<double>(tasks);
+    total += static_cast<double>(tasks);
+  };
+  for (const step_ref& ref : jobs_.ReadySteps()) {
+    if (const step_spec* step = jobs_.Spec(ref); step->best_effort) {
+      add(step->image, step->need, jobs_.Find(ref)->tasks.size());
+    }
+  }
+  for (const auto& [id, session] : workers_) {
+    for (const auto& [run, state] : session.runs) {
+      if (state.best_effort_millicores > 0) {
+        add(state.image, {.millicores = state.best_effort_millicores}, 1);
+      }
+    }
+  }
+  for (auto& [image, entry] : demand) {
+    entry.share /= total;
+    for (const auto& [id, session] : workers_) {
+      if (ExpectedHarm(entry.example, session) <= kMaxHarm) {
+        entry.harmless.insert(id);
+      }
+    }
+  }
+  return demand;
+}
+
 std::vector<placement_candidate>& fleet_scheduler::Candidates(
     const step_spec& spec,
     const queue_configuration& queue,
     candidate_lists& lists,
     time_point now) const {
-  const auto [entry, added] = lists.try_emplace(
+  const auto [entry, added] = lists.by_kind.try_emplace(
       std::make_tuple(queue.service, spec.image, spec.best_effort));
   std::vector<placement_candidate>& candidates = entry->second;
   if (!added) {
@@ -99,6 +148,13 @@
       continue;
     }
     placement_candidate candidate{.session = &session, .penalty = harm};
+    if (spec.best_effort) {
+      if (!lists.demand) {
+        lists.demand = Demand();
+      }
+      candidate.penalty +=
+          kScarcity * BestEffortDemand(spec, session, *lists.demand);
+    }
     if (spec.latency_target.count() > 0) {
       CountImages(spec.image, candidate);
     }
