Count each failed run of a task once, in any order

After a takeover the ends of a task's failed runs are listed by several workers in any order; only runs above the highest one counted were added, so three failures counted as one and a fourth run started.

Change: the progress of a job keeps the numbers of failed runs. Jobs are placed by whether they can still meet their objective and by the work that is left for their worth.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -177,9 +177,17 @@
   // Placement.
   struct ready_step {
     int priority = 0;
-    time_point deadline;
+    /// 0 while the job can meet its objective, 1 while it can end late, 2 when
+    /// it is worth nothing more.
+    int lateness = 0;
+    /// Work that is left for each unit of worth.
+    double cost = 0;
     step_ref ref;
   };
+  ready_step Rank(const open_job& job,
+                  const queue_configuration& queue,
+                  const step_ref& ref,
+                  time_point now) const;
   std::vector<ready_step> OrderedReadySteps(time_point now) const;
   void Place(time_point now);
   /// Demand for best-effort tasks of one image, and the workers on which they
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,15 +19,10 @@
 
 enum class job_status { kOpen, kCompleted, kFailed };
 
-/// @brief Failed runs of one task.
-struct failure_count {
-  std::uint32_t attempts = 0;
-  /// Highest run that was counted, so that an end which is listed again after
-  /// a takeover counts once.
-  run_number last_run = 0;
-
-  bool operator==(const failure_count&) const = default;
-};
+/// @brief Numbers of the failed runs of one task. After a takeover their ends
+/// are listed again, by each worker for itself and so in any order; each counts
+/// once.
+using failed_runs = std::set<run_number>;
 
 /// @brief What of one occurrence of one step is known to have ended.
 struct step_progress {
@@ -35,7 +31,7 @@
   /// By task; empty while no task is done.
   std::vector<bool> done;
   /// By index of the task.
-  std::map<std::uint32_t, failure_count> failures;
+  std::map<std::uint32_t, failed_runs> failures;
 
   bool operator==(const step_progress&) const = default;
 };
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -7,13 +7,23 @@
 namespace skylarkbridge::jobs {
 namespace {
 
+/// A job is worth something up to this multiple of its objective.
+constexpr int kLateLimit = 3;
+/// The worth of a job grows with its work from a fixed part on; the part, and
+/// the core-seconds of work to which it relates.
+constexpr double kFixedWorth = 0.43;
+constexpr double kTypicalWork = 100;
 /// A best-effort task is not placed where it would harm more.
 constexpr double kMaxHarm = 0.25;
 /// Weight of the demand of other images that can use the worker without harm,
 /// beside the share of the worker that is idle.
 constexpr double kScarcity = 0.5;
 
-std::chrono::milliseconds LongestChain(const job_spec& spec) {
+/// Longest chain of the estimates of steps; those of which no task is left
+/// take no time.
+/// @param steps what is left; nothing for a job that has not begun.
+std::chrono::milliseconds LongestChain(const job_spec& spec,
+                                       const std::vector<step_state>* steps) {
   std::vector<std::chrono::milliseconds> ends(spec.steps.size());
   std::chrono::milliseconds longest{};
   for (std::size_t step = 0; step < spec.steps.size(); ++step) {
@@ -21,24 +31,66 @@
     for (const std::uint32_t earlier : spec.steps[step].depends_on) {
       begin = std::max(begin, ends[earlier]);
     }
-    ends[step] = begin + spec.steps[step].estimate;
+    const bool over = steps != nullptr &&
+                      (*steps)[step].done == (*steps)[step].tasks.size();
+    ends[step] = begin + (over ? std::chrono::milliseconds(0)
+                               : spec.steps[step].estimate);
     longest = std::max(longest, ends[step]);
   }
   return longest;
 }
 
+/// Processor time that the tasks which are not done need, in core-seconds, and
+/// that of all tasks.
+struct work_amounts {
+  double left = 0;
+  double all = 0;
+};
+
+work_amounts Work(const job_spec& spec, const std::vector<step_state>& steps) {
+  work_amounts work;
+  for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+    const step_spec& tasks = spec.steps[step];
+    const double each = static_cast<double>(tasks.need.millicores) / 1000 *
+                        std::chrono::duration<double>(tasks.estimate).count();
+    work.all += each * tasks.count;
+    work.left += each * (tasks.count - steps[step].done);
+  }
+  return work;
+}
+
 }  // namespace
 
 time_point fleet_scheduler::Objective(const open_job& job,
                                       const queue_configuration* queue) const {
   const double slack = queue == nullptr ? 1 : queue->slack_factor;
   const auto chain = std::chrono::duration_cast<time_point::duration>(
-      slack * LongestChain(job.spec));
+      slack * LongestChain(job.spec, nullptr));
   const std::chrono::milliseconds more =
       queue == nullptr ? std::chrono::milliseconds(0) : queue->latency_target;
   return job.seen_at + chain + more;
 }
 
+fleet_scheduler::ready_step fleet_scheduler::Rank(
+    const open_job& job,
+    const queue_configuration& queue,
+    const step_ref& ref,
+    time_point now) const {
+  const std::vector<step_state>& steps =
+      job.occurrences.find(ref.occurrence)->second;
+  const time_point objective = Objective(job, &queue);
+  const time_point earliest_end = now + LongestChain(job.spec, &steps);
+  ready_step ranked{.priority = queue.priority, .ref = ref};
+  if (earliest_end > job.seen_at + kLateLimit * (objective - job.seen_at)) {
+    ranked.lateness = 2;
+  } else if (earliest_end > objective) {
+    ranked.lateness = 1;
+  }
+  const work_amounts work = Work(job.spec, steps);
+  ranked.cost = work.left / (kFixedWorth * kTypicalWork + work.all);
+  return ranked;
+}
+
 std::vector<fleet_scheduler::ready_step> fleet_scheduler::OrderedReadySteps(
     time_point now) const {
   std::vector<ready_step> steps;
@@ -48,17 +100,14 @@
     if (job == nullptr || queue == nullptr) {
       continue;
     }
-    steps.push_back({.priority = queue->priority,
-                     .deadline = Objective(*job, queue),
-                     .ref = ref});
+    steps.push_back(Rank(*job, *queue, ref, now));
   }
   std::sort(steps.begin(), steps.end(),
-            [now](const ready_step& left, const ready_step& right) {
-              const bool left_late = left.deadline < now;
-              const bool right_late = right.deadline < now;
-              return std::tie(left.priority, left_late, left.deadline,
-                              left.ref) < std::tie(right.priority, right_late,
-                                                   right.deadline, right.ref);
+            [](const ready_step& left, const ready_step& right) {
+              return std::tie(left.priority, left.lateness, left.cost,
+                              left.ref) < std::tie(right.priority,
+                                                   right.lateness, right.cost,
+                                                   right.ref);
             });
   return steps;
 }
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -115,8 +115,8 @@
       }
       if (progress != nullptr) {
         if (const auto failed = progress->failures.find(index);
-            failed != progress->failures.end()) {
-          task.last_run = failed->second.last_run;
+            failed != progress->failures.end() && !failed->second.empty()) {
+          task.last_run = *failed->second.rbegin();
         }
       }
     }
@@ -301,28 +301,29 @@
 bool job_table::CountFailure(open_job& job,
                              const run_ref& run,
                              std::uint32_t max_attempts) {
-  failure_count& count = Progress(job, run.task).failures[run.task.index];
-  if (run.run > count.last_run) {
-    ++count.attempts;
-    count.last_run = run.run;
+  if (job.spec.steps[run.task.step].long_running) {
+    return false;
+  }
+  failed_runs& runs = Progress(job, run.task).failures[run.task.index];
+  if (runs.insert(run.run).second) {
     changed_.insert(run.task.job);
   }
-  return count.attempts >= max_attempts &&
-         !job.spec.steps[run.task.step].long_running;
+  return runs.size() >= max_attempts;
 }
 
 std::chrono::milliseconds job_table::RetryDelay(const open_job& job,
                                                 const task_ref& task) const {
   const step_progress* progress =
       FindProgress(job.progress, task.occurrence, task.step);
-  std::uint32_t attempts = 1;
+  std::size_t attempts = 1;
   if (progress != nullptr) {
     if (const auto count = progress->failures.find(task.index);
         count != progress->failures.end()) {
-      attempts = count->second.attempts;
+      attempts = std::max<std::size_t>(1, count->second.size());
     }
   }
-  return std::min(options_.max_retry_delay, attempts * options_.retry_delay);
+  return std::min(options_.max_retry_delay,
+                  static_cast<int>(attempts) * options_.retry_delay);
 }
 
 std::vector<run_to_stop> job_table::Finish(job_id id, job_status status) {
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -93,8 +93,8 @@
       done.push_back(is_done ? '1' : '0');
     }
     json failures = json::array();
-    for (const auto& [index, count] : step.failures) {
-      failures.push_back(json::array({index, count.attempts, count.last_run}));
+    for (const auto& [index, runs] : step.failures) {
+      failures.push_back(json::array({index, runs}));
     }
     steps.push_back(json::array(
         {step.occurrence, step.step, std::move(done), std::move(failures)}));
@@ -151,8 +151,7 @@
       step.done.push_back(digit == '1');
     }
     for (const json& failure_row : row.at(3)) {
-      step.failures[failure_row.at(0)] = {.attempts = failure_row.at(1),
-                                          .last_run = failure_row.at(2)};
+      step.failures[failure_row.at(0)] = failure_row.at(1).get<failed_runs>();
     }
     record.progress.steps.push_back(std::move(step));
   }
