Place best-effort tasks where the expected harm is at most 0.12

Cause: with 0.25 a task was placed beside a serving one that it probably pushed over its target, and moved on again.

--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -22,7 +22,7 @@
 /// Between two moves from one worker; the reports lag behind.
 constexpr std::chrono::milliseconds kMoveInterval{600};
 /// Rise of the ratio from which a task is blamed for a tail over its target.
-constexpr double kBlame = 0.3;
+constexpr double kBlame = 0.2;
 /// Rise of the ratio that does not count.
 constexpr double kHarmless = 0.08;
 /// Ratio that a task which stands still may lead to when it goes on.
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -14,7 +14,7 @@
 constexpr double kFixedWorth = 0.43;
 constexpr double kTypicalWork = 100;
 /// A best-effort task is not placed where it would harm more.
-constexpr double kMaxHarm = 0.25;
+constexpr double kMaxHarm = 0.12;
 /// Weight of the demand of other images that can use the worker without harm,
 /// beside the share of the worker that is idle.
 constexpr double kScarcity = 0.5;
