Give no new best-effort task to a worker whose serving tasks stay over target

Tasks that were moved or had ended were replaced at once by others of images that the model did not blame yet, so the tail stayed over its target for 4 s.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -49,6 +49,9 @@
   /// No new work for a worker that failed several runs in a row.
   std::chrono::milliseconds quarantine{3000};
   int failures_for_quarantine = 4;
+  /// A worker whose serving task has been over its target for so long gets no
+  /// further best-effort tasks until the tail is down.
+  std::chrono::milliseconds settle_time{600};
   /// A best-effort task that is further on is not moved for what it harms.
   int evict_below_percent = 70;
   /// The same for a worker with a serving task over its target.
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -98,8 +98,8 @@
   std::int64_t best_effort_millicores = 0;
   /// Processor time of the serving tasks by their declared need.
   std::int64_t serving_millicores = 0;
-  /// A serving task here is over its target.
-  bool over_target = false;
+  /// Since when a serving task here is over its target.
+  std::optional<time_point> over_target_since;
   time_point next_move;
   /// Ends in a row that were failures, over different jobs.
   int failed_in_a_row = 0;
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -128,8 +128,8 @@
     }
     over_since = std::min(over_since.value_or(now), *state.over_target_since);
   }
-  session.over_target = over_since.has_value();
-  if (session.over_target && now >= session.next_move) {
+  session.over_target_since = over_since;
+  if (over_since && now >= session.next_move) {
     MoveMostHarmful(session, now);
   }
   for (auto& [run, state] : session.runs) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -193,7 +193,10 @@
       continue;
     }
     const double harm = ExpectedHarm(spec, session);
-    if (spec.best_effort && harm > kMaxHarm) {
+    const bool harmed =
+        session.over_target_since &&
+        now >= *session.over_target_since + options_.settle_time;
+    if (spec.best_effort && (harmed || harm > kMaxHarm)) {
       continue;
     }
     placement_candidate candidate{.session = &session, .penalty = harm};
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -65,8 +65,8 @@
   }
   if (session.accounted && session.lease.Synchronised() &&
       session.ends_waiting.empty()) {
-    renewal.wait = session.over_target ? options_.harmed_renewal_wait
-                                       : options_.renewal_wait;
+    renewal.wait = session.over_target_since ? options_.harmed_renewal_wait
+                                             : options_.renewal_wait;
   }
   session.renewal_under_way = true;
   orders_.emplace_back(std::move(renewal));
