--- a/include/skylarkbridge/base/event_log.hpp
+++ b/include/skylarkbridge/base/event_log.hpp
@@ -31,10 +31,6 @@
 std::string FormatEvent(const event_definition& event,
                         std::initializer_list<event_field> fields);
 
-/// @brief Lines were left out, as the volume or the reader's pace demanded.
-inline constexpr event_definition kLogLinesDropped{
-    1001, event_severity::kWarning, "log_lines_dropped", "lines"};
-
 /// @brief Writes the event to standard output as one line. Never waits: lines
 /// beyond the volume that is allowed, or that the reader does not take, are
 /// counted and left out.
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -84,6 +84,10 @@
 
   void Handle(caller_request request, time_point now, wall_time wall);
   void Handle(platform_reply reply, time_point now, wall_time wall);
+  /// @brief Takes the scheduler's settings of a changed settings file.
+  void SetSchedulerOptions(jobs::fleet_scheduler_options options) {
+    scheduler_.SetOptions(std::move(options));
+  }
   /// @brief Gives the ownership up and takes no new one.
   void BeginStop(time_point now);
 
@@ -97,8 +101,8 @@
   bool Owner() const { return ownership_.Owner(); }
   /// @brief Whether nothing that was taken in is left to write.
   bool Settled() const {
-    return intake_.Idle() && lookups_.empty() &&
-           !pending_release_ && (!releasing_ || writer_.Idle());
+    return intake_.Idle() && lookups_.empty() && !pending_release_ &&
+           (!releasing_ || writer_.Idle());
   }
   std::uint64_t ConfigurationVersion() const {
     return configuration_ == nullptr ? 0 : configuration_->version;
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -110,12 +110,12 @@
                                               time_point now) {
   const jobs::job_state* state = book_.Find(job);
   if (state == nullptr) {
-    lookups_.push_back(
-        {.token = request.token,
-         .job = job,
-         .method = caller_method::kCancel,
-         .asked = now,
-         .deadline = std::min(request.deadline, now + options_.lookup_timeout)});
+    lookups_.push_back({.token = request.token,
+                        .job = job,
+                        .method = caller_method::kCancel,
+                        .asked = now,
+                        .deadline = std::min(request.deadline,
+                                             now + options_.lookup_timeout)});
     refresh_wanted_ = true;
     return;
   }
--- a/include/skylarkbridge/control/control_state_owner.hpp
+++ b/include/skylarkbridge/control/control_state_owner.hpp
@@ -74,24 +74,22 @@
     return;
   }
   writer_.Begin(ownership_.Own(), options_.first_sequence + 1);
-  LogEvent(kOwnershipTaken,
-           {{"epoch", absl::StrCat(ownership_.Own())},
-            {"jobs", absl::StrCat(book_.Jobs().size())},
-            {"leased", absl::StrCat(leased_.workers.size())}});
+  LogEvent(kOwnershipTaken, {{"epoch", absl::StrCat(ownership_.Own())},
+                             {"jobs", absl::StrCat(book_.Jobs().size())},
+                             {"leased", absl::StrCat(leased_.workers.size())}});
   scheduler_.Begin(ownership_.Own(), book_, leased_.workers,
                    ownership_.PredecessorStopsBy(now), now, wall);
   scheduler_.Configure(configuration_);
-  worker_reader_ = jobs::topic_reader({.wait = kWorkerWait,
-                                       .pause = kWorkerPause});
+  worker_reader_ =
+      jobs::topic_reader({.wait = kWorkerWait, .pause = kWorkerPause});
   job_reader_.SetPause(options_.owner_pause);
 }
 
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::LoseOwnership(std::string_view reason) {
-  LogEvent(kOwnershipLost,
-           {{"epoch", absl::StrCat(ownership_.Own())},
-            {"newest", absl::StrCat(ownership_.Newest())},
-            {"owner", std::string(reason)}});
+  LogEvent(kOwnershipLost, {{"epoch", absl::StrCat(ownership_.Own())},
+                            {"newest", absl::StrCat(ownership_.Newest())},
+                            {"owner", std::string(reason)}});
   ownership_.Fenced(0);
   scheduler_.End();
   writer_.End();
@@ -106,8 +104,8 @@
   std::vector<records::keyed_record> batch;
   if (const auto confirmation = ownership_.NextConfirmation(now)) {
     batch.push_back(records::Encode(*confirmation));
-    for (const jobs::job_id job : book_.EndedBefore(
-             now - options_.keep_ended, options_.drop_batch)) {
+    for (const jobs::job_id job :
+         book_.EndedBefore(now - options_.keep_ended, options_.drop_batch)) {
       for (records::keyed_record& record : records::EncodeDrop(job)) {
         batch.push_back(std::move(record));
       }
@@ -161,7 +159,7 @@
   AnswerLookups(now);
   MaintainOwnership(now, wall);
   if (scheduler_.Active()) {
-    scheduler_.AllowOrdersUntil(ownership_.OrdersUntil());
+    scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
     for (const jobs::scheduling_note& note : scheduler_.TakeNotes()) {
       LogEvent(kScheduling, {{"event", std::string(Name(note.event))},
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -130,11 +130,10 @@
           BOOST_LEAF_AUTO(entry,
                           Platform::DecodeWorker(record.key, *record.value));
           const auto known = scheduler_.Workers().find(record.key);
-          const bool changed =
-              known == scheduler_.Workers().end() ||
-              known->second.entry.draining != entry.draining ||
-              known->second.entry.address != entry.address ||
-              known->second.unlisted_since.has_value();
+          const bool changed = known == scheduler_.Workers().end() ||
+                               known->second.entry.draining != entry.draining ||
+                               known->second.entry.address != entry.address ||
+                               known->second.unlisted_since.has_value();
           if (changed) {
             LogEvent(kWorkerListed,
                      {{"worker", entry.worker},
@@ -180,10 +179,9 @@
           return {};
         },
         [&](const failure& error) {
-          LogEvent(kRecordRejected,
-                   {{"topic", std::string(Name(topic::kJobs))},
-                    {"offset", absl::StrCat(record.offset)},
-                    {"error", Format(error)}});
+          LogEvent(kRecordRejected, {{"topic", std::string(Name(topic::kJobs))},
+                                     {"offset", absl::StrCat(record.offset)},
+                                     {"error", Format(error)}});
         },
         [] {});
   }
@@ -230,8 +228,7 @@
     }
   } else if (const auto* dropped = std::get_if<jobs::job_dropped>(&record)) {
     book_.Apply(*dropped);
-  } else if (const auto* owner =
-                 std::get_if<jobs::ownership_record>(&record)) {
+  } else if (const auto* owner = std::get_if<jobs::ownership_record>(&record)) {
     const bool news = owner->claim != ownership_.NewestRecord().claim ||
                       owner->released != ownership_.NewestRecord().released;
     claim_seen_ |= ownership_.IsOwnClaim(*owner);
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -10,19 +10,19 @@
     5001, event_severity::kInfo, "configuration_in_force", "version queues"};
 inline constexpr event_definition kRecordRejected{
     5002, event_severity::kWarning, "record_rejected", "topic offset error"};
-inline constexpr event_definition kStoreLost{
-    5003, event_severity::kWarning, "store_lost", "topic result"};
-inline constexpr event_definition kStoreRegained{
-    5004, event_severity::kInfo, "store_regained", "topic"};
+inline constexpr event_definition kStoreLost{5003, event_severity::kWarning,
+                                             "store_lost", "topic result"};
+inline constexpr event_definition kStoreRegained{5004, event_severity::kInfo,
+                                                 "store_regained", "topic"};
 inline constexpr event_definition kSnapshotRead{
     5005, event_severity::kInfo, "snapshot_read", "topic keys next"};
 inline constexpr event_definition kRequestAnswered{
     5010, event_severity::kInfo, "request_answered",
     "job method answer reason version"};
-inline constexpr event_definition kJobKnown{
-    5011, event_severity::kInfo, "job_known", "job queue offset"};
-inline constexpr event_definition kJobEnded{
-    5012, event_severity::kInfo, "job_ended", "job state offset"};
+inline constexpr event_definition kJobKnown{5011, event_severity::kInfo,
+                                            "job_known", "job queue offset"};
+inline constexpr event_definition kJobEnded{5012, event_severity::kInfo,
+                                            "job_ended", "job state offset"};
 inline constexpr event_definition kOwnershipClaimed{
     5020, event_severity::kInfo, "ownership_claimed", "epoch reason"};
 inline constexpr event_definition kOwnershipTaken{
@@ -33,17 +33,16 @@
     5023, event_severity::kInfo, "owner_seen", "epoch owner released"};
 inline constexpr event_definition kWorkerListed{
     5030, event_severity::kInfo, "worker_listed", "worker address state rack"};
-inline constexpr event_definition kWorkerUnlisted{
-    5031, event_severity::kInfo, "worker_unlisted", "worker"};
+inline constexpr event_definition kWorkerUnlisted{5031, event_severity::kInfo,
+                                                  "worker_unlisted", "worker"};
 inline constexpr event_definition kScheduling{
     5040, event_severity::kInfo, "scheduling", "event run worker detail epoch"};
 
 inline constexpr event_definition kEvents[] = {
-    kConfigurationInForce, kRecordRejected,   kStoreLost,
-    kStoreRegained,        kSnapshotRead,     kRequestAnswered,
-    kJobKnown,             kJobEnded,         kOwnershipClaimed,
-    kOwnershipTaken,       kOwnershipLost,    kOwnerSeen,
-    kWorkerListed,         kWorkerUnlisted,   kScheduling};
+    kConfigurationInForce, kRecordRejected,  kStoreLost,     kStoreRegained,
+    kSnapshotRead,         kRequestAnswered, kJobKnown,      kJobEnded,
+    kOwnershipClaimed,     kOwnershipTaken,  kOwnershipLost, kOwnerSeen,
+    kWorkerListed,         kWorkerUnlisted,  kScheduling};
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/control/ports.hpp
+++ b/include/skylarkbridge/control/ports.hpp
@@ -74,7 +74,9 @@
 struct read_reply {
   topic source = topic::kJobs;
   std::uint64_t number = 0;
-  std::variant<jobs::snapshot_page, jobs::tail_page, history_trimmed,
+  std::variant<jobs::snapshot_page,
+               jobs::tail_page,
+               history_trimmed,
                read_failed>
       outcome;
 };
@@ -90,29 +92,26 @@
 /// @brief What the control thread needs of the platform. Calls return at once;
 /// each is followed by exactly one platform_reply, by its deadline.
 template <class T>
-concept fleet_platform =
-    requires(T& platform,
-             append_call append,
-             topic source,
-             const jobs::reader_call& read,
-             const jobs::order& order,
-             const std::string& key,
-             std::string_view bytes,
-             time_point deadline) {
-      platform.Append(std::move(append), deadline);
-      platform.Read(source, read, deadline);
-      platform.Give(order, deadline);
-      {
-        T::DecodeConfiguration(bytes)
-        } -> std::same_as<boost::leaf::result<jobs::fleet_configuration>>;
-      {
-        T::DecodeWorker(key, bytes)
-        } -> std::same_as<boost::leaf::result<jobs::worker_entry>>;
-      {
-        T::DecodeJob(bytes)
-        } -> std::same_as<boost::leaf::result<jobs::job_spec>>;
-      { T::IsConfiguration(key) } -> std::same_as<bool>;
-    };
+concept fleet_platform = requires(T& platform,
+                                  append_call append,
+                                  topic source,
+                                  const jobs::reader_call& read,
+                                  const jobs::order& order,
+                                  const std::string& key,
+                                  std::string_view bytes,
+                                  time_point deadline) {
+  platform.Append(std::move(append), deadline);
+  platform.Read(source, read, deadline);
+  platform.Give(order, deadline);
+  {
+    T::DecodeConfiguration(bytes)
+    } -> std::same_as<boost::leaf::result<jobs::fleet_configuration>>;
+  {
+    T::DecodeWorker(key, bytes)
+    } -> std::same_as<boost::leaf::result<jobs::worker_entry>>;
+  { T::DecodeJob(bytes) } -> std::same_as<boost::leaf::result<jobs::job_spec>>;
+  { T::IsConfiguration(key) } -> std::same_as<bool>;
+};
 
 enum class caller_method { kSubmit, kQuery, kCancel, kOther };
 
@@ -152,10 +151,11 @@
 
 /// @brief Where the control thread sends answers to callers.
 template <class T>
-concept caller_port =
-    requires(T& callers, std::uint64_t token, caller_answer answer) {
-      callers.Answer(token, std::move(answer));
-    };
+concept caller_port = requires(T& callers,
+                               std::uint64_t token,
+                               caller_answer answer) {
+  callers.Answer(token, std::move(answer));
+};
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -38,6 +38,8 @@
   std::chrono::milliseconds unstored_renewal{400};
   /// A worker refuses an order to start that is older.
   std::chrono::milliseconds start_validity{1500};
+  /// An order without an answer is carried out within this time or never.
+  std::chrono::milliseconds late_order_limit{15'000};
   /// Longest time that a stop takes.
   std::chrono::milliseconds stop_timeout{400};
   /// Pause after an order to stop that had no answer.
@@ -51,7 +53,7 @@
   int failures_for_quarantine = 4;
   /// A worker whose serving task has been over its target for so long gets no
   /// further best-effort tasks until the tail is down.
-  std::chrono::milliseconds settle_time{600};
+  std::chrono::milliseconds settle_time{300};
   /// A best-effort task that is further on is not moved for what it harms.
   int evict_below_percent = 70;
   /// The same for a worker with a serving task over its target.
@@ -87,12 +89,22 @@
   /// @brief This VM does not own the fleet any more.
   void End();
   bool Active() const { return active_; }
+  /// @brief Epoch of this VM's ownership; meaningful while active.
+  epoch Own() const { return own_; }
+  /// @brief Takes other settings; leases and orders from now on follow them.
+  void SetOptions(fleet_scheduler_options options) { options_ = options; }
 
   void Configure(std::shared_ptr<const fleet_configuration> configuration);
   /// @brief Orders may be given until this time.
-  void AllowOrdersUntil(time_point until) { orders_until_ = until; }
+  /// @param confirmed when the log last showed that this VM is the owner.
+  void AllowOrders(time_point confirmed, time_point until) {
+    confirmed_ = confirmed;
+    orders_until_ = until;
+  }
 
-  void Accepted(job_id job, const job_state& state, time_point now,
+  void Accepted(job_id job,
+                const job_state& state,
+                time_point now,
                 wall_time wall);
   void Cancelled(job_id job, time_point now);
 
@@ -176,6 +188,8 @@
                  worker_run& state,
                  time_point now);
   worker_target Target(const worker_session& session) const;
+  /// Until when a lease lasts that somebody else grants at @p now.
+  time_point LongestLease(time_point now) const;
 
   // Placement.
   struct ready_step {
@@ -226,11 +240,10 @@
                  const step_spec& step,
                  const run_ref& run,
                  time_point now);
-  std::vector<placement_candidate>& Candidates(
-      const step_spec& spec,
-      const queue_configuration& queue,
-      candidate_lists& lists,
-      time_point now) const;
+  std::vector<placement_candidate>& Candidates(const step_spec& spec,
+                                               const queue_configuration& queue,
+                                               candidate_lists& lists,
+                                               time_point now) const;
   void CountImages(const std::string& image,
                    placement_candidate& candidate) const;
   void CountSiblings(const step_ref& ref,
@@ -258,11 +271,12 @@
             const std::string& worker,
             std::string detail = {});
 
-  const fleet_scheduler_options options_;
+  fleet_scheduler_options options_;
   bool active_ = false;
   bool fenced_ = false;
   epoch own_ = 0;
   time_point orders_until_;
+  time_point confirmed_;
   std::shared_ptr<const fleet_configuration> configuration_;
   const job_book* book_ = nullptr;
   job_table jobs_;
--- a/include/skylarkbridge/jobs/interference_model.hpp
+++ b/include/skylarkbridge/jobs/interference_model.hpp
@@ -31,10 +31,10 @@
 /// @brief Learns how much tasks of one image raise the tail latency of tasks of
 /// another that serve beside them.
 ///
-/// The tail, as the logarithm of its ratio to the target, is modelled as a level
-/// of the serving image and a sum over the neighbours of their amount times a
-/// harm for the pair of images. Recursive least squares with forgetting finds
-/// both from reports in which several images run side by side.
+/// The tail, as the logarithm of its ratio to the target, is modelled as a
+/// level of the serving image and a sum over the neighbours of their amount
+/// times a harm for the pair of images. Recursive least squares with forgetting
+/// finds both from reports in which several images run side by side.
 class interference_model {
  public:
   explicit interference_model(interference_options options = {})
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -9,8 +9,6 @@
 #include <string>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/job_book.hpp"
@@ -150,7 +148,7 @@
   const step_state* Find(const step_ref& step) const;
 
   /// @brief Steps with ready tasks.
-  const absl::flat_hash_set<step_ref>& ReadySteps() const { return ready_; }
+  const std::set<step_ref>& ReadySteps() const { return ready_; }
   /// @brief Indices of the ready tasks of a step whose wait is over.
   std::vector<std::uint32_t> ReadyTasks(const step_ref& step,
                                         time_point now) const;
@@ -159,7 +157,7 @@
   std::vector<job_advanced> TakeChanges();
   bool HasChanges() const { return !changed_.empty() || !finished_.empty(); }
 
-  const absl::flat_hash_map<job_id, open_job>& Jobs() const { return jobs_; }
+  const std::map<job_id, open_job>& Jobs() const { return jobs_; }
 
  private:
   task_state* MutableTask(const task_ref& task);
@@ -181,9 +179,9 @@
                                        const task_ref& task) const;
 
   job_table_options options_;
-  absl::flat_hash_map<job_id, open_job> jobs_;
-  absl::flat_hash_set<step_ref> ready_;
-  absl::flat_hash_set<job_id> changed_;
+  std::map<job_id, open_job> jobs_;
+  std::set<step_ref> ready_;
+  std::set<job_id> changed_;
   /// Jobs with occurrences that are not due yet.
   std::set<job_id> scheduled_;
   /// Final progress of jobs that ended and are removed already.
--- a/include/skylarkbridge/jobs/orders.hpp
+++ b/include/skylarkbridge/jobs/orders.hpp
@@ -64,8 +64,8 @@
   std::vector<std::string> workers;
 };
 
-using order =
-    std::variant<renew_order, start_order, stop_order, pace_order, permit_request>;
+using order = std::
+    variant<renew_order, start_order, stop_order, pace_order, permit_request>;
 
 enum class order_result {
   kDone,
--- a/include/skylarkbridge/jobs/ownership.hpp
+++ b/include/skylarkbridge/jobs/ownership.hpp
@@ -62,6 +62,8 @@
   std::optional<ownership_record> NextConfirmation(time_point now);
 
   bool Owner() const { return owner_; }
+  /// @brief When the log last showed that this VM is the owner.
+  time_point ConfirmedAt() const { return confirmed_; }
   /// @brief Until when this VM, as the owner, may give orders.
   time_point OrdersUntil() const { return confirmed_ + options_.validity; }
   /// @brief Epoch of the newest claim that this VM knows of.
--- a/include/skylarkbridge/jobs/topic_reader.hpp
+++ b/include/skylarkbridge/jobs/topic_reader.hpp
@@ -75,9 +75,9 @@
 /// @brief Follows one topic: a snapshot first, then the tail, and a snapshot
 /// again when the history that it needs is gone.
 ///
-/// The pages of a snapshot are not taken at one moment, so the tail is read from
-/// the end that the first page stated, and a record is passed on only when it is
-/// newer than the one of its key that was passed on before.
+/// The pages of a snapshot are not taken at one moment, so the tail is read
+/// from the end that the first page stated, and a record is passed on only when
+/// it is newer than the one of its key that was passed on before.
 class topic_reader {
  public:
   explicit topic_reader(topic_reader_options options) : options_(options) {}
--- a/include/skylarkbridge/jobs/worker_lease.hpp
+++ b/include/skylarkbridge/jobs/worker_lease.hpp
@@ -13,14 +13,15 @@
 /// @brief Relates a worker's clock to ours and bounds the time until which
 /// anything can run there.
 ///
-/// A worker's clock may be slow by kClockSlowness and is never fast, so the time
-/// that is left on it is an upper bound once it is stretched by that.
+/// A worker's clock may be slow by kClockSlowness and is never fast, so the
+/// time that is left on it is an upper bound once it is stretched by that.
 class worker_lease {
  public:
   /// The worker's clock runs at 98% of the true speed at the least.
   static constexpr double kClockSlowness = 1.0 / 0.98;
 
-  /// @param unknown_until until when an earlier owner's lease may last.
+  /// @param unknown_until until when a lease that was granted by others, or by
+  /// orders that are carried out late, may last.
   explicit worker_lease(time_point unknown_until) : ends_(unknown_until) {}
 
   /// @brief An answer with the worker's time arrived.
@@ -29,10 +30,12 @@
     received_ = received;
   }
 
-  /// @brief The worker started anew: nothing of before runs there.
-  void Reset(time_point now) {
+  /// @brief The worker started anew, with another clock.
+  /// @param unknown_until until when orders that the new life carries out late
+  /// may let work run.
+  void Reset(time_point unknown_until) {
     clock_.reset();
-    ends_ = now;
+    ends_ = unknown_until;
   }
 
   bool Synchronised() const { return clock_.has_value(); }
@@ -43,12 +46,10 @@
            std::chrono::floor<std::chrono::milliseconds>(now - received_);
   }
 
-  /// @brief An order is being sent that lets work run until @p until.
-  void Extend(worker_time until) {
-    const auto left = std::chrono::duration_cast<time_point::duration>(
-        (until - *clock_) * kClockSlowness);
-    ends_ = std::max(ends_, received_ + left);
-  }
+  /// @brief An order is being sent that lets work run until @p until at the
+  /// latest. A worker that started anew unnoticed takes an order for its
+  /// longest lease, whatever time the order states.
+  void Extend(time_point until) { ends_ = std::max(ends_, until); }
 
   /// @brief Nothing that was ordered so far runs after this time.
   time_point Ends() const { return ends_; }
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -3,12 +3,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
@@ -93,7 +93,10 @@
   /// Ends that become durable with a write to the log, by its number.
   std::deque<std::pair<std::uint64_t, std::uint64_t>> ends_waiting;
 
-  absl::flat_hash_map<run_ref, worker_run> runs;
+  std::map<run_ref, worker_run> runs;
+  /// Orders to start without an answer, with the time until which they may be
+  /// carried out; a worker that started anew has to refuse them first.
+  std::map<run_ref, time_point> late_starts;
   resources used;
   std::int64_t best_effort_millicores = 0;
   /// Processor time of the serving tasks by their declared need.
--- a/include/skylarkbridge/service/events.hpp
+++ b/include/skylarkbridge/service/events.hpp
@@ -13,10 +13,11 @@
     5202, event_severity::kInfo, "service_stopping", "grace_ms"};
 inline constexpr event_definition kServiceStopped{
     5203, event_severity::kInfo, "service_stopped", "busy settled"};
-inline constexpr event_definition kServiceFailed{
-    5204, event_severity::kError, "service_failed", "error"};
+inline constexpr event_definition kServiceFailed{5204, event_severity::kError,
+                                                 "service_failed", "error"};
 inline constexpr event_definition kSettingsReloaded{
-    5205, event_severity::kInfo, "settings_reloaded", "cause changed"};
+    5205, event_severity::kInfo, "settings_reloaded",
+    "cause changed restart_needed"};
 inline constexpr event_definition kSettingsRejected{
     5206, event_severity::kWarning, "settings_rejected", "findings"};
 
--- a/include/skylarkbridge/service/fleet_service.hpp
+++ b/include/skylarkbridge/service/fleet_service.hpp
@@ -25,12 +25,23 @@
 /// @brief Asks the control thread to prepare for the end of the process.
 struct stop_requested {};
 
+/// @brief The settings changed while the process runs.
+struct settings_changed {
+  platform::settings settings;
+};
+
 /// @brief What the control thread receives.
-using control_message = std::
-    variant<control::caller_request, control::platform_reply, stop_requested>;
+using control_message = std::variant<control::caller_request,
+                                     control::platform_reply,
+                                     stop_requested,
+                                     settings_changed>;
 
 struct fleet_service_options {
   platform::settings settings;
+  /// Where the settings were read; they are read again when they change.
+  std::string settings_file;
+  /// Between two looks at the settings file.
+  std::chrono::milliseconds settings_check{1000};
   /// Listener for metrics, "IP:PORT"; empty for none.
   std::string metrics_address;
   /// Most messages that wait for the control thread.
@@ -62,6 +73,14 @@
   /// answer. Returns when nothing is left to answer or the grace is over.
   void Drain();
 
+  /// @brief Reads the settings file again. Takes what can change while the
+  /// process runs, and logs what needs a restart.
+  void Reload(std::string_view cause);
+  /// @brief Between two calls of Reload.
+  std::chrono::milliseconds SettingsCheck() const {
+    return options_.settings_check;
+  }
+
  private:
   /// Carries answers from the control thread to the callers.
   struct caller_answers {
@@ -71,19 +90,22 @@
       server.Answer(token, platform::EncodeAnswer(answer));
     }
   };
-  using state =
-      control::control_state<platform::client, caller_answers>;
+  using state = control::control_state<platform::client, caller_answers>;
 
   void BuildTree();
   boost::leaf::result<void> RunCalls(stop_signal& stop);
   boost::leaf::result<void> RunCallers(stop_signal& stop);
   boost::leaf::result<void> RunControl(stop_signal& stop);
+  jobs::fleet_scheduler_options SchedulerOptions(
+      const platform::settings& settings) const;
   void Receive(transport::server_request request);
   void Publish(const state& control, time_point now);
   bool Ready() const;
   control::control_options ControlOptions(std::uint64_t incarnation) const;
 
   const fleet_service_options options_;
+  /// The settings in force; touched by the thread of the signals only.
+  platform::settings settings_;
   telemetry::metrics_registry metrics_;
   mailbox<control_message> mailbox_;
   boost::asio::io_context calls_context_;
--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -10,10 +10,13 @@
 import sys
 
 LADDER = [
-    "base", "telemetry", "supervisor", "declaration", "scheduling", "coordination", "wire",
-    "gateway", "standin", "scenario", "entry", "daemon", "cli",
+    "base", "telemetry", "supervisor", "declaration", "jobs", "records", "transport", "control",
+    "scheduling", "coordination", "wire", "gateway", "standin", "scenario", "entry", "daemon",
+    "service", "cli",
 ]
-PURE = {"scheduling", "coordination"}
+PURE = {"scheduling", "coordination", "jobs"}
+# The adapter's folder; only the assembly of the process and the command line may include it.
+PLATFORM_USERS = {"service", "cli"}
 NOT_FOR_PURE = {"telemetry", "supervisor"}
 FORBIDDEN = re.compile(
     r"nlohmann|flatbuffers|_generated|httplib|pthread|sys/socket|arpa/|netinet|poll\.h|epoll"
@@ -57,6 +60,8 @@
         if module is None:
             continue
         for text in includes(path):
+            if text.startswith('"platform/') and module not in PLATFORM_USERS:
+                faults.append(f"{path.relative_to(ROOT)}: {module} must not include {text}")
             match = re.match(r'"skylarkbridge/([a-z]+)/', text)
             if not match:
                 continue
--- a/src/skylarkbridge/base/event_log.cpp
+++ b/src/skylarkbridge/base/event_log.cpp
@@ -13,7 +13,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/synchronization/mutex.h"
-#include "skylarkbridge/base/string_view.hpp"
+#include "skylarkbridge/base/events.hpp"
 #include "skylarkbridge/base/time.hpp"
 
 namespace skylarkbridge {
@@ -67,7 +67,7 @@
     }
     if (dropped_ > 0) {
       const std::string notice = FormatEvent(
-          kLogLinesDropped, {{"lines", absl::StrCat(dropped_)}});
+          base::kLogLinesDropped, {{"lines", absl::StrCat(dropped_)}});
       dropped_ = 0;
       WriteLine(notice);
     }
@@ -85,8 +85,7 @@
 
   static bool Writable() {
     pollfd descriptor{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
-    return poll(&descriptor, 1, 0) == 1 &&
-           (descriptor.revents & POLLOUT) != 0;
+    return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
   }
 
   void WriteLine(std::string line) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
@@ -118,10 +117,10 @@
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
-  std::string line = absl::StrFormat(
-      "{\"time\":%d.%03d,\"event\":%d,\"severity\":",
-      seconds.time_since_epoch().count(), (now - seconds).count(),
-      event.number);
+  std::string line =
+      absl::StrFormat("{\"time\":%d.%03d,\"event\":%d,\"severity\":",
+                      seconds.time_since_epoch().count(),
+                      (now - seconds).count(), event.number);
   AppendQuoted(Name(event.severity), line);
   line += ",\"name\":";
   AppendQuoted(event.name, line);
--- a/src/skylarkbridge/base/termination.cpp
+++ b/src/skylarkbridge/base/termination.cpp
@@ -3,7 +3,10 @@
 #include <pthread.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
+#include <ctime>
 
 namespace skylarkbridge {
 namespace {
@@ -30,6 +33,25 @@
   return signal;
 }
 
+void BlockReloadSignal() {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+int WaitForSignal(time_point deadline) {
+  sigset_t set = TerminationSignals();
+  sigaddset(&set, SIGHUP);
+  const auto left =
+      std::max(deadline - boot_clock::now(), time_point::duration::zero());
+  const auto seconds = std::chrono::floor<std::chrono::seconds>(left);
+  const timespec limit{.tv_sec = seconds.count(),
+                       .tv_nsec = (left - seconds).count()};
+  const int signal = sigtimedwait(&set, nullptr, &limit);
+  return signal > 0 ? signal : 0;
+}
+
 void RequestTermination() {
   kill(getpid(), SIGTERM);
 }
--- a/src/skylarkbridge/cli/event_lists.hpp
+++ b/src/skylarkbridge/cli/event_lists.hpp
@@ -4,9 +4,12 @@
 #include <span>
 #include <string_view>
 
+#include "skylarkbridge/base/events.hpp"
+#include "skylarkbridge/control/events.hpp"
 #include "skylarkbridge/daemon/events.hpp"
 #include "skylarkbridge/gateway/events.hpp"
 #include "skylarkbridge/gateway/peer_events.hpp"
+#include "skylarkbridge/service/events.hpp"
 #include "skylarkbridge/supervisor/events.hpp"
 #include "skylarkbridge/telemetry/events.hpp"
 
@@ -19,8 +22,13 @@
 
 /// The events of all modules. A new events.hpp is added here.
 inline constexpr event_list kEventLists[] = {
-    {"daemon", daemon::kEvents},       {"gateway", gateway::kEvents},
-    {"gateway", gateway::kPeerEvents}, {"supervisor", supervisor::kEvents},
+    {"base", base::kEvents},
+    {"control", control::kEvents},
+    {"service", service::kEvents},
+    {"daemon", daemon::kEvents},
+    {"gateway", gateway::kEvents},
+    {"gateway", gateway::kPeerEvents},
+    {"supervisor", supervisor::kEvents},
     {"telemetry", telemetry::kEvents},
 };
 
--- a/src/skylarkbridge/cli/fleet_command.cpp
+++ b/src/skylarkbridge/cli/fleet_command.cpp
@@ -1,11 +1,12 @@
 #include <gflags/gflags.h>
 
-#include <fstream>
-#include <iterator>
+#include <optional>
 #include <ostream>
+#include <string>
 
 #include "absl/strings/str_cat.h"
 #include "platform/settings.hpp"
+#include "skylarkbridge/base/whole_file.hpp"
 #include "skylarkbridge/cli/commands.hpp"
 #include "skylarkbridge/service/fleet_service.hpp"
 
@@ -18,28 +19,17 @@
               "Port on the VM's address that serves metrics; 0 for none.");
 
 namespace skylarkbridge::cli {
-namespace {
-
-std::string ReadFile(const std::string& path, findings& found) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    found.Add("flag --boot", absl::StrCat("can't read ", path));
-    return {};
-  }
-  return {std::istreambuf_iterator<char>(file), {}};
-}
-
-}  // namespace
-
 int RunFleet(command_context& context) {
   findings found;
   platform::settings settings;
   if (FLAGS_boot.empty()) {
     found.Add("flag --boot", "is missing");
   } else {
-    const std::string text = ReadFile(FLAGS_boot, found);
-    if (found.Empty()) {
-      settings = platform::ReadSettings(text, found);
+    const std::optional<std::string> text = ReadWholeFile(FLAGS_boot);
+    if (text) {
+      settings = platform::ReadSettings(*text, found);
+    } else {
+      found.Add("flag --boot", absl::StrCat("can't read ", FLAGS_boot));
     }
   }
   if (!found.Empty()) {
@@ -50,7 +40,8 @@
     context.out << "settings of " << settings.vm << ": no findings\n";
     return kExitDone;
   }
-  service::fleet_service_options options{.settings = settings};
+  service::fleet_service_options options{.settings = settings,
+                                         .settings_file = FLAGS_boot};
   if (FLAGS_metrics_port != 0) {
     options.metrics_address =
         absl::StrCat(settings.ip, ":", FLAGS_metrics_port);
--- /dev/null
+++ b/src/skylarkbridge/control/store_fake.hpp
@@ -0,0 +1,122 @@
+#ifndef SKYLARKBRIDGE_CONTROL_STORE_FAKE_HPP
+#define SKYLARKBRIDGE_CONTROL_STORE_FAKE_HPP
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "skylarkbridge/control/ports.hpp"
+
+namespace skylarkbridge::control {
+
+/// @brief The platform's store in memory: topics that keep the newest record of
+/// each key, numbered writes and conditional appends.
+class store_fake {
+ public:
+  append_reply Append(const append_call& call) {
+    append_reply reply{.number = call.number, .result = store_result::kDone};
+    std::vector<jobs::topic_record>& log = logs_[topic::kJobs];
+    if (call.order) {
+      const sequenced_write& order = *call.order;
+      if (order.claim < claim_) {
+        reply.result = store_result::kFenced;
+        return reply;
+      }
+      if (order.claim == claim_ && order.sequence == sequence_) {
+        reply.offset = last_offset_;
+        return reply;
+      }
+      if (order.claim == claim_ && order.sequence != sequence_ + 1) {
+        reply.result = store_result::kOutOfSequence;
+        return reply;
+      }
+    }
+    if (call.at_end && *call.at_end != log.size()) {
+      reply.result = store_result::kEndMoved;
+      return reply;
+    }
+    reply.offset = log.size();
+    if (call.order) {
+      claim_ = call.order->claim;
+      sequence_ = call.order->sequence;
+      last_offset_ = reply.offset;
+    }
+    for (const records::keyed_record& record : call.batch) {
+      Put(topic::kJobs, record.key, record.value);
+    }
+    return reply;
+  }
+
+  void Put(topic source,
+           const std::string& key,
+           std::optional<std::string> value) {
+    std::vector<jobs::topic_record>& log = logs_[source];
+    log.push_back(
+        {.offset = log.size(), .key = key, .value = std::move(value)});
+  }
+
+  jobs::snapshot_page Snapshot(topic source, const std::string& after) const {
+    jobs::snapshot_page page{.end = End(source)};
+    std::map<std::string, jobs::topic_record> newest;
+    if (const auto log = logs_.find(source); log != logs_.end()) {
+      for (const jobs::topic_record& record : log->second) {
+        newest[record.key] = record;
+      }
+    }
+    for (const auto& [key, record] : newest) {
+      if (key <= after || !record.value) {
+        continue;
+      }
+      if (page.records.size() == kPageRecords) {
+        page.more = true;
+        break;
+      }
+      page.records.push_back(record);
+    }
+    return page;
+  }
+
+  /// @brief Nothing when the records are trimmed.
+  std::optional<jobs::tail_page> Tail(topic source, std::uint64_t from) const {
+    if (const auto first = first_.find(source);
+        first != first_.end() && from < first->second) {
+      return std::nullopt;
+    }
+    jobs::tail_page page{.end = End(source)};
+    if (const auto log = logs_.find(source); log != logs_.end()) {
+      page.records.assign(
+          log->second.begin() + static_cast<std::ptrdiff_t>(
+                                    std::min<std::uint64_t>(from, page.end)),
+          log->second.end());
+    }
+    return page;
+  }
+
+  std::uint64_t End(topic source) const {
+    const auto log = logs_.find(source);
+    return log == logs_.end() ? 0 : log->second.size();
+  }
+
+  /// @brief Forgets the history; the newest record of each key stays.
+  void Trim() {
+    for (const auto& [source, log] : logs_) {
+      first_[source] = log.size();
+    }
+  }
+
+ private:
+  static constexpr std::size_t kPageRecords = 5;
+
+  std::map<topic, std::vector<jobs::topic_record>> logs_;
+  std::map<topic, std::uint64_t> first_;
+  jobs::epoch claim_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t last_offset_ = 0;
+};
+
+}  // namespace skylarkbridge::control
+
+#endif  // SKYLARKBRIDGE_CONTROL_STORE_FAKE_HPP
--- /dev/null
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -0,0 +1,494 @@
+#ifndef SKYLARKBRIDGE_CONTROL_VIRTUAL_FLEET_FAKE_HPP
+#define SKYLARKBRIDGE_CONTROL_VIRTUAL_FLEET_FAKE_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "skylarkbridge/control/control_state.hpp"
+#include "skylarkbridge/control/promise_checker_fake.hpp"
+#include "skylarkbridge/control/store_fake.hpp"
+#include "skylarkbridge/control/worker_fake.hpp"
+
+namespace skylarkbridge::control {
+
+class virtual_fleet;
+
+/// @brief The platform as one VM of a test reaches it.
+class platform_fake {
+ public:
+  platform_fake(virtual_fleet& fleet, std::size_t vm, std::uint64_t life)
+      : fleet_(fleet), vm_(vm), life_(life) {}
+
+  void Append(append_call call, time_point deadline);
+  void Read(topic source, const jobs::reader_call& call, time_point deadline);
+  void Give(const jobs::order& order, time_point deadline);
+
+  /// "VERSION MAX_ATTEMPTS".
+  static boost::leaf::result<jobs::fleet_configuration> DecodeConfiguration(
+      std::string_view bytes) {
+    std::istringstream text{std::string(bytes)};
+    jobs::fleet_configuration configuration;
+    jobs::queue_configuration queue{.name = "batch",
+                                    .host = "host",
+                                    .path_prefix = "/batch/",
+                                    .service = "service"};
+    text >> configuration.version >> queue.max_attempts;
+    configuration.queues.push_back(queue);
+    return configuration;
+  }
+  /// "MILLICORES".
+  static boost::leaf::result<jobs::worker_entry> DecodeWorker(
+      const std::string& worker,
+      std::string_view bytes) {
+    jobs::worker_entry entry{
+        .worker = worker, .service = "service", .address = worker};
+    std::istringstream text{std::string(bytes)};
+    text >> entry.capacity.millicores;
+    return entry;
+  }
+  /// "MILLICORES MILLISECONDS FAILURES COUNT COUNT ...": the steps depend on
+  /// one another in their order.
+  static boost::leaf::result<jobs::job_spec> DecodeJob(std::string_view body) {
+    jobs::job_spec spec{.payload = std::string(body)};
+    std::istringstream text{spec.payload};
+    std::int64_t millicores = 0;
+    std::int64_t duration = 0;
+    std::int64_t failures = 0;
+    text >> millicores >> duration >> failures;
+    for (std::uint32_t count = 0; text >> count;) {
+      jobs::step_spec step{.count = count,
+                           .need = {.millicores = millicores},
+                           .estimate = std::chrono::milliseconds(duration)};
+      if (!spec.steps.empty()) {
+        step.depends_on = {static_cast<std::uint32_t>(spec.steps.size() - 1)};
+      }
+      spec.steps.push_back(step);
+    }
+    return spec;
+  }
+  static bool IsConfiguration(const std::string& key) {
+    return key == "config";
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kLateOrder{2500};
+
+  template <class Order>
+  void GiveToWorker(const Order& order, time_point deadline);
+
+  virtual_fleet& fleet_;
+  const std::size_t vm_;
+  const std::uint64_t life_;
+};
+
+/// @brief Takes the answers to the callers of one VM.
+class callers_fake {
+ public:
+  explicit callers_fake(virtual_fleet& fleet) : fleet_(fleet) {}
+  void Answer(std::uint64_t token, const caller_answer& answer);
+
+ private:
+  virtual_fleet& fleet_;
+};
+
+/// @brief VMs with their control states, the store and the workers, in virtual
+/// time. Calls take a delay each way, drawn from a seed.
+class virtual_fleet {
+ public:
+  struct options {
+    std::size_t vms = 3;
+    std::size_t workers = 4;
+    std::int64_t worker_millicores = 4000;
+    std::uint64_t seed = 1;
+    std::uint32_t max_attempts = 3;
+  };
+
+  explicit virtual_fleet(const options& wanted)
+      : options_(wanted), random_(wanted.seed), checker_(wanted.max_attempts) {
+    store_.Put(topic::kConfiguration, "config",
+               absl::StrCat("1 ", wanted.max_attempts));
+    for (std::size_t worker = 0; worker < wanted.workers; ++worker) {
+      const std::string id = absl::StrCat("w", worker);
+      workers_.emplace(
+          id,
+          worker_fake(id, {.millicores = wanted.worker_millicores}, checker_));
+      StartWorker(id);
+    }
+    vms_.resize(wanted.vms);
+    for (std::size_t vm = 0; vm < wanted.vms; ++vm) {
+      StartVm(vm);
+    }
+  }
+
+  /// @brief Runs everything for the time.
+  void Advance(std::chrono::milliseconds time) {
+    const time_point end = now_ + time;
+    while (now_ < end) {
+      now_ += kTick;
+      for (auto& [id, worker] : workers_) {
+        if (worker.Up()) {
+          worker.Advance(now_);
+        }
+      }
+      while (!queue_.empty() && queue_.begin()->first <= now_) {
+        const std::function<void()> action = std::move(queue_.begin()->second);
+        queue_.erase(queue_.begin());
+        action();
+      }
+      for (vm_state& vm : vms_) {
+        if (vm.control && now_ >= vm.next_pass) {
+          vm.control->Run(now_, Wall());
+          vm.next_pass = vm.control->NextDeadline(now_);
+        }
+      }
+    }
+  }
+
+  // Faults.
+  void KillVm(std::size_t vm) { vms_[vm].control.reset(); }
+  void StartVm(std::size_t vm) {
+    vm_state& state = vms_[vm];
+    ++state.life;
+    state.platform = std::make_unique<platform_fake>(*this, vm, state.life);
+    state.callers = std::make_unique<callers_fake>(*this);
+    control_options options;
+    options.ownership.vm = absl::StrCat("vm", vm);
+    options.ownership.incarnation = state.life;
+    options.first_sequence = 1000 * (vm + 1) + 100 * state.life;
+    state.control =
+        std::make_unique<control_state<platform_fake, callers_fake>>(
+            options, *state.platform, *state.callers);
+    state.next_pass = now_;
+  }
+  void StopVm(std::size_t vm) { vms_[vm].control->BeginStop(now_); }
+  bool Running(std::size_t vm) const { return vms_[vm].control != nullptr; }
+  void CutFromStore(std::size_t vm, bool cut) { vms_[vm].store_cut = cut; }
+  void CutFromWorkers(std::size_t vm, bool cut) { vms_[vm].workers_cut = cut; }
+  void CutFromWorker(std::size_t vm, const std::string& worker, bool cut) {
+    if (cut) {
+      vms_[vm].cut_workers.insert(worker);
+    } else {
+      vms_[vm].cut_workers.erase(worker);
+    }
+  }
+  void StoreDown(bool down) { store_down_ = down; }
+  /// @param share of the appends and orders that are carried out unanswered.
+  void LoseAnswers(double share) { lost_share_ = share; }
+  void StartWorker(const std::string& id) {
+    workers_.at(id).Start(now_);
+    store_.Put(topic::kWorkers, id,
+               absl::StrCat(workers_.at(id).Capacity().millicores));
+  }
+  void CrashWorker(const std::string& id) {
+    workers_.at(id).Crash();
+    After(std::chrono::seconds(3), [this, id] {
+      if (!workers_.at(id).Up()) {
+        store_.Put(topic::kWorkers, id, std::nullopt);
+      }
+    });
+  }
+  void TrimStore() { store_.Trim(); }
+  worker_fake& Worker(const std::string& id) { return workers_.at(id); }
+
+  // Callers.
+  std::uint64_t Submit(std::size_t vm, jobs::job_id job, std::string body) {
+    checker_.JobSubmitted(job, platform_fake::DecodeJob(body).value());
+    return Send(vm, caller_method::kSubmit, job, std::move(body));
+  }
+  std::uint64_t Send(std::size_t vm,
+                     caller_method method,
+                     jobs::job_id job,
+                     std::string body = {}) {
+    const std::uint64_t token = ++tokens_;
+    asked_[token] = {job, method};
+    if (vms_[vm].control) {
+      vms_[vm].control->Handle(
+          caller_request{.token = token,
+                         .method = method,
+                         .host = "host",
+                         .path = absl::StrCat("/batch/", jobs::Format(job)),
+                         .body = std::move(body),
+                         .deadline = now_ + std::chrono::seconds(3)},
+          now_, Wall());
+      vms_[vm].next_pass = now_;
+    }
+    return token;
+  }
+  const caller_answer* AnswerTo(std::uint64_t token) const {
+    const auto answer = answers_.find(token);
+    return answer == answers_.end() ? nullptr : &answer->second;
+  }
+  void TakeAnswer(std::uint64_t token, const caller_answer& answer) {
+    answers_[token] = answer;
+    const auto& [job, method] = asked_.at(token);
+    if (method != caller_method::kSubmit) {
+      return;
+    }
+    if (answer.kind == answer_kind::kAccepted) {
+      checker_.JobAccepted(job);
+    } else if (answer.kind == answer_kind::kUncertain) {
+      checker_.JobUncertain(job);
+    } else {
+      checker_.JobRefused(job);
+    }
+  }
+
+  std::optional<std::size_t> Owner() const {
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+      if (vms_[vm].control && vms_[vm].control->Owner() &&
+          !vms_[vm].store_cut) {
+        return vm;
+      }
+    }
+    return std::nullopt;
+  }
+  const control_state<platform_fake, callers_fake>& Control(
+      std::size_t vm) const {
+    return *vms_[vm].control;
+  }
+  const promise_checker& Checker() const { return checker_; }
+  time_point Now() const { return now_; }
+  std::mt19937_64& Random() { return random_; }
+
+  // For platform_fake.
+  bool StoreReachable(std::size_t vm) const {
+    return !store_down_ && !vms_[vm].store_cut;
+  }
+  bool WorkerReachable(std::size_t vm, const std::string& worker) const {
+    return !vms_[vm].workers_cut && !vms_[vm].cut_workers.contains(worker);
+  }
+  bool Lost() { return Draw() < lost_share_; }
+  store_fake& Store() { return store_; }
+  std::chrono::milliseconds Delay() {
+    return std::chrono::milliseconds(1 + static_cast<int>(Draw() * 3));
+  }
+  void After(std::chrono::milliseconds delay, std::function<void()> action) {
+    queue_.emplace(now_ + delay, std::move(action));
+  }
+  void At(time_point when, std::function<void()> action) {
+    queue_.emplace(when, std::move(action));
+  }
+  void Look(std::size_t vm,
+            std::uint64_t life,
+            topic source,
+            const jobs::reader_call& call,
+            time_point until);
+  template <class Order>
+  void CarryOut(std::size_t vm,
+                std::uint64_t life,
+                const Order& order,
+                bool answered,
+                int worker_life,
+                time_point until);
+  void Deliver(std::size_t vm, std::uint64_t life, platform_reply reply) {
+    vm_state& state = vms_[vm];
+    if (state.control && state.life == life) {
+      state.control->Handle(std::move(reply), now_, Wall());
+      state.next_pass = now_;
+    }
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kTick{2};
+  /// A call that waits looks again after this time.
+  static constexpr std::chrono::milliseconds kLookAgain{4};
+
+  struct vm_state {
+    std::unique_ptr<platform_fake> platform;
+    std::unique_ptr<callers_fake> callers;
+    std::unique_ptr<control_state<platform_fake, callers_fake>> control;
+    std::uint64_t life = 0;
+    time_point next_pass;
+    bool store_cut = false;
+    bool workers_cut = false;
+    std::set<std::string> cut_workers;
+  };
+
+  double Draw() { return std::uniform_real_distribution<double>()(random_); }
+  wall_time Wall() const {
+    return wall_time(std::chrono::seconds(1'700'000'000) +
+                     now_.time_since_epoch());
+  }
+
+  const options options_;
+  std::mt19937_64 random_;
+  time_point now_{std::chrono::hours(1)};
+  promise_checker checker_;
+  store_fake store_;
+  std::map<std::string, worker_fake> workers_;
+  std::vector<vm_state> vms_;
+  std::multimap<time_point, std::function<void()>> queue_;
+  bool store_down_ = false;
+  double lost_share_ = 0;
+  std::uint64_t tokens_ = 0;
+  std::map<std::uint64_t, std::pair<jobs::job_id, caller_method>> asked_;
+  std::map<std::uint64_t, caller_answer> answers_;
+};
+
+inline void callers_fake::Answer(std::uint64_t token,
+                                 const caller_answer& answer) {
+  fleet_.TakeAnswer(token, answer);
+}
+
+inline void platform_fake::Append(append_call call, time_point deadline) {
+  const auto no_answer = [this, number = call.number, deadline] {
+    fleet_.At(deadline, [&fleet = fleet_, vm = vm_, life = life_, number] {
+      fleet.Deliver(vm, life, append_reply{.number = number});
+    });
+  };
+  if (!fleet_.StoreReachable(vm_)) {
+    no_answer();
+    return;
+  }
+  const bool lost = fleet_.Lost();
+  if (lost) {
+    no_answer();
+  }
+  fleet_.After(fleet_.Delay(), [&fleet = fleet_, vm = vm_, life = life_, lost,
+                                call = std::move(call)] {
+    const append_reply reply = fleet.Store().Append(call);
+    if (!lost) {
+      fleet.After(fleet.Delay(), [&fleet, vm, life, reply] {
+        fleet.Deliver(vm, life, reply);
+      });
+    }
+  });
+}
+
+inline void platform_fake::Read(topic source,
+                                const jobs::reader_call& call,
+                                time_point deadline) {
+  if (!fleet_.StoreReachable(vm_)) {
+    fleet_.At(deadline, [&fleet = fleet_, vm = vm_, life = life_, source,
+                         number = call.number] {
+      fleet.Deliver(
+          vm, life,
+          read_reply{
+              .source = source, .number = number, .outcome = read_failed{}});
+    });
+    return;
+  }
+  const time_point until =
+      fleet_.Now() +
+      (call.tail ? call.tail->wait : std::chrono::milliseconds());
+  fleet_.After(fleet_.Delay(),
+               [&fleet = fleet_, vm = vm_, life = life_, source, call, until] {
+                 fleet.Look(vm, life, source, call, until);
+               });
+}
+
+inline void virtual_fleet::Look(std::size_t vm,
+                                std::uint64_t life,
+                                topic source,
+                                const jobs::reader_call& call,
+                                time_point until) {
+  read_reply reply{.source = source, .number = call.number};
+  if (call.snapshot) {
+    reply.outcome = store_.Snapshot(source, call.snapshot->after);
+  } else if (auto page = store_.Tail(source, call.tail->from)) {
+    if (page->records.empty() && now_ < until) {
+      After(kLookAgain, [this, vm, life, source, call, until] {
+        Look(vm, life, source, call, until);
+      });
+      return;
+    }
+    reply.outcome = std::move(*page);
+  } else {
+    reply.outcome = history_trimmed{};
+  }
+  After(Delay(), [this, vm, life, reply] { Deliver(vm, life, reply); });
+}
+
+/// Replies of orders that are not answered.
+inline jobs::renew_reply Unanswered(const jobs::renew_order& order) {
+  return {.worker = order.target.worker, .call = order.call};
+}
+inline jobs::start_reply Unanswered(const jobs::start_order& order) {
+  return {.worker = order.target.worker, .run = order.run};
+}
+inline jobs::stop_reply Unanswered(const jobs::stop_order& order) {
+  return {.worker = order.target.worker, .run = order.run};
+}
+template <class Order>
+void virtual_fleet::CarryOut(std::size_t vm,
+                             std::uint64_t life,
+                             const Order& order,
+                             bool answered,
+                             int worker_life,
+                             time_point until) {
+  worker_fake& worker = Worker(order.target.worker);
+  // A crash breaks the connections of the calls that are answered.
+  if (!worker.Up() || (answered && worker.Life() != worker_life)) {
+    if (answered) {
+      Deliver(vm, life, Unanswered(order));
+    }
+    return;
+  }
+  const auto reply = worker.Execute(order, now_);
+  if constexpr (std::is_same_v<Order, jobs::renew_order>) {
+    if (!worker.HasNews(order) && now_ < until && answered) {
+      After(kLookAgain, [this, vm, life, order, worker_life, until] {
+        CarryOut(vm, life, order, true, worker_life, until);
+      });
+      return;
+    }
+  }
+  if (answered) {
+    After(Delay(), [this, vm, life, reply] { Deliver(vm, life, reply); });
+  }
+}
+
+inline std::chrono::milliseconds Wait(const jobs::renew_order& order) {
+  return order.wait;
+}
+template <class Order>
+std::chrono::milliseconds Wait(const Order& /*order*/) {
+  return {};
+}
+
+template <class Order>
+void platform_fake::GiveToWorker(const Order& order, time_point deadline) {
+  const bool lost = fleet_.Lost();
+  const std::string& worker = order.target.worker;
+  const bool reachable =
+      fleet_.WorkerReachable(vm_, worker) && fleet_.Worker(worker).Up();
+  if (lost || !reachable) {
+    fleet_.At(deadline,
+              [&fleet = fleet_, vm = vm_, life = life_,
+               reply = Unanswered(order)] { fleet.Deliver(vm, life, reply); });
+  }
+  if (!reachable) {
+    return;
+  }
+  // An order without an answer is carried out late.
+  const std::chrono::milliseconds delay = lost ? kLateOrder : fleet_.Delay();
+  fleet_.After(delay, [&fleet = fleet_, vm = vm_, life = life_, order, lost,
+                       worker_life = fleet_.Worker(worker).Life(),
+                       until = fleet_.Now() + Wait(order)] {
+    fleet.CarryOut(vm, life, order, !lost, worker_life, until);
+  });
+}
+
+inline void platform_fake::Give(const jobs::order& order, time_point deadline) {
+  if (const auto* renewal = std::get_if<jobs::renew_order>(&order)) {
+    GiveToWorker(*renewal, deadline);
+  } else if (const auto* start = std::get_if<jobs::start_order>(&order)) {
+    GiveToWorker(*start, deadline);
+  } else if (const auto* stop = std::get_if<jobs::stop_order>(&order)) {
+    GiveToWorker(*stop, deadline);
+  }
+}
+
+static_assert(fleet_platform<platform_fake>);
+static_assert(caller_port<callers_fake>);
+
+}  // namespace skylarkbridge::control
+
+#endif  // SKYLARKBRIDGE_CONTROL_VIRTUAL_FLEET_FAKE_HPP
--- /dev/null
+++ b/src/skylarkbridge/control/worker_fake.hpp
@@ -0,0 +1,219 @@
+#ifndef SKYLARKBRIDGE_CONTROL_WORKER_FAKE_HPP
+#define SKYLARKBRIDGE_CONTROL_WORKER_FAKE_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/control/promise_checker_fake.hpp"
+#include "skylarkbridge/jobs/orders.hpp"
+
+namespace skylarkbridge::control {
+
+/// @brief A worker of a test: fences, leases, ends that stay until they are
+/// acknowledged, and no guard of its room.
+class worker_fake {
+ public:
+  worker_fake(std::string id,
+              jobs::resources capacity,
+              promise_checker& checker)
+      : id_(std::move(id)), capacity_(capacity), checker_(checker) {}
+
+  const std::string& Id() const { return id_; }
+  const jobs::resources& Capacity() const { return capacity_; }
+  bool Up() const { return up_; }
+  /// @brief Counts the starts.
+  int Life() const { return life_; }
+
+  /// @brief Starts or starts anew; nothing of before is known.
+  void Start(time_point now) {
+    up_ = true;
+    ++life_;
+    started_ = now;
+    fence_ = 0;
+    last_end_ = 0;
+    lease_ = {};
+  }
+  void Crash() {
+    up_ = false;
+    for (const auto& [run, state] : runs_) {
+      checker_.Ended(id_, run, false, false);
+    }
+    ForgetEnds();
+    runs_.clear();
+    ended_.clear();
+    highest_.clear();
+  }
+
+  /// @brief Ends what is due, and everything when the lease is over.
+  void Advance(time_point now) {
+    std::vector<std::pair<jobs::run_ref, jobs::run_end>> over;
+    for (const auto& [run, state] : runs_) {
+      if (Clock(now) >= lease_) {
+        over.emplace_back(run, jobs::run_end::kLeaseExpired);
+      } else if (now >= state.ends) {
+        over.emplace_back(
+            run, state.fails ? jobs::run_end::kFailed : jobs::run_end::kDone);
+      }
+    }
+    for (const auto& [run, how] : over) {
+      End(run, how);
+    }
+    if (Clock(now) >= lease_) {
+      ForgetEnds();
+    }
+  }
+
+  jobs::renew_reply Execute(const jobs::renew_order& order, time_point now) {
+    jobs::renew_reply reply{.worker = id_, .call = order.call};
+    if (!Accept(order.target.fence)) {
+      reply.result = jobs::order_result::kFenced;
+      return reply;
+    }
+    if (order.lease_until) {
+      Extend(*order.lease_until, now);
+    }
+    std::erase_if(ended_, [&order](const jobs::ended_task& end) {
+      return end.number <= order.acknowledged;
+    });
+    reply.result = jobs::order_result::kDone;
+    reply.report = jobs::worker_report{
+        .born =
+            jobs::worker_birth(std::chrono::floor<std::chrono::milliseconds>(
+                started_.time_since_epoch())),
+        .clock = Clock(now),
+        .ended = ended_};
+    for (const auto& [run, state] : runs_) {
+      reply.report->running.push_back({.run = run, .percent = 50});
+    }
+    return reply;
+  }
+  /// @brief Whether a renewal that waits has something to tell.
+  bool HasNews(const jobs::renew_order& order) const {
+    return !ended_.empty() && ended_.back().number > order.acknowledged;
+  }
+
+  jobs::start_reply Execute(const jobs::start_order& order, time_point now) {
+    jobs::start_reply reply{.worker = id_, .run = order.run};
+    if (!Accept(order.target.fence)) {
+      reply.result = jobs::order_result::kFenced;
+    } else if (Clock(now) >= order.start_by) {
+      reply.result = jobs::order_result::kLate;
+    } else if (runs_.contains(order.run)) {
+      reply.result = jobs::order_result::kDone;
+    } else if (order.run.run <= highest_[order.run.task]) {
+      reply.result = jobs::order_result::kOldRun;
+    } else {
+      reply.result = jobs::order_result::kDone;
+      Extend(order.start_by, now);
+      checker_.Started(id_, order.run, Room());
+      runs_[order.run] = Behaviour(order, now);
+    }
+    return reply;
+  }
+
+  jobs::stop_reply Execute(const jobs::stop_order& order, time_point /*now*/) {
+    jobs::stop_reply reply{.worker = id_, .run = order.run};
+    if (!Accept(order.target.fence)) {
+      reply.result = jobs::order_result::kFenced;
+      return reply;
+    }
+    reply.result = jobs::order_result::kDone;
+    jobs::run_number& highest = highest_[order.run.task];
+    highest = std::max(highest, order.run.run);
+    if (runs_.contains(order.run)) {
+      End(order.run, jobs::run_end::kStopped);
+    }
+    return reply;
+  }
+
+  /// @brief Every run that starts from now on fails.
+  void FailEverything(bool fail) { fail_everything_ = fail; }
+
+ private:
+  struct run_state {
+    time_point ends;
+    bool fails = false;
+    jobs::resources need;
+  };
+
+  jobs::worker_time Clock(time_point now) const {
+    return jobs::worker_time(
+        std::chrono::floor<std::chrono::milliseconds>(now - started_));
+  }
+
+  bool Accept(jobs::epoch fence) {
+    if (fence < fence_) {
+      return false;
+    }
+    fence_ = fence;
+    return true;
+  }
+
+  void Extend(jobs::worker_time until, time_point now) {
+    constexpr std::chrono::milliseconds kMaxLease{6000};
+    lease_ = std::max(lease_, std::min(until, Clock(now) + kMaxLease));
+  }
+
+  jobs::resources Room() const {
+    jobs::resources room = capacity_;
+    for (const auto& [run, state] : runs_) {
+      room -= state.need;
+    }
+    return room;
+  }
+
+  /// The payload is "MILLICORES MILLISECONDS FAILURES".
+  run_state Behaviour(const jobs::start_order& order, time_point now) const {
+    std::int64_t millicores = 0;
+    std::int64_t duration = 0;
+    std::uint64_t failures = 0;
+    std::istringstream text(order.payload);
+    text >> millicores >> duration >> failures;
+    const std::uint64_t starts = order.run.run % kRunsPerEpoch;
+    return {.ends = now + std::chrono::milliseconds(duration),
+            .fails = fail_everything_ || starts <= failures,
+            .need = {.millicores = millicores}};
+  }
+
+  void End(const jobs::run_ref& run, jobs::run_end how) {
+    runs_.erase(run);
+    jobs::run_number& highest = highest_[run.task];
+    highest = std::max(highest, run.run);
+    ended_.push_back({.number = ++last_end_, .run = run, .how = how});
+    checker_.Ended(id_, run, how == jobs::run_end::kDone,
+                   how == jobs::run_end::kFailed);
+  }
+
+  /// An end that is not acknowledged when the lease ends, or when the worker
+  /// crashes, does not bind the owner, which has to take the run for lost.
+  void ForgetEnds() {
+    for (const jobs::ended_task& end : ended_) {
+      checker_.EndForgotten(end.run, end.how == jobs::run_end::kDone);
+    }
+  }
+
+  static constexpr std::uint64_t kRunsPerEpoch = 10'000;
+
+  const std::string id_;
+  const jobs::resources capacity_;
+  promise_checker& checker_;
+  bool up_ = false;
+  int life_ = 0;
+  bool fail_everything_ = false;
+  time_point started_;
+  jobs::epoch fence_ = 0;
+  jobs::worker_time lease_;
+  std::uint64_t last_end_ = 0;
+  std::map<jobs::run_ref, run_state> runs_;
+  std::vector<jobs::ended_task> ended_;
+  std::map<jobs::task_ref, jobs::run_number> highest_;
+};
+
+}  // namespace skylarkbridge::control
+
+#endif  // SKYLARKBRIDGE_CONTROL_WORKER_FAKE_HPP
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -29,10 +29,7 @@
   own_ = own;
   book_ = &book;
   unaccounted_ = {leased.begin(), leased.end()};
-  unaccounted_until_ =
-      earlier_stop_by + kLeaseMargin +
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          options_.max_lease * worker_lease::kClockSlowness);
+  unaccounted_until_ = LongestLease(earlier_stop_by);
   for (const auto& [id, state] : book.Jobs()) {
     if (!state.Ended()) {
       jobs_.Add(id, state, !unaccounted_.empty(), now, wall);
@@ -41,6 +38,12 @@
   place_wanted_ = true;
 }
 
+time_point fleet_scheduler::LongestLease(time_point now) const {
+  return now + kLeaseMargin +
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+             options_.max_lease * worker_lease::kClockSlowness);
+}
+
 void fleet_scheduler::End() {
   active_ = false;
   fenced_ = false;
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -49,8 +49,8 @@
 }
 
 double Amount(double millicores, const worker_session& session) {
-  const double capacity =
-      std::max<double>(1, static_cast<double>(session.entry.capacity.millicores));
+  const double capacity = std::max<double>(
+      1, static_cast<double>(session.entry.capacity.millicores));
   return millicores / kReferenceTask * kReferenceWorker / capacity;
 }
 
@@ -152,8 +152,7 @@
   return blame;
 }
 
-void fleet_scheduler::MoveMostHarmful(worker_session& session,
-                                      time_point now) {
+void fleet_scheduler::MoveMostHarmful(worker_session& session, time_point now) {
   const run_ref* worst = nullptr;
   double most = kBlame;
   for (const auto& [run, state] : session.runs) {
@@ -192,8 +191,8 @@
       continue;
     }
     const double harm = interference_.Harm(victim.image, state.image);
-    safe &= harm * amount < kHarmless ||
-            Ratio(victim) + harm * added < kSafeRatio;
+    safe &=
+        harm * amount < kHarmless || Ratio(victim) + harm * added < kSafeRatio;
   }
   int wanted = state.pace;
   const auto over_for = over_since ? now - *over_since : time_point::duration{};
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -31,8 +31,8 @@
     for (const std::uint32_t earlier : spec.steps[step].depends_on) {
       begin = std::max(begin, ends[earlier]);
     }
-    const bool over = steps != nullptr &&
-                      (*steps)[step].done == (*steps)[step].tasks.size();
+    const bool over =
+        steps != nullptr && (*steps)[step].done == (*steps)[step].tasks.size();
     ends[step] = begin + (over ? std::chrono::milliseconds(0)
                                : spec.steps[step].estimate);
     longest = std::max(longest, ends[step]);
@@ -102,13 +102,12 @@
     }
     steps.push_back(Rank(*job, *queue, ref, now));
   }
-  std::sort(steps.begin(), steps.end(),
-            [](const ready_step& left, const ready_step& right) {
-              return std::tie(left.priority, left.lateness, left.cost,
-                              left.ref) < std::tie(right.priority,
-                                                   right.lateness, right.cost,
-                                                   right.ref);
-            });
+  std::sort(
+      steps.begin(), steps.end(),
+      [](const ready_step& left, const ready_step& right) {
+        return std::tie(left.priority, left.lateness, left.cost, left.ref) <
+               std::tie(right.priority, right.lateness, right.cost, right.ref);
+      });
   return steps;
 }
 
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -63,7 +63,7 @@
   state.ordered_at = now;
   state.progressed_at = now;
   state.start_by = session.lease.Estimate(now, options_.start_validity);
-  session.lease.Extend(state.start_by);
+  session.lease.Extend(LongestLease(now));
   if (const task_state* task = jobs_.Find(run.task); task != nullptr) {
     state.checkpoint = task->checkpoint;
   }
@@ -111,13 +111,16 @@
     SendStops(session, now);
     return;
   }
+  if (reply.result == order_result::kNoAnswer) {
+    session.late_starts[reply.run] = now + options_.late_order_limit;
+  }
   if (run.phase != run_phase::kStarting) {
     return;
   }
   session.avoid_until =
       std::max(session.avoid_until, now + options_.avoid_after_fault);
-  const bool never_runs = reply.result == order_result::kNotSent ||
-                          Rejected(reply.result);
+  const bool never_runs =
+      reply.result == order_result::kNotSent || Rejected(reply.result);
   if (run.start_tries == 1 && never_runs) {
     Note(scheduling_event::kStartRefused, reply.run, reply.worker,
          absl::StrCat(static_cast<int>(reply.result)));
--- /dev/null
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -0,0 +1,272 @@
+#include "skylarkbridge/jobs/fleet_scheduler.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace skylarkbridge::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr job_id kJob{1};
+constexpr wall_time kWall{seconds(1'700'000'000)};
+
+/// Drives a scheduler by hand; workers answer at once unless they are silent.
+class scheduler_driver {
+ public:
+  scheduler_driver() : scheduler(fleet_scheduler_options{}) {
+    auto configuration = std::make_shared<fleet_configuration>();
+    configuration->version = 1;
+    configuration->queues.push_back(
+        {.name = "batch", .service = "service", .max_attempts = 3});
+    scheduler.Configure(configuration);
+  }
+
+  void Begin(const std::vector<std::string>& leased = {}) {
+    scheduler.Begin(2, book, leased, now, now, kWall);
+    Allow(now);
+  }
+  void Allow(time_point confirmed) {
+    scheduler.AllowOrders(confirmed, now + seconds(60));
+  }
+  void AddWorker(const std::string& id, std::int64_t millicores) {
+    scheduler.WorkerListed(
+        {.worker = id,
+         .service = "service",
+         .address = id,
+         .capacity = {.millicores = millicores, .memory_mb = 1000}},
+        now);
+  }
+  void Submit(job_id id, step_spec step) {
+    book.Apply(job_accepted{.job = id,
+                            .queue = "batch",
+                            .spec = {.payload = "p", .steps = {step}}},
+               now);
+    scheduler.Accepted(id, *book.Find(id), now, kWall);
+  }
+  /// Answers renewals and starts until nothing is left to say.
+  void Settle() {
+    for (int round = 0; round < 4; ++round) {
+      scheduler.Run(now, kWall);
+      if (scheduler.HasRecords()) {
+        scheduler.TakeRecords();
+        scheduler.Stored(scheduler.StoreNumber(), now);
+      }
+      for (const order& given : scheduler.TakeOrders()) {
+        if (const auto* renewal = std::get_if<renew_order>(&given)) {
+          Answer(*renewal);
+        } else if (const auto* start = std::get_if<start_order>(&given)) {
+          starts.push_back(*start);
+          scheduler.Handle(start_reply{start->target.worker, start->run,
+                                       order_result::kDone},
+                           now);
+        } else if (const auto* stop = std::get_if<stop_order>(&given)) {
+          stops.push_back(*stop);
+        }
+      }
+    }
+  }
+  void Answer(const renew_order& renewal) {
+    const std::string& id = renewal.target.worker;
+    if (silent == id) {
+      scheduler.Handle(renew_reply{.worker = id, .call = renewal.call}, now);
+      return;
+    }
+    worker_report report{.clock = worker_time(milliseconds(1000))};
+    for (const start_order& start : starts) {
+      if (start.target.worker == id) {
+        report.running.push_back({.run = start.run, .percent = 50});
+      }
+    }
+    for (const running_task& row : listed[id]) {
+      report.running.push_back(row);
+    }
+    report.ended = ended[id];
+    scheduler.Handle(renew_reply{.worker = id,
+                                 .call = renewal.call,
+                                 .result = order_result::kDone,
+                                 .report = report},
+                     now);
+  }
+
+  time_point now{seconds(1000)};
+  job_book book;
+  fleet_scheduler scheduler;
+  std::vector<start_order> starts;
+  std::vector<stop_order> stops;
+  std::string silent;
+  std::map<std::string, std::vector<running_task>> listed;
+  std::map<std::string, std::vector<ended_task>> ended;
+};
+
+// A worker that is cut off may be kept by a successor; without a word of the
+// log its tasks must not start elsewhere.
+TEST(FleetSchedulerTest, RestartsLostTasksOnlyWithTheLogsWord) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 1, .need = {.millicores = 500}});
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.AddWorker("w1", 1000);
+  driver.silent = "w0";
+  for (int step = 0; step < 100; ++step) {
+    driver.now += milliseconds(100);
+    driver.scheduler.AllowOrders(time_point(seconds(1000)),
+                                 driver.now + seconds(60));
+    driver.Settle();
+  }
+  EXPECT_EQ(driver.starts.size(), 1U);
+  driver.Allow(driver.now);
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].target.worker, "w1");
+  EXPECT_GT(driver.starts[1].run.run, driver.starts[0].run.run);
+}
+
+// Runs of jobs that have ended still take their room after a takeover.
+TEST(FleetSchedulerTest, ReservesRoomForRunsOfEndedJobs) {
+  scheduler_driver driver;
+  const step_spec step{.count = 1, .need = {.millicores = 800}};
+  driver.book.Apply(
+      job_accepted{
+          .job = job_id{7}, .queue = "batch", .spec = {.steps = {step}}},
+      driver.now);
+  driver.book.Apply(job_cancelled{job_id{7}}, driver.now);
+  driver.listed["w0"] = {{.run = {{job_id{7}, 0, 0, 0}, 1}, .percent = 10}};
+  driver.Begin({"w0"});
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 1, .need = {.millicores = 500}});
+  driver.Settle();
+  EXPECT_TRUE(driver.starts.empty());
+  ASSERT_FALSE(driver.stops.empty());
+  EXPECT_EQ(driver.stops[0].run.task.job, job_id{7});
+}
+
+// Tasks that an earlier owner may have started wait for every worker that it
+// leased; jobs that came later do not.
+TEST(FleetSchedulerTest, WaitsForTheWorkersOfAnEarlierOwner) {
+  scheduler_driver driver;
+  driver.book.Apply(
+      job_accepted{
+          .job = job_id{7},
+          .queue = "batch",
+          .spec = {.steps = {{.count = 1, .need = {.millicores = 100}}}}},
+      driver.now);
+  driver.Begin({"w0", "gone"});
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 1, .need = {.millicores = 100}});
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  EXPECT_EQ(driver.starts[0].run.task.job, kJob);
+  driver.now += seconds(7);
+  driver.Allow(driver.now);
+  driver.Settle();
+  driver.now += milliseconds(100);
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.task.job, job_id{7});
+}
+
+// A draining worker must get no new task.
+TEST(FleetSchedulerTest, StartsNothingOnADrainingWorker) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.scheduler.WorkerListed({.worker = "w0",
+                                 .service = "service",
+                                 .address = "w0",
+                                 .draining = true,
+                                 .minimum_left = seconds(2),
+                                 .capacity = {.millicores = 1000}},
+                                driver.now);
+  driver.Submit(kJob, {.count = 1, .need = {.millicores = 100}});
+  driver.Settle();
+  EXPECT_TRUE(driver.starts.empty());
+}
+
+// A gang that does not fit whole must not start in part.
+TEST(FleetSchedulerTest, StartsAGangWholeOrNotAtAll) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 3, .need = {.millicores = 400}, .gang = true});
+  driver.Settle();
+  EXPECT_TRUE(driver.starts.empty());
+  driver.AddWorker("w1", 1000);
+  driver.Settle();
+  driver.now += milliseconds(100);
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 3U);
+  EXPECT_EQ(driver.starts[0].run.run, driver.starts[2].run.run);
+}
+
+// The limit of tasks of a step on one worker holds.
+TEST(FleetSchedulerTest, KeepsTasksOfAStepApart) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.Submit(kJob,
+                {.count = 3, .need = {.millicores = 100}, .max_per_worker = 1});
+  driver.Settle();
+  EXPECT_EQ(driver.starts.size(), 1U);
+}
+
+// An order to start without an answer must not lead to a second run while the
+// first may still be carried out.
+TEST(FleetSchedulerTest, StopsAnUncertainStartBeforeTheNextRun) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 1, .need = {.millicores = 100}});
+  driver.scheduler.Run(driver.now, kWall);
+  std::vector<start_order> starts;
+  for (int round = 0; round < 3; ++round) {
+    for (const order& given : driver.scheduler.TakeOrders()) {
+      if (const auto* start = std::get_if<start_order>(&given)) {
+        starts.push_back(*start);
+        driver.scheduler.Handle(
+            start_reply{"w0", start->run, order_result::kNoAnswer}, driver.now);
+      } else if (const auto* stop = std::get_if<stop_order>(&given)) {
+        driver.stops.push_back(*stop);
+      }
+    }
+  }
+  ASSERT_EQ(starts.size(), 2U);
+  EXPECT_EQ(starts[0].run, starts[1].run);
+  ASSERT_EQ(driver.stops.size(), 1U);
+  EXPECT_EQ(driver.stops[0].run, starts[0].run);
+}
+
+// A best-effort task must not be placed beside a serving one that it is known
+// to harm while another worker is free of it.
+TEST(FleetSchedulerTest, PlacesBestEffortTasksWhereTheyDoNoHarm) {
+  interference_model model;
+  for (int report = 0; report < 200; ++report) {
+    model.Learn("serving", report % 2 == 0 ? -0.9 : 1.1,
+                report % 2 == 0 ? std::vector<neighbour>{}
+                                : std::vector<neighbour>{{"heavy", 1}});
+    model.Learn("serving", -0.9, {{"light", 1}});
+  }
+  EXPECT_GT(model.Harm("serving", "heavy"), 1.5);
+  EXPECT_LT(model.Harm("serving", "light"), 0.2);
+  EXPECT_EQ(model.Harm("serving", "unknown"), 0);
+  EXPECT_EQ(model.Harm("unknown", "heavy"), 0);
+}
+
+}  // namespace
+}  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -18,8 +18,8 @@
   if (!active_) {
     return;
   }
-  const auto [place, added] =
-      workers_.try_emplace(entry.worker, unaccounted_until_);
+  const auto [place, added] = workers_.try_emplace(
+      entry.worker, std::max(unaccounted_until_, LongestLease(now)));
   worker_session& session = place->second;
   const bool drains = entry.draining && (added || !session.entry.draining);
   session.entry = entry;
@@ -54,17 +54,22 @@
 }
 
 void fleet_scheduler::Renew(worker_session& session, time_point now) {
-  const bool gone = session.unlisted_since &&
-                    now > *session.unlisted_since + kUnlistedGrace;
-  renew_order renewal{.target = Target(session),
-                      .call = ++session.calls,
-                      .acknowledged = session.ends_stored};
-  if (session.lease.Synchronised() && !gone) {
+  const bool gone =
+      session.unlisted_since && now > *session.unlisted_since + kUnlistedGrace;
+  renew_order renewal{
+      .target = Target(session),
+      .call = ++session.calls,
+      // After a call without an answer the worker may have
+      // started anew and count its ends from 1 again.
+      .acknowledged = session.failures == 0 ? session.ends_stored : 0};
+  // A worker that does not answer gets no longer lease, so that it is clear
+  // when its tasks can start elsewhere.
+  if (session.lease.Synchronised() && !gone && session.failures == 0) {
     renewal.lease_until = session.lease.Estimate(now, options_.lease);
-    session.lease.Extend(*renewal.lease_until);
+    session.lease.Extend(LongestLease(now));
   }
   if (session.accounted && session.lease.Synchronised() &&
-      session.ends_waiting.empty()) {
+      session.failures == 0 && session.ends_waiting.empty()) {
     renewal.wait = session.over_target_since ? options_.harmed_renewal_wait
                                              : options_.renewal_wait;
   }
@@ -97,9 +102,8 @@
   session.failures = 0;
   session.last_answer = now;
   TakeReport(session, reply.call, *reply.report, now);
-  session.next_renewal = session.ends_waiting.empty()
-                             ? now
-                             : now + options_.unstored_renewal;
+  session.next_renewal =
+      session.ends_waiting.empty() ? now : now + options_.unstored_renewal;
 }
 
 void fleet_scheduler::TakeReport(worker_session& session,
@@ -113,6 +117,8 @@
     session.born = report.born;
   }
   session.lease.Synchronise(report.clock, now);
+  std::erase_if(session.late_starts,
+                [now](const auto& late) { return now >= late.second; });
   TakeEnds(session, report, now);
   for (const running_task& row : report.running) {
     TakeRunning(session, row, call, now);
@@ -135,7 +141,8 @@
   std::vector<run_ref> lost;
   for (auto& [run, state] : session.runs) {
     const bool may_still_arrive = state.phase == run_phase::kStarting ||
-                                  state.phase == run_phase::kUncertain;
+                                  state.phase == run_phase::kUncertain ||
+                                  session.late_starts.contains(run);
     if (!may_still_arrive) {
       lost.push_back(run);
       continue;
@@ -150,7 +157,16 @@
     RemoveRun(session, run);
     jobs_.Lost(run, now);
   }
-  session.lease.Reset(now);
+  for (const auto& [run, until] : session.late_starts) {
+    if (now >= until || session.runs.contains(run)) {
+      continue;
+    }
+    worker_run& state = AddRun(session, run, NeedOf(run, session));
+    state.phase = run_phase::kUncertain;
+    state.stop_wanted = true;
+    state.detached = true;
+  }
+  session.lease.Reset(LongestLease(now));
   session.ends_seen = 0;
   session.ends_stored = 0;
   session.ends_waiting.clear();
@@ -195,8 +211,8 @@
   }
   Note(scheduling_event::kRunEnded, end.run, session.entry.worker,
        absl::StrCat(static_cast<int>(end.how)));
-  RequestStops(
-      jobs_.Ended(end.run, end.how, end.checkpoint, max_attempts, now), true);
+  RequestStops(jobs_.Ended(end.run, end.how, end.checkpoint, max_attempts, now),
+               true);
   place_wanted_ = true;
 }
 
@@ -274,7 +290,9 @@
 void fleet_scheduler::ExpireLeases(time_point now) {
   for (auto place = workers_.begin(); place != workers_.end();) {
     worker_session& session = place->second;
-    if (now < session.lease.Ends()) {
+    // A successor may have renewed the lease of a worker that this VM can't
+    // reach; only the log shows that there is none.
+    if (now < session.lease.Ends() || confirmed_ < session.lease.Ends()) {
       ++place;
       continue;
     }
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -72,9 +72,9 @@
       continue;
     }
     open_job& job = entry->second;
-    while (
-        job.next_occurrence < job.spec.repeat_count &&
-        wall >= job.spec.first_due + job.next_occurrence * job.spec.interval) {
+    while (job.next_occurrence < job.spec.repeat_count &&
+           wall >=
+               job.spec.first_due + job.next_occurrence * job.spec.interval) {
       StartOccurrence(id, job, job.next_occurrence++, false);
     }
     next = job.next_occurrence < job.spec.repeat_count ? std::next(next)
@@ -180,11 +180,11 @@
 
 void job_table::RefreshReady(const step_ref& ref) {
   const step_state* step = Find(ref);
-  const bool any = step != nullptr &&
-                   std::any_of(step->tasks.begin(), step->tasks.end(),
-                               [](const task_state& task) {
-                                 return task.phase == task_phase::kReady;
-                               });
+  const bool any =
+      step != nullptr && std::any_of(step->tasks.begin(), step->tasks.end(),
+                                     [](const task_state& task) {
+                                       return task.phase == task_phase::kReady;
+                                     });
   if (!any) {
     ready_.erase(ref);
   }
@@ -256,8 +256,7 @@
   open_job& job = entry->second;
   task->last_run = std::max(task->last_run, run.run);
   Checkpointed(run, checkpoint);
-  if (how == run_end::kDone &&
-      !job.spec.steps[run.task.step].long_running) {
+  if (how == run_end::kDone && !job.spec.steps[run.task.step].long_running) {
     RemoveCopy(*task, run.run);
     std::vector<run_to_stop> pointless;
     for (const task_copy& copy : task->copies) {
@@ -343,8 +342,7 @@
   for (const auto& [occurrence, steps] : entry->second.occurrences) {
     for (std::uint32_t step = 0; step < steps.size(); ++step) {
       ready_.erase({id, occurrence, step});
-      for (std::uint32_t index = 0; index < steps[step].tasks.size();
-           ++index) {
+      for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
         for (const task_copy& copy : steps[step].tasks[index].copies) {
           runs.push_back(
               {copy.worker, {{id, occurrence, step, index}, copy.run}});
--- a/src/skylarkbridge/jobs/ownership.cpp
+++ b/src/skylarkbridge/jobs/ownership.cpp
@@ -1,8 +1,9 @@
 #include "skylarkbridge/jobs/ownership.hpp"
 
 #include <algorithm>
-
-#include "absl/hash/hash.h"
+#include <functional>
+#include <random>
+#include <utility>
 
 namespace skylarkbridge::jobs {
 
@@ -13,8 +14,8 @@
   if (record.claim < newest_.claim) {
     return;
   }
-  const bool own = record.vm == options_.vm &&
-                   record.incarnation == options_.incarnation;
+  const bool own =
+      record.vm == options_.vm && record.incarnation == options_.incarnation;
   if (record.claim > newest_.claim || record.released) {
     // Spreads the claims of the VMs that see the same record.
     next_claim_ = now + Spread(record.claim);
@@ -45,11 +46,10 @@
   }
   // An earlier process on this VM has ended.
   const bool own_predecessor = newest_.vm == options_.vm;
-  const bool vacant =
-      newest_.claim == 0 || newest_.released || own_predecessor;
+  const bool vacant = newest_.claim == 0 || newest_.released || own_predecessor;
   // Silence is what the log shows, not what this VM can't read.
-  if (!vacant && read_ < *heard_ + options_.silence_limit +
-                             Spread(newest_.claim)) {
+  if (!vacant &&
+      read_ < *heard_ + options_.silence_limit + Spread(newest_.claim)) {
     return std::nullopt;
   }
   claiming_ = true;
@@ -113,11 +113,15 @@
 }
 
 std::chrono::nanoseconds ownership::Spread(epoch claim) const {
-  const std::size_t hash =
-      absl::HashOf(options_.vm, options_.incarnation, claim);
-  const auto spread = std::chrono::nanoseconds(options_.claim_spread).count();
+  std::seed_seq seeds{
+      static_cast<std::uint32_t>(options_.incarnation),
+      static_cast<std::uint32_t>(options_.incarnation >> 32U),
+      static_cast<std::uint32_t>(std::hash<std::string>{}(options_.vm)),
+      static_cast<std::uint32_t>(claim)};
+  std::minstd_rand random(seeds);
+  const std::chrono::nanoseconds most = options_.claim_spread;
   return std::chrono::nanoseconds(
-      static_cast<std::int64_t>(hash % static_cast<std::size_t>(spread)));
+      std::uniform_int_distribution<std::int64_t>(0, most.count())(random));
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -17,8 +17,8 @@
              const placement_candidate& candidate,
              const placement_options& options) {
   const worker_session& session = *candidate.session;
-  const double capacity =
-      std::max<double>(1, static_cast<double>(session.entry.capacity.millicores));
+  const double capacity = std::max<double>(
+      1, static_cast<double>(session.entry.capacity.millicores));
   double score = candidate.penalty;
   if (!step.data_rack.empty() && session.entry.rack != step.data_rack) {
     score += kFarFromData;
@@ -70,8 +70,7 @@
   }
   return Fits(need, session.Room()) &&
          HasLabel(session.entry, step.required_label) &&
-         (step.max_per_worker == 0 ||
-          candidate.siblings < step.max_per_worker);
+         (step.max_per_worker == 0 || candidate.siblings < step.max_per_worker);
 }
 
 std::optional<std::size_t> ChooseWorker(
--- a/src/skylarkbridge/jobs/topic_reader.cpp
+++ b/src/skylarkbridge/jobs/topic_reader.cpp
@@ -113,9 +113,9 @@
   }
   if (reached >= page.end) {
     // The store waited for a record until it answered.
-    const time_point current =
-        page.records.empty() ? std::min(now, call->sent + call->wait)
-                             : call->sent;
+    const time_point current = page.records.empty()
+                                   ? std::min(now, call->sent + call->wait)
+                                   : call->sent;
     current_at_ = std::max(current_at_.value_or(current), current);
   }
   if (!call->extra) {
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -45,8 +45,8 @@
                       step.depends_on, step.checkpoints, step.gang,
                       step.rack_local, step.required_label, step.data_rack,
                       step.max_per_worker, step.speculative, step.long_running,
-                      step.image, step.latency_target.count(),
-                      step.best_effort, step.disruption_budget});
+                      step.image, step.latency_target.count(), step.best_effort,
+                      step.disruption_budget});
 }
 
 step_spec ToStep(const json& value) {
@@ -111,8 +111,8 @@
 
 keyed_record ToRecord(const ownership_record& record) {
   return {.key = std::string(kOwner),
-          .value = Pack(json::array({record.claim, record.vm,
-                                     record.incarnation, record.released}))};
+          .value = Pack(json::array(
+              {record.claim, record.vm, record.incarnation, record.released}))};
 }
 
 keyed_record ToRecord(const leased_workers& record) {
@@ -121,16 +121,16 @@
 }
 
 job_accepted ToAccepted(job_id job, const json& value) {
-  job_accepted record{.job = job,
-                      .queue = value.at(0),
-                      .accepted_at = wall_time(
-                          wall_time::duration(value.at(1).get<std::int64_t>())),
-                      .spec = {.payload = value.at(2),
-                               .repeat_count = value.at(4),
-                               .first_due = wall_time(wall_time::duration(
-                                   value.at(5).get<std::int64_t>())),
-                               .interval =
-                                   std::chrono::milliseconds(value.at(6))}};
+  job_accepted record{
+      .job = job,
+      .queue = value.at(0),
+      .accepted_at =
+          wall_time(wall_time::duration(value.at(1).get<std::int64_t>())),
+      .spec = {.payload = value.at(2),
+               .repeat_count = value.at(4),
+               .first_due = wall_time(
+                   wall_time::duration(value.at(5).get<std::int64_t>())),
+               .interval = std::chrono::milliseconds(value.at(6))}};
   for (const json& step : value.at(3)) {
     record.spec.steps.push_back(ToStep(step));
   }
--- a/src/skylarkbridge/service/fleet_service.cpp
+++ b/src/skylarkbridge/service/fleet_service.cpp
@@ -1,13 +1,16 @@
 #include "skylarkbridge/service/fleet_service.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
+#include <csignal>
 #include <exception>
+#include <optional>
 #include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/base/termination.hpp"
+#include "skylarkbridge/base/whole_file.hpp"
 #include "skylarkbridge/service/events.hpp"
 
 namespace skylarkbridge::service {
@@ -25,6 +28,8 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kPlainText = "text/plain";
+/// Cause of a look at the settings file without a signal.
+constexpr std::string_view kCheckCause = "check";
 
 wall_time WallNow() {
   return std::chrono::time_point_cast<wall_time::duration>(
@@ -56,6 +61,7 @@
 
 fleet_service::fleet_service(fleet_service_options options)
     : options_(std::move(options)),
+      settings_(options_.settings),
       mailbox_(options_.mailbox_capacity),
       calls_context_(1),
       callers_context_(1),
@@ -118,25 +124,31 @@
   const time_point deadline =
       request.received + control::control_options().default_patience;
   if (!mailbox_.TrySend(platform::DecodeCall(std::move(request), deadline))) {
-    callers_.Answer(
-        token, platform::EncodeAnswer(
-                   {.kind = control::answer_kind::kNotRun,
-                    .retry_after = control::control_options().retry_after,
-                    .reason = "overloaded"}));
+    callers_.Answer(token,
+                    platform::EncodeAnswer(
+                        {.kind = control::answer_kind::kNotRun,
+                         .retry_after = control::control_options().retry_after,
+                         .reason = "overloaded"}));
   }
 }
 
+jobs::fleet_scheduler_options fleet_service::SchedulerOptions(
+    const platform::settings& settings) const {
+  jobs::fleet_scheduler_options options;
+  options.max_lease = settings.max_lease;
+  options.lease = std::min(options.lease, settings.max_lease);
+  options.stop_timeout = settings.stop_timeout;
+  return options;
+}
+
 control::control_options fleet_service::ControlOptions(
     std::uint64_t incarnation) const {
   const platform::settings& settings = options_.settings;
   control::control_options options;
+  options.scheduler = SchedulerOptions(settings);
   options.ownership.vm = settings.vm;
   options.ownership.incarnation = incarnation;
   options.first_sequence = incarnation;
-  options.scheduler.max_lease = settings.max_lease;
-  options.scheduler.lease =
-      std::min(options.scheduler.lease, settings.max_lease);
-  options.scheduler.stop_timeout = settings.stop_timeout;
   options.keep_ended = std::chrono::ceil<std::chrono::seconds>(
       settings.keep_status + settings.keep_status / 4);
   return options;
@@ -146,21 +158,19 @@
   mailbox_.Reopen();
   stop.OnRequest([this](time_point) { mailbox_.Close(); });
   const std::uint64_t incarnation = RandomNumber();
-  platform::client client(
-      http_,
-      {.store_address = options_.settings.store_address,
-       .policy_address = options_.settings.policy_address},
-      [this](control::platform_reply reply) {
-        mailbox_.SendUnbounded(std::move(reply));
-      });
+  platform::client client(http_,
+                          {.store_address = options_.settings.store_address,
+                           .policy_address = options_.settings.policy_address},
+                          [this](control::platform_reply reply) {
+                            mailbox_.SendUnbounded(std::move(reply));
+                          });
   caller_answers answers{callers_};
   state control(ControlOptions(incarnation), client, answers);
-  LogEvent(kServiceStarted,
-           {{"vm", options_.settings.vm},
-            {"data_centre", options_.settings.data_centre},
-            {"callers", options_.settings.callers_address},
-            {"store", options_.settings.store_address},
-            {"incarnation", absl::StrCat(incarnation)}});
+  LogEvent(kServiceStarted, {{"vm", options_.settings.vm},
+                             {"data_centre", options_.settings.data_centre},
+                             {"callers", options_.settings.callers_address},
+                             {"store", options_.settings.store_address},
+                             {"incarnation", absl::StrCat(incarnation)}});
   if (draining_) {
     control.BeginStop(boot_clock::now());
   }
@@ -178,6 +188,9 @@
       } else if (auto* const reply =
                      std::get_if<control::platform_reply>(&message)) {
         control.Handle(std::move(*reply), now, WallNow());
+      } else if (const auto* const changed =
+                     std::get_if<settings_changed>(&message)) {
+        control.SetSchedulerOptions(SchedulerOptions(changed->settings));
       } else {
         control.BeginStop(now);
       }
@@ -220,8 +233,36 @@
                              {"settled", settled_ ? "yes" : "no"}});
 }
 
+void fleet_service::Reload(std::string_view cause) {
+  findings found;
+  const std::optional<std::string> text = ReadWholeFile(options_.settings_file);
+  if (!text) {
+    found.Add("settings", "can't be read");
+  }
+  const platform::settings next =
+      text ? platform::ReadSettings(*text, found) : settings_;
+  if (!found.Empty()) {
+    LogEvent(kSettingsRejected, {{"findings", Format(found)}});
+    return;
+  }
+  const bool changed = next != settings_;
+  if (changed || cause != kCheckCause) {
+    const bool restart = next.store_address != settings_.store_address ||
+                         next.callers_address != settings_.callers_address ||
+                         next.readiness_address != settings_.readiness_address;
+    LogEvent(kSettingsReloaded, {{"cause", std::string(cause)},
+                                 {"changed", changed ? "yes" : "no"},
+                                 {"restart_needed", restart ? "yes" : "no"}});
+  }
+  if (changed) {
+    settings_ = next;
+    mailbox_.SendUnbounded(settings_changed{next});
+  }
+}
+
 bool ServeUntilTerminated(fleet_service_options options) {
   BlockTerminationSignals();
+  BlockReloadSignal();
   fleet_service service(std::move(options));
   stop_signal stop;
   bool ended_well = false;
@@ -242,7 +283,14 @@
     RequestTermination();
   };
   posix_thread runner = posix_thread::Start("fleet", run).value();
-  WaitForTermination();
+  for (int signal = 0; signal == 0 || signal == SIGHUP;) {
+    signal = WaitForSignal(boot_clock::now() + service.SettingsCheck());
+    if (signal == SIGHUP) {
+      service.Reload("signal");
+    } else if (signal == 0) {
+      service.Reload(kCheckCause);
+    }
+  }
   service.Drain();
   stop.Request(boot_clock::now() + std::chrono::milliseconds(300));
   runner.Join();
--- a/src/skylarkbridge/transport/endpoint.cpp
+++ b/src/skylarkbridge/transport/endpoint.cpp
@@ -14,8 +14,8 @@
     return std::nullopt;
   }
   boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(
-      std::string(text.substr(0, colon)), error);
+  const auto address =
+      boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
   const std::string_view digits = text.substr(colon + 1);
   std::uint16_t port = 0;
   const auto [stop, fault] =
--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -84,12 +84,12 @@
   void Arm() {
     timer_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
         pending_->call.deadline - boot_clock::now()));
-    timer_.async_wait([self = shared_from_this(),
-                       round = ++round_](const error_code& error) {
-      if (!error && round == self->round_ && self->pending_) {
-        self->Fail();
-      }
-    });
+    timer_.async_wait(
+        [self = shared_from_this(), round = ++round_](const error_code& error) {
+          if (!error && round == self->round_ && self->pending_) {
+            self->Fail();
+          }
+        });
   }
 
   void Connect() {
@@ -163,9 +163,8 @@
   void Finish() {
     ++round_;
     timer_.cancel();
-    http_answer answer{
-        .status = static_cast<int>(parser_->get().result_int()),
-        .body = std::move(parser_->get().body())};
+    http_answer answer{.status = static_cast<int>(parser_->get().result_int()),
+                       .body = std::move(parser_->get().body())};
     const bool keep = parser_->get().keep_alive();
     call_callback callback = std::move(pending_->callback);
     pending_.reset();
@@ -248,10 +247,10 @@
       (!target.idle.empty() || target.open < options_.max_connections)) {
     pending_call next = std::move(target.waiting.front());
     target.waiting.pop_front();
-    asio::post(context_, [self = shared_from_this(),
-                          next = std::move(next)]() mutable {
-      self->Dispatch(std::move(next));
-    });
+    asio::post(context_,
+               [self = shared_from_this(), next = std::move(next)]() mutable {
+                 self->Dispatch(std::move(next));
+               });
   }
 }
 
--- a/src/skylarkbridge/transport/http_server.cpp
+++ b/src/skylarkbridge/transport/http_server.cpp
@@ -30,8 +30,8 @@
 
 std::optional<std::chrono::milliseconds> ReadPatience(
     const http::request<http::string_body>& request) {
-  const auto header = request.find(
-      boost::beast::string_view(kPatienceHeader.data(), kPatienceHeader.size()));
+  const auto header = request.find(boost::beast::string_view(
+      kPatienceHeader.data(), kPatienceHeader.size()));
   if (header == request.end()) {
     return std::nullopt;
   }
@@ -158,13 +158,12 @@
       Read();
       return;
     }
-    socket_.async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this()](const error_code& error) {
-          if (!error) {
-            self->Read();
-          }
-        });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& error) {
+                         if (!error) {
+                           self->Read();
+                         }
+                       });
   }
 
   void Read() {
@@ -272,26 +271,26 @@
 }
 
 void http_server::core::Accept() {
-  acceptor_.async_accept([weak = weak_from_this()](const error_code& error,
-                                                   tcp::socket socket) {
-    const auto self = weak.lock();
-    if (!self || !self->acceptor_.is_open()) {
-      return;
-    }
-    if (!error) {
-      if (self->open_ < self->options_.max_connections) {
-        std::make_shared<session>(self, std::move(socket))->Start();
-      }
-      self->Accept();
-      return;
-    }
-    self->accept_timer_.expires_after(kAcceptPause);
-    self->accept_timer_.async_wait([weak](const error_code& cancelled) {
-      if (const auto again = weak.lock(); again && !cancelled) {
-        again->Accept();
-      }
-    });
-  });
+  acceptor_.async_accept(
+      [weak = weak_from_this()](const error_code& error, tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || !self->acceptor_.is_open()) {
+          return;
+        }
+        if (!error) {
+          if (self->open_ < self->options_.max_connections) {
+            std::make_shared<session>(self, std::move(socket))->Start();
+          }
+          self->Accept();
+          return;
+        }
+        self->accept_timer_.expires_after(kAcceptPause);
+        self->accept_timer_.async_wait([weak](const error_code& cancelled) {
+          if (const auto again = weak.lock(); again && !cancelled) {
+            again->Accept();
+          }
+        });
+      });
 }
 
 void http_server::core::Answer(std::uint64_t token, server_answer answer) {
