Count what the control thread does, explain a job from logs, and write it up

Counters, gauges and latencies of the control thread are served on the metrics address; 'skylarkbridge explain JOB' puts the lines of several processes about a job in order.

--- /dev/null
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -0,0 +1,91 @@
+#ifndef SKYLARKBRIDGE_CONTROL_CONTROL_METRICS_HPP
+#define SKYLARKBRIDGE_CONTROL_CONTROL_METRICS_HPP
+
+#include <map>
+#include <string>
+
+#include "skylarkbridge/control/ports.hpp"
+#include "skylarkbridge/control/scheduling_text.hpp"
+#include "skylarkbridge/jobs/scheduling_note.hpp"
+#include "skylarkbridge/telemetry/metrics.hpp"
+
+namespace skylarkbridge::control {
+
+/// @brief What the control thread counts and measures. docs/OPERATIONS.md lists
+/// the names with their units.
+class control_metrics {
+ public:
+  explicit control_metrics(telemetry::metrics_registry& registry)
+      : append_seconds(registry.Latency("skylarkbridge_append_seconds",
+                                        "From sending an append to its reply")),
+        owner(registry.Gauge("skylarkbridge_owner",
+                             "1 while this VM owns the fleet")),
+        newest_epoch(registry.Gauge("skylarkbridge_epoch",
+                                    "Epoch of the newest owner known here")),
+        configuration_version(
+            registry.Gauge("skylarkbridge_configuration_version",
+                           "Version in force on this VM")),
+        jobs_known(registry.Gauge("skylarkbridge_jobs_known",
+                                  "Jobs in the fold of the log")),
+        steps_ready(registry.Gauge("skylarkbridge_steps_ready",
+                                   "Steps with tasks that wait for room")),
+        workers_usable(
+            registry.Gauge("skylarkbridge_workers_usable",
+                           "Workers that the owner gives new tasks to")),
+        intake_waiting(registry.Gauge("skylarkbridge_intake_waiting",
+                                      "Requests that wait for the store")),
+        registry_(registry) {}
+
+  void Count(std::string_view method, answer_kind kind) {
+    Find(answers_, "skylarkbridge_requests_total",
+         "Requests of callers by method and answer",
+         {{"method", std::string(method)}, {"answer", std::string(Name(kind))}})
+        .Add();
+  }
+  void Count(jobs::scheduling_event event) {
+    Find(events_, "skylarkbridge_scheduling_total",
+         "Decisions and observations of the scheduler",
+         {{"event", std::string(Name(event))}})
+        .Add();
+  }
+  void Count(topic source, std::string_view call, store_result result) {
+    Find(calls_, "skylarkbridge_store_calls_total",
+         "Calls to the store by topic, kind and result",
+         {{"topic", std::string(Name(source))},
+          {"call", std::string(call)},
+          {"result", std::string(Name(result))}})
+        .Add();
+  }
+
+  telemetry::latency_histogram& append_seconds;
+  telemetry::gauge& owner;
+  telemetry::gauge& newest_epoch;
+  telemetry::gauge& configuration_version;
+  telemetry::gauge& jobs_known;
+  telemetry::gauge& steps_ready;
+  telemetry::gauge& workers_usable;
+  telemetry::gauge& intake_waiting;
+
+ private:
+  using counters = std::map<telemetry::metric_labels, telemetry::counter*>;
+
+  telemetry::counter& Find(counters& known,
+                           const std::string& name,
+                           const std::string& help,
+                           const telemetry::metric_labels& labels) {
+    const auto [entry, added] = known.try_emplace(labels, nullptr);
+    if (added) {
+      entry->second = &registry_.Counter(name, help, labels);
+    }
+    return *entry->second;
+  }
+
+  telemetry::metrics_registry& registry_;
+  counters answers_;
+  counters events_;
+  counters calls_;
+};
+
+}  // namespace skylarkbridge::control
+
+#endif  // SKYLARKBRIDGE_CONTROL_CONTROL_METRICS_HPP
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -18,6 +18,7 @@
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/base/string_view.hpp"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/control/control_metrics.hpp"
 #include "skylarkbridge/control/events.hpp"
 #include "skylarkbridge/control/intake.hpp"
 #include "skylarkbridge/control/owner_writer.hpp"
@@ -70,10 +71,14 @@
 template <fleet_platform Platform, caller_port Callers>
 class control_state {
  public:
-  control_state(control_options options, Platform& platform, Callers& callers)
+  control_state(control_options options,
+                Platform& platform,
+                Callers& callers,
+                telemetry::metrics_registry& metrics)
       : options_(std::move(options)),
         platform_(platform),
         callers_(callers),
+        metrics_(metrics),
         configuration_reader_({.wait = kConfigurationWait}),
         worker_reader_({.wait = kWorkerWait, .pause = kWorkerPause}),
         job_reader_({.wait = kJobWait, .pause = options_.follower_pause}),
@@ -85,8 +90,8 @@
   void Handle(caller_request request, time_point now, wall_time wall);
   void Handle(platform_reply reply, time_point now, wall_time wall);
   /// @brief Takes the scheduler's settings of a changed settings file.
-  void SetSchedulerOptions(jobs::fleet_scheduler_options options) {
-    scheduler_.SetOptions(std::move(options));
+  void SetSchedulerOptions(const jobs::fleet_scheduler_options& options) {
+    scheduler_.SetOptions(options);
   }
   /// @brief Gives the ownership up and takes no new one.
   void BeginStop(time_point now);
@@ -115,6 +120,7 @@
   static constexpr std::chrono::milliseconds kWorkerWait{1000};
   static constexpr std::chrono::milliseconds kWorkerPause{150};
   static constexpr std::chrono::milliseconds kJobWait{800};
+  static constexpr std::chrono::milliseconds kMeasureInterval{500};
   /// Longest time between two passes.
   static constexpr std::chrono::milliseconds kHousekeeping{100};
 
@@ -172,12 +178,15 @@
   void LoseOwnership(std::string_view reason);
   void WriteOwnerRecords(time_point now);
   void SendCalls(time_point now);
+  void Send(append_call append, time_point now);
+  void Measure(time_point now);
   void SendOrders(time_point now);
   time_point OrderDeadline(const jobs::order& order, time_point now) const;
 
   const control_options options_;
   Platform& platform_;
   Callers& callers_;
+  control_metrics metrics_;
   std::shared_ptr<const jobs::fleet_configuration> configuration_;
   jobs::topic_reader configuration_reader_;
   jobs::topic_reader worker_reader_;
@@ -192,6 +201,9 @@
   bool refresh_wanted_ = false;
 
   std::uint64_t appends_ = 0;
+  /// When the appends under way were sent, by number.
+  std::map<std::uint64_t, time_point> append_times_;
+  time_point next_measure_;
   /// A claim is under way; it counts once it is read from the log.
   bool claiming_ = false;
   bool claim_seen_ = false;
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -138,6 +138,7 @@
                                              std::optional<jobs::job_id> job,
                                              std::string_view method,
                                              caller_answer answer) {
+  metrics_.Count(method, answer.kind);
   if (answer.kind != answer_kind::kState &&
       answer.kind != answer_kind::kPending) {
     LogEvent(kRequestAnswered,
--- a/include/skylarkbridge/control/control_state_owner.hpp
+++ b/include/skylarkbridge/control/control_state_owner.hpp
@@ -162,7 +162,8 @@
     scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
     for (const jobs::scheduling_note& note : scheduler_.TakeNotes()) {
-      LogEvent(kScheduling, {{"event", std::string(Name(note.event))},
+      metrics_.Count(note.event);
+      LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
                              {"run", Format(note.run)},
                              {"worker", note.worker},
                              {"detail", note.detail},
@@ -172,17 +173,42 @@
     WriteOwnerRecords(now);
   }
   SendCalls(now);
+  Measure(now);
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::Send(append_call append,
+                                            time_point now) {
+  ++appends_;
+  append_times_[append.number] = now;
+  platform_.Append(std::move(append), now + options_.append_timeout);
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::Measure(time_point now) {
+  if (now < next_measure_) {
+    return;
+  }
+  next_measure_ = now + kMeasureInterval;
+  metrics_.owner.Set(ownership_.Owner() ? 1 : 0);
+  metrics_.newest_epoch.Set(static_cast<std::int64_t>(ownership_.Newest()));
+  metrics_.configuration_version.Set(
+      static_cast<std::int64_t>(ConfigurationVersion()));
+  metrics_.jobs_known.Set(static_cast<std::int64_t>(book_.Jobs().size()));
+  metrics_.steps_ready.Set(
+      static_cast<std::int64_t>(scheduler_.Jobs().ReadySteps().size()));
+  metrics_.workers_usable.Set(
+      static_cast<std::int64_t>(scheduler_.UsableWorkers(now)));
+  metrics_.intake_waiting.Set(static_cast<std::int64_t>(intake_.Waiting()));
 }
 
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::SendCalls(time_point now) {
   if (auto append = writer_.Next(now, appends_ + 1)) {
-    ++appends_;
-    platform_.Append(std::move(*append), now + options_.append_timeout);
+    Send(std::move(*append), now);
   }
   while (auto append = intake_.Next(now, appends_ + 1)) {
-    ++appends_;
-    platform_.Append(std::move(*append), now + options_.append_timeout);
+    Send(std::move(*append), now);
   }
   const auto send = [&](topic source,
                         const std::optional<jobs::reader_call>& call) {
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -46,10 +46,12 @@
   jobs::reader_news news;
   if (auto* const failed = std::get_if<read_failed>(&reply.outcome)) {
     reader.Failed(reply.number, now);
+    metrics_.Count(reply.source, "read", failed->result);
     NoteStore(reply.source, failed->result, true);
     return;
   }
   NoteStore(reply.source, store_result::kDone, false);
+  metrics_.Count(reply.source, "read", store_result::kDone);
   intake_.StoreAnswered();
   if (std::holds_alternative<history_trimmed>(reply.outcome)) {
     reader.Trimmed(reply.number, now);
@@ -263,6 +265,12 @@
 void control_state<Platform, Callers>::Take(const append_reply& reply,
                                             time_point now,
                                             wall_time /*wall*/) {
+  metrics_.Count(topic::kJobs, "append", reply.result);
+  if (const auto sent = append_times_.find(reply.number);
+      sent != append_times_.end()) {
+    metrics_.append_seconds.Record(now - sent->second);
+    append_times_.erase(sent);
+  }
   NoteStore(topic::kJobs, reply.result,
             reply.result == store_result::kRefused ||
                 reply.result == store_result::kNoAnswer ||
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -36,7 +36,7 @@
 inline constexpr event_definition kWorkerUnlisted{5031, event_severity::kInfo,
                                                   "worker_unlisted", "worker"};
 inline constexpr event_definition kScheduling{
-    5040, event_severity::kInfo, "scheduling", "event run worker detail epoch"};
+    5040, event_severity::kInfo, "scheduling", "what run worker detail epoch"};
 
 inline constexpr event_definition kEvents[] = {
     kConfigurationInForce, kRecordRejected,  kStoreLost,     kStoreRegained,
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -92,7 +92,9 @@
   /// @brief Epoch of this VM's ownership; meaningful while active.
   epoch Own() const { return own_; }
   /// @brief Takes other settings; leases and orders from now on follow them.
-  void SetOptions(fleet_scheduler_options options) { options_ = options; }
+  void SetOptions(const fleet_scheduler_options& options) {
+    options_ = options;
+  }
 
   void Configure(std::shared_ptr<const fleet_configuration> configuration);
   /// @brief Orders may be given until this time.
@@ -137,6 +139,8 @@
   /// @brief The records up to this number are durable.
   void Stored(std::uint64_t number, time_point now);
 
+  /// @brief Workers that get new tasks.
+  std::size_t UsableWorkers(time_point now) const;
   const job_table& Jobs() const { return jobs_; }
   const std::map<std::string, worker_session>& Workers() const {
     return workers_;
--- a/include/skylarkbridge/service/fleet_service.hpp
+++ b/include/skylarkbridge/service/fleet_service.hpp
@@ -86,7 +86,7 @@
   struct caller_answers {
     transport::http_server& server;
 
-    void Answer(std::uint64_t token, control::caller_answer answer) {
+    void Answer(std::uint64_t token, const control::caller_answer& answer) {
       server.Answer(token, platform::EncodeAnswer(answer));
     }
   };
--- a/src/skylarkbridge/cli/commands.hpp
+++ b/src/skylarkbridge/cli/commands.hpp
@@ -24,6 +24,7 @@
 int RunDemo(command_context& context);
 int RunServe(command_context& context);
 int RunFleet(command_context& context);
+int RunExplain(command_context& context);
 int RunStandin(command_context& context);
 int RunLoad(command_context& context);
 
--- /dev/null
+++ b/src/skylarkbridge/control/intake_test.cpp
@@ -0,0 +1,82 @@
+#include "skylarkbridge/control/intake.hpp"
+
+#include <gtest/gtest.h>
+
+namespace skylarkbridge::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kNow{seconds(100)};
+
+intake_item Item(std::uint64_t token) {
+  return {.token = token,
+          .job = jobs::job_id{token},
+          .record = {.key = "j", .value = "v"},
+          .deadline = kNow + seconds(3)};
+}
+
+// "Not run" has to be true: after an append without an answer it may not be
+// said.
+TEST(IntakeTest, AnAppendWithoutAnAnswerMakesItsItemsUncertain) {
+  intake queue({});
+  ASSERT_TRUE(queue.Add(Item(1), kNow));
+  ASSERT_TRUE(queue.Next(kNow, 1));
+  queue.Handle({.number = 1, .result = store_result::kNoAnswer}, kNow);
+  ASSERT_TRUE(queue.Next(kNow + milliseconds(100), 2));
+  queue.Handle({.number = 2, .result = store_result::kRefused},
+               kNow + milliseconds(100));
+  const auto results = queue.Expire(kNow + seconds(3));
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_FALSE(results[0].stored);
+  EXPECT_TRUE(results[0].item.uncertain);
+}
+
+// A store that only ever refused has stored nothing.
+TEST(IntakeTest, ARefusedItemIsCertain) {
+  intake queue({});
+  queue.Add(Item(1), kNow);
+  queue.Next(kNow, 1);
+  queue.Handle({.number = 1, .result = store_result::kRefused}, kNow);
+  const auto results = queue.Expire(kNow + seconds(3));
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_FALSE(results[0].item.uncertain);
+}
+
+// Requests that wait share one append.
+TEST(IntakeTest, WritesWaitingRequestsTogether) {
+  intake queue({});
+  for (std::uint64_t token = 1; token <= 5; ++token) {
+    queue.Add(Item(token), kNow);
+  }
+  const auto append = queue.Next(kNow, 1);
+  ASSERT_TRUE(append);
+  EXPECT_EQ(append->batch.size(), 5U);
+  EXPECT_EQ(
+      queue.Handle({.number = 1, .result = store_result::kDone}, kNow).size(),
+      5U);
+  EXPECT_TRUE(queue.Idle());
+}
+
+// A store that is down is tried by one request at a time; the others are
+// refused at once, and all are taken again when it answers.
+TEST(IntakeTest, TriesAStoreThatIsDown) {
+  intake queue({});
+  queue.Add(Item(1), kNow);
+  queue.Next(kNow, 1);
+  queue.Handle({.number = 1, .result = store_result::kRefused}, kNow);
+  const time_point later = kNow + seconds(2);
+  EXPECT_TRUE(queue.StoreDown(later));
+  EXPECT_TRUE(queue.Add(Item(2), later));
+  ASSERT_TRUE(queue.Next(later, 2));
+  EXPECT_FALSE(queue.Add(Item(3), later));
+  EXPECT_FALSE(
+      queue.Handle({.number = 2, .result = store_result::kRefused}, later)
+          .empty());
+  queue.StoreAnswered();
+  EXPECT_TRUE(queue.Add(Item(4), later));
+}
+
+}  // namespace
+}  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -164,7 +164,7 @@
     options.first_sequence = 1000 * (vm + 1) + 100 * state.life;
     state.control =
         std::make_unique<control_state<platform_fake, callers_fake>>(
-            options, *state.platform, *state.callers);
+            options, *state.platform, *state.callers, metrics_);
     state.next_pass = now_;
   }
   void StopVm(std::size_t vm) { vms_[vm].control->BeginStop(now_); }
@@ -318,6 +318,7 @@
   }
 
   const options options_;
+  telemetry::metrics_registry metrics_;
   std::mt19937_64 random_;
   time_point now_{std::chrono::hours(1)};
   promise_checker checker_;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -53,6 +53,12 @@
          now < session.last_answer + options_.quiet_limit;
 }
 
+std::size_t fleet_scheduler::UsableWorkers(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(
+      workers_.begin(), workers_.end(),
+      [&](const auto& entry) { return Usable(entry.second, now); }));
+}
+
 void fleet_scheduler::Renew(worker_session& session, time_point now) {
   const bool gone =
       session.unlisted_since && now > *session.unlisted_since + kUnlistedGrace;
--- a/src/skylarkbridge/jobs/interference_model.cpp
+++ b/src/skylarkbridge/jobs/interference_model.cpp
@@ -44,6 +44,7 @@
                                const std::vector<neighbour>& neighbours) {
   serving_image& image = Entry(serving);
   std::vector<std::size_t> positions;
+  positions.reserve(neighbours.size());
   for (const neighbour& other : neighbours) {
     positions.push_back(Position(image, other.image));
   }
--- /dev/null
+++ b/src/skylarkbridge/jobs/ownership_test.cpp
@@ -0,0 +1,77 @@
+#include "skylarkbridge/jobs/ownership.hpp"
+
+#include <gtest/gtest.h>
+
+namespace skylarkbridge::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kNow{seconds(100)};
+
+ownership Vm(const std::string& name) {
+  return ownership({.vm = name, .incarnation = 1});
+}
+
+// What a VM can't read is no silence of the owner.
+TEST(OwnershipTest, ClaimsOnlyAfterSilenceThatTheLogShows) {
+  ownership vm = Vm("b");
+  vm.Observe({.claim = 1, .vm = "a", .incarnation = 5}, kNow);
+  vm.ReadToEnd(kNow, kNow);
+  EXPECT_FALSE(vm.NextClaim(kNow + seconds(30)));
+  vm.ReadToEnd(kNow + seconds(3), kNow + seconds(3));
+  const auto claim = vm.NextClaim(kNow + seconds(3));
+  ASSERT_TRUE(claim);
+  EXPECT_EQ(claim->claim, 2U);
+}
+
+// An owner whose claim is known gives no orders after its rights end.
+TEST(OwnershipTest, OrdersEndWithoutConfirmation) {
+  ownership vm = Vm("a");
+  vm.ReadToEnd(kNow, kNow);
+  const auto claim = vm.NextClaim(kNow + seconds(1));
+  ASSERT_TRUE(claim);
+  EXPECT_TRUE(vm.IsOwnClaim(*claim));
+  vm.ClaimAccepted(kNow + seconds(1));
+  EXPECT_TRUE(vm.Owner());
+  const time_point until = vm.OrdersUntil();
+  vm.Confirmed(kNow + seconds(2));
+  EXPECT_EQ(vm.OrdersUntil(), until + seconds(1));
+}
+
+// A higher claim in the log ends the ownership at once.
+TEST(OwnershipTest, AHigherClaimEndsTheOwnership) {
+  ownership vm = Vm("a");
+  vm.ReadToEnd(kNow, kNow);
+  vm.NextClaim(kNow + seconds(1));
+  vm.ClaimAccepted(kNow + seconds(1));
+  vm.Observe({.claim = 2, .vm = "b", .incarnation = 9}, kNow + seconds(2));
+  EXPECT_FALSE(vm.Owner());
+}
+
+// A release is taken over without waiting for silence; a VM that stops claims
+// nothing.
+TEST(OwnershipTest, AReleaseIsTakenOverAtOnce) {
+  ownership vm = Vm("b");
+  vm.Observe({.claim = 4, .vm = "a", .incarnation = 5, .released = true}, kNow);
+  vm.ReadToEnd(kNow, kNow);
+  ownership stopping = vm;
+  EXPECT_FALSE(stopping.Release());
+  EXPECT_FALSE(stopping.NextClaim(kNow + milliseconds(400)));
+  const auto claim = vm.NextClaim(kNow + milliseconds(400));
+  ASSERT_TRUE(claim);
+  EXPECT_EQ(vm.PredecessorStopsBy(kNow), kNow);
+}
+
+// A process that starts again on the owner's VM knows that the earlier one has
+// ended.
+TEST(OwnershipTest, ARestartedOwnerClaimsAtOnce) {
+  ownership vm = Vm("a");
+  vm.Observe({.claim = 4, .vm = "a", .incarnation = 77}, kNow);
+  vm.ReadToEnd(kNow, kNow);
+  EXPECT_TRUE(vm.NextClaim(kNow + milliseconds(400)));
+}
+
+}  // namespace
+}  // namespace skylarkbridge::jobs
--- /dev/null
+++ b/src/skylarkbridge/jobs/topic_reader_test.cpp
@@ -0,0 +1,86 @@
+#include "skylarkbridge/jobs/topic_reader.hpp"
+
+#include <gtest/gtest.h>
+
+namespace skylarkbridge::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point kNow{std::chrono::seconds(100)};
+
+topic_record Record(std::uint64_t offset, std::string key) {
+  return {.offset = offset, .key = std::move(key), .value = "v"};
+}
+
+// Pages are not taken at one moment: an older record of a key must not follow
+// a newer one from a later page.
+TEST(TopicReaderTest, SkipsRecordsThatASnapshotPageWasAheadOf) {
+  topic_reader reader({});
+  auto call = reader.Next(kNow);
+  ASSERT_TRUE(call && call->snapshot);
+  reader.Took(
+      call->number,
+      snapshot_page{.records = {Record(3, "a")}, .more = true, .end = 5}, kNow);
+  call = reader.Next(kNow);
+  ASSERT_TRUE(call && call->snapshot);
+  EXPECT_EQ(call->snapshot->after, "a");
+  const reader_news done = reader.Took(
+      call->number, snapshot_page{.records = {Record(6, "b")}, .end = 8}, kNow);
+  EXPECT_TRUE(done.snapshot_complete);
+  EXPECT_EQ(done.snapshot_keys, (std::set<std::string>{"a", "b"}));
+  call = reader.Next(kNow);
+  ASSERT_TRUE(call && call->tail);
+  EXPECT_EQ(call->tail->from, 5U);
+  const reader_news tail = reader.Took(
+      call->number,
+      tail_page{.records = {Record(5, "b"), Record(6, "b"), Record(7, "b")},
+                .end = 8},
+      kNow);
+  ASSERT_EQ(tail.records.size(), 1U);
+  EXPECT_EQ(tail.records[0].offset, 7U);
+  EXPECT_EQ(reader.NextOffset(), 8U);
+}
+
+// History that is gone leads back to a snapshot, and not for a read that a
+// later one has overtaken.
+TEST(TopicReaderTest, StartsAnewWhenTheHistoryIsGone) {
+  topic_reader reader({});
+  auto call = reader.Next(kNow);
+  reader.Took(call->number, snapshot_page{.end = 2}, kNow);
+  call = reader.Next(kNow);
+  const auto refresh = reader.Refresh(kNow);
+  ASSERT_TRUE(refresh);
+  reader.Took(refresh->number, tail_page{.records = {Record(2, "a")}, .end = 3},
+              kNow);
+  reader.Trimmed(call->number, kNow);
+  call = reader.Next(kNow);
+  ASSERT_TRUE(call && call->tail);
+  reader.Trimmed(call->number, kNow);
+  call = reader.Next(kNow);
+  EXPECT_TRUE(call && call->snapshot);
+}
+
+// Silence of the owner counts up to the time to which the log was read.
+TEST(TopicReaderTest, AnEmptyReadIsCurrentUpToItsEnd) {
+  topic_reader reader({.wait = milliseconds(800)});
+  auto call = reader.Next(kNow);
+  reader.Took(call->number, snapshot_page{}, kNow);
+  call = reader.Next(kNow);
+  const time_point answered = kNow + milliseconds(810);
+  reader.Took(call->number, tail_page{}, answered);
+  EXPECT_EQ(reader.CurrentAt(), kNow + milliseconds(800));
+}
+
+// A read that fails is repeated after a pause, and continues where it was.
+TEST(TopicReaderTest, RepeatsAFailedRead) {
+  topic_reader reader({.retry = milliseconds(150)});
+  auto call = reader.Next(kNow);
+  reader.Failed(call->number, kNow);
+  EXPECT_TRUE(reader.Failing());
+  EXPECT_FALSE(reader.Next(kNow + milliseconds(100)));
+  EXPECT_TRUE(reader.Next(kNow + milliseconds(150)));
+}
+
+}  // namespace
+}  // namespace skylarkbridge::jobs
--- /dev/null
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -0,0 +1,122 @@
+#include "skylarkbridge/records/job_record_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <random>
+
+#include "skylarkbridge/base/failure.hpp"
+
+namespace skylarkbridge::records {
+namespace {
+
+using namespace jobs;
+
+/// Decodes what was encoded; an empty record marks a failure.
+std::optional<log_record> RoundTrip(const log_record& record) {
+  const keyed_record encoded = Encode(record);
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::optional<log_record>> {
+        std::optional<std::string_view> value;
+        if (encoded.value) {
+          value = *encoded.value;
+        }
+        return Decode(encoded.key, value);
+      },
+      [](const failure&) { return std::optional<log_record>(); },
+      [] { return std::optional<log_record>(); });
+}
+
+// A successor starts tasks from these records; a field that is lost changes
+// what runs.
+TEST(JobRecordCodecTest, KeepsEveryFieldOfAJob) {
+  const job_accepted accepted{
+      .job = job_id{0xfedcba9876543210},
+      .queue = "r-1",
+      .accepted_at = wall_time(std::chrono::seconds(5)),
+      .spec = {.payload = std::string("a\0b", 3),
+               .steps = {{.count = 3,
+                          .need = {1, 2, 3},
+                          .estimate = std::chrono::milliseconds(4),
+                          .depends_on = {},
+                          .checkpoints = true,
+                          .gang = true,
+                          .rack_local = true,
+                          .required_label = "l",
+                          .data_rack = "r",
+                          .max_per_worker = 5,
+                          .speculative = true,
+                          .long_running = true,
+                          .image = "i",
+                          .latency_target = std::chrono::milliseconds(6),
+                          .best_effort = true,
+                          .disruption_budget = 7}},
+               .repeat_count = 8,
+               .first_due = wall_time(std::chrono::seconds(9)),
+               .interval = std::chrono::milliseconds(10)}};
+  const auto decoded = RoundTrip(accepted);
+  ASSERT_TRUE(decoded);
+  const auto& again = std::get<job_accepted>(*decoded);
+  EXPECT_EQ(again.job, accepted.job);
+  EXPECT_EQ(again.accepted_at, accepted.accepted_at);
+  EXPECT_EQ(again.spec.payload, accepted.spec.payload);
+  EXPECT_EQ(again.spec.first_due, accepted.spec.first_due);
+  const step_spec& step = again.spec.steps.at(0);
+  EXPECT_EQ(step.need, accepted.spec.steps[0].need);
+  EXPECT_EQ(step.max_per_worker, 5U);
+  EXPECT_EQ(step.image, "i");
+  EXPECT_EQ(step.latency_target, std::chrono::milliseconds(6));
+  EXPECT_TRUE(step.best_effort && step.gang && step.long_running);
+  EXPECT_EQ(step.disruption_budget, 7);
+}
+
+// Attempts and done tasks decide whether a task may start again.
+TEST(JobRecordCodecTest, KeepsTheProgress) {
+  const job_advanced advanced{
+      .job = job_id{1},
+      .progress = {.started = true,
+                   .status = job_status::kFailed,
+                   .steps = {{.occurrence = 2,
+                              .step = 1,
+                              .done = {true, false, true},
+                              .failures = {{4, {1, 10'001}}}}}}};
+  const auto decoded = RoundTrip(advanced);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
+}
+
+TEST(JobRecordCodecTest, KeepsOwnershipAndLeases) {
+  const ownership_record owner{
+      .claim = 7, .vm = "a", .incarnation = 9, .released = true};
+  EXPECT_EQ(std::get<ownership_record>(*RoundTrip(owner)), owner);
+  const leased_workers leased{.claim = 7, .workers = {"x", "y"}};
+  EXPECT_EQ(std::get<leased_workers>(*RoundTrip(leased)), leased);
+}
+
+// Another program may write to the topic: broken records are refused, never
+// read as something else.
+TEST(JobRecordCodecTest, RefusesBrokenRecords) {
+  std::mt19937_64 random(7);
+  const keyed_record good =
+      Encode(job_advanced{.job = job_id{1}, .progress = {.started = true}});
+  int refused = 0;
+  constexpr int kInputs = 2000;
+  for (int input = 0; input < kInputs; ++input) {
+    std::string value = *good.value;
+    for (int change = 0; change < 3; ++change) {
+      value[random() % value.size()] = static_cast<char>(random());
+    }
+    value.resize(random() % (value.size() + 1));
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_AUTO(decoded, Decode(good.key, value));
+          static_cast<void>(decoded);
+          return {};
+        },
+        [&](const failure&) { ++refused; }, [] {});
+  }
+  EXPECT_GT(refused, kInputs / 2);
+}
+
+}  // namespace
+}  // namespace skylarkbridge::records
--- a/src/skylarkbridge/service/fleet_service.cpp
+++ b/src/skylarkbridge/service/fleet_service.cpp
@@ -165,7 +165,7 @@
                             mailbox_.SendUnbounded(std::move(reply));
                           });
   caller_answers answers{callers_};
-  state control(ControlOptions(incarnation), client, answers);
+  state control(ControlOptions(incarnation), client, answers, metrics_);
   LogEvent(kServiceStarted, {{"vm", options_.settings.vm},
                              {"data_centre", options_.settings.data_centre},
                              {"callers", options_.settings.callers_address},
@@ -174,13 +174,18 @@
   if (draining_) {
     control.BeginStop(boot_clock::now());
   }
+  telemetry::latency_histogram& lateness =
+      metrics_.Latency("skylarkbridge_pass_lateness_seconds",
+                       "By how much a pass of the control thread began after "
+                       "its deadline");
   time_point now = boot_clock::now();
   while (!stop.Requested()) {
     control.Run(now, WallNow());
     Publish(control, now);
-    std::vector<control_message> messages =
-        mailbox_.ReceiveAll(control.NextDeadline(now));
+    const time_point deadline = control.NextDeadline(now);
+    std::vector<control_message> messages = mailbox_.ReceiveAll(deadline);
     now = boot_clock::now();
+    lateness.Record(now - deadline);
     for (control_message& message : messages) {
       if (auto* const request =
               std::get_if<control::caller_request>(&message)) {
