Answer a repeat of an uncertain request as uncertain

Cause: "not run" was proven for each request by itself. A request whose append had no answer was given up as uncertain, and a repeat with the same id that the store refused, or that came while the store was away, was answered as not run, though the first record may be stored and run later.

Change: the intake remembers the keys of records that it gave up without an answer, at most 4,096, and settles a repeat of one as uncertain.

Before: ControlStateTest.ARepeatOfAnUncertainRequestIsNotReportedAsNotRun and IntakeTest.ARepeatedRequestStaysUncertain can't pass, as nothing was kept. Not covered: a repeat at another VM, which knows nothing of the first attempt; docs/decisions/platform.md asks about it.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -141,6 +141,8 @@
               wall_time wall);
   void Query(const caller_request& request, jobs::job_id job, time_point now);
   void Cancel(const caller_request& request, jobs::job_id job, time_point now);
+  /// Hands a request to the intake; answers it when the store is away.
+  void Store(const intake_item& item, std::string_view method, time_point now);
   void Reply(std::uint64_t token,
              std::optional<jobs::job_id> job,
              std::string_view method,
@@ -152,6 +154,11 @@
             .retry_after = options_.retry_after,
             .reason = std::move(reason)};
   }
+  caller_answer Uncertain(std::string reason) const {
+    return {.kind = answer_kind::kUncertain,
+            .retry_after = options_.retry_after,
+            .reason = std::move(reason)};
+  }
 
   // The store.
   void Take(const append_reply& reply, time_point now, wall_time wall);
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -67,13 +67,11 @@
                                           .queue = queue.name,
                                           .accepted_at = wall,
                                           .spec = std::move(spec)};
-        if (!intake_.Add({.token = request.token,
-                          .job = job,
-                          .record = records::Encode(accepted),
-                          .deadline = request.deadline},
-                         now)) {
-          Reply(request.token, job, "submit", NotRun("the store is away"));
-        }
+        Store({.token = request.token,
+               .job = job,
+               .record = records::Encode(accepted),
+               .deadline = request.deadline},
+              "submit", now);
         return {};
       },
       [&](const failure& error) {
@@ -124,13 +122,24 @@
           {.kind = answer_kind::kCancelled, .reason = "ended before"});
     return;
   }
-  if (!intake_.Add({.token = request.token,
-                    .job = job,
-                    .record = records::Encode(jobs::job_cancelled{job}),
-                    .deadline = request.deadline},
-                   now)) {
-    Reply(request.token, job, "cancel", NotRun("the store is away"));
+  Store({.token = request.token,
+         .job = job,
+         .record = records::Encode(jobs::job_cancelled{job}),
+         .deadline = request.deadline},
+        "cancel", now);
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::Store(const intake_item& item,
+                                             std::string_view method,
+                                             time_point now) {
+  if (intake_.Add(item, now)) {
+    return;
   }
+  Reply(item.token, item.job, method,
+        intake_.InDoubt(item.record)
+            ? Uncertain("the store is away and may hold an earlier request")
+            : NotRun("the store is away"));
 }
 
 template <fleet_platform Platform, caller_port Callers>
@@ -160,9 +169,7 @@
           {.kind = cancel ? answer_kind::kCancelled : answer_kind::kAccepted});
   } else if (result.item.uncertain) {
     Reply(result.item.token, result.item.job, method,
-          {.kind = answer_kind::kUncertain,
-           .retry_after = options_.retry_after,
-           .reason = "the store did not answer"});
+          Uncertain("the store did not answer"));
   } else {
     Reply(result.item.token, result.item.job, method,
           NotRun("the store refused the record"));
--- a/include/skylarkbridge/control/intake.hpp
+++ b/include/skylarkbridge/control/intake.hpp
@@ -7,6 +7,8 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "skylarkbridge/base/time.hpp"
@@ -27,6 +29,8 @@
   std::chrono::milliseconds down_after{1000};
   /// Between two requests that try a store that is down.
   std::chrono::milliseconds probe_interval{500};
+  /// Records without an answer that are remembered; the oldest are forgotten.
+  std::size_t max_doubts = 4096;
   /// A request is given up this long before its caller stops waiting.
   std::chrono::milliseconds answer_margin{100};
 };
@@ -50,14 +54,20 @@
 /// @brief Writes what callers hand in, several requests with one append.
 ///
 /// The records are idempotent by the job's id, so an append without an answer
-/// is repeated. Only a request of which no append can have been carried out is
-/// reported as not run.
+/// is repeated. Only a request of which no append can have been carried out,
+/// nor one of an earlier request with the same record, is reported as not run.
 class intake {
  public:
   explicit intake(intake_options options) : options_(options) {}
 
-  /// @brief Returns false when the request has to be refused as not run.
+  /// @brief Returns false when the store can't take the request now. It has
+  /// not run then, unless InDoubt says otherwise.
   bool Add(intake_item item, time_point now);
+  /// @brief Whether an earlier request with the same record was given up while
+  /// its append had no answer, so the record may be stored.
+  bool InDoubt(const records::keyed_record& record) const {
+    return doubts_.contains(record.key);
+  }
 
   /// @brief The append to send now, if one is due.
   std::optional<append_call> Next(time_point now, std::uint64_t number);
@@ -75,9 +85,15 @@
   bool Idle() const { return waiting_.empty() && under_way_.empty(); }
 
  private:
+  /// Settles an item that is not known to be stored.
+  intake_result GiveUp(intake_item item);
+
   const intake_options options_;
   std::deque<intake_item> waiting_;
   std::map<std::uint64_t, std::vector<intake_item>> under_way_;
+  /// Keys of records that were given up without an answer.
+  std::set<std::string> doubts_;
+  std::deque<std::string> doubts_by_age_;
   std::optional<time_point> failing_since_;
   time_point due_;
   time_point next_probe_;
--- a/src/skylarkbridge/control/control_state_test.cpp
+++ b/src/skylarkbridge/control/control_state_test.cpp
@@ -136,6 +136,24 @@
   EXPECT_EQ(fleet->AnswerTo(again)->kind, answer_kind::kAccepted);
 }
 
+// A request that was answered as uncertain may be stored, so a repeat of it
+// must not be answered as not run while the store is still away.
+TEST(ControlStateTest, ARepeatOfAnUncertainRequestIsNotReportedAsNotRun) {
+  auto fleet = StartedFleet({});
+  fleet->StoreDown(true);
+  const std::uint64_t first = fleet->Submit(0, kJob, "500 100 0 1");
+  fleet->Advance(seconds(4));
+  ASSERT_NE(fleet->AnswerTo(first), nullptr);
+  ASSERT_EQ(fleet->AnswerTo(first)->kind, answer_kind::kUncertain);
+  // Keeps the attempt that finds out whether the store is back busy.
+  fleet->Submit(0, jobs::job_id{2}, "500 100 0 1");
+  const std::uint64_t repeat = fleet->Submit(0, kJob, "500 100 0 1");
+  fleet->Advance(milliseconds(50));
+  ASSERT_NE(fleet->AnswerTo(repeat), nullptr);
+  EXPECT_EQ(fleet->AnswerTo(repeat)->kind, answer_kind::kUncertain);
+  EXPECT_TRUE(fleet->AnswerTo(repeat)->retry_after);
+}
+
 // Work that runs goes on over an outage of the store.
 TEST(ControlStateTest, LeasesOutliveAnOutageOfTheStore) {
   auto fleet = StartedFleet({});
--- a/src/skylarkbridge/control/intake.cpp
+++ b/src/skylarkbridge/control/intake.cpp
@@ -17,10 +17,22 @@
     next_probe_ = now + options_.probe_interval;
   }
   item.deadline -= options_.answer_margin;
+  item.uncertain |= InDoubt(item.record);
   waiting_.push_back(std::move(item));
   return true;
 }
 
+intake_result intake::GiveUp(intake_item item) {
+  if (item.uncertain && doubts_.insert(item.record.key).second) {
+    doubts_by_age_.push_back(item.record.key);
+    if (doubts_by_age_.size() > options_.max_doubts) {
+      doubts_.erase(doubts_by_age_.front());
+      doubts_by_age_.pop_front();
+    }
+  }
+  return {std::move(item), false};
+}
+
 void intake::StoreAnswered() {
   failing_since_.reset();
 }
@@ -71,7 +83,7 @@
   for (auto item = items.rbegin(); item != items.rend(); ++item) {
     item->uncertain |= reply.result == store_result::kNoAnswer;
     if (StoreDown(now)) {
-      results.push_back({std::move(*item), false});
+      results.push_back(GiveUp(std::move(*item)));
     } else {
       waiting_.push_front(std::move(*item));
     }
@@ -85,7 +97,7 @@
     if (now < item.deadline) {
       return false;
     }
-    results.push_back({std::move(item), false});
+    results.push_back(GiveUp(std::move(item)));
     return true;
   });
   return results;
--- a/src/skylarkbridge/control/intake_test.cpp
+++ b/src/skylarkbridge/control/intake_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "absl/strings/str_cat.h"
+
 namespace skylarkbridge::control {
 namespace {
 
@@ -33,6 +35,43 @@
   EXPECT_TRUE(results[0].item.uncertain);
 }
 
+// A caller that repeats a request whose append had no answer may not be told
+// that it has not run: the record of the first request may be stored.
+TEST(IntakeTest, ARepeatedRequestStaysUncertain) {
+  intake queue({});
+  ASSERT_TRUE(queue.Add(Item(1), kNow));
+  ASSERT_TRUE(queue.Next(kNow, 1));
+  queue.Handle({.number = 1, .result = store_result::kNoAnswer}, kNow);
+  ASSERT_EQ(queue.Expire(kNow + seconds(3)).size(), 1U);
+  EXPECT_TRUE(queue.InDoubt(Item(1).record));
+  intake_item again = Item(2);
+  again.deadline = kNow + seconds(6);
+  ASSERT_TRUE(queue.Add(again, kNow + seconds(3)));
+  ASSERT_TRUE(queue.Next(kNow + seconds(3), 2));
+  // The store counts as down by now, so the request is settled at once.
+  const auto results = queue.Handle(
+      {.number = 2, .result = store_result::kRefused}, kNow + seconds(3));
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_FALSE(results[0].stored);
+  EXPECT_TRUE(results[0].item.uncertain);
+}
+
+// Remembered doubts must not grow without a bound.
+TEST(IntakeTest, ForgetsTheOldestDoubts) {
+  intake queue({.max_doubts = 2});
+  for (std::uint64_t number = 1; number <= 3; ++number) {
+    intake_item item = Item(number);
+    item.record.key = absl::StrCat("j", number);
+    ASSERT_TRUE(queue.Add(item, kNow));
+    ASSERT_TRUE(queue.Next(kNow + seconds(number), number));
+    queue.Handle({.number = number, .result = store_result::kNoAnswer}, kNow);
+    queue.StoreAnswered();
+    ASSERT_EQ(queue.Expire(kNow + seconds(3)).size(), 1U);
+  }
+  EXPECT_FALSE(queue.InDoubt({.key = "j1"}));
+  EXPECT_TRUE(queue.InDoubt({.key = "j3"}));
+}
+
 // A store that only ever refused has stored nothing.
 TEST(IntakeTest, ARefusedItemIsCertain) {
   intake queue({});
