Run long-running jobs in the cell with the least of them, and keep room for restarts

Change: the VM that accepts a job with long-running steps names the cell that is to run it, the one with the least of such work; the record stays in the log of the job's home, so that it is one job wherever it is handed in, and the folds of both cells have it. Restarts of long-running tasks go first, and a worker is kept for each one that found no room.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -79,9 +80,9 @@
   }
   /// @brief The fleet's cells; empty until its map is read.
   const std::vector<std::unique_ptr<cell>>& Cells() const { return cells_; }
-  /// @brief The cell of a job. Only when the map is read.
-  const cell& CellOf(jobs::job_id job) const {
-    return *cells_[map_->CellOf(job)];
+  /// @brief The home of a job. Only when the map is read.
+  const cell& HomeOf(jobs::job_id job) const {
+    return *cells_[map_->HomeOf(job)];
   }
 
  private:
@@ -111,6 +112,8 @@
   void Query(const caller_request& request, jobs::job_id job, time_point now);
   void Cancel(const caller_request& request, jobs::job_id job, time_point now);
   std::size_t Pending(std::string_view queue) const;
+  /// Drops what the logs show by now.
+  void ForgetHandedIn();
   /// Hands a request to the intake; answers it when the store is away.
   void Store(const intake_item& item, std::string_view method, time_point now);
   void Look(const caller_request& request,
@@ -140,7 +143,7 @@
   void Take(const append_reply& reply, time_point now, wall_time wall);
   void Take(read_reply reply, time_point now, wall_time wall);
   template <class OrderReply>
-    requires requires(OrderReply reply) { reply.worker; }
+  requires requires(OrderReply reply) { reply.worker; }
   void Take(const OrderReply& reply, time_point now, wall_time /*wall*/) {
     if (cell* const owner = CellOfWorker(reply.worker)) {
       owner->Take(reply, now);
@@ -154,7 +157,12 @@
   void Divide(jobs::fleet_map map);
   void Found(time_point now);
   cell* CellOfWorker(const std::string& worker);
-  cell& CellOf(jobs::job_id job) { return *cells_[map_->CellOf(job)]; }
+  cell& HomeOf(jobs::job_id job) { return *cells_[map_->HomeOf(job)]; }
+  /// The cell that runs a job; its home while the job is not known.
+  cell& RunnerOf(jobs::job_id job);
+  /// The cell that a new job is to run in.
+  jobs::cell_id ChooseCell(jobs::job_id job, const jobs::job_spec& spec) const;
+  void ForwardForeign(cell& from, time_point now, wall_time wall);
   bool AnyActive() const;
   void LogRejected(topic_kind kind, std::uint64_t offset, const failure& error);
   void SendCalls(time_point now);
@@ -170,9 +178,16 @@
   topic_follower map_follower_;
   jobs::fleet_founding founding_;
   std::optional<jobs::fleet_map> map_;
+  /// They refer to the map.
   std::vector<std::unique_ptr<cell>> cells_;
   /// The cells of the workers that were listed.
   absl::flat_hash_map<std::string, jobs::cell_id> worker_cells_;
+  /// Long-running work that was handed in here and is not yet read from a log.
+  struct handed_in {
+    jobs::cell_id cell = 0;
+    std::int64_t millicores = 0;
+  };
+  std::map<jobs::job_id, handed_in> handed_in_;
   std::deque<lookup> lookups_;
   time_point next_measure_;
   bool stopping_ = false;
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -59,7 +59,7 @@
     jobs::job_id job,
     time_point now,
     wall_time wall) {
-  if (CellOf(job).Book().Find(job) != nullptr) {
+  if (HomeOf(job).Book().Find(job) != nullptr) {
     Reply(request.token, job, "submit",
           {.kind = answer_kind::kAccepted, .reason = "known"});
     return;
@@ -67,10 +67,17 @@
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(spec, Platform::DecodeJob(request.body));
+        ForgetHandedIn();
+        const std::int64_t long_running = jobs::LongRunningMillicores(spec);
+        const jobs::cell_id runner = ChooseCell(job, spec);
         const jobs::job_accepted accepted{.job = job,
                                           .queue = queue.name,
                                           .accepted_at = wall,
-                                          .spec = std::move(spec)};
+                                          .spec = std::move(spec),
+                                          .cell = runner};
+        if (long_running > 0) {
+          handed_in_[job] = {runner, long_running};
+        }
         Store({.token = request.token,
                .job = job,
                .record = records::Encode(accepted),
@@ -88,6 +95,13 @@
       });
 }
 
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::ForgetHandedIn() {
+  std::erase_if(handed_in_, [this](const auto& entry) {
+    return HomeOf(entry.first).Book().Find(entry.first) != nullptr;
+  });
+}
+
 template <fleet_platform Platform, caller_port Callers>
 std::size_t control_state<Platform, Callers>::Pending(
     std::string_view queue) const {
@@ -102,17 +116,18 @@
 void control_state<Platform, Callers>::Query(const caller_request& request,
                                              jobs::job_id job,
                                              time_point now) {
-  const cell& part = CellOf(job);
-  const jobs::job_state* const known = part.Book().Find(job);
+  const jobs::job_book& book = HomeOf(job).Book();
+  const jobs::job_state* const known = book.Find(job);
   if (known == nullptr) {
     Look(request, job, options_.lookup_timeout, now);
     return;
   }
-  const auto current = part.Reader().CurrentAt();
+  const jobs::topic_reader& reader = RunnerOf(job).Reader();
+  const auto current = reader.CurrentAt();
   const bool fresh = current && now < *current + options_.fresh_state;
-  if (known->Ended() || fresh || part.Reader().Failing()) {
+  if (known->Ended() || fresh || reader.Failing()) {
     Reply(request.token, job, "query",
-          {.kind = answer_kind::kState, .state = *part.Book().Report(job)});
+          {.kind = answer_kind::kState, .state = *book.Report(job)});
   } else {
     Look(request, job, options_.refresh_timeout, now);
   }
@@ -128,14 +143,14 @@
                       .method = request.method,
                       .asked = now,
                       .deadline = std::min(request.deadline, now + limit)});
-  CellOf(job).WantRefresh();
+  RunnerOf(job).WantRefresh();
 }
 
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::Cancel(const caller_request& request,
                                               jobs::job_id job,
                                               time_point now) {
-  const jobs::job_state* const state = CellOf(job).Book().Find(job);
+  const jobs::job_state* const state = HomeOf(job).Book().Find(job);
   if (state == nullptr) {
     Look(request, job, options_.lookup_timeout, now);
     return;
@@ -156,7 +171,7 @@
 void control_state<Platform, Callers>::Store(const intake_item& item,
                                              std::string_view method,
                                              time_point now) {
-  cell& part = CellOf(item.job);
+  cell& part = HomeOf(item.job);
   if (part.Store(item, now)) {
     return;
   }
@@ -188,6 +203,9 @@
 void control_state<Platform, Callers>::Settle(const intake_result& result) {
   const bool cancel = result.item.record.key.front() == 'c';
   const std::string_view method = cancel ? "cancel" : "submit";
+  if (!result.stored && !cancel) {
+    handed_in_.erase(result.item.job);
+  }
   if (result.stored) {
     Reply(result.item.token, result.item.job, method,
           {.kind = cancel ? answer_kind::kCancelled : answer_kind::kAccepted});
@@ -212,17 +230,17 @@
 template <fleet_platform Platform, caller_port Callers>
 bool control_state<Platform, Callers>::AnswerLookup(const lookup& entry,
                                                     time_point now) {
-  cell& part = CellOf(entry.job);
-  const bool known = part.Book().Find(entry.job) != nullptr;
-  const auto current = part.Reader().CurrentAt();
+  const jobs::job_book& book = HomeOf(entry.job).Book();
+  cell& runner = RunnerOf(entry.job);
+  const bool known = book.Find(entry.job) != nullptr;
+  const auto current = runner.Reader().CurrentAt();
   const bool read = current && *current >= entry.asked;
   const bool over = now >= entry.deadline;
   if (known && entry.method == caller_method::kCancel) {
     Cancel({.token = entry.token, .deadline = entry.deadline}, entry.job, now);
-  } else if (known && (read || over || part.Reader().Failing())) {
+  } else if (known && (read || over || runner.Reader().Failing())) {
     Reply(entry.token, entry.job, "query",
-          {.kind = answer_kind::kState,
-           .state = *part.Book().Report(entry.job)});
+          {.kind = answer_kind::kState, .state = *book.Report(entry.job)});
   } else if (!known && read) {
     Reply(entry.token, entry.job, "lookup",
           {.kind = answer_kind::kNoJob, .reason = "not in the log"});
@@ -231,7 +249,7 @@
           NotRun("the log can't be read now"));
   } else {
     // A read that was under way when the caller asked is not enough.
-    part.WantRefresh();
+    runner.WantRefresh();
     return false;
   }
   return true;
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -35,6 +35,7 @@
   if (source.kind == topic_kind::kJobs) {
     if (source.cell < cells_.size()) {
       cells_[source.cell]->Take(std::move(reply), now, wall);
+      ForwardForeign(*cells_[source.cell], now, wall);
     }
   } else if (source.kind == topic_kind::kConfiguration) {
     if (const auto news =
@@ -57,10 +58,66 @@
                                             time_point now,
                                             wall_time /*wall*/) {
   if (map_) {
-    CellOf(reply.step.job).Take(reply, now);
+    RunnerOf(reply.step.job).Take(reply, now);
   }
 }
 
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::ForwardForeign(cell& from,
+                                                      time_point now,
+                                                      wall_time wall) {
+  for (jobs::log_record& record : from.TakeForeign()) {
+    if (const auto* const accepted = std::get_if<jobs::job_accepted>(&record)) {
+      if (accepted->cell < cells_.size()) {
+        cells_[accepted->cell]->ApplyForeign(std::move(record), now, wall);
+      }
+    } else if (const auto* const advanced =
+                   std::get_if<jobs::job_advanced>(&record)) {
+      HomeOf(advanced->job).ApplyForeign(std::move(record), now, wall);
+    } else if (const auto* const cancelled =
+                   std::get_if<jobs::job_cancelled>(&record)) {
+      RunnerOf(cancelled->job).ApplyForeign(std::move(record), now, wall);
+    } else if (std::holds_alternative<jobs::job_dropped>(record)) {
+      for (const auto& part : cells_) {
+        part->ApplyForeign(record, now, wall);
+      }
+    }
+  }
+}
+
+template <fleet_platform Platform, caller_port Callers>
+auto control_state<Platform, Callers>::RunnerOf(jobs::job_id job) -> cell& {
+  const jobs::job_state* const state = HomeOf(job).Book().Find(job);
+  return state == nullptr || state->cell >= cells_.size()
+             ? HomeOf(job)
+             : *cells_[state->cell];
+}
+
+template <fleet_platform Platform, caller_port Callers>
+jobs::cell_id control_state<Platform, Callers>::ChooseCell(
+    jobs::job_id job,
+    const jobs::job_spec& spec) const {
+  const jobs::cell_id home = map_->HomeOf(job);
+  if (jobs::LongRunningMillicores(spec) == 0) {
+    return home;
+  }
+  std::vector<std::int64_t> load;
+  for (const auto& part : cells_) {
+    load.push_back(part->Book().LongRunningMillicores());
+  }
+  for (const auto& [other, work] : handed_in_) {
+    load[work.cell] += work.millicores;
+  }
+  // The home goes first among equals, which spreads a burst over the cells.
+  jobs::cell_id least = home;
+  for (jobs::cell_id number = 0; number < load.size(); ++number) {
+    if (load[number] < load[least]) {
+      least = number;
+    }
+  }
+  return least;
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::LogRejected(topic_kind kind,
                                                    std::uint64_t offset,
@@ -131,8 +188,8 @@
   LogEvent(kFleetDivided, {{"cells", absl::StrCat(map_->cells)},
                            {"racks", absl::StrCat(map_->racks.size())}});
   for (jobs::cell_id number = 0; number < map_->cells; ++number) {
-    cells_.push_back(std::make_unique<cell>(options_, number, map_->cells,
-                                            platform_, metrics_));
+    cells_.push_back(
+        std::make_unique<cell>(options_, number, *map_, platform_, metrics_));
     if (configuration_ != nullptr) {
       cells_.back()->Configure(configuration_);
     }
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -19,22 +19,21 @@
 inline constexpr event_definition kRequestAnswered{
     5010, event_severity::kInfo, "request_answered",
     "job method answer reason version"};
-inline constexpr event_definition kJobKnown{5011, event_severity::kInfo,
-                                            "job_known", "job queue offset"};
+inline constexpr event_definition kJobKnown{
+    5011, event_severity::kInfo, "job_known", "job queue cell offset"};
 inline constexpr event_definition kJobEnded{5012, event_severity::kInfo,
                                             "job_ended", "job state offset"};
 inline constexpr event_definition kOwnershipClaimed{
     5020, event_severity::kInfo, "ownership_claimed", "cell epoch reason"};
 inline constexpr event_definition kOwnershipTaken{
-    5021, event_severity::kInfo, "ownership_taken",
-    "cell epoch jobs leased"};
-inline constexpr event_definition kOwnershipLost{
-    5022, event_severity::kWarning, "ownership_lost",
-    "cell epoch newest owner"};
+    5021, event_severity::kInfo, "ownership_taken", "cell epoch jobs leased"};
+inline constexpr event_definition kOwnershipLost{5022, event_severity::kWarning,
+                                                 "ownership_lost",
+                                                 "cell epoch newest owner"};
 inline constexpr event_definition kOwnerSeen{
     5023, event_severity::kInfo, "owner_seen", "cell epoch owner released"};
-inline constexpr event_definition kFleetDivided{
-    5024, event_severity::kInfo, "fleet_divided", "cells racks"};
+inline constexpr event_definition kFleetDivided{5024, event_severity::kInfo,
+                                                "fleet_divided", "cells racks"};
 inline constexpr event_definition kFleetMapWritten{
     5025, event_severity::kInfo, "fleet_map_written", "cells racks"};
 inline constexpr event_definition kWorkerListed{
@@ -45,12 +44,23 @@
     5040, event_severity::kInfo, "scheduling",
     "what run worker detail cell epoch"};
 
-inline constexpr event_definition kEvents[] = {
-    kConfigurationInForce, kRecordRejected,  kStoreLost,     kStoreRegained,
-    kSnapshotRead,         kRequestAnswered, kJobKnown,      kJobEnded,
-    kOwnershipClaimed,     kOwnershipTaken,  kOwnershipLost, kOwnerSeen,
-    kFleetDivided,         kFleetMapWritten, kWorkerListed,  kWorkerUnlisted,
-    kScheduling};
+inline constexpr event_definition kEvents[] = {kConfigurationInForce,
+                                               kRecordRejected,
+                                               kStoreLost,
+                                               kStoreRegained,
+                                               kSnapshotRead,
+                                               kRequestAnswered,
+                                               kJobKnown,
+                                               kJobEnded,
+                                               kOwnershipClaimed,
+                                               kOwnershipTaken,
+                                               kOwnershipLost,
+                                               kOwnerSeen,
+                                               kFleetDivided,
+                                               kFleetMapWritten,
+                                               kWorkerListed,
+                                               kWorkerUnlisted,
+                                               kScheduling};
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -40,31 +40,39 @@
 template <fleet_platform Platform>
 class fleet_cell {
  public:
-  /// @param cells number of cells of the fleet.
   fleet_cell(const control_options& options,
              jobs::cell_id cell,
-             jobs::cell_id cells,
+             const jobs::fleet_map& map,
              Platform& platform,
              control_metrics& metrics)
       : options_(options),
         cell_(cell),
-        follower_pause_(FollowerPause(options, cells)),
+        map_(map),
+        follower_pause_(FollowerPause(options, map.cells)),
         platform_(platform),
         metrics_(metrics),
         follower_({topic_kind::kJobs, cell},
                   {.wait = kJobWait, .pause = follower_pause_},
                   options),
+        book_(cell),
         ownership_(options.ownership),
         scheduler_(options.scheduler),
         intake_(options.intake),
         writer_({.retry = options.writer.retry,
-                 .interval = WriteInterval(options, cells)}) {}
+                 .interval = WriteInterval(options, map.cells)}) {}
   fleet_cell(const fleet_cell&) = delete;
   fleet_cell& operator=(const fleet_cell&) = delete;
 
   /// @brief Replies of the store; what callers handed in is settled by them.
   std::vector<intake_result> Take(const append_reply& reply, time_point now);
   void Take(read_reply reply, time_point now, wall_time wall);
+  /// @brief Records that were read here and concern another cell too: of jobs
+  /// that another cell runs, or that another cell is the home of.
+  std::vector<jobs::log_record> TakeForeign() {
+    return std::exchange(foreign_, {});
+  }
+  /// @brief Takes such a record of another cell.
+  void ApplyForeign(jobs::log_record record, time_point now, wall_time wall);
   /// @brief Replies of the cell's workers.
   template <class OrderReply>
   void Take(const OrderReply& reply, time_point now) {
@@ -141,6 +149,7 @@
              std::uint64_t offset,
              time_point now);
   void Apply(jobs::job_advanced record, std::uint64_t offset, time_point now);
+  void Apply(const jobs::job_dropped& record);
   void Apply(const jobs::ownership_record& record, time_point now);
   void ForgetMissing(const std::set<std::string>& keys);
 
@@ -158,6 +167,7 @@
 
   const control_options options_;
   const jobs::cell_id cell_;
+  const jobs::fleet_map& map_;
   const std::chrono::milliseconds follower_pause_;
   Platform& platform_;
   control_metrics& metrics_;
@@ -169,6 +179,7 @@
   jobs::fleet_scheduler scheduler_;
   intake intake_;
   owner_writer writer_;
+  std::vector<jobs::log_record> foreign_;
   bool refresh_wanted_ = false;
   bool workers_wanted_ = false;
 
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -47,8 +47,8 @@
 
 template <fleet_platform Platform>
 void fleet_cell<Platform>::TakeRecords(const jobs::reader_news& news,
-                                                time_point now,
-                                                wall_time wall) {
+                                       time_point now,
+                                       wall_time wall) {
   for (const jobs::topic_record& record : news.records) {
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
@@ -91,7 +91,7 @@
     Apply(std::move(*advanced), offset, now);
   } else if (const auto* const dropped =
                  std::get_if<jobs::job_dropped>(&record)) {
-    book_.Apply(*dropped);
+    Apply(*dropped);
   } else if (const auto* const owner =
                  std::get_if<jobs::ownership_record>(&record)) {
     Apply(*owner, now);
@@ -109,11 +109,25 @@
                                  wall_time wall) {
   const jobs::job_id job = record.job;
   const std::string queue = record.queue;
+  const jobs::cell_id cell = record.cell;
   if (book_.Apply(std::move(record), now)) {
     LogEvent(kJobKnown, {{"job", jobs::Format(job)},
                          {"queue", queue},
+                         {"cell", absl::StrCat(cell)},
                          {"offset", absl::StrCat(offset)}});
-    scheduler_.Accepted(job, *book_.Find(job), now, wall);
+    const jobs::job_state& state = *book_.Find(job);
+    if (book_.RunsHere(state)) {
+      scheduler_.Accepted(job, state, now, wall);
+      return;
+    }
+    foreign_.emplace_back(jobs::job_accepted{.job = job,
+                                             .queue = state.queue,
+                                             .accepted_at = state.accepted_at,
+                                             .spec = state.spec,
+                                             .cell = state.cell});
+    if (state.cancelled) {
+      foreign_.emplace_back(jobs::job_cancelled{job});
+    }
   }
 }
 
@@ -126,6 +140,40 @@
                          {"state", "cancelled"},
                          {"offset", absl::StrCat(offset)}});
     scheduler_.Cancelled(record.job, now);
+    if (!book_.RunsHere(*book_.Find(record.job))) {
+      foreign_.emplace_back(record);
+    }
+  }
+}
+
+template <fleet_platform Platform>
+void fleet_cell<Platform>::Apply(const jobs::job_dropped& record) {
+  if (const jobs::job_state* const state = book_.Find(record.job);
+      state != nullptr && !book_.RunsHere(*state)) {
+    foreign_.emplace_back(record);
+  }
+  book_.Apply(record);
+}
+
+template <fleet_platform Platform>
+void fleet_cell<Platform>::ApplyForeign(jobs::log_record record,
+                                        time_point now,
+                                        wall_time wall) {
+  if (auto* const accepted = std::get_if<jobs::job_accepted>(&record)) {
+    const jobs::job_id job = accepted->job;
+    if (book_.Apply(std::move(*accepted), now)) {
+      scheduler_.Accepted(job, *book_.Find(job), now, wall);
+    }
+  } else if (const auto* const cancelled =
+                 std::get_if<jobs::job_cancelled>(&record)) {
+    if (book_.Apply(*cancelled, now)) {
+      scheduler_.Cancelled(cancelled->job, now);
+    }
+  } else if (auto* const advanced = std::get_if<jobs::job_advanced>(&record)) {
+    book_.Apply(std::move(*advanced), now);
+  } else if (const auto* const dropped =
+                 std::get_if<jobs::job_dropped>(&record)) {
+    book_.Apply(*dropped);
   }
 }
 
@@ -135,6 +183,9 @@
                                  time_point now) {
   const jobs::job_id job = record.job;
   const bool ended = record.progress.status != jobs::job_status::kOpen;
+  if (map_.HomeOf(job) != cell_) {
+    foreign_.emplace_back(record);
+  }
   book_.Apply(std::move(record), now);
   if (ended) {
     const auto state =
@@ -162,16 +213,16 @@
 }
 
 template <fleet_platform Platform>
-void fleet_cell<Platform>::ForgetMissing(
-    const std::set<std::string>& keys) {
+void fleet_cell<Platform>::ForgetMissing(const std::set<std::string>& keys) {
   std::vector<jobs::job_id> missing;
   for (const auto& [job, state] : book_.Jobs()) {
-    if (!keys.contains(records::AcceptedKey(job))) {
+    if (map_.HomeOf(job) == cell_ &&
+        !keys.contains(records::AcceptedKey(job))) {
       missing.push_back(job);
     }
   }
   for (const jobs::job_id job : missing) {
-    book_.Apply(jobs::job_dropped{job});
+    Apply(jobs::job_dropped{job});
   }
 }
 
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -8,7 +8,7 @@
 
 template <fleet_platform Platform>
 void fleet_cell<Platform>::TakeClaimReply(const append_reply& reply,
-                                                      time_point now) {
+                                          time_point now) {
   refresh_wanted_ = true;
   const bool in_doubt = claim_in_doubt_;
   claim_in_doubt_ |= reply.result == store_result::kNoAnswer;
@@ -67,8 +67,7 @@
 }
 
 template <fleet_platform Platform>
-void fleet_cell<Platform>::BeginOwnership(time_point now,
-                                                      wall_time wall) {
+void fleet_cell<Platform>::BeginOwnership(time_point now, wall_time wall) {
   claiming_ = false;
   ownership_.ClaimAccepted(claim_sent_);
   if (!ownership_.Owner()) {
@@ -205,9 +204,8 @@
 }
 
 template <fleet_platform Platform>
-time_point fleet_cell<Platform>::OrderDeadline(
-    const jobs::order& order,
-    time_point now) const {
+time_point fleet_cell<Platform>::OrderDeadline(const jobs::order& order,
+                                               time_point now) const {
   if (const auto* renewal = std::get_if<jobs::renew_order>(&order)) {
     return now + renewal->wait + options_.renewal_timeout;
   }
--- a/include/skylarkbridge/control/topic_follower.hpp
+++ b/include/skylarkbridge/control/topic_follower.hpp
@@ -51,9 +51,8 @@
             time_point now) {
     if (call) {
       platform.Read(source_, *call,
-                    call->snapshot
-                        ? now + snapshot_timeout_
-                        : now + call->tail->wait + read_timeout_);
+                    call->snapshot ? now + snapshot_timeout_
+                                   : now + call->tail->wait + read_timeout_);
     }
   }
 
--- a/include/skylarkbridge/jobs/fleet_map.hpp
+++ b/include/skylarkbridge/jobs/fleet_map.hpp
@@ -12,9 +12,6 @@
 
 namespace skylarkbridge::jobs {
 
-/// @brief Number of a cell: a part of the fleet with an owner of its own.
-using cell_id = std::uint32_t;
-
 /// @brief How the fleet is divided. Written once, before the first job, and
 /// never changed: every VM derives the same cell for a job and for a worker.
 struct fleet_map {
@@ -22,8 +19,9 @@
   /// Racks that were known when the fleet was divided; others go by a hash.
   std::map<std::string, cell_id> racks;
 
-  /// @brief The cell that keeps a job and runs all of its tasks.
-  cell_id CellOf(job_id job) const;
+  /// @brief The home of a job: the cell in whose log it is accepted and
+  /// cancelled, so that it is one job wherever it is handed in.
+  cell_id HomeOf(job_id job) const;
   /// @brief The cell of the workers of a rack.
   cell_id CellOfRack(const std::string& rack) const;
 
@@ -31,8 +29,8 @@
 };
 
 struct division_options {
-  /// One owner on a quarter of a core keeps up with about this many workers.
-  std::size_t workers_per_cell = 66;
+  /// One owner on half a core keeps up with about this many workers.
+  std::size_t workers_per_cell = 123;
   /// Each cell is a topic of the store, which holds 100 of them.
   cell_id max_cells = 64;
 };
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -203,6 +203,9 @@
     int lateness = 0;
     /// Work that is left for each unit of worth.
     double cost = 0;
+    /// The step is long-running and has begun: its tasks go first, and room is
+    /// kept for them.
+    bool restart = false;
     step_ref ref;
   };
   ready_step Rank(const open_job& job,
@@ -226,6 +229,8 @@
              std::vector<placement_candidate>>
         by_kind;
     std::optional<best_effort_demand> demand;
+    /// Workers that are kept for tasks which found no room yet.
+    absl::flat_hash_set<std::string> kept;
   };
   best_effort_demand Demand() const;
   /// Demand of other images for the worker, against what they would find on
@@ -234,7 +239,15 @@
                           const worker_session& session,
                           const best_effort_demand& demand) const;
   /// Returns false when tasks of the step found no room.
-  bool PlaceStep(const step_ref& ref, candidate_lists& lists, time_point now);
+  bool PlaceStep(const ready_step& ranked,
+                 candidate_lists& lists,
+                 time_point now);
+  /// Keeps a worker for each task of the step that is not placed, so that
+  /// smaller tasks don't take each bit of room that falls free.
+  void KeepRoom(const step_ref& ref,
+                const step_spec& step,
+                std::vector<placement_candidate>& candidates,
+                candidate_lists& lists) const;
   bool PlaceGang(const step_ref& ref,
                  const step_spec& step,
                  const std::vector<std::uint32_t>& ready,
--- a/include/skylarkbridge/jobs/ids.hpp
+++ b/include/skylarkbridge/jobs/ids.hpp
@@ -15,7 +15,10 @@
 /// @brief Identifier that the caller chose for a job.
 using job_id = strong_id<struct job_tag>;
 
-/// @brief Number of a claim to the ownership of the fleet. Each claim has a
+/// @brief Number of a cell: a part of the fleet with an owner of its own.
+using cell_id = std::uint32_t;
+
+/// @brief Number of a claim to the ownership of a cell. Each claim has a
 /// higher one, and workers refuse orders that carry a lower one than they have
 /// seen.
 using epoch = std::uint64_t;
--- a/include/skylarkbridge/jobs/job_book.hpp
+++ b/include/skylarkbridge/jobs/job_book.hpp
@@ -20,6 +20,8 @@
   std::string queue;
   wall_time accepted_at{};
   job_spec spec;
+  /// The cell that runs the job.
+  cell_id cell = 0;
   job_progress progress;
   bool cancelled = false;
   /// When this process first saw the job's record.
@@ -41,12 +43,15 @@
   kCancelled,
 };
 
-/// @brief All jobs, folded from the records of the log in their order.
+/// @brief The jobs that one cell is the home of or runs, folded from the
+/// records of the logs in their order.
 ///
-/// Every entry VM keeps one, so each answers callers by itself and can take
-/// the ownership over. Applying a record twice changes nothing.
+/// Every entry VM keeps one for each cell, so each answers callers by itself
+/// and can take the ownership over. Applying a record twice changes nothing.
 class job_book {
  public:
+  explicit job_book(cell_id cell = 0) : cell_(cell) {}
+
   /// @brief Adds a job; ignored when it is known. Returns true when it is new.
   bool Apply(job_accepted record, time_point now);
   /// @brief Returns true when the job is known and was open.
@@ -57,8 +62,14 @@
   const job_state* Find(job_id job) const;
   std::optional<reported_state> Report(job_id job) const;
 
-  /// @brief Jobs of a queue that were accepted, are open, and of which no task
-  /// has started.
+  /// @brief Whether the cell runs the job, not only keeps it.
+  bool RunsHere(const job_state& state) const { return state.cell == cell_; }
+  /// @brief Processor time that the open long-running steps of the cell ask
+  /// for.
+  std::int64_t LongRunningMillicores() const { return long_running_; }
+
+  /// @brief Jobs of a queue that the cell runs, that are open, and of which no
+  /// task has started.
   std::size_t Pending(std::string_view queue) const;
 
   /// @brief Jobs that ended before @p limit, at most @p most of them.
@@ -75,7 +86,11 @@
   };
 
   void NoteEnd(job_id job, job_state& state, time_point now);
+  /// What an open job adds to LongRunningMillicores.
+  std::int64_t LongRunning(const job_state& state) const;
 
+  const cell_id cell_;
+  std::int64_t long_running_ = 0;
   absl::flat_hash_map<job_id, job_state> jobs_;
   absl::flat_hash_map<job_id, early_records> early_;
   /// In the order of their ends.
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -51,6 +51,9 @@
   std::string queue;
   wall_time accepted_at{};
   job_spec spec;
+  /// The cell that runs the job; its home unless that has more to serve than
+  /// others.
+  cell_id cell = 0;
 };
 
 /// @brief The caller cancelled the job.
--- a/include/skylarkbridge/jobs/job_spec.hpp
+++ b/include/skylarkbridge/jobs/job_spec.hpp
@@ -85,6 +85,15 @@
   std::chrono::milliseconds interval{};
 };
 
+/// @brief Processor time that the long-running steps of a job ask for.
+inline std::int64_t LongRunningMillicores(const job_spec& spec) {
+  std::int64_t millicores = 0;
+  for (const step_spec& step : spec.steps) {
+    millicores += step.long_running ? step.count * step.need.millicores : 0;
+  }
+  return millicores;
+}
+
 }  // namespace skylarkbridge::jobs
 
 #endif  // SKYLARKBRIDGE_JOBS_JOB_SPEC_HPP
--- a/include/skylarkbridge/jobs/placement.hpp
+++ b/include/skylarkbridge/jobs/placement.hpp
@@ -52,6 +52,12 @@
     const std::string& rack,
     const placement_options& options);
 
+/// @brief The worker that has, or will have, room for a task of the step first:
+/// the one with the most room now of those that are large enough.
+std::optional<std::size_t> ChooseWorkerToKeep(
+    const step_spec& step,
+    const std::vector<placement_candidate>& candidates);
+
 }  // namespace skylarkbridge::jobs
 
 #endif  // SKYLARKBRIDGE_JOBS_PLACEMENT_HPP
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_CONTROL_VIRTUAL_FLEET_FAKE_HPP
 #define SKYLARKBRIDGE_CONTROL_VIRTUAL_FLEET_FAKE_HPP
 
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,7 +28,9 @@
       : fleet_(fleet), vm_(vm), life_(life) {}
 
   void Append(append_call call, time_point deadline);
-  void Read(const topic& source, const jobs::reader_call& call, time_point deadline);
+  void Read(const topic& source,
+            const jobs::reader_call& call,
+            time_point deadline);
   void Give(const jobs::order& order, time_point deadline);
 
   /// "VERSION MAX_ATTEMPTS".
@@ -55,7 +58,8 @@
     return entry;
   }
   /// "MILLICORES MILLISECONDS FAILURES COUNT COUNT ...": the steps depend on
-  /// one another in their order.
+  /// one another in their order. A negative size stands for a long-running job
+  /// with one step.
   static boost::leaf::result<jobs::job_spec> DecodeJob(std::string_view body) {
     jobs::job_spec spec{.payload = std::string(body)};
     std::istringstream text{spec.payload};
@@ -65,8 +69,9 @@
     text >> millicores >> duration >> failures;
     for (std::uint32_t count = 0; text >> count;) {
       jobs::step_spec step{.count = count,
-                           .need = {.millicores = millicores},
-                           .estimate = std::chrono::milliseconds(duration)};
+                           .need = {.millicores = std::abs(millicores)},
+                           .estimate = std::chrono::milliseconds(duration),
+                           .long_running = millicores < 0};
       if (!spec.steps.empty()) {
         step.depends_on = {static_cast<std::uint32_t>(spec.steps.size() - 1)};
       }
@@ -354,11 +359,10 @@
 inline void platform_fake::Append(append_call call, time_point deadline) {
   const auto no_answer = [this, target = call.target, number = call.number,
                           deadline] {
-    fleet_.At(deadline,
-              [&fleet = fleet_, vm = vm_, life = life_, target, number] {
-                fleet.Deliver(
-                    vm, life, append_reply{.target = target, .number = number});
-              });
+    fleet_.At(deadline, [&fleet = fleet_, vm = vm_, life = life_, target,
+                         number] {
+      fleet.Deliver(vm, life, append_reply{.target = target, .number = number});
+    });
   };
   if (!fleet_.StoreReachable(vm_)) {
     no_answer();
--- a/src/skylarkbridge/control/worker_fake.hpp
+++ b/src/skylarkbridge/control/worker_fake.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <map>
 #include <sstream>
 #include <string>
@@ -177,7 +178,7 @@
     const std::uint64_t starts = order.run.run % kRunsPerEpoch;
     return {.ends = now + std::chrono::milliseconds(duration),
             .fails = fail_everything_ || starts <= failures,
-            .need = {.millicores = millicores}};
+            .need = {.millicores = std::abs(millicores)}};
   }
 
   void End(const jobs::run_ref& run, jobs::run_end how) {
--- a/src/skylarkbridge/jobs/fleet_map.cpp
+++ b/src/skylarkbridge/jobs/fleet_map.cpp
@@ -7,7 +7,7 @@
 
 namespace skylarkbridge::jobs {
 
-cell_id fleet_map::CellOf(job_id job) const {
+cell_id fleet_map::HomeOf(job_id job) const {
   return static_cast<cell_id>(StableHash(Format(job)) % cells);
 }
 
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -31,7 +31,7 @@
   unaccounted_ = {leased.begin(), leased.end()};
   unaccounted_until_ = LongestLease(earlier_stop_by);
   for (const auto& [id, state] : book.Jobs()) {
-    if (!state.Ended()) {
+    if (!state.Ended() && book.RunsHere(state)) {
       jobs_.Add(id, state, !unaccounted_.empty(), now, wall);
     }
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -13,6 +13,8 @@
 /// the core-seconds of work to which it relates.
 constexpr double kFixedWorth = 0.43;
 constexpr double kTypicalWork = 100;
+/// Rank of the tasks of a long-running step that has begun, before all others.
+constexpr double kRestartCost = -1;
 /// A best-effort task is not placed where it would harm more.
 constexpr double kMaxHarm = 0.12;
 /// Weight of the demand of other images that can use the worker without harm,
@@ -81,6 +83,12 @@
   const time_point objective = Objective(job, &queue);
   const time_point earliest_end = now + LongestChain(job.spec, &steps);
   ready_step ranked{.priority = queue.priority, .ref = ref};
+  if (job.spec.steps[ref.step].long_running && job.progress.started) {
+    // The users of a task that has run before miss it until it runs again.
+    ranked.cost = kRestartCost;
+    ranked.restart = true;
+    return ranked;
+  }
   if (earliest_end > job.seen_at + kLateLimit * (objective - job.seen_at)) {
     ranked.lateness = 2;
   } else if (earliest_end > objective) {
@@ -119,7 +127,7 @@
   candidate_lists lists;
   int misses = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
-    misses += PlaceStep(step.ref, lists, now) ? 0 : 1;
+    misses += PlaceStep(step, lists, now) ? 0 : 1;
     if (misses >= options_.max_misses) {
       break;
     }
@@ -240,28 +248,53 @@
   }
 }
 
-bool fleet_scheduler::PlaceStep(const step_ref& ref,
+void fleet_scheduler::KeepRoom(const step_ref& ref,
+                               const step_spec& step,
+                               std::vector<placement_candidate>& candidates,
+                               candidate_lists& lists) const {
+  const std::vector<std::uint32_t> waiting =
+      jobs_.ReadyTasks(ref, time_point::max());
+  for (std::size_t task = 0; task < waiting.size(); ++task) {
+    const auto chosen = ChooseWorkerToKeep(step, candidates);
+    if (!chosen) {
+      return;
+    }
+    lists.kept.insert(candidates[*chosen].session->entry.worker);
+    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*chosen));
+  }
+}
+
+bool fleet_scheduler::PlaceStep(const ready_step& ranked,
                                 candidate_lists& lists,
                                 time_point now) {
+  const step_ref& ref = ranked.ref;
   const step_spec* step = jobs_.Spec(ref);
   const queue_configuration* queue = Queue(ref.job);
   const std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
-  if (step == nullptr || queue == nullptr || ready.empty()) {
+  if (step == nullptr || queue == nullptr ||
+      (ready.empty() && !ranked.restart)) {
     return true;
   }
   std::vector<placement_candidate>& candidates =
       Candidates(*step, *queue, lists, now);
+  if (!step->best_effort && !lists.kept.empty()) {
+    std::erase_if(candidates, [&](const placement_candidate& candidate) {
+      return lists.kept.contains(candidate.session->entry.worker);
+    });
+  }
   if (step->max_per_worker > 0) {
     CountSiblings(ref, candidates);
   }
   if (step->gang) {
     return PlaceGang(ref, *step, ready, candidates, now);
   }
+  bool placed_all = true;
   for (const std::uint32_t index : ready) {
     const std::optional<std::size_t> chosen =
         ChooseWorker(*step, candidates, "", options_.placement);
     if (!chosen) {
-      return false;
+      placed_all = false;
+      break;
     }
     placement_candidate& candidate = candidates[*chosen];
     worker_session& session =
@@ -271,7 +304,10 @@
     ++candidate.siblings;
     candidate.same_image += step->latency_target.count() > 0 ? 1 : 0;
   }
-  return true;
+  if (ranked.restart) {
+    KeepRoom(ref, *step, candidates, lists);
+  }
+  return placed_all;
 }
 
 bool fleet_scheduler::PlaceGang(const step_ref& ref,
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -252,6 +252,73 @@
   EXPECT_EQ(driver.stops[0].run, starts[0].run);
 }
 
+// Small tasks must not take each bit of room that falls free while a larger
+// task that others depend on waits to start again: it did so for 24 seconds.
+TEST(FleetSchedulerTest, KeepsRoomForTheRestartOfALongRunningTask) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 4000);
+  driver.Settle();
+  const job_id lasting{7};
+  driver.Submit(
+      lasting,
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.Settle();
+  driver.Submit(kJob, {.count = 20, .need = {.millicores = 1000}});
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  driver.ended["w0"] = {
+      {.number = 1, .run = driver.starts[0].run, .how = run_end::kFailed}};
+  driver.starts[0].target.worker = "over";
+  for (int round = 0; round < 5; ++round) {
+    driver.now += milliseconds(20);
+    driver.Allow(driver.now);
+    driver.Settle();
+  }
+  ASSERT_GE(driver.starts.size(), 3U);
+  EXPECT_EQ(driver.starts[2].run.task.job, lasting);
+}
+
+// The same where no worker has the room at once: one is kept free until it has.
+TEST(FleetSchedulerTest, LetsRoomGatherForALongRunningTask) {
+  scheduler_driver driver;
+  const job_id lasting{7};
+  driver.book.Apply(
+      job_accepted{.job = lasting,
+                   .queue = "batch",
+                   .spec = {.steps = {{.count = 1,
+                                       .need = {.millicores = 3000},
+                                       .long_running = true}}}},
+      driver.now);
+  driver.book.Apply(job_advanced{.job = lasting, .progress = {.started = true}},
+                    driver.now);
+  driver.Begin({"gone"});
+  driver.AddWorker("w0", 4000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 20, .need = {.millicores = 1000}});
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 4U);
+  const auto pass = [&driver](milliseconds time) {
+    driver.now += time;
+    driver.Allow(driver.now);
+    driver.Settle();
+  };
+  // The worker that the task may have been on is waited out.
+  for (int second = 0; second < 7; ++second) {
+    pass(seconds(1));
+  }
+  for (std::size_t over = 0; over < 3; ++over) {
+    driver.ended["w0"].push_back({.number = over + 1,
+                                  .run = driver.starts[over].run,
+                                  .how = run_end::kDone});
+    driver.starts[over].target.worker = "over";
+    pass(milliseconds(100));
+  }
+  pass(milliseconds(100));
+  ASSERT_EQ(driver.starts.size(), 5U);
+  EXPECT_EQ(driver.starts[4].run.task.job, lasting);
+}
+
 // A best-effort task must not be placed beside a serving one that it is known
 // to harm while another worker is free of it.
 TEST(FleetSchedulerTest, PlacesBestEffortTasksWhereTheyDoNoHarm) {
--- a/src/skylarkbridge/jobs/job_book.cpp
+++ b/src/skylarkbridge/jobs/job_book.cpp
@@ -13,6 +13,7 @@
   state.queue = std::move(record.queue);
   state.accepted_at = record.accepted_at;
   state.spec = std::move(record.spec);
+  state.cell = record.cell;
   state.seen_at = now;
   if (const auto early = early_.find(record.job); early != early_.end()) {
     state.cancelled = early->second.cancelled;
@@ -21,6 +22,7 @@
     }
     early_.erase(early);
   }
+  long_running_ += LongRunning(state);
   NoteEnd(record.job, state, now);
   return true;
 }
@@ -49,13 +51,23 @@
 }
 
 void job_book::Apply(const job_dropped& record) {
-  jobs_.erase(record.job);
+  if (const auto entry = jobs_.find(record.job); entry != jobs_.end()) {
+    if (!entry->second.ended_at) {
+      long_running_ -= LongRunning(entry->second);
+    }
+    jobs_.erase(entry);
+  }
   early_.erase(record.job);
 }
 
+std::int64_t job_book::LongRunning(const job_state& state) const {
+  return RunsHere(state) ? jobs::LongRunningMillicores(state.spec) : 0;
+}
+
 void job_book::NoteEnd(job_id job, job_state& state, time_point now) {
   if (state.Ended() && !state.ended_at) {
     state.ended_at = now;
+    long_running_ -= LongRunning(state);
     ended_.emplace_back(now, job);
   }
 }
@@ -87,9 +99,9 @@
 
 std::size_t job_book::Pending(std::string_view queue) const {
   return static_cast<std::size_t>(
-      std::count_if(jobs_.begin(), jobs_.end(), [queue](const auto& entry) {
+      std::count_if(jobs_.begin(), jobs_.end(), [this, queue](const auto& entry) {
         const job_state& state = entry.second;
-        return state.queue == queue && !state.Ended() &&
+        return RunsHere(state) && state.queue == queue && !state.Ended() &&
                !state.progress.started;
       }));
 }
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -95,4 +95,24 @@
   return best;
 }
 
+std::optional<std::size_t> ChooseWorkerToKeep(
+    const step_spec& step,
+    const std::vector<placement_candidate>& candidates) {
+  std::optional<std::size_t> best;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const worker_session& session = *candidates[index].session;
+    if (!Fits(step.need, session.entry.capacity) ||
+        !HasLabel(session.entry, step.required_label) ||
+        (step.max_per_worker > 0 &&
+         candidates[index].siblings >= step.max_per_worker)) {
+      continue;
+    }
+    if (!best || session.Room().millicores >
+                     candidates[*best].session->Room().millicores) {
+      best = index;
+    }
+  }
+  return best;
+}
+
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -78,7 +78,7 @@
               {record.queue, record.accepted_at.time_since_epoch().count(),
                record.spec.payload, std::move(steps), record.spec.repeat_count,
                record.spec.first_due.time_since_epoch().count(),
-               record.spec.interval.count()}))};
+               record.spec.interval.count(), record.cell}))};
 }
 
 keyed_record ToRecord(const job_cancelled& record) {
@@ -130,7 +130,8 @@
                .repeat_count = value.at(4),
                .first_due = wall_time(
                    wall_time::duration(value.at(5).get<std::int64_t>())),
-               .interval = std::chrono::milliseconds(value.at(6))}};
+               .interval = std::chrono::milliseconds(value.at(6))},
+      .cell = value.at(7)};
   for (const json& step : value.at(3)) {
     record.spec.steps.push_back(ToStep(step));
   }
