Keep room by amount for restarts, not whole workers

Change: what is kept is the size of the task; the rest of the worker's room stays usable, also for other restarts. Best-effort tasks leave kept memory too.

Ruled out: the route (it did not change), the release of unaccounted tasks (logged 20 s before). Test that failed first: KeepsNoMoreRoomThanATaskNeeds.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -229,8 +229,8 @@
              std::vector<placement_candidate>>
         by_kind;
     std::optional<best_effort_demand> demand;
-    /// Workers that are kept for tasks which found no room yet.
-    absl::flat_hash_set<std::string> kept;
+    /// Room by worker that is kept for tasks which found none yet.
+    absl::flat_hash_map<std::string, resources> kept;
   };
   best_effort_demand Demand() const;
   /// Demand of other images for the worker, against what they would find on
@@ -242,8 +242,8 @@
   bool PlaceStep(const ready_step& ranked,
                  candidate_lists& lists,
                  time_point now);
-  /// Keeps a worker for each task of the step that is not placed, so that
-  /// smaller tasks don't take each bit of room that falls free.
+  /// Keeps room for each task of the step that is not placed, so that smaller
+  /// tasks don't take each bit of room that falls free.
   void KeepRoom(const step_ref& ref,
                 const step_spec& step,
                 std::vector<placement_candidate>& candidates,
--- a/include/skylarkbridge/jobs/placement.hpp
+++ b/include/skylarkbridge/jobs/placement.hpp
@@ -31,6 +31,14 @@
   std::uint32_t other_images = 0;
   /// Expected harm to serving tasks.
   double penalty = 0;
+  /// Room that is kept for tasks which go first; may be more than there is.
+  resources kept;
+
+  resources Room() const {
+    resources room = session->Room();
+    room -= kept;
+    return room;
+  }
 };
 
 /// @brief Processor time that nothing on the worker is expected to use.
@@ -52,7 +60,7 @@
     const std::string& rack,
     const placement_options& options);
 
-/// @brief The worker that has, or will have, room for a task of the step first:
+/// @brief The worker that is expected to have room for a task of the step first:
 /// the one with the most room now of those that are large enough.
 std::optional<std::size_t> ChooseWorkerToKeep(
     const step_spec& step,
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -259,8 +259,10 @@
     if (!chosen) {
       return;
     }
-    lists.kept.insert(candidates[*chosen].session->entry.worker);
-    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*chosen));
+    placement_candidate& candidate = candidates[*chosen];
+    candidate.kept += step.need;
+    lists.kept[candidate.session->entry.worker] += step.need;
+    ++candidate.siblings;
   }
 }
 
@@ -277,10 +279,13 @@
   }
   std::vector<placement_candidate>& candidates =
       Candidates(*step, *queue, lists, now);
-  if (!step->best_effort && !lists.kept.empty()) {
-    std::erase_if(candidates, [&](const placement_candidate& candidate) {
-      return lists.kept.contains(candidate.session->entry.worker);
-    });
+  if (!lists.kept.empty()) {
+    for (placement_candidate& candidate : candidates) {
+      if (const auto kept = lists.kept.find(candidate.session->entry.worker);
+          kept != lists.kept.end()) {
+        candidate.kept = kept->second;
+      }
+    }
   }
   if (step->max_per_worker > 0) {
     CountSiblings(ref, candidates);
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -319,6 +319,31 @@
   EXPECT_EQ(driver.starts[4].run.task.job, lasting);
 }
 
+// Room that is kept for one task must not keep others from room that is enough
+// for both: a task waited 30 s beside workers that were almost empty.
+TEST(FleetSchedulerTest, KeepsNoMoreRoomThanATaskNeeds) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 8000);
+  driver.Settle();
+  driver.Submit(
+      job_id{7},
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.ended["w0"] = {
+      {.number = 1, .run = driver.starts[0].run, .how = run_end::kFailed}};
+  driver.starts[0].target.worker = "over";
+  driver.Settle();
+  // The failed task waits a moment before it starts again.
+  driver.Submit(kJob, {.count = 1, .need = {.millicores = 4000}});
+  driver.now += milliseconds(25);
+  driver.Allow(driver.now);
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.task.job, kJob);
+}
+
 // A best-effort task must not be placed beside a serving one that it is known
 // to harm while another worker is free of it.
 TEST(FleetSchedulerTest, PlacesBestEffortTasksWhereTheyDoNoHarm) {
--- a/src/skylarkbridge/jobs/job_book.cpp
+++ b/src/skylarkbridge/jobs/job_book.cpp
@@ -98,8 +98,8 @@
 }
 
 std::size_t job_book::Pending(std::string_view queue) const {
-  return static_cast<std::size_t>(
-      std::count_if(jobs_.begin(), jobs_.end(), [this, queue](const auto& entry) {
+  return static_cast<std::size_t>(std::count_if(
+      jobs_.begin(), jobs_.end(), [this, queue](const auto& entry) {
         const job_state& state = entry.second;
         return RunsHere(state) && state.queue == queue && !state.Ended() &&
                !state.progress.started;
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -68,7 +68,7 @@
       return false;
     }
   }
-  return Fits(need, session.Room()) &&
+  return Fits(need, candidate.Room()) &&
          HasLabel(session.entry, step.required_label) &&
          (step.max_per_worker == 0 || candidate.siblings < step.max_per_worker);
 }
@@ -107,8 +107,8 @@
          candidates[index].siblings >= step.max_per_worker)) {
       continue;
     }
-    if (!best || session.Room().millicores >
-                     candidates[*best].session->Room().millicores) {
+    if (!best || candidates[index].Room().millicores >
+                     candidates[*best].Room().millicores) {
       best = index;
     }
   }
