Let every job get on while the fleet is underused, and count rough dips of a tail

While less than half of the capacity is in use, a job of which nothing has run for 1.2 s gets one task, beside whatever runs. A tail that was not below its target for 500 ms on end for 2.8 s counts as well.

Tests that failed first: EveryJobGetsOnWhileTheFleetIsUnderused, OneGoodReportDoesNotEndATailOverItsTarget.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -206,6 +206,9 @@
     /// The step is long-running and has begun: its tasks go first, and room is
     /// kept for them.
     bool restart = false;
+    /// Nothing runs of the job though the fleet is underused: one task of it
+    /// goes first, beside whatever else runs.
+    bool starves = false;
     step_ref ref;
   };
   ready_step Rank(const open_job& job,
@@ -265,6 +268,11 @@
                    placement_candidate& candidate) const;
   void CountSiblings(const step_ref& ref,
                      std::vector<placement_candidate>& candidates) const;
+  /// Whether less than half of the capacity of the usable workers is in use.
+  bool Underused(time_point now) const;
+  /// Notes the ready jobs of which nothing runs, and since when.
+  void NoteIdleJobs(time_point now);
+  bool Starves(job_id job, time_point now) const;
   time_point Objective(const open_job& job,
                        const queue_configuration* queue) const;
   const queue_configuration* Queue(job_id job) const;
@@ -273,6 +281,8 @@
   void LearnInterference(worker_session& session);
   double ExpectedHarm(const step_spec& step,
                       const worker_session& session) const;
+  /// Notes since when a serving task is over its target.
+  static void NoteTail(worker_run& run, time_point now);
   void AdjustPaces(worker_session& session, time_point now);
   /// How much a best-effort task raises tails that are over their targets.
   double Blame(const worker_session& session, const worker_run& state) const;
@@ -305,6 +315,8 @@
   std::uint64_t store_number_ = 0;
   /// Number of the records that name the newest worker as leased.
   std::map<std::string, std::uint64_t> registering_;
+  /// Since when nothing runs of a job with ready tasks, on an underused fleet.
+  std::map<job_id, time_point> idle_jobs_;
   bool place_wanted_ = false;
   time_point next_pass_;
   interference_model interference_;
--- a/include/skylarkbridge/jobs/placement.hpp
+++ b/include/skylarkbridge/jobs/placement.hpp
@@ -16,7 +16,7 @@
   /// Share of its declared processor time that a serving task uses.
   double serving_load = 0.6;
   /// Least share of its declared processor time that a best-effort task has to
-  /// find unused.
+  /// find unused; zero for none at all.
   double best_effort_share = 0.6;
 };
 
@@ -60,8 +60,8 @@
     const std::string& rack,
     const placement_options& options);
 
-/// @brief The worker that is expected to have room for a task of the step first:
-/// the one with the most room now of those that are large enough.
+/// @brief The worker that is expected to have room for a task of the step
+/// first: the one with the most room now of those that are large enough.
 std::optional<std::size_t> ChooseWorkerToKeep(
     const step_spec& step,
     const std::vector<placement_candidate>& candidates);
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -62,6 +62,10 @@
   double own_level = 0;
   /// Since when a serving task is over its target.
   std::optional<time_point> over_target_since;
+  /// The same, with reports below the target in between, unless they last.
+  std::optional<time_point> not_calm_since;
+  /// Since when all of its reports are below the target.
+  std::optional<time_point> under_target_since;
 };
 
 /// @brief The owner's relation to one worker.
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -50,6 +50,7 @@
   jobs_ = job_table(options_.jobs);
   workers_.clear();
   unaccounted_.clear();
+  idle_jobs_.clear();
   registering_.clear();
   leased_changed_ = false;
   store_number_ = 0;
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -31,6 +31,10 @@
 /// stand still, and after the second time all best-effort tasks beside it.
 constexpr std::chrono::milliseconds kBlamedStandstill{1500};
 constexpr std::chrono::milliseconds kStandstill{2200};
+/// The same for a tail with reports below the target in between, unless those
+/// last for the second time.
+constexpr std::chrono::milliseconds kLongOver{2800};
+constexpr std::chrono::milliseconds kCalm{500};
 
 double Ratio(const worker_run& run) {
   const double tail = std::max<double>(1, static_cast<double>(*run.usage));
@@ -116,19 +120,40 @@
   return harm;
 }
 
+void fleet_scheduler::NoteTail(worker_run& run, time_point now) {
+  if (!Measured(run)) {
+    run.over_target_since.reset();
+    run.not_calm_since.reset();
+  } else if (Ratio(run) >= 0) {
+    run.under_target_since.reset();
+    run.over_target_since = run.over_target_since.value_or(now);
+    run.not_calm_since = run.not_calm_since.value_or(now);
+  } else {
+    run.over_target_since.reset();
+    run.under_target_since = run.under_target_since.value_or(now);
+    if (now >= *run.under_target_since + kCalm) {
+      run.not_calm_since.reset();
+    }
+  }
+}
+
 void fleet_scheduler::AdjustPaces(worker_session& session, time_point now) {
   std::optional<time_point> over_since;
+  std::optional<time_point> not_calm_since;
+  const auto earlier = [](std::optional<time_point> left,
+                          std::optional<time_point> right) {
+    return left && right ? std::min(left, right) : left ? left : right;
+  };
   for (auto& [run, state] : session.runs) {
-    if (!Measured(state) || Ratio(state) < 0) {
-      state.over_target_since.reset();
-      continue;
-    }
-    if (!state.over_target_since) {
-      state.over_target_since = now;
-    }
-    over_since = std::min(over_since.value_or(now), *state.over_target_since);
+    NoteTail(state, now);
+    over_since = earlier(over_since, state.over_target_since);
+    not_calm_since = earlier(not_calm_since, state.not_calm_since);
   }
   session.over_target_since = over_since;
+  // Reports below the target in between are rough too.
+  if (over_since && now >= *not_calm_since + kLongOver) {
+    over_since = not_calm_since;
+  }
   if (over_since && now >= session.next_move) {
     MoveMostHarmful(session, now);
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -15,6 +15,8 @@
 constexpr double kTypicalWork = 100;
 /// Rank of the tasks of a long-running step that has begun, before all others.
 constexpr double kRestartCost = -1;
+/// A job of which nothing has run for so long on an underused fleet starves.
+constexpr std::chrono::milliseconds kStarvation{1200};
 /// A best-effort task is not placed where it would harm more.
 constexpr double kMaxHarm = 0.12;
 /// Weight of the demand of other images that can use the worker without harm,
@@ -109,21 +111,63 @@
       continue;
     }
     steps.push_back(Rank(*job, *queue, ref, now));
+    steps.back().starves = Starves(ref.job, now);
   }
-  std::sort(
-      steps.begin(), steps.end(),
-      [](const ready_step& left, const ready_step& right) {
-        return std::tie(left.priority, left.lateness, left.cost, left.ref) <
-               std::tie(right.priority, right.lateness, right.cost, right.ref);
-      });
+  std::sort(steps.begin(), steps.end(),
+            [](const ready_step& left, const ready_step& right) {
+              return std::tie(right.starves, left.priority, left.lateness,
+                              left.cost, left.ref) <
+                     std::tie(left.starves, right.priority, right.lateness,
+                              right.cost, right.ref);
+            });
   return steps;
 }
 
+bool fleet_scheduler::Underused(time_point now) const {
+  std::int64_t capacity = 0;
+  std::int64_t used = 0;
+  for (const auto& [id, session] : workers_) {
+    if (Usable(session, now)) {
+      capacity += session.entry.capacity.millicores;
+      used += session.used.millicores;
+    }
+  }
+  return 2 * used < capacity;
+}
+
+void fleet_scheduler::NoteIdleJobs(time_point now) {
+  if (!Underused(now)) {
+    idle_jobs_.clear();
+    return;
+  }
+  std::set<job_id> idle;
+  for (const step_ref& ref : jobs_.ReadySteps()) {
+    idle.insert(ref.job);
+  }
+  for (const auto& [id, session] : workers_) {
+    for (const auto& [run, state] : session.runs) {
+      idle.erase(run.task.job);
+    }
+  }
+  std::erase_if(idle_jobs_, [&idle](const auto& entry) {
+    return !idle.contains(entry.first);
+  });
+  for (const job_id job : idle) {
+    idle_jobs_.try_emplace(job, now);
+  }
+}
+
+bool fleet_scheduler::Starves(job_id job, time_point now) const {
+  const auto idle = idle_jobs_.find(job);
+  return idle != idle_jobs_.end() && now >= idle->second + kStarvation;
+}
+
 void fleet_scheduler::Place(time_point now) {
   if (!place_wanted_ || configuration_ == nullptr || now < next_pass_) {
     return;
   }
   place_wanted_ = false;
+  NoteIdleJobs(now);
   candidate_lists lists;
   int misses = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
@@ -293,10 +337,14 @@
   if (step->gang) {
     return PlaceGang(ref, *step, ready, candidates, now);
   }
+  placement_options options = options_.placement;
+  if (ranked.starves) {
+    options.best_effort_share = 0;
+  }
   bool placed_all = true;
   for (const std::uint32_t index : ready) {
     const std::optional<std::size_t> chosen =
-        ChooseWorker(*step, candidates, "", options_.placement);
+        ChooseWorker(*step, candidates, "", options);
     if (!chosen) {
       placed_all = false;
       break;
@@ -308,6 +356,9 @@
     StartTask(session, *step, {task, jobs_.NextRun(task, own_)}, now);
     ++candidate.siblings;
     candidate.same_image += step->latency_target.count() > 0 ? 1 : 0;
+    if (ranked.starves) {
+      break;
+    }
   }
   if (ranked.restart) {
     KeepRoom(ref, *step, candidates, lists);
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -5,7 +5,9 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -69,6 +71,8 @@
                            now);
         } else if (const auto* stop = std::get_if<stop_order>(&given)) {
           stops.push_back(*stop);
+        } else if (const auto* pace = std::get_if<pace_order>(&given)) {
+          paces.push_back(*pace);
         }
       }
     }
@@ -101,6 +105,7 @@
   fleet_scheduler scheduler;
   std::vector<start_order> starts;
   std::vector<stop_order> stops;
+  std::vector<pace_order> paces;
   std::string silent;
   std::map<std::string, std::vector<running_task>> listed;
   std::map<std::string, std::vector<ended_task>> ended;
@@ -344,6 +349,71 @@
   EXPECT_EQ(driver.starts[1].run.task.job, kJob);
 }
 
+// The reports of tails are rough: one report below the target must not start
+// the time anew after which best-effort tasks stand still.
+TEST(FleetSchedulerTest, OneGoodReportDoesNotEndATailOverItsTarget) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 8000);
+  driver.Settle();
+  driver.Submit(job_id{7}, {.count = 1,
+                            .need = {.millicores = 3000},
+                            .long_running = true,
+                            .image = "serving",
+                            .latency_target = milliseconds(50)});
+  driver.Submit(kJob, {.count = 1,
+                       .need = {.millicores = 3000},
+                       .image = "filling",
+                       .best_effort = true});
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  run_ref serving = driver.starts[0].run;
+  run_ref filling = driver.starts[1].run;
+  if (serving.task.job == kJob) {
+    std::swap(serving, filling);
+  }
+  driver.starts.clear();
+  for (milliseconds over{0}; over < milliseconds(3300);
+       over += milliseconds(100)) {
+    const std::int64_t tail = over == milliseconds(1800) ? 45 : 90;
+    driver.listed["w0"] = {{.run = serving, .percent = 100, .usage = tail},
+                           {.run = filling, .percent = 50, .usage = 3000}};
+    driver.now += milliseconds(100);
+    driver.Allow(driver.now);
+    driver.Settle();
+  }
+  ASSERT_FALSE(driver.paces.empty());
+  EXPECT_EQ(driver.paces[0].run, filling);
+  EXPECT_EQ(driver.paces[0].percent, 0);
+}
+
+// With a backlog of best-effort work, each job has to get on while the fleet
+// has room for what is counted against it: eight jobs had nothing running for 3
+// s after a restart of all VMs.
+TEST(FleetSchedulerTest, EveryJobGetsOnWhileTheFleetIsUnderused) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 8000);
+  driver.Settle();
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    driver.Submit(job_id{id}, {.count = 4,
+                               .need = {.millicores = 4000},
+                               .estimate = seconds(10),
+                               .image = "filling",
+                               .best_effort = true});
+  }
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.now += milliseconds(100);
+    driver.Allow(driver.now);
+    driver.Settle();
+  }
+  std::set<job_id> running;
+  for (const start_order& start : driver.starts) {
+    running.insert(start.run.task.job);
+  }
+  EXPECT_EQ(running.size(), 5U);
+}
+
 // A best-effort task must not be placed beside a serving one that it is known
 // to harm while another worker is free of it.
 TEST(FleetSchedulerTest, PlacesBestEffortTasksWhereTheyDoNoHarm) {
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -64,7 +64,8 @@
     need.millicores = 0;
     const double wanted =
         options.best_effort_share * static_cast<double>(step.need.millicores);
-    if (static_cast<double>(IdleMillicores(session, options)) < wanted) {
+    if (wanted > 0 &&
+        static_cast<double>(IdleMillicores(session, options)) < wanted) {
       return false;
     }
   }
