Bound the lease of a fenced worker, and an owner's orders by its last write

The successor took every lease to last until the earlier owner's last possible order, counted from the claim, also on workers that refuse such orders.

Change: a worker that has seen the new epoch is bounded by the lease it can have by then. An owner's right to give orders is prolonged by its writes only, so a successor counts it from the last record that it read. Ruled out: a refused connection as proof that a worker has ended (cuts may refuse too). What is left: a process that starts on its predecessor's VM takes that one to be alive.

--- a/include/skylarkbridge/jobs/ownership.hpp
+++ b/include/skylarkbridge/jobs/ownership.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_JOBS_OWNERSHIP_HPP
 #define SKYLARKBRIDGE_JOBS_OWNERSHIP_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -72,17 +73,20 @@
   bool Owner() const { return owner_; }
   /// @brief When the log last showed that this VM is the owner.
   time_point ConfirmedAt() const { return confirmed_; }
-  /// @brief Until when this VM, as the owner, may give orders.
-  time_point OrdersUntil() const { return confirmed_ + options_.validity; }
+  /// @brief Until when this VM, as the owner, may give orders. Only its writes
+  /// prolong this, which a successor sees in the log.
+  time_point OrdersUntil() const { return written_ + options_.validity; }
   /// @brief Epoch of the newest claim that this VM knows of.
   epoch Newest() const { return newest_.claim; }
   const ownership_record& NewestRecord() const { return newest_; }
   /// @brief Epoch of this VM's claim; meaningful for an owner.
   epoch Own() const { return own_; }
   /// @brief Time until which an earlier owner may give orders, when this VM's
-  /// claim is known to be stored at @p now.
+  /// claim is known to be stored at @p now. The claim follows directly on what
+  /// this VM had read, so the earlier owner has written nothing since.
   time_point PredecessorStopsBy(time_point now) const {
-    return nobody_before_ ? now : now + options_.validity;
+    return nobody_before_ ? now
+                          : std::max(now, predecessor_heard_ + options_.validity);
   }
 
  private:
@@ -102,7 +106,11 @@
   epoch own_ = 0;
   /// There was no owner before this VM's claim, or it gave the ownership up.
   bool nobody_before_ = false;
+  /// When the last record of the owner before this VM's claim was read.
+  time_point predecessor_heard_;
   time_point confirmed_;
+  /// When the last write that the log took was sent.
+  time_point written_;
   time_point next_confirmation_;
   time_point next_claim_;
 };
--- a/include/skylarkbridge/jobs/worker_lease.hpp
+++ b/include/skylarkbridge/jobs/worker_lease.hpp
@@ -51,6 +51,9 @@
   /// longest lease, whatever time the order states.
   void Extend(time_point until) { ends_ = std::max(ends_, until); }
 
+  /// @brief Whatever was ordered so far lets no work run after @p until.
+  void Bound(time_point until) { ends_ = std::min(ends_, until); }
+
   /// @brief Nothing that was ordered so far runs after this time.
   time_point Ends() const { return ends_; }
 
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -31,8 +31,10 @@
     scheduler.Configure(configuration);
   }
 
-  void Begin(const std::vector<std::string>& leased = {}) {
-    scheduler.Begin(2, book, leased, now, now, kWall);
+  /// @param earlier for how long an earlier owner may go on giving orders.
+  void Begin(const std::vector<std::string>& leased = {},
+             milliseconds earlier = {}) {
+    scheduler.Begin(2, book, leased, now + earlier, now, kWall);
     Allow(now);
   }
   void Allow(time_point confirmed) {
@@ -137,6 +139,32 @@
   EXPECT_GT(driver.starts[1].run.run, driver.starts[0].run.run);
 }
 
+// A worker that has seen the new epoch takes no order of an earlier owner, so
+// its lease ends with what it was granted by then: tasks of a worker that left
+// right after a takeover waited 12 s for the earlier owner's last order.
+TEST(FleetSchedulerTest, AFencedWorkerIsNotWaitedForLonger) {
+  scheduler_driver driver;
+  driver.book.Apply(
+      job_accepted{
+          .job = kJob,
+          .queue = "batch",
+          .spec = {.steps = {{.count = 1, .need = {.millicores = 500}}}}},
+      driver.now);
+  driver.listed["w0"] = {{.run = {{kJob, 0, 0, 0}, 1}, .percent = 10}};
+  driver.Begin({"w0"}, seconds(6));
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.silent = "w0";
+  driver.AddWorker("w1", 1000);
+  for (int pass = 0; pass < 80; ++pass) {
+    driver.now += milliseconds(100);
+    driver.Allow(driver.now);
+    driver.Settle();
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  EXPECT_EQ(driver.starts[0].target.worker, "w1");
+}
+
 // Runs of jobs that have ended still take their room after a takeover.
 TEST(FleetSchedulerTest, ReservesRoomForRunsOfEndedJobs) {
   scheduler_driver driver;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -134,6 +134,8 @@
   AdjustPaces(session, now);
   if (!session.accounted) {
     session.accounted = true;
+    // The worker refuses what an earlier owner orders from now on.
+    session.lease.Bound(LongestLease(now));
     place_wanted_ = true;
     Note(scheduling_event::kWorkerAccounted, {}, session.entry.worker,
          absl::StrCat("running ", report.running.size(), " ended ",
--- a/src/skylarkbridge/jobs/ownership.cpp
+++ b/src/skylarkbridge/jobs/ownership.cpp
@@ -58,6 +58,7 @@
   claiming_ = true;
   own_ = newest_.claim + 1;
   nobody_before_ = newest_.released || newest_.claim == 0;
+  predecessor_heard_ = *heard_;
   return Record(own_, false);
 }
 
@@ -78,11 +79,13 @@
   newest_ = Record(own_, false);
   owner_ = true;
   confirmed_ = sent;
+  written_ = sent;
   next_confirmation_ = sent + options_.confirm_interval;
 }
 
 void ownership::Confirmed(time_point sent) {
   confirmed_ = std::max(confirmed_, sent);
+  written_ = std::max(written_, sent);
 }
 
 void ownership::Fenced(epoch seen) {
--- a/src/skylarkbridge/jobs/ownership_test.cpp
+++ b/src/skylarkbridge/jobs/ownership_test.cpp
@@ -64,6 +64,32 @@
   EXPECT_EQ(vm.PredecessorStopsBy(kNow), kNow);
 }
 
+// What an owner that is silent may still order ends with its last write, which
+// the successor has read; waiting from the claim on keeps lost tasks for longer.
+TEST(OwnershipTest, ASilentPredecessorStopsByItsLastWrite) {
+  const ownership_options options{.vm = "b", .incarnation = 1};
+  ownership vm(options);
+  vm.Observe({.claim = 4, .vm = "a", .incarnation = 5}, kNow);
+  vm.ReadToEnd(kNow + seconds(3), kNow + seconds(3));
+  ASSERT_TRUE(vm.NextClaim(kNow + seconds(3)));
+  vm.ClaimAccepted(kNow + seconds(3));
+  EXPECT_EQ(vm.PredecessorStopsBy(kNow + seconds(3)),
+            kNow + options.validity);
+}
+
+// Reads don't prolong an owner's right to give orders: its successor does not
+// see them.
+TEST(OwnershipTest, OnlyWritesProlongTheOrders) {
+  ownership vm = Vm("a");
+  vm.ReadToEnd(kNow, kNow);
+  ASSERT_TRUE(vm.NextClaim(kNow + seconds(1)));
+  vm.ClaimAccepted(kNow + seconds(1));
+  const time_point until = vm.OrdersUntil();
+  vm.ReadToEnd(kNow + seconds(4), kNow + seconds(4));
+  EXPECT_EQ(vm.OrdersUntil(), until);
+  EXPECT_EQ(vm.ConfirmedAt(), kNow + seconds(4));
+}
+
 // The first owner of all has nobody to wait for.
 TEST(OwnershipTest, TheFirstOwnerHasNoPredecessor) {
   ownership vm = Vm("a");
