Tell in the owner's record for how long earlier owners may give orders

Cause: a successor knew only of the owner directly before it. After a takeover from a VM that was cut off and a planned stop of the new owner, the next one waited for nobody, though the first might still renew leases (TWICE possible).

Change: each record of an owner states for how long owners before it may give orders; the bound passes on from owner to owner and runs out.

--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -279,7 +279,7 @@
                                                  wall_time wall) {
   stopping_ = true;
   for (const auto& part : cells_) {
-    part->BeginStop();
+    part->BeginStop(now);
   }
   Run(now, wall);
 }
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -112,7 +112,7 @@
   void SendCalls(time_point now);
   time_point NextDeadline(time_point now) const;
   /// @brief Gives the ownership up and takes no new one.
-  void BeginStop();
+  void BeginStop(time_point now);
   /// @brief Asks for a read of the log that is sent from now on.
   void WantRefresh() { refresh_wanted_ = true; }
 
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -80,7 +80,7 @@
                              {"jobs", absl::StrCat(book_.Jobs().size())},
                              {"leased", absl::StrCat(leased_.workers.size())}});
   scheduler_.Begin(ownership_.Own(), book_, leased_.workers,
-                   ownership_.PredecessorStopsBy(now), now, wall);
+                   ownership_.PredecessorsStopBy(now), now, wall);
   scheduler_.Configure(configuration_);
   workers_wanted_ = true;
   follower_.Reader().SetPause(options_.owner_pause);
@@ -128,13 +128,13 @@
 }
 
 template <fleet_platform Platform>
-void fleet_cell<Platform>::BeginStop() {
+void fleet_cell<Platform>::BeginStop(time_point now) {
   if (stopping_) {
     return;
   }
   stopping_ = true;
   const bool owner = ownership_.Owner();
-  const auto release = ownership_.Release();
+  const auto release = ownership_.Release(now);
   if (!owner || !release) {
     return;
   }
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_JOBS_JOB_RECORD_HPP
 #define SKYLARKBRIDGE_JOBS_JOB_RECORD_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -80,6 +81,9 @@
   /// Drawn at the start of the process; tells two claims of one epoch apart.
   std::uint64_t incarnation = 0;
   bool released = false;
+  /// From the write of the record on, for how long owners before this one may
+  /// still give orders.
+  std::chrono::milliseconds earlier_orders{};
 
   bool operator==(const ownership_record&) const = default;
 };
--- a/include/skylarkbridge/jobs/ownership.hpp
+++ b/include/skylarkbridge/jobs/ownership.hpp
@@ -65,7 +65,7 @@
   void Fenced(epoch seen);
   /// @brief Claims nothing any more; returns the record that gives the
   /// ownership up, when this VM is the owner.
-  std::optional<ownership_record> Release();
+  std::optional<ownership_record> Release(time_point now);
 
   /// @brief The confirmation to write now, if one is due. It counts as sent.
   std::optional<ownership_record> NextConfirmation(time_point now);
@@ -81,16 +81,14 @@
   const ownership_record& NewestRecord() const { return newest_; }
   /// @brief Epoch of this VM's claim; meaningful for an owner.
   epoch Own() const { return own_; }
-  /// @brief Time until which an earlier owner may give orders, when this VM's
-  /// claim is known to be stored at @p now. The claim follows directly on what
-  /// this VM had read, so the earlier owner has written nothing since.
-  time_point PredecessorStopsBy(time_point now) const {
-    return nobody_before_ ? now
-                          : std::max(now, predecessor_heard_ + options_.validity);
+  /// @brief Time until which earlier owners may give orders. The claim follows
+  /// directly on what this VM had read, so they have written nothing since.
+  time_point PredecessorsStopBy(time_point now) const {
+    return std::max(now, predecessors_until_);
   }
 
  private:
-  ownership_record Record(epoch claim, bool released) const;
+  ownership_record Record(bool released, time_point now) const;
   std::chrono::nanoseconds Spread(epoch claim) const;
   std::chrono::nanoseconds Handicap(std::size_t owned) const;
 
@@ -104,10 +102,10 @@
   bool retired_ = false;
   bool claiming_ = false;
   epoch own_ = 0;
-  /// There was no owner before this VM's claim, or it gave the ownership up.
-  bool nobody_before_ = false;
-  /// When the last record of the owner before this VM's claim was read.
-  time_point predecessor_heard_;
+  /// Until when the owners before the newest one may give orders.
+  time_point earlier_until_;
+  /// Until when the owners before this VM's claim may give orders.
+  time_point predecessors_until_;
   time_point confirmed_;
   /// When the last write that the log took was sent.
   time_point written_;
--- a/src/skylarkbridge/jobs/ownership.cpp
+++ b/src/skylarkbridge/jobs/ownership.cpp
@@ -20,6 +20,11 @@
     // Spreads the claims of the VMs that see the same record.
     next_claim_ = now + Spread(record.claim);
   }
+  // The record may be older than its reading, which makes this an upper bound.
+  const time_point earlier_until = now + record.earlier_orders;
+  earlier_until_ = record.claim > newest_.claim
+                       ? earlier_until
+                       : std::min(earlier_until_, earlier_until);
   newest_ = record;
   heard_ = now;
   if (owner_ && (!own || record.claim != own_)) {
@@ -57,9 +62,10 @@
   }
   claiming_ = true;
   own_ = newest_.claim + 1;
-  nobody_before_ = newest_.released || newest_.claim == 0;
-  predecessor_heard_ = *heard_;
-  return Record(own_, false);
+  predecessors_until_ =
+      vacant ? earlier_until_
+             : std::max(earlier_until_, *heard_ + options_.validity);
+  return Record(false, now);
 }
 
 void ownership::ClaimFailed() {
@@ -76,7 +82,7 @@
   if (newest_.claim > own_) {
     return;
   }
-  newest_ = Record(own_, false);
+  newest_ = Record(false, sent);
   owner_ = true;
   confirmed_ = sent;
   written_ = sent;
@@ -94,13 +100,13 @@
   }
 }
 
-std::optional<ownership_record> ownership::Release() {
+std::optional<ownership_record> ownership::Release(time_point now) {
   retired_ = true;
   if (!owner_) {
     return std::nullopt;
   }
   owner_ = false;
-  return Record(own_, true);
+  return Record(true, now);
 }
 
 std::optional<ownership_record> ownership::NextConfirmation(time_point now) {
@@ -108,14 +114,16 @@
     return std::nullopt;
   }
   next_confirmation_ = now + options_.confirm_interval;
-  return Record(own_, false);
+  return Record(false, now);
 }
 
-ownership_record ownership::Record(epoch claim, bool released) const {
-  return {.claim = claim,
+ownership_record ownership::Record(bool released, time_point now) const {
+  return {.claim = own_,
           .vm = options_.vm,
           .incarnation = options_.incarnation,
-          .released = released};
+          .released = released,
+          .earlier_orders = std::chrono::ceil<std::chrono::milliseconds>(
+              PredecessorsStopBy(now) - now)};
 }
 
 std::chrono::nanoseconds ownership::Handicap(std::size_t owned) const {
--- a/src/skylarkbridge/jobs/ownership_test.cpp
+++ b/src/skylarkbridge/jobs/ownership_test.cpp
@@ -57,24 +57,24 @@
   vm.Observe({.claim = 4, .vm = "a", .incarnation = 5, .released = true}, kNow);
   vm.ReadToEnd(kNow, kNow);
   ownership stopping = vm;
-  EXPECT_FALSE(stopping.Release());
+  EXPECT_FALSE(stopping.Release(kNow));
   EXPECT_FALSE(stopping.NextClaim(kNow + milliseconds(400)));
   const auto claim = vm.NextClaim(kNow + milliseconds(400));
   ASSERT_TRUE(claim);
-  EXPECT_EQ(vm.PredecessorStopsBy(kNow), kNow);
+  EXPECT_EQ(vm.PredecessorsStopBy(kNow), kNow);
 }
 
 // What an owner that is silent may still order ends with its last write, which
-// the successor has read; waiting from the claim on keeps lost tasks for longer.
-TEST(OwnershipTest, ASilentPredecessorStopsByItsLastWrite) {
+// the successor has read; waiting from the claim on keeps lost tasks for
+// longer.
+TEST(OwnershipTest, ASilentPredecessorsStopByItsLastWrite) {
   const ownership_options options{.vm = "b", .incarnation = 1};
   ownership vm(options);
   vm.Observe({.claim = 4, .vm = "a", .incarnation = 5}, kNow);
   vm.ReadToEnd(kNow + seconds(3), kNow + seconds(3));
   ASSERT_TRUE(vm.NextClaim(kNow + seconds(3)));
   vm.ClaimAccepted(kNow + seconds(3));
-  EXPECT_EQ(vm.PredecessorStopsBy(kNow + seconds(3)),
-            kNow + options.validity);
+  EXPECT_EQ(vm.PredecessorsStopBy(kNow + seconds(3)), kNow + options.validity);
 }
 
 // Reads don't prolong an owner's right to give orders: its successor does not
@@ -90,13 +90,47 @@
   EXPECT_EQ(vm.ConfirmedAt(), kNow + seconds(4));
 }
 
+// An owner that gave up says nothing of the one before it, which may be cut off
+// and go on giving orders: it must not be forgotten with the second takeover.
+TEST(OwnershipTest, RemembersTheOwnerBeforeAnOwnerThatGaveUp) {
+  ownership first = Vm("b");
+  first.Observe({.claim = 4, .vm = "cut off", .incarnation = 5}, kNow);
+  first.ReadToEnd(kNow + seconds(3), kNow + seconds(3));
+  ASSERT_TRUE(first.NextClaim(kNow + seconds(3)));
+  first.ClaimAccepted(kNow + seconds(3));
+  const auto release = first.Release(kNow + seconds(4));
+  ASSERT_TRUE(release);
+  ownership second = Vm("c");
+  second.Observe(*release, kNow + seconds(4));
+  second.ReadToEnd(kNow + seconds(4), kNow + seconds(4));
+  ASSERT_TRUE(second.NextClaim(kNow + seconds(5)));
+  second.ClaimAccepted(kNow + seconds(5));
+  EXPECT_EQ(second.PredecessorsStopBy(kNow + seconds(5)), kNow + seconds(6));
+}
+
+// A process that starts on the VM of the owner knows that this one has ended,
+// and for how long those before it count.
+TEST(OwnershipTest, ARestartedOwnerWaitsOnlyForThoseBefore) {
+  ownership vm = Vm("a");
+  vm.Observe({.claim = 4,
+              .vm = "a",
+              .incarnation = 77,
+              .earlier_orders = milliseconds(1400)},
+             kNow);
+  vm.ReadToEnd(kNow, kNow);
+  ASSERT_TRUE(vm.NextClaim(kNow + milliseconds(400)));
+  vm.ClaimAccepted(kNow + milliseconds(400));
+  EXPECT_EQ(vm.PredecessorsStopBy(kNow + milliseconds(400)),
+            kNow + milliseconds(1400));
+}
+
 // The first owner of all has nobody to wait for.
 TEST(OwnershipTest, TheFirstOwnerHasNoPredecessor) {
   ownership vm = Vm("a");
   vm.ReadToEnd(kNow, kNow);
   ASSERT_TRUE(vm.NextClaim(kNow + seconds(1)));
   vm.ClaimAccepted(kNow + seconds(1));
-  EXPECT_EQ(vm.PredecessorStopsBy(kNow + seconds(1)), kNow + seconds(1));
+  EXPECT_EQ(vm.PredecessorsStopBy(kNow + seconds(1)), kNow + seconds(1));
 }
 
 // Cells go to strong VMs that hold few, or one of a tenth of a core would own
