Read the logs of cells in turn, claim when all are read, and adopt late jobs

A VM claims a cell when it has read the logs of all cells; a job that becomes known late takes its runs over, and waits for workers that are not accounted for.

Tests: CountsWaitingJobsOnlyFromCompleteLogs, ReadsTheLogsOfTheCellsOneAfterTheOther, AdoptsTheRunsOfAJobThatBecomesKnownLater, AJobThatBecomesKnownLaterWaitsForEarlierWorkers.

--- a/include/skylarkbridge/control/control_options.hpp
+++ b/include/skylarkbridge/control/control_options.hpp
@@ -25,7 +25,8 @@
   /// Limits of one call to the store.
   std::chrono::milliseconds append_timeout{800};
   std::chrono::milliseconds read_timeout{400};
-  std::chrono::milliseconds snapshot_timeout{1500};
+  /// A page of a megabyte takes a second on a link of 10 Mbit/s.
+  std::chrono::milliseconds snapshot_timeout{4000};
   /// Limits of one order.
   std::chrono::milliseconds order_timeout{700};
   std::chrono::milliseconds renewal_timeout{500};
@@ -37,6 +38,8 @@
   std::chrono::milliseconds owner_pause{25};
   /// An open job's state is read again from the log when it is older.
   std::chrono::milliseconds fresh_state{250};
+  /// The same for the number of waiting jobs of a queue.
+  std::chrono::milliseconds fresh_pending{1500};
   /// Longest wait for such a read; the known state is told then.
   std::chrono::milliseconds refresh_timeout{250};
   /// Longest wait of a caller for a fresh read of the log.
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -98,6 +98,8 @@
   struct lookup {
     std::uint64_t token = 0;
     jobs::job_id job;
+    /// The queue whose waiting jobs are asked for; empty for one job.
+    std::string queue;
     caller_method method = caller_method::kQuery;
     time_point asked;
     time_point deadline;
@@ -112,6 +114,14 @@
   void Query(const caller_request& request, jobs::job_id job, time_point now);
   void Cancel(const caller_request& request, jobs::job_id job, time_point now);
   std::size_t Pending(std::string_view queue) const;
+  void QueryPending(const caller_request& request,
+                    const jobs::queue_configuration& queue,
+                    time_point now);
+  /// Returns false when the caller has to wait on.
+  bool AnswerPending(const lookup& entry, time_point now);
+  /// Time up to which the logs of all cells have been read; nothing while one
+  /// has not been read to its end.
+  std::optional<time_point> AllReadAt() const;
   /// Drops what the logs show by now.
   void ForgetHandedIn();
   /// Hands a request to the intake; answers it when the store is away.
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -29,8 +29,7 @@
   const std::string_view rest =
       std::string_view(request.path).substr(queue->path_prefix.size());
   if (rest.empty() && request.method == caller_method::kQuery) {
-    Reply(request.token, std::nullopt, "pending",
-          {.kind = answer_kind::kPending, .pending = Pending(queue->name)});
+    QueryPending(request, *queue, now);
     return;
   }
   const std::optional<jobs::job_id> job = jobs::ParseJobId(rest);
@@ -95,6 +94,52 @@
       });
 }
 
+template <fleet_platform Platform, caller_port Callers>
+std::optional<time_point> control_state<Platform, Callers>::AllReadAt() const {
+  std::optional<time_point> oldest = time_point::max();
+  for (const auto& part : cells_) {
+    oldest = std::min(oldest, part->Reader().CurrentAt());
+  }
+  return oldest;
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::QueryPending(
+    const caller_request& request,
+    const jobs::queue_configuration& queue,
+    time_point now) {
+  const auto read = AllReadAt();
+  if (read && now < *read + options_.fresh_pending) {
+    Reply(request.token, std::nullopt, "pending",
+          {.kind = answer_kind::kPending, .pending = Pending(queue.name)});
+    return;
+  }
+  lookups_.push_back(
+      {.token = request.token,
+       .queue = queue.name,
+       .asked = now,
+       .deadline = std::min(request.deadline, now + options_.lookup_timeout)});
+  for (const auto& part : cells_) {
+    part->WantRefresh();
+  }
+}
+
+template <fleet_platform Platform, caller_port Callers>
+bool control_state<Platform, Callers>::AnswerPending(const lookup& entry,
+                                                     time_point now) {
+  const auto read = AllReadAt();
+  const bool fresh = read && now < *read + options_.fresh_pending;
+  const bool over = now >= entry.deadline;
+  if (fresh || (over && read)) {
+    Reply(entry.token, std::nullopt, "pending",
+          {.kind = answer_kind::kPending, .pending = Pending(entry.queue)});
+  } else if (over) {
+    Reply(entry.token, std::nullopt, "pending",
+          NotRun("the log has not been read yet"));
+  }
+  return fresh || over;
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::ForgetHandedIn() {
   std::erase_if(handed_in_, [this](const auto& entry) {
@@ -230,6 +275,9 @@
 template <fleet_platform Platform, caller_port Callers>
 bool control_state<Platform, Callers>::AnswerLookup(const lookup& entry,
                                                     time_point now) {
+  if (!entry.queue.empty()) {
+    return AnswerPending(entry, now);
+  }
   const jobs::job_book& book = HomeOf(entry.job).Book();
   cell& runner = RunnerOf(entry.job);
   const bool known = book.Find(entry.job) != nullptr;
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -292,11 +292,12 @@
     }
   }
   AnswerLookups(now);
+  const bool all_read = AllReadAt().has_value();
   for (const auto& part : cells_) {
     const auto held = static_cast<std::size_t>(
         std::count_if(cells_.begin(), cells_.end(),
                       [](const auto& each) { return each->Held(); }));
-    part->Run(part->Held() ? held - 1 : held, now, wall);
+    part->Run(part->Held() ? held - 1 : held, all_read, now, wall);
     if (part->TakeWorkersWanted()) {
       worker_follower_.Reader().Restart(now);
     }
@@ -314,8 +315,12 @@
   if (!map_) {
     map_follower_.Send(platform_, now);
   }
+  // Snapshots are read one after the other: those of all cells at once are too
+  // much for a weak VM's link within the limit of a call.
+  bool snapshot_due = false;
   for (const auto& part : cells_) {
-    part->SendCalls(now);
+    part->SendCalls(!snapshot_due, now);
+    snapshot_due |= part->Reader().InSnapshot();
   }
   if (AnyActive() || (!map_ && founding_.Begun())) {
     worker_follower_.Send(platform_, now);
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -108,8 +108,11 @@
 
   /// @brief Keeps the ownership and gives orders.
   /// @param others cells that this VM owns or claims beside this one.
-  void Run(std::size_t others, time_point now, wall_time wall);
-  void SendCalls(time_point now);
+  /// @param may_claim whether the logs of all cells have been read; jobs that
+  /// this one runs stand in the others too.
+  void Run(std::size_t others, bool may_claim, time_point now, wall_time wall);
+  /// @param may_read_snapshot whether a read of the whole log may be sent.
+  void SendCalls(bool may_read_snapshot, time_point now);
   time_point NextDeadline(time_point now) const;
   /// @brief Gives the ownership up and takes no new one.
   void BeginStop(time_point now);
@@ -154,7 +157,10 @@
   void ForgetMissing(const std::set<std::string>& keys);
 
   // Ownership.
-  void MaintainOwnership(std::size_t others, time_point now, wall_time wall);
+  void MaintainOwnership(std::size_t others,
+                         bool may_claim,
+                         time_point now,
+                         wall_time wall);
   void TakeClaimReply(const append_reply& reply, time_point now);
   void BeginOwnership(time_point now, wall_time wall);
   void LoseOwnership(std::string_view reason);
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -117,7 +117,7 @@
                          {"offset", absl::StrCat(offset)}});
     const jobs::job_state& state = *book_.Find(job);
     if (book_.RunsHere(state)) {
-      scheduler_.Accepted(job, state, now, wall);
+      scheduler_.Accepted(job, state, false, now, wall);
       return;
     }
     foreign_.emplace_back(jobs::job_accepted{.job = job,
@@ -162,7 +162,7 @@
   if (auto* const accepted = std::get_if<jobs::job_accepted>(&record)) {
     const jobs::job_id job = accepted->job;
     if (book_.Apply(std::move(*accepted), now)) {
-      scheduler_.Accepted(job, *book_.Find(job), now, wall);
+      scheduler_.Accepted(job, *book_.Find(job), true, now, wall);
     }
   } else if (const auto* const cancelled =
                  std::get_if<jobs::job_cancelled>(&record)) {
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -30,6 +30,7 @@
 
 template <fleet_platform Platform>
 void fleet_cell<Platform>::MaintainOwnership(std::size_t others,
+                                             bool may_claim,
                                              time_point now,
                                              wall_time wall) {
   if (scheduler_.Active() && (scheduler_.Fenced() || !ownership_.Owner())) {
@@ -47,7 +48,7 @@
       ownership_.ClaimFailed();
     }
   }
-  if (claiming_ || stopping_ || configuration_ == nullptr) {
+  if (claiming_ || stopping_ || !may_claim || configuration_ == nullptr) {
     return;
   }
   const bool predecessor_released = ownership_.NewestRecord().released;
@@ -150,6 +151,7 @@
 
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Run(std::size_t others,
+                               bool may_claim,
                                time_point now,
                                wall_time wall) {
   if (pending_release_ && writer_.Idle()) {
@@ -157,7 +159,7 @@
     pending_release_.reset();
     releasing_ = true;
   }
-  MaintainOwnership(others, now, wall);
+  MaintainOwnership(others, may_claim, now, wall);
   if (scheduler_.Active()) {
     scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
@@ -189,14 +191,16 @@
 }
 
 template <fleet_platform Platform>
-void fleet_cell<Platform>::SendCalls(time_point now) {
+void fleet_cell<Platform>::SendCalls(bool may_read_snapshot, time_point now) {
   if (auto append = writer_.Next(now, appends_ + 1)) {
     Send(std::move(*append), now);
   }
   while (auto append = intake_.Next(now, appends_ + 1)) {
     Send(std::move(*append), now);
   }
-  follower_.Send(platform_, now);
+  if (may_read_snapshot || !follower_.Reader().InSnapshot()) {
+    follower_.Send(platform_, now);
+  }
   if (refresh_wanted_ && !follower_.Reader().Refreshing()) {
     refresh_wanted_ = false;
     follower_.Refresh(platform_, now);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -104,8 +104,11 @@
     orders_until_ = until;
   }
 
+  /// @param may_have_run the acceptance stands in another cell's log, so an
+  /// earlier owner may have read it before and have started tasks.
   void Accepted(job_id job,
                 const job_state& state,
+                bool may_have_run,
                 time_point now,
                 wall_time wall);
   void Cancelled(job_id job, time_point now);
--- a/src/skylarkbridge/control/control_state_test.cpp
+++ b/src/skylarkbridge/control/control_state_test.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -356,6 +357,44 @@
   EXPECT_EQ(Broken(*fleet), "");
 }
 
+// A VM that has just started has read no job yet, and must not say that none
+// waits: weak VMs of a large fleet take seconds to read the logs.
+TEST(ControlStateTest, CountsWaitingJobsOnlyFromCompleteLogs) {
+  auto fleet = StartedFleet({.vms = 2, .workers = 1, .worker_millicores = 100});
+  for (std::uint64_t id = 1; id <= 12; ++id) {
+    fleet->Submit(0, jobs::job_id{id}, "500 300 0 1");
+  }
+  fleet->Advance(seconds(1));
+  fleet->KillVm(1);
+  fleet->StartVm(1);
+  std::optional<std::size_t> told;
+  for (int round = 0; round < 200 && !told; ++round) {
+    fleet->Advance(milliseconds(2));
+    const std::uint64_t query = fleet->SendPending(1);
+    fleet->Advance(milliseconds(1));
+    if (const caller_answer* const answer = fleet->AnswerTo(query);
+        answer != nullptr && answer->kind == answer_kind::kPending) {
+      told = answer->pending;
+    }
+  }
+  EXPECT_EQ(told, 12U);
+}
+
+// The logs of all cells at once were too much for a weak VM's link: no read
+// came in within its limit, and the VM answered nothing for good.
+TEST(ControlStateTest, ReadsTheLogsOfTheCellsOneAfterTheOther) {
+  auto fleet = StartedFleet({.vms = 2, .workers = 8, .cells = 4});
+  for (std::uint64_t id = 1; id <= 40; ++id) {
+    fleet->Submit(0, jobs::job_id{id}, "500 300 0 1");
+  }
+  fleet->Advance(seconds(1));
+  fleet->KillVm(1);
+  fleet->StartVm(1);
+  fleet->Advance(seconds(1));
+  EXPECT_TRUE(fleet->Control(1).Ready(fleet->Now()));
+  EXPECT_EQ(fleet->MostSnapshots(1), 1);
+}
+
 std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
   const char* const text = std::getenv(name);
   return text == nullptr ? otherwise : std::stoull(text);
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -232,6 +232,26 @@
     }
     return token;
   }
+  /// @brief Asks for the number of waiting jobs.
+  std::uint64_t SendPending(std::size_t vm) {
+    const std::uint64_t token = ++tokens_;
+    asked_[token] = {jobs::job_id{}, caller_method::kQuery};
+    vms_[vm].control->Handle(
+        caller_request{.token = token,
+                       .method = caller_method::kQuery,
+                       .host = "host",
+                       .path = "/batch/",
+                       .deadline = now_ + std::chrono::seconds(3)},
+        now_, Wall());
+    vms_[vm].next_pass = now_;
+    return token;
+  }
+  /// @brief Most logs of cells that the VM read as a whole at a time.
+  int MostSnapshots(std::size_t vm) const { return vms_[vm].most_snapshots; }
+  void SnapshotBegins(std::size_t vm) {
+    vms_[vm].most_snapshots =
+        std::max(vms_[vm].most_snapshots, ++vms_[vm].snapshots);
+  }
   const caller_answer* AnswerTo(std::uint64_t token) const {
     const auto answer = answers_.find(token);
     return answer == answers_.end() ? nullptr : &answer->second;
@@ -307,6 +327,11 @@
                 time_point until);
   void Deliver(std::size_t vm, std::uint64_t life, platform_reply reply) {
     vm_state& state = vms_[vm];
+    if (const auto* const read = std::get_if<read_reply>(&reply);
+        read != nullptr && read->source.kind == topic_kind::kJobs &&
+        std::holds_alternative<jobs::snapshot_page>(read->outcome)) {
+      --state.snapshots;
+    }
     if (state.control && state.life == life) {
       state.control->Handle(std::move(reply), now_, Wall());
       state.next_pass = now_;
@@ -323,6 +348,9 @@
     std::unique_ptr<callers_fake> callers;
     std::unique_ptr<control_state<platform_fake, callers_fake>> control;
     std::uint64_t life = 0;
+    /// Reads of whole logs that are under way, and the most at a time.
+    int snapshots = 0;
+    int most_snapshots = 0;
     time_point next_pass;
     bool store_cut = false;
     bool workers_cut = false;
@@ -386,6 +414,9 @@
 inline void platform_fake::Read(const topic& source,
                                 const jobs::reader_call& call,
                                 time_point deadline) {
+  if (call.snapshot && source.kind == topic_kind::kJobs) {
+    fleet_.SnapshotBegins(vm_);
+  }
   if (!fleet_.StoreReachable(vm_)) {
     fleet_.At(deadline, [&fleet = fleet_, vm = vm_, life = life_, source,
                          number = call.number] {
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -65,12 +65,25 @@
 
 void fleet_scheduler::Accepted(job_id job,
                                const job_state& state,
+                               bool may_have_run,
                                time_point now,
                                wall_time wall) {
-  if (active_ && !state.Ended()) {
-    jobs_.Add(job, state, false, now, wall);
-    place_wanted_ = true;
+  if (!active_ || state.Ended()) {
+    return;
+  }
+  jobs_.Add(job, state, may_have_run && !unaccounted_.empty(), now, wall);
+  if (may_have_run) {
+    for (auto& [id, session] : workers_) {
+      for (auto& [run, seen] : session.runs) {
+        if (run.task.job == job && jobs_.Adoptable(run)) {
+          jobs_.Started(run, id);
+          seen.detached = false;
+          Note(scheduling_event::kRunAdopted, run, id, "known late");
+        }
+      }
+    }
   }
+  place_wanted_ = true;
 }
 
 void fleet_scheduler::Cancelled(job_id job, time_point now) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -53,7 +53,7 @@
                             .queue = "batch",
                             .spec = {.payload = "p", .steps = {step}}},
                now);
-    scheduler.Accepted(id, *book.Find(id), now, kWall);
+    scheduler.Accepted(id, *book.Find(id), false, now, kWall);
   }
   /// Answers renewals and starts until nothing is left to say.
   void Settle() {
@@ -165,6 +165,58 @@
   EXPECT_EQ(driver.starts[0].target.worker, "w1");
 }
 
+// A job whose acceptance stands in the log of another cell may be read after
+// its runs are seen at the workers: a second run started beside the first.
+TEST(FleetSchedulerTest, AdoptsTheRunsOfAJobThatBecomesKnownLater) {
+  scheduler_driver driver;
+  const run_ref run{{kJob, 0, 0, 0}, 1};
+  driver.listed["w0"] = {{.run = run, .percent = 10}};
+  driver.Begin({"w0"});
+  driver.AddWorker("w0", 2000);
+  driver.AddWorker("w1", 2000);
+  driver.Settle();
+  driver.book.Apply(
+      job_accepted{
+          .job = kJob,
+          .queue = "batch",
+          .spec = {.steps = {{.count = 1, .need = {.millicores = 500}}}}},
+      driver.now);
+  driver.scheduler.Accepted(kJob, *driver.book.Find(kJob), true, driver.now,
+                            kWall);
+  for (int pass = 0; pass < 10; ++pass) {
+    driver.now += milliseconds(50);
+    driver.Allow(driver.now);
+    driver.Settle();
+  }
+  EXPECT_TRUE(driver.starts.empty());
+  driver.listed["w0"].clear();
+  driver.ended["w0"] = {{.number = 1, .run = run, .how = run_end::kStopped}};
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.now += milliseconds(50);
+    driver.Allow(driver.now);
+    driver.Settle();
+  }
+  EXPECT_EQ(driver.starts.size(), 1U);
+}
+
+// Such a job may also run on a worker that is not accounted for yet.
+TEST(FleetSchedulerTest, AJobThatBecomesKnownLaterWaitsForEarlierWorkers) {
+  scheduler_driver driver;
+  driver.Begin({"w0", "gone"});
+  driver.AddWorker("w0", 1000);
+  driver.Settle();
+  driver.book.Apply(
+      job_accepted{
+          .job = kJob,
+          .queue = "batch",
+          .spec = {.steps = {{.count = 1, .need = {.millicores = 500}}}}},
+      driver.now);
+  driver.scheduler.Accepted(kJob, *driver.book.Find(kJob), true, driver.now,
+                            kWall);
+  driver.Settle();
+  EXPECT_TRUE(driver.starts.empty());
+}
+
 // Runs of jobs that have ended still take their room after a takeover.
 TEST(FleetSchedulerTest, ReservesRoomForRunsOfEndedJobs) {
   scheduler_driver driver;
