Ask the placement policy for permits and start tasks with its tickets

Cause: a queue with a policy got no permit, so its starts were rejected (409, ticket) again and again and its jobs never ran.

--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -213,6 +213,10 @@
   if (const auto* renewal = std::get_if<jobs::renew_order>(&order)) {
     return now + renewal->wait + options_.renewal_timeout;
   }
+  if (const auto* request = std::get_if<jobs::permit_request>(&order)) {
+    // The policy answers the calls of one VM in turn.
+    return now + options_.order_timeout + 2 * request->expected;
+  }
   return now + options_.order_timeout;
 }
 
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -19,6 +19,7 @@
 #include "skylarkbridge/jobs/job_book.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
+#include "skylarkbridge/jobs/permit_book.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
@@ -64,6 +65,7 @@
   int max_misses = 40;
   job_table_options jobs;
   placement_options placement;
+  permit_options permits;
 };
 
 /// @brief Schedules the tasks of all open jobs on the workers of the fleet, for
@@ -263,6 +265,22 @@
                  const step_spec& step,
                  const run_ref& run,
                  time_point now);
+  /// Those of the candidates that the policy is known to allow for the step.
+  std::vector<placement_candidate> Permitted(
+      const step_ref& ref,
+      const std::vector<placement_candidate>& candidates,
+      time_point now) const;
+  /// Asks the policy about further candidates, those with the most room first.
+  void AskForPermits(const step_ref& ref,
+                     const placement_policy& policy,
+                     const std::vector<placement_candidate>& candidates,
+                     time_point now);
+  /// Returns false when tasks of the step found no room.
+  bool PlaceTasks(const ready_step& ranked,
+                  const step_spec& step,
+                  const std::vector<std::uint32_t>& ready,
+                  std::vector<placement_candidate>& candidates,
+                  time_point now);
   std::vector<placement_candidate>& Candidates(const step_spec& spec,
                                                const queue_configuration& queue,
                                                candidate_lists& lists,
@@ -322,6 +340,7 @@
   std::map<job_id, time_point> idle_jobs_;
   bool place_wanted_ = false;
   time_point next_pass_;
+  permit_book permits_;
   interference_model interference_;
   std::vector<order> orders_;
   std::vector<scheduling_note> notes_;
--- a/include/skylarkbridge/jobs/orders.hpp
+++ b/include/skylarkbridge/jobs/orders.hpp
@@ -62,6 +62,8 @@
 struct permit_request {
   task_ref step;
   std::vector<std::string> workers;
+  /// How long the policy takes for it.
+  std::chrono::milliseconds expected{};
 };
 
 using order = std::
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -16,7 +16,7 @@
 }  // namespace
 
 fleet_scheduler::fleet_scheduler(fleet_scheduler_options options)
-    : options_(options), jobs_(options.jobs) {}
+    : options_(options), jobs_(options.jobs), permits_(options.permits) {}
 
 void fleet_scheduler::Begin(epoch own,
                             const job_book& book,
@@ -51,6 +51,7 @@
   workers_.clear();
   unaccounted_.clear();
   idle_jobs_.clear();
+  permits_.Clear();
   registering_.clear();
   leased_changed_ = false;
   store_number_ = 0;
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -168,6 +168,7 @@
   }
   place_wanted_ = false;
   NoteIdleJobs(now);
+  permits_.KeepOnly(jobs_);
   candidate_lists lists;
   int misses = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
@@ -334,36 +335,90 @@
   if (step->max_per_worker > 0) {
     CountSiblings(ref, candidates);
   }
+  if (queue->policy.permit_validity.count() > 0) {
+    std::vector<placement_candidate> permitted =
+        Permitted(ref, candidates, now);
+    const bool placed = step->gang
+                            ? PlaceGang(ref, *step, ready, permitted, now)
+                            : PlaceTasks(ranked, *step, ready, permitted, now);
+    if (!placed) {
+      AskForPermits(ref, queue->policy, candidates, now);
+    }
+    return placed;
+  }
   if (step->gang) {
     return PlaceGang(ref, *step, ready, candidates, now);
   }
+  const bool placed = PlaceTasks(ranked, *step, ready, candidates, now);
+  if (ranked.restart) {
+    KeepRoom(ref, *step, candidates, lists);
+  }
+  return placed;
+}
+
+std::vector<placement_candidate> fleet_scheduler::Permitted(
+    const step_ref& ref,
+    const std::vector<placement_candidate>& candidates,
+    time_point now) const {
+  std::vector<placement_candidate> permitted;
+  for (const placement_candidate& candidate : candidates) {
+    if (permits_.Find(ref, candidate.session->entry.worker, now) != nullptr) {
+      permitted.push_back(candidate);
+    }
+  }
+  return permitted;
+}
+
+void fleet_scheduler::AskForPermits(
+    const step_ref& ref,
+    const placement_policy& policy,
+    const std::vector<placement_candidate>& candidates,
+    time_point now) {
+  std::vector<const placement_candidate*> by_room;
+  for (const placement_candidate& candidate : candidates) {
+    by_room.push_back(&candidate);
+  }
+  std::stable_sort(
+      by_room.begin(), by_room.end(),
+      [](const placement_candidate* left, const placement_candidate* right) {
+        return left->Room().millicores > right->Room().millicores;
+      });
+  std::vector<std::string> workers;
+  for (const placement_candidate* const candidate : by_room) {
+    workers.push_back(candidate->session->entry.worker);
+  }
+  if (auto request = permits_.NextRequest(ref, workers, policy, now)) {
+    orders_.emplace_back(std::move(*request));
+  }
+}
+
+bool fleet_scheduler::PlaceTasks(const ready_step& ranked,
+                                 const step_spec& step,
+                                 const std::vector<std::uint32_t>& ready,
+                                 std::vector<placement_candidate>& candidates,
+                                 time_point now) {
   placement_options options = options_.placement;
   if (ranked.starves) {
     options.best_effort_share = 0;
   }
-  bool placed_all = true;
   for (const std::uint32_t index : ready) {
     const std::optional<std::size_t> chosen =
-        ChooseWorker(*step, candidates, "", options);
+        ChooseWorker(step, candidates, "", options);
     if (!chosen) {
-      placed_all = false;
-      break;
+      return false;
     }
     placement_candidate& candidate = candidates[*chosen];
     worker_session& session =
         workers_.find(candidate.session->entry.worker)->second;
-    const task_ref task = TaskOf(ref, index);
-    StartTask(session, *step, {task, jobs_.NextRun(task, own_)}, now);
+    const task_ref task = TaskOf(ranked.ref, index);
+    StartTask(session, step, {task, jobs_.NextRun(task, own_)}, now);
     ++candidate.siblings;
-    candidate.same_image += step->latency_target.count() > 0 ? 1 : 0;
+    candidate.same_image += step.latency_target.count() > 0 ? 1 : 0;
     if (ranked.starves) {
       break;
     }
   }
-  if (ranked.restart) {
-    KeepRoom(ref, *step, candidates, lists);
-  }
-  return placed_all;
+  return true;
 }
 
 bool fleet_scheduler::PlaceGang(const step_ref& ref,
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -63,6 +63,10 @@
   state.ordered_at = now;
   state.progressed_at = now;
   state.start_by = session.lease.Estimate(now, options_.start_validity);
+  if (const std::string* const ticket =
+          permits_.Find(StepOf(run.task), session.entry.worker, now)) {
+    state.permit = *ticket;
+  }
   session.lease.Extend(LongestLease(now));
   if (const task_state* task = jobs_.Find(run.task); task != nullptr) {
     state.checkpoint = task->checkpoint;
@@ -119,6 +123,9 @@
   }
   session.avoid_until =
       std::max(session.avoid_until, now + options_.avoid_after_fault);
+  if (reply.result == order_result::kNoPermit) {
+    permits_.Refused(StepOf(reply.run.task), reply.worker);
+  }
   const bool never_runs =
       reply.result == order_result::kNotSent || Rejected(reply.result);
   if (run.start_tries == 1 && never_runs) {
@@ -224,7 +231,9 @@
   }
 }
 
-void fleet_scheduler::Handle(const permit_reply& /*reply*/,
-                             time_point /*now*/) {}
+void fleet_scheduler::Handle(const permit_reply& reply, time_point now) {
+  permits_.Handle(reply, now);
+  place_wanted_ = true;
+}
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -28,6 +28,13 @@
     configuration->version = 1;
     configuration->queues.push_back(
         {.name = "batch", .service = "service", .max_attempts = 3});
+    configuration->queues.push_back(
+        {.name = "restricted",
+         .service = "service",
+         .max_attempts = 3,
+         .policy = {.decision_time = milliseconds(10),
+                    .time_per_worker = milliseconds(1),
+                    .permit_validity = milliseconds(1500)}});
     scheduler.Configure(configuration);
   }
 
@@ -48,9 +55,9 @@
          .capacity = {.millicores = millicores, .memory_mb = 1000}},
         now);
   }
-  void Submit(job_id id, step_spec step) {
+  void Submit(job_id id, step_spec step, const std::string& queue = "batch") {
     book.Apply(job_accepted{.job = id,
-                            .queue = "batch",
+                            .queue = queue,
                             .spec = {.payload = "p", .steps = {step}}},
                now);
     scheduler.Accepted(id, *book.Find(id), false, now, kWall);
@@ -75,6 +82,8 @@
           stops.push_back(*stop);
         } else if (const auto* pace = std::get_if<pace_order>(&given)) {
           paces.push_back(*pace);
+        } else if (const auto* asked = std::get_if<permit_request>(&given)) {
+          permit_requests.push_back(*asked);
         }
       }
     }
@@ -108,6 +117,7 @@
   std::vector<start_order> starts;
   std::vector<stop_order> stops;
   std::vector<pace_order> paces;
+  std::vector<permit_request> permit_requests;
   std::string silent;
   std::map<std::string, std::vector<running_task>> listed;
   std::map<std::string, std::vector<ended_task>> ended;
@@ -263,6 +273,34 @@
   EXPECT_EQ(driver.starts[1].run.task.job, job_id{7});
 }
 
+// A worker rejects a start without the ticket of the queue's policy, and only
+// the policy knows which workers may run a step.
+TEST(FleetSchedulerTest, StartsOnlyWhereThePolicyAllowsAndWithItsTicket) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 1000);
+  driver.AddWorker("w1", 1000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 2, .need = {.millicores = 100}}, "restricted");
+  driver.Settle();
+  EXPECT_TRUE(driver.starts.empty());
+  ASSERT_EQ(driver.permit_requests.size(), 1U);
+  EXPECT_EQ(driver.permit_requests[0].workers.size(), 2U);
+  driver.scheduler.Handle(permit_reply{.step = driver.permit_requests[0].step,
+                                       .result = order_result::kDone,
+                                       .eligible = {{"w1", "ticket"}},
+                                       .validity = milliseconds(1500)},
+                          driver.now);
+  driver.now += milliseconds(25);
+  driver.Allow(driver.now);
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  for (const start_order& start : driver.starts) {
+    EXPECT_EQ(start.target.worker, "w1");
+    EXPECT_EQ(start.permit, "ticket");
+  }
+}
+
 // A draining worker must get no new task.
 TEST(FleetSchedulerTest, StartsNothingOnADrainingWorker) {
   scheduler_driver driver;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -175,6 +175,7 @@
     state.detached = true;
   }
   session.lease.Reset(LongestLease(now));
+  permits_.WorkerRestarted(session.entry.worker);
   session.ends_seen = 0;
   session.ends_stored = 0;
   session.ends_waiting.clear();
