Gather room for a restart on the same worker from pass to pass

The worker was chosen anew in each pass by its room, so what had gathered on one was given away when another had a little more for a moment.

Change: a task's room is kept on the worker of the last pass while that one may take it. Ruled out: the release of unaccounted tasks and the lease (both were over). Test that failed first: FleetSchedulerTest.GathersRoomOnOneWorker.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -239,6 +239,8 @@
     std::optional<best_effort_demand> demand;
     /// Room by worker that is kept for tasks which found none yet.
     absl::flat_hash_map<std::string, resources> kept;
+    /// The workers on which it is kept, by task.
+    std::map<task_ref, std::string> kept_for;
   };
   best_effort_demand Demand() const;
   /// Demand of other images for the worker, against what they would find on
@@ -340,6 +342,8 @@
   std::map<job_id, time_point> idle_jobs_;
   bool place_wanted_ = false;
   time_point next_pass_;
+  /// Where the last pass kept room; it gathers on the same worker.
+  std::map<task_ref, std::string> kept_for_;
   permit_book permits_;
   interference_model interference_;
   std::vector<order> orders_;
--- a/include/skylarkbridge/jobs/placement.hpp
+++ b/include/skylarkbridge/jobs/placement.hpp
@@ -61,10 +61,12 @@
     const placement_options& options);
 
 /// @brief The worker that is expected to have room for a task of the step
-/// first: the one with the most room now of those that are large enough.
+/// first: @p before where it may take it, or else the one with the most room
+/// now of those that are large enough.
 std::optional<std::size_t> ChooseWorkerToKeep(
     const step_spec& step,
-    const std::vector<placement_candidate>& candidates);
+    const std::vector<placement_candidate>& candidates,
+    const std::string& before);
 
 }  // namespace skylarkbridge::jobs
 
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -51,6 +51,7 @@
   workers_.clear();
   unaccounted_.clear();
   idle_jobs_.clear();
+  kept_for_.clear();
   permits_.Clear();
   registering_.clear();
   leased_changed_ = false;
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -177,6 +177,7 @@
       break;
     }
   }
+  kept_for_ = std::move(lists.kept_for);
   // Steps that wait are looked at again with the next change, and a long
   // backlog not with each.
   next_pass_ = misses == 0 ? now : now + options_.pass_interval;
@@ -299,14 +300,18 @@
                                candidate_lists& lists) const {
   const std::vector<std::uint32_t> waiting =
       jobs_.ReadyTasks(ref, time_point::max());
-  for (std::size_t task = 0; task < waiting.size(); ++task) {
-    const auto chosen = ChooseWorkerToKeep(step, candidates);
+  for (const std::uint32_t index : waiting) {
+    const task_ref task = TaskOf(ref, index);
+    const auto before = kept_for_.find(task);
+    const auto chosen = ChooseWorkerToKeep(
+        step, candidates, before == kept_for_.end() ? "" : before->second);
     if (!chosen) {
       return;
     }
     placement_candidate& candidate = candidates[*chosen];
     candidate.kept += step.need;
     lists.kept[candidate.session->entry.worker] += step.need;
+    lists.kept_for[task] = candidate.session->entry.worker;
     ++candidate.siblings;
   }
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -442,6 +443,65 @@
   EXPECT_EQ(driver.starts[4].run.task.job, lasting);
 }
 
+// The worker that is kept must stay the same one: with each worker that had a
+// little more room for a moment, the room that had gathered was given away.
+TEST(FleetSchedulerTest, GathersRoomOnOneWorker) {
+  scheduler_driver driver;
+  const job_id lasting{7};
+  driver.book.Apply(
+      job_accepted{.job = lasting,
+                   .queue = "batch",
+                   .spec = {.steps = {{.count = 1,
+                                       .need = {.millicores = 3000},
+                                       .long_running = true}}}},
+      driver.now);
+  driver.book.Apply(job_advanced{.job = lasting, .progress = {.started = true}},
+                    driver.now);
+  driver.Begin({"gone"});
+  driver.AddWorker("w0", 4000);
+  driver.AddWorker("w1", 4000);
+  driver.Settle();
+  driver.Submit(kJob, {.count = 40, .need = {.millicores = 1000}});
+  driver.Settle();
+  ASSERT_EQ(driver.starts.size(), 8U);
+  const auto pass = [&driver](milliseconds time) {
+    driver.now += time;
+    driver.Allow(driver.now);
+    driver.Settle();
+  };
+  for (int second = 0; second < 7; ++second) {
+    pass(seconds(1));
+  }
+  std::map<std::string, std::uint64_t> ends;
+  const auto end_one = [&](const std::string& worker) {
+    const auto start = std::find_if(driver.starts.begin(), driver.starts.end(),
+                                    [&](const start_order& order) {
+                                      return order.target.worker == worker;
+                                    });
+    driver.ended[worker].push_back(
+        {.number = ++ends[worker], .run = start->run, .how = run_end::kDone});
+    start->target.worker = "over";
+  };
+  end_one("w0");
+  pass(milliseconds(100));
+  pass(milliseconds(100));
+  end_one("w1");
+  end_one("w1");
+  pass(milliseconds(100));
+  pass(milliseconds(100));
+  end_one("w0");
+  pass(milliseconds(100));
+  pass(milliseconds(100));
+  end_one("w0");
+  pass(milliseconds(100));
+  pass(milliseconds(100));
+  const auto restarted = std::find_if(
+      driver.starts.begin(), driver.starts.end(),
+      [&](const start_order& order) { return order.run.task.job == lasting; });
+  ASSERT_NE(restarted, driver.starts.end());
+  EXPECT_EQ(restarted->target.worker, "w0");
+}
+
 // Room that is kept for one task must not keep others from room that is enough
 // for both: a task waited 30 s beside workers that were almost empty.
 TEST(FleetSchedulerTest, KeepsNoMoreRoomThanATaskNeeds) {
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -98,7 +98,8 @@
 
 std::optional<std::size_t> ChooseWorkerToKeep(
     const step_spec& step,
-    const std::vector<placement_candidate>& candidates) {
+    const std::vector<placement_candidate>& candidates,
+    const std::string& before) {
   std::optional<std::size_t> best;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
     const worker_session& session = *candidates[index].session;
@@ -108,6 +109,9 @@
          candidates[index].siblings >= step.max_per_worker)) {
       continue;
     }
+    if (session.entry.worker == before) {
+      return index;
+    }
     if (!best || candidates[index].Room().millicores >
                      candidates[*best].Room().millicores) {
       best = index;
