--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -143,7 +143,7 @@
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::ForgetHandedIn() {
   std::erase_if(handed_in_, [this](const auto& entry) {
-    return HomeOf(entry.first).Book().Find(entry.first) != nullptr;
+    return this->HomeOf(entry.first).Book().Find(entry.first) != nullptr;
   });
 }
 
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -102,6 +102,7 @@
     return home;
   }
   std::vector<std::int64_t> load;
+  load.reserve(cells_.size());
   for (const auto& part : cells_) {
     load.push_back(part->Book().LongRunningMillicores());
   }
--- a/src/skylarkbridge/jobs/fleet_founding.cpp
+++ b/src/skylarkbridge/jobs/fleet_founding.cpp
@@ -27,6 +27,7 @@
   }
   next_try_ = now + options_.retry;
   std::vector<worker_entry> workers;
+  workers.reserve(workers_.size());
   for (const auto& [id, worker] : workers_) {
     workers.push_back(worker);
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -380,6 +380,7 @@
     const std::vector<placement_candidate>& candidates,
     time_point now) {
   std::vector<const placement_candidate*> by_room;
+  by_room.reserve(candidates.size());
   for (const placement_candidate& candidate : candidates) {
     by_room.push_back(&candidate);
   }
@@ -389,6 +390,7 @@
         return left->Room().millicores > right->Room().millicores;
       });
   std::vector<std::string> workers;
+  workers.reserve(by_room.size());
   for (const placement_candidate* const candidate : by_room) {
     workers.push_back(candidate->session->entry.worker);
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -502,6 +502,22 @@
   EXPECT_EQ(restarted->target.worker, "w0");
 }
 
+// Room must not be kept on a worker whose serving tasks leave too little for
+// good: a restart waited there for 11 s.
+TEST(FleetSchedulerTest, KeepsNoRoomWhereItCannotGather) {
+  const step_spec step{.need = {.millicores = 3000}, .long_running = true};
+  worker_session full{time_point{}};
+  full.entry = {.worker = "full", .capacity = {.millicores = 4000}};
+  full.serving_millicores = 2000;
+  full.used = {.millicores = 2000};
+  worker_session busy{time_point{}};
+  busy.entry = {.worker = "busy", .capacity = {.millicores = 4000}};
+  busy.used = {.millicores = 4000};
+  const std::vector<placement_candidate> candidates{{.session = &full},
+                                                    {.session = &busy}};
+  EXPECT_EQ(ChooseWorkerToKeep(step, candidates, "full"), 1U);
+}
+
 // Room that is kept for one task must not keep others from room that is enough
 // for both: a task waited 30 s beside workers that were almost empty.
 TEST(FleetSchedulerTest, KeepsNoMoreRoomThanATaskNeeds) {
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -103,7 +103,10 @@
   std::optional<std::size_t> best;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
     const worker_session& session = *candidates[index].session;
-    if (!Fits(step.need, session.entry.capacity) ||
+    // Serving tasks stay; the room of all others falls free in time.
+    resources reachable = session.entry.capacity;
+    reachable.millicores -= session.serving_millicores;
+    if (!Fits(step.need, reachable) ||
         !HasLabel(session.entry, step.required_label) ||
         (step.max_per_worker > 0 &&
          candidates[index].siblings >= step.max_per_worker)) {
