--- /dev/null
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -0,0 +1,160 @@
+#ifndef SKYLARKBRIDGE_JOBS_SCHEDULER_DRIVER_FAKE_HPP
+#define SKYLARKBRIDGE_JOBS_SCHEDULER_DRIVER_FAKE_HPP
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "skylarkbridge/jobs/fleet_scheduler.hpp"
+
+namespace skylarkbridge::jobs {
+
+/// @brief Runs a scheduler against simulated workers. Workers other than
+/// silent_worker answer at once.
+class scheduler_driver {
+ public:
+  static constexpr wall_time kWall{std::chrono::seconds(1'700'000'000)};
+
+  scheduler_driver() : scheduler(fleet_scheduler_options{}) {
+    auto configuration = std::make_shared<fleet_configuration>();
+    configuration->version = 1;
+    configuration->queues.push_back(
+        {.name = "batch", .service = "service", .max_attempts = 3});
+    configuration->queues.push_back(
+        {.name = "restricted",
+         .service = "service",
+         .max_attempts = 3,
+         .policy = {.decision_time = std::chrono::milliseconds(10),
+                    .time_per_worker = std::chrono::milliseconds(1),
+                    .permit_validity = std::chrono::milliseconds(1500)}});
+    scheduler.Configure(configuration);
+  }
+
+  /// @param earlier_owner_time how much longer an earlier owner may send
+  /// orders.
+  void Begin(const std::vector<std::string>& leased = {},
+             std::chrono::milliseconds earlier_owner_time = {}) {
+    scheduler.BeginOwnership(2, registry, leased, now + earlier_owner_time, now,
+                             kWall);
+    AllowOrders(now);
+  }
+  void AllowOrders(time_point confirmed) {
+    scheduler.AllowOrders(confirmed, now + std::chrono::seconds(60));
+  }
+  void AddWorker(const std::string& id, std::int64_t millicores) {
+    scheduler.WorkerListed(
+        {.worker = id,
+         .service = "service",
+         .address = id,
+         .capacity = {.millicores = millicores, .memory_mb = 1000}},
+        now);
+  }
+  void Submit(job_id id, step_spec step, const std::string& queue = "batch") {
+    registry.Apply(job_accepted{.job = id,
+                                .queue = queue,
+                                .spec = {.payload = "p", .steps = {step}}},
+                   now);
+    scheduler.JobAccepted(id, *registry.Find(id), false, now, kWall);
+  }
+  /// Runs four rounds in which renewals and start orders are answered: enough
+  /// to register a new worker and to start tasks on it.
+  void RunRounds() {
+    for (int round = 0; round < 4; ++round) {
+      scheduler.Run(now, kWall);
+      if (scheduler.HasRecords()) {
+        scheduler.TakeRecords();
+        scheduler.RecordsStored(scheduler.WriteNumber(), now);
+      }
+      for (const order& sent_order : scheduler.TakeOrders()) {
+        if (const auto* renewal = std::get_if<renew_order>(&sent_order)) {
+          AnswerRenewal(*renewal);
+        } else if (const auto* start = std::get_if<start_order>(&sent_order)) {
+          starts.push_back(*start);
+          scheduler.Handle(start_reply{start->target.worker, start->run,
+                                       order_result::kDone},
+                           now);
+        } else if (const auto* stop = std::get_if<stop_order>(&sent_order)) {
+          stops.push_back(*stop);
+        } else if (const auto* pace = std::get_if<pace_order>(&sent_order)) {
+          paces.push_back(*pace);
+        } else if (const auto* permit_call =
+                       std::get_if<permit_request>(&sent_order)) {
+          permit_requests.push_back(*permit_call);
+        }
+      }
+    }
+  }
+  /// Advances the time and runs the rounds, with the ownership confirmed.
+  void Pass(std::chrono::milliseconds time) {
+    now += time;
+    AllowOrders(now);
+    RunRounds();
+  }
+  /// Lets the worker of a started run report that it has ended.
+  void EndRun(const run_ref& run, run_end outcome) {
+    const auto start = std::find_if(
+        starts.begin(), starts.end(),
+        [&run](const start_order& order) { return order.run == run; });
+    std::vector<ended_task>& ends = reported_ends[start->target.worker];
+    ends.push_back({.number = ends.size() + 1, .run = run, .outcome = outcome});
+    start->target.worker = "over";
+  }
+  /// The last run of the task that was started; zero without one.
+  run_ref LastRun(const task_ref& task) const {
+    run_ref last;
+    for (const start_order& start : starts) {
+      if (start.run.task == task) {
+        last = start.run;
+      }
+    }
+    return last;
+  }
+  void AnswerRenewal(const renew_order& renewal) {
+    const std::string& id = renewal.target.worker;
+    if (silent_worker == id) {
+      scheduler.Handle(
+          renew_reply{.worker = id, .renewal_number = renewal.renewal_number},
+          now);
+      return;
+    }
+    worker_report report{.clock = worker_time(std::chrono::milliseconds(1000))};
+    for (const start_order& start : starts) {
+      if (start.target.worker == id) {
+        report.running.push_back({.run = start.run, .progress_percent = 50});
+      }
+    }
+    for (const running_task& task : reported_runs[id]) {
+      report.running.push_back(task);
+    }
+    report.ended = reported_ends[id];
+    scheduler.Handle(renew_reply{.worker = id,
+                                 .renewal_number = renewal.renewal_number,
+                                 .result = order_result::kDone,
+                                 .report = report},
+                     now);
+  }
+
+  time_point now{std::chrono::seconds(1000)};
+  job_registry registry;
+  fleet_scheduler scheduler;
+  /// Start orders so far. Each worker reports the runs that target it as
+  /// running. To end a run, a test sets its target to a name that no worker
+  /// has.
+  std::vector<start_order> starts;
+  std::vector<stop_order> stops;
+  std::vector<pace_order> paces;
+  std::vector<permit_request> permit_requests;
+  /// Worker whose renewals get no answer.
+  std::string silent_worker;
+  /// Further runs that a worker reports.
+  std::map<std::string, std::vector<running_task>> reported_runs;
+  std::map<std::string, std::vector<ended_task>> reported_ends;
+};
+
+}  // namespace skylarkbridge::jobs
+
+#endif  // SKYLARKBRIDGE_JOBS_SCHEDULER_DRIVER_FAKE_HPP
