Reproduce the incident: restarts that lose their room

Its run ended failed; within 20 ms, in the retry delay of 50 ms, the first start of another long-running task took the room on the same worker; the cell was full of long-running work, so the restart waited until other such work ended.

--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -192,6 +192,84 @@
   EXPECT_EQ(driver.starts[1].run.task.job, kJob);
 }
 
+// Guards against a restart that waits for another long-running task to end: a
+// task that had never run took the room of a failed one within its retry delay.
+TEST(FleetSchedulerTest, AFailedTaskKeepsItsRoomFromTasksThatHaveNeverRun) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 2, .need = {.millicores = 3000}, .long_running = true});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  const run_ref failed = driver.starts[0].run;
+  driver.EndRun(failed, run_end::kFailed);
+  for (int pass = 0; pass < 10; ++pass) {
+    driver.Pass(milliseconds(10));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.task, failed.task);
+}
+
+// Guards against the same across jobs, when room comes free long after the
+// retry delay: the jobs were served in the order of their ids.
+TEST(FleetSchedulerTest, RestartsComeBeforeTasksThatHaveNeverRun) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  const step_spec step{
+      .count = 2, .need = {.millicores = 3000}, .long_running = true};
+  const job_id later_job{7};
+  driver.Submit(
+      later_job,
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.RunRounds();
+  driver.AddWorker("w1", 3000);
+  driver.RunRounds();
+  driver.Submit(kJob, step);
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  driver.EndRun(driver.LastRun({later_job, 0, 0, 0}), run_end::kFailed);
+  driver.DrainWorker("w0", 3000);
+  for (int pass = 0; pass < 20; ++pass) {
+    driver.Pass(milliseconds(20));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  driver.AddWorker("w2", 3000);
+  for (int pass = 0; pass < 10; ++pass) {
+    driver.Pass(milliseconds(20));
+  }
+  ASSERT_EQ(driver.starts.size(), 3U);
+  EXPECT_EQ(driver.starts[2].run.task.job, later_job);
+}
+
+// Guards against a restart that is overtaken by later ones until its wait has
+// no bound: restarts were served in the order of their ids.
+TEST(FleetSchedulerTest, TheRestartThatHasWaitedLongestComesFirst) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.AddWorker("w1", 3000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 2, .need = {.millicores = 3000}, .long_running = true});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  const run_ref first_to_end = driver.starts[1].run;
+  for (const start_order& start : {driver.starts[1], driver.starts[0]}) {
+    driver.EndRun(start.run, run_end::kFailed);
+    driver.DrainWorker(start.target.worker, 3000);
+    driver.Pass(milliseconds(200));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  driver.AddWorker("w2", 3000);
+  driver.Pass(milliseconds(100));
+  ASSERT_EQ(driver.starts.size(), 3U);
+  EXPECT_EQ(driver.starts[2].run.task, first_to_end.task);
+}
+
 // Guards against a wait that no log line explains: the record of an incident
 // named none of the tasks that waited 22 s and longer.
 TEST(FleetSchedulerTest, ReportsALongRunningTaskThatWaitsForItsRestart) {
@@ -206,12 +284,7 @@
   const run_ref run = driver.starts[0].run;
   driver.EndRun(run, run_end::kFailed);
   driver.RunRounds();
-  driver.scheduler.WorkerListed({.worker = "w0",
-                                 .service = "service",
-                                 .address = "w0",
-                                 .draining = true,
-                                 .capacity = {.millicores = 4000}},
-                                driver.now);
+  driver.DrainWorker("w0", 4000);
   driver.scheduler.TakeNotes();
   std::vector<scheduling_note> reports;
   for (int pass = 0; pass < 40; ++pass) {
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -53,6 +53,15 @@
          .capacity = {.millicores = millicores, .memory_mb = 1000}},
         now);
   }
+  void DrainWorker(const std::string& id, std::int64_t millicores) {
+    scheduler.WorkerListed(
+        {.worker = id,
+         .service = "service",
+         .address = id,
+         .draining = true,
+         .capacity = {.millicores = millicores, .memory_mb = 1000}},
+        now);
+  }
   void Submit(job_id id, step_spec step, const std::string& queue = "batch") {
     registry.Apply(job_accepted{.job = id,
                                 .queue = queue,
