Place restarts before tasks that have never run

Cause: the scheduler ranked steps and not tasks. All ready tasks of a long-running step that had begun ranked alike, whether they had run or not, in the order of their ids; and a failed task held no room in its retry delay of 50 ms. In a cell full of long-running work the first start of another task took the room of the failed one within 20 ms, and no other room came free. Change: each pass first serves the long-running tasks that have run before, the longest wait first, and reserves room for those that stay, also in their retry delay. First starts come afterwards. Why it works: what a failed run frees is reserved for a restart in the pass that learns of the end, before any other task is placed, so a full cell always has as much room as its runs have given back.

--- a/include/skylarkbridge/jobs/fleet_configuration.hpp
+++ b/include/skylarkbridge/jobs/fleet_configuration.hpp
@@ -39,6 +39,9 @@
   /// Time limit for answering a caller.
   std::chrono::milliseconds timeout{};
   placement_policy_timing policy;
+
+  /// @brief Whether a placement policy decides which workers a step may use.
+  bool HasPlacementPolicy() const { return policy.permit_validity.count() > 0; }
 };
 
 /// @brief A complete version of the configuration that operators publish.
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -252,7 +252,7 @@
     double cost = 0;
     /// The step is long-running and its job has begun: its tasks are placed
     /// before others of their priority, and room is reserved for them.
-    bool restarts_long_running = false;
+    bool begun_long_running = false;
     /// No task of the job runs although the fleet is underused: one of its
     /// tasks is placed first, regardless of best_effort_share.
     bool starving = false;
@@ -299,12 +299,32 @@
   bool PlaceStep(const ready_step& ranked,
                  placement_pass& pass,
                  time_point now);
-  /// Reserves room for each task of the step that is not placed; otherwise
-  /// smaller tasks would use up all room that becomes free.
-  void ReserveRoom(const step_ref& ref,
+  /// The ready tasks of the step that PlaceRestarts does not handle.
+  std::vector<std::uint32_t> TasksToPlace(const step_ref& ref,
+                                          const step_spec& step,
+                                          time_point now) const;
+  /// Candidates for the step, with the room that is reserved on them so far.
+  std::vector<placement_candidate>& CandidatesForStep(
+      const step_ref& ref,
+      const step_spec& step,
+      const queue_configuration& queue,
+      placement_pass& pass,
+      time_point now) const;
+  /// Reserves room for a task that is not placed; otherwise other tasks would
+  /// use up all room that becomes free. Returns false when no worker can have
+  /// enough room.
+  bool ReserveRoom(const task_ref& task,
                    const step_spec& step,
                    std::vector<placement_candidate>& candidates,
                    placement_pass& pass) const;
+  /// Places the tasks, with the permits that the queue requires. Returns false
+  /// when some found no room.
+  bool PlaceOnCandidates(const ready_step& ranked,
+                         const step_spec& step,
+                         const queue_configuration& queue,
+                         const std::vector<std::uint32_t>& ready,
+                         std::vector<placement_candidate>& candidates,
+                         time_point now);
   /// Starts all tasks of the gang or none; returns false for none.
   bool PlaceGang(const step_ref& ref,
                  const step_spec& step,
@@ -351,6 +371,13 @@
   const queue_configuration* Queue(job_id job) const;
 
   // Restarts of long-running tasks.
+  /// Places the long-running tasks that have run before, ahead of all other
+  /// tasks: those that have waited longest come first. Reserves room for the
+  /// rest, also during their retry delay.
+  void PlaceRestarts(placement_pass& pass, time_point now);
+  void PlaceRestart(const waiting_restart& restart,
+                    placement_pass& pass,
+                    time_point now);
   /// Adds notes on the tasks that have waited long for their restart.
   void ReportDelayedRestarts(time_point now);
   void ReportDelayedRestart(const waiting_restart& restart, time_point now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -15,7 +15,7 @@
 constexpr double kFixedValueShare = 0.43;
 constexpr double kTypicalWorkCoreSeconds = 100;
 /// Cost of a long-running step that has begun; below that of any other step.
-constexpr double kRestartCost = -1;
+constexpr double kBegunLongRunningCost = -1;
 /// A job starves when none of its tasks has run for this long while the fleet
 /// was underused.
 constexpr std::chrono::milliseconds kStarvationTime{1200};
@@ -90,9 +90,9 @@
   const time_point earliest_end = now + CriticalPath(job.spec, &steps);
   ready_step ranked{.priority = queue.priority, .ref = ref};
   if (job.spec.steps[ref.step].long_running && job.progress.started) {
-    // Clients of a long-running task are without service until it runs again.
-    ranked.cost = kRestartCost;
-    ranked.restarts_long_running = true;
+    // Clients of a long-running task are without service until it runs.
+    ranked.cost = kBegunLongRunningCost;
+    ranked.begun_long_running = true;
     return ranked;
   }
   if (earliest_end >
@@ -177,6 +177,7 @@
   UpdateWaitingJobs(now);
   permits_.DropClosedSteps(jobs_);
   placement_pass pass;
+  PlaceRestarts(pass, now);
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
@@ -306,43 +307,47 @@
   }
 }
 
-void fleet_scheduler::ReserveRoom(const step_ref& ref,
+bool fleet_scheduler::ReserveRoom(const task_ref& task,
                                   const step_spec& step,
                                   std::vector<placement_candidate>& candidates,
                                   placement_pass& pass) const {
-  const std::vector<std::uint32_t> waiting =
-      jobs_.ReadyTasks(ref, time_point::max());
-  for (const std::uint32_t index : waiting) {
-    const task_ref task = TaskOf(ref, index);
-    const auto previous_worker = reserved_workers_.find(task);
-    const auto chosen = ChooseWorkerToReserve(
-        step, candidates,
-        previous_worker == reserved_workers_.end() ? ""
-                                                   : previous_worker->second);
-    if (!chosen) {
-      return;
-    }
-    placement_candidate& candidate = candidates[*chosen];
-    candidate.reserved += step.need;
-    pass.reserved_room[candidate.session->entry.worker] += step.need;
-    pass.reserved_workers[task] = candidate.session->entry.worker;
-    ++candidate.siblings;
+  const auto previous_worker = reserved_workers_.find(task);
+  const auto chosen = ChooseWorkerToReserve(
+      step, candidates,
+      previous_worker == reserved_workers_.end() ? ""
+                                                 : previous_worker->second);
+  if (!chosen) {
+    return false;
   }
+  placement_candidate& candidate = candidates[*chosen];
+  candidate.reserved += step.need;
+  pass.reserved_room[candidate.session->entry.worker] += step.need;
+  pass.reserved_workers[task] = candidate.session->entry.worker;
+  ++candidate.siblings;
+  return true;
 }
 
-bool fleet_scheduler::PlaceStep(const ready_step& ranked,
-                                placement_pass& pass,
-                                time_point now) {
-  const step_ref& ref = ranked.ref;
-  const step_spec* step = jobs_.Spec(ref);
-  const queue_configuration* queue = Queue(ref.job);
-  const std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
-  if (step == nullptr || queue == nullptr ||
-      (ready.empty() && !ranked.restarts_long_running)) {
-    return true;
-  }
+std::vector<std::uint32_t> fleet_scheduler::TasksToPlace(const step_ref& ref,
+                                                         const step_spec& step,
+                                                         time_point now) const {
+  std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
+  if (step.long_running && !step.gang) {
+    const std::vector<task_state>& tasks = jobs_.Find(ref)->tasks;
+    std::erase_if(ready, [&tasks](std::uint32_t index) {
+      return tasks[index].last_run_ended_at.has_value();
+    });
+  }
+  return ready;
+}
+
+std::vector<placement_candidate>& fleet_scheduler::CandidatesForStep(
+    const step_ref& ref,
+    const step_spec& step,
+    const queue_configuration& queue,
+    placement_pass& pass,
+    time_point now) const {
   std::vector<placement_candidate>& candidates =
-      Candidates(*step, *queue, pass, now);
+      Candidates(step, queue, pass, now);
   if (!pass.reserved_room.empty()) {
     for (placement_candidate& candidate : candidates) {
       if (const auto reserved =
@@ -352,26 +357,58 @@
       }
     }
   }
-  if (step->max_per_worker > 0) {
+  if (step.max_per_worker > 0) {
     CountSiblings(ref, candidates);
   }
-  if (queue->policy.permit_validity.count() > 0) {
-    std::vector<placement_candidate> permitted =
-        Permitted(ref, candidates, now);
-    const bool placed = step->gang
-                            ? PlaceGang(ref, *step, ready, permitted, now)
-                            : PlaceTasks(ranked, *step, ready, permitted, now);
-    if (!placed) {
-      RequestPermits(ref, queue->policy, candidates, now);
-    }
-    return placed;
+  return candidates;
+}
+
+bool fleet_scheduler::PlaceStep(const ready_step& ranked,
+                                placement_pass& pass,
+                                time_point now) {
+  const step_ref& ref = ranked.ref;
+  const step_spec* step = jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  if (step == nullptr || queue == nullptr) {
+    return true;
   }
-  if (step->gang) {
-    return PlaceGang(ref, *step, ready, candidates, now);
+  const std::vector<std::uint32_t> ready = TasksToPlace(ref, *step, now);
+  if (ready.empty()) {
+    return true;
+  }
+  std::vector<placement_candidate>& candidates =
+      CandidatesForStep(ref, *step, *queue, pass, now);
+  const bool placed =
+      PlaceOnCandidates(ranked, *step, *queue, ready, candidates, now);
+  if (ranked.begun_long_running && !step->gang &&
+      !queue->HasPlacementPolicy()) {
+    for (const std::uint32_t index : TasksToPlace(ref, *step, now)) {
+      if (!ReserveRoom(TaskOf(ref, index), *step, candidates, pass)) {
+        break;
+      }
+    }
   }
-  const bool placed = PlaceTasks(ranked, *step, ready, candidates, now);
-  if (ranked.restarts_long_running) {
-    ReserveRoom(ref, *step, candidates, pass);
+  return placed;
+}
+
+bool fleet_scheduler::PlaceOnCandidates(
+    const ready_step& ranked,
+    const step_spec& step,
+    const queue_configuration& queue,
+    const std::vector<std::uint32_t>& ready,
+    std::vector<placement_candidate>& candidates,
+    time_point now) {
+  if (!queue.HasPlacementPolicy()) {
+    return step.gang ? PlaceGang(ranked.ref, step, ready, candidates, now)
+                     : PlaceTasks(ranked, step, ready, candidates, now);
+  }
+  std::vector<placement_candidate> permitted =
+      Permitted(ranked.ref, candidates, now);
+  const bool placed = step.gang
+                          ? PlaceGang(ranked.ref, step, ready, permitted, now)
+                          : PlaceTasks(ranked, step, ready, permitted, now);
+  if (!placed) {
+    RequestPermits(ranked.ref, queue.policy, candidates, now);
   }
   return placed;
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -5,6 +5,32 @@
 
 namespace skylarkbridge::jobs {
 
+void fleet_scheduler::PlaceRestarts(placement_pass& pass, time_point now) {
+  for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
+    PlaceRestart(restart, pass, now);
+  }
+}
+
+void fleet_scheduler::PlaceRestart(const waiting_restart& restart,
+                                   placement_pass& pass,
+                                   time_point now) {
+  const step_ref ref = StepOf(restart.task);
+  const step_spec* step = jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  // The tasks of a gang start together.
+  if (step == nullptr || queue == nullptr || step->gang) {
+    return;
+  }
+  std::vector<placement_candidate>& candidates =
+      CandidatesForStep(ref, *step, *queue, pass, now);
+  const bool placed = now >= restart.not_before &&
+                      PlaceOnCandidates({.ref = ref}, *step, *queue,
+                                        {restart.task.index}, candidates, now);
+  if (!placed && !queue->HasPlacementPolicy()) {
+    ReserveRoom(restart.task, *step, candidates, pass);
+  }
+}
+
 std::size_t fleet_scheduler::WaitingRestarts() const {
   return jobs_.WaitingRestarts().size();
 }
