Check in the fakes that ended long-running tasks run again

The checker now has the invariant RESTART: the task of an accepted, uncancelled job runs again within 6 s, counted only while the fleet has been calm for 4 s and has room for it twice over. Work that isn't long-running counts as room, on all workers of the fleet that are up and not draining. The fakes learn what the tests of it need: a run that fails on request, a draining worker, a store that is slow or refuses calls, and max_per_worker, image, latency target and queue of a job.

--- a/src/skylarkbridge/control/job_invariant_checker_fake.hpp
+++ b/src/skylarkbridge/control/job_invariant_checker_fake.hpp
@@ -8,6 +8,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/control/restart_invariant_fake.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
 
@@ -27,6 +29,11 @@
   }
   void JobRefused(jobs::job_id job) { refused_.insert(job); }
   void JobAccepted(jobs::job_id job) { accepted_.insert(job); }
+  /// @brief The caller sent a cancel, which may not have reached the owner.
+  void JobCancelled(jobs::job_id job) {
+    cancelled_.insert(job);
+    restarts_.JobCancelled(job);
+  }
 
   void RunStarted(const std::string& worker,
                   const jobs::run_ref& run,
@@ -68,20 +75,42 @@
       AddViolation("REFUSED", run, "every submission attempt was refused");
     }
     running_[task].insert(worker);
+    restarts_.RunStarted(task);
   }
 
   void RunEnded(const std::string& worker,
                 const jobs::run_ref& run,
-                bool done,
-                bool failed) {
+                end_cause cause,
+                time_point now) {
     running_[run.task].erase(worker);
-    if (done) {
+    if (cause == end_cause::kDone) {
       done_.insert(run.task);
       ever_done_.insert(run.task);
     }
-    if (failed) {
+    if (cause == end_cause::kFailed) {
       failed_[run.task].insert(run.run);
     }
+    const auto spec = specs_.find(run.task.job);
+    if (spec != specs_.end() &&
+        spec->second.steps[run.task.step].long_running &&
+        running_[run.task].empty() && !cancelled_.contains(run.task.job)) {
+      restarts_.RunEnded(run, cause, now);
+    }
+  }
+
+  /// @brief Checks what depends on the state of the whole fleet.
+  void Observe(const fleet_view& fleet, time_point now) {
+    const auto is_owed = [this](jobs::job_id job) {
+      return accepted_.contains(job) && !cancelled_.contains(job);
+    };
+    const auto step_of =
+        [this](const jobs::task_ref& task) -> const jobs::step_spec& {
+      return specs_.at(task.job).steps[task.step];
+    };
+    for (const restart_violation& violation :
+         restarts_.Observe(fleet, is_owed, step_of, now)) {
+      violations_.push_back(Format(violation));
+    }
   }
 
   /// @brief Removes the outcome that RunEnded recorded: the worker crashed, or
@@ -109,6 +138,17 @@
     }
     return true;
   }
+  /// @brief Whether a run of the task is on some worker.
+  bool Running(const jobs::task_ref& task) const {
+    return !WorkerOf(task).empty();
+  }
+  /// @brief A worker that runs the task; empty when none does.
+  std::string WorkerOf(const jobs::task_ref& task) const {
+    const auto workers = running_.find(task);
+    return workers == running_.end() || workers->second.empty()
+               ? ""
+               : *workers->second.begin();
+  }
   const std::set<jobs::job_id>& Accepted() const { return accepted_; }
   const std::vector<std::string>& Violations() const { return violations_; }
 
@@ -125,12 +165,14 @@
   std::set<jobs::job_id> refused_;
   std::set<jobs::job_id> accepted_;
   std::set<jobs::job_id> uncertain_;
+  std::set<jobs::job_id> cancelled_;
   std::map<jobs::task_ref, std::set<std::string>> running_;
   std::map<jobs::task_ref, std::set<jobs::run_number>> failed_;
   std::set<jobs::task_ref> done_;
   /// Also holds tasks whose end was discarded later, as dependent steps may
   /// have started before that.
   std::set<jobs::task_ref> ever_done_;
+  restart_invariant restarts_;
   std::vector<std::string> violations_;
 };
 
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_CONTROL_VIRTUAL_FLEET_FAKE_HPP
 #define SKYLARKBRIDGE_CONTROL_VIRTUAL_FLEET_FAKE_HPP
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -34,7 +35,8 @@
             time_point deadline);
   void SendOrder(const jobs::order& order, time_point deadline);
 
-  /// @brief Decodes "VERSION MAX_ATTEMPTS" into a configuration with one queue.
+  /// @brief Decodes "VERSION MAX_ATTEMPTS" into a configuration with the queue
+  /// "batch" and the more urgent queue "serving".
   static boost::leaf::result<jobs::fleet_configuration> DecodeConfiguration(
       std::string_view bytes) {
     std::istringstream text{std::string(bytes)};
@@ -42,12 +44,18 @@
     jobs::queue_configuration queue{.name = "batch",
                                     .host = "host",
                                     .path_prefix = "/batch/",
-                                    .service = "service"};
+                                    .service = "service",
+                                    .priority = 1};
     text >> configuration.version >> queue.max_attempts;
     configuration.queues.push_back(queue);
+    queue.name = "serving";
+    queue.path_prefix = "/serving/";
+    queue.priority = 0;
+    configuration.queues.push_back(queue);
     return configuration;
   }
-  /// @brief Decodes "MILLICORES". Each worker has a rack of its own.
+  /// @brief Decodes "MILLICORES", or "MILLICORES MILLISECONDS" of a worker that
+  /// drains and leaves after that time. Each worker has a rack of its own.
   static boost::leaf::result<jobs::worker_entry> DecodeWorker(
       const std::string& worker,
       std::string_view bytes) {
@@ -56,15 +64,23 @@
     entry.rack = worker;
     std::istringstream text{std::string(bytes)};
     text >> entry.capacity.millicores;
+    if (std::int64_t time_left = 0; text >> time_left) {
+      entry.draining = true;
+      entry.minimum_time_left = std::chrono::milliseconds(time_left);
+    }
     return entry;
   }
-  /// @brief Decodes "MILLICORES MILLISECONDS FAILURES COUNT COUNT ...".
+  /// @brief Decodes "MILLICORES MILLISECONDS FAILURES COUNT COUNT ...
+  /// NAME=VALUE NAME=VALUE ...".
   ///
   /// Each COUNT is a step with that many tasks, which depends on the step
   /// before it. Negative MILLICORES stand for a long-running job, which should
-  /// have one step. FAILURES: see worker_fake::ParseRunState.
+  /// have one step. FAILURES: see worker_fake::ParseRunState. The settings
+  /// after the counts apply to all steps: max_per_worker, image, and target,
+  /// the latency target in milliseconds. For queue see QueueOf.
   static boost::leaf::result<jobs::job_spec> DecodeJob(std::string_view body) {
     jobs::job_spec spec{.payload = std::string(body)};
+    const std::map<std::string, std::string> settings = Settings(body);
     std::istringstream text{spec.payload};
     std::int64_t millicores = 0;
     std::int64_t duration = 0;
@@ -75,6 +91,7 @@
                            .need = {.millicores = std::abs(millicores)},
                            .estimate = std::chrono::milliseconds(duration),
                            .long_running = millicores < 0};
+      ApplySettings(settings, step);
       if (!spec.steps.empty()) {
         step.depends_on = {static_cast<std::uint32_t>(spec.steps.size() - 1)};
       }
@@ -82,11 +99,43 @@
     }
     return spec;
   }
+  /// @brief Returns the value of "queue" in the body of a job; "batch" without
+  /// it.
+  static std::string QueueOf(std::string_view body) {
+    const std::map<std::string, std::string> settings = Settings(body);
+    const auto queue = settings.find("queue");
+    return queue == settings.end() ? "batch" : queue->second;
+  }
   static bool IsConfiguration(const std::string& key) {
     return key == "config";
   }
 
  private:
+  /// The words of the form NAME=VALUE.
+  static std::map<std::string, std::string> Settings(std::string_view body) {
+    std::map<std::string, std::string> settings;
+    std::istringstream text{std::string(body)};
+    for (std::string word; text >> word;) {
+      if (const std::size_t separator = word.find('=');
+          separator != std::string::npos) {
+        settings[word.substr(0, separator)] = word.substr(separator + 1);
+      }
+    }
+    return settings;
+  }
+  static void ApplySettings(const std::map<std::string, std::string>& settings,
+                            jobs::step_spec& step) {
+    for (const auto& [name, value] : settings) {
+      if (name == "max_per_worker") {
+        step.max_per_worker = static_cast<std::uint32_t>(std::stoul(value));
+      } else if (name == "image") {
+        step.image = value;
+      } else if (name == "target") {
+        step.latency_target = std::chrono::milliseconds(std::stoll(value));
+      }
+    }
+  }
+
   /// Delay of an order whose answer is lost. Longer than the timeouts of the
   /// orders to a worker, so that the order is executed after the VM has been
   /// told that there is no answer.
@@ -168,12 +217,21 @@
           vm.next_run_at = vm.control->NextDeadline(now_);
         }
       }
+      if (now_ >= next_observation_) {
+        next_observation_ = now_ + kObservationInterval;
+        checker_.Observe(View(), now_);
+        fault_occurred_ = false;
+      }
     }
   }
 
   // Faults and restarts.
-  void KillVm(std::size_t vm) { vms_[vm].control.reset(); }
+  void KillVm(std::size_t vm) {
+    fault_occurred_ = true;
+    vms_[vm].control.reset();
+  }
   void StartVm(std::size_t vm) {
+    fault_occurred_ = true;
     vm_state& state = vms_[vm];
     ++state.incarnation;
     state.platform =
@@ -193,7 +251,10 @@
             options, *state.platform, *state.callers, metrics_);
     state.next_run_at = now_;
   }
-  void StopVm(std::size_t vm) { vms_[vm].control->BeginStop(now_, Wall()); }
+  void StopVm(std::size_t vm) {
+    fault_occurred_ = true;
+    vms_[vm].control->BeginStop(now_, Wall());
+  }
   bool Running(std::size_t vm) const { return vms_[vm].control != nullptr; }
   /// @param cut whether to cut the connection or to restore it.
   void CutFromStore(std::size_t vm, bool cut) { vms_[vm].store_cut = cut; }
@@ -205,12 +266,19 @@
       vms_[vm].cut_workers.erase(worker);
     }
   }
+  /// @brief Sets whether calls to the store get no answer.
   void SetStoreDown(bool down) { store_down_ = down; }
+  /// @brief Sets whether the store refuses all calls at once.
+  void SetStoreRefusing(bool refusing) { store_refusing_ = refusing; }
+  /// @brief Sets the additional delay of calls to the store, in each direction.
+  void SetStoreDelay(std::chrono::milliseconds delay) { store_delay_ = delay; }
   /// @brief Sets how many answers to appends and orders are lost. The calls are
   /// still executed.
   /// @param share fraction of the calls whose answer is lost, from 0 to 1.
   void SetLostAnswerShare(double share) { lost_answer_share_ = share; }
   void StartWorker(const std::string& id) {
+    fault_occurred_ = true;
+    draining_workers_.erase(id);
     workers_.at(id).Start(now_);
     store_.Put({topic_kind::kWorkers}, id,
                absl::StrCat(workers_.at(id).Capacity().millicores));
@@ -218,19 +286,43 @@
   /// @brief Crashes a worker. After 3 s it disappears from the store's list of
   /// workers, unless it has been started again.
   void CrashWorker(const std::string& id) {
-    workers_.at(id).Crash();
+    fault_occurred_ = true;
+    workers_.at(id).Crash(now_);
     ScheduleAfter(std::chrono::seconds(3), [this, id] {
       if (!workers_.at(id).Up()) {
         store_.Put({topic_kind::kWorkers}, id, std::nullopt);
       }
     });
   }
+  /// @brief Announces that a worker leaves after @p time_left, which it then
+  /// does unless it has been started again. This is planned and not a fault.
+  void DrainWorker(const std::string& id, std::chrono::milliseconds time_left) {
+    const int incarnation = workers_.at(id).Incarnation();
+    draining_workers_.insert(id);
+    store_.Put({topic_kind::kWorkers}, id,
+               absl::StrCat(workers_.at(id).Capacity().millicores, " ",
+                            time_left.count()));
+    ScheduleAfter(time_left, [this, id, incarnation] {
+      worker_fake& worker = workers_.at(id);
+      if (worker.Up() && worker.Incarnation() == incarnation) {
+        worker.Crash(now_);
+        store_.Put({topic_kind::kWorkers}, id, std::nullopt);
+      }
+    });
+  }
+  /// @brief Ends the run of a task as failed, wherever it runs.
+  void FailRun(const jobs::task_ref& task) {
+    for (auto& [id, worker] : workers_) {
+      worker.FailRun(task, now_);
+    }
+  }
   void TrimStore() { store_.Trim(); }
   worker_fake& Worker(const std::string& id) { return workers_.at(id); }
 
   // Callers.
   std::uint64_t Submit(std::size_t vm, jobs::job_id job, std::string body) {
     checker_.JobSubmitted(job, platform_fake::DecodeJob(body).value());
+    queues_[job] = platform_fake::QueueOf(body);
     return Send(vm, caller_method::kSubmit, job, std::move(body));
   }
   std::uint64_t Send(std::size_t vm,
@@ -239,12 +331,15 @@
                      std::string body = {}) {
     const std::uint64_t token = ++last_token_;
     requests_[token] = {job, method};
+    if (method == caller_method::kCancel) {
+      checker_.JobCancelled(job);
+    }
     if (vms_[vm].control) {
       vms_[vm].control->Handle(
           caller_request{.token = token,
                          .method = method,
                          .host = "host",
-                         .path = absl::StrCat("/batch/", jobs::Format(job)),
+                         .path = PathOf(job),
                          .body = std::move(body),
                          .deadline = now_ + std::chrono::seconds(3)},
           now_, Wall());
@@ -328,6 +423,15 @@
   }
   /// @brief Draws whether the answer to the next call is lost.
   bool DrawAnswerLost() { return Draw() < lost_answer_share_; }
+  bool StoreRefusing() const { return store_refusing_; }
+  /// @brief Whether an answer of the store to a call that is sent now may
+  /// arrive after @p deadline.
+  bool StoreTooSlow(time_point deadline) const {
+    return store_delay_.count() > 0 &&
+           now_ + 2 * (store_delay_ + kMaxDelay) >= deadline;
+  }
+  /// @brief Draws the delay of a call to the store in one direction.
+  std::chrono::milliseconds StoreDelay() { return store_delay_ + Delay(); }
   store_fake& Store() { return store_; }
   /// @brief Draws the delay of a call in one direction.
   std::chrono::milliseconds Delay() {
@@ -345,7 +449,8 @@
                 std::uint64_t incarnation,
                 topic source,
                 const jobs::read_request& call,
-                time_point until);
+                time_point until,
+                time_point deadline);
   /// @brief Executes an order on its worker. A renewal is repeated until the
   /// worker has unacknowledged run ends, or until @p until.
   /// @param deliver_reply whether the reply is delivered to the VM.
@@ -379,6 +484,10 @@
   static constexpr std::chrono::milliseconds kTick{2};
   /// Interval at which a waiting call checks for new data.
   static constexpr std::chrono::milliseconds kPollInterval{4};
+  /// Upper bound of Delay.
+  static constexpr std::chrono::milliseconds kMaxDelay{4};
+  /// Interval at which the checker sees the state of the fleet.
+  static constexpr std::chrono::milliseconds kObservationInterval{20};
 
   struct vm_state {
     std::unique_ptr<platform_fake> platform;
@@ -394,6 +503,31 @@
     std::set<std::string> cut_workers;
   };
 
+  /// Whether a fault is present that has not ended.
+  bool FaultPresent() const {
+    const auto unavailable = [](const vm_state& vm) { return !vm.control; };
+    const auto cut = [](const vm_state& vm) {
+      return vm.store_cut || vm.workers_cut || !vm.cut_workers.empty();
+    };
+    return store_down_ || store_refusing_ || store_delay_.count() > 0 ||
+           lost_answer_share_ > 0 ||
+           std::all_of(vms_.begin(), vms_.end(), unavailable) ||
+           std::any_of(vms_.begin(), vms_.end(), cut);
+  }
+  fleet_view View() const {
+    fleet_view view{.disrupted = fault_occurred_ || FaultPresent()};
+    for (const auto& [id, worker] : workers_) {
+      if (worker.Up() && !draining_workers_.contains(id)) {
+        view.workers.push_back(worker.View());
+      }
+    }
+    return view;
+  }
+  std::string PathOf(jobs::job_id job) const {
+    const auto queue = queues_.find(job);
+    return absl::StrCat("/", queue == queues_.end() ? "batch" : queue->second,
+                        "/", jobs::Format(job));
+  }
   double Draw() { return std::uniform_real_distribution<double>()(random_); }
   wall_time Wall() const {
     return wall_time(std::chrono::seconds(1'700'000'000) +
@@ -410,6 +544,13 @@
   std::vector<vm_state> vms_;
   std::multimap<time_point, std::function<void()>> pending_events_;
   bool store_down_ = false;
+  bool store_refusing_ = false;
+  std::chrono::milliseconds store_delay_{};
+  /// A fault occurred since the last observation of the checker.
+  bool fault_occurred_ = false;
+  time_point next_observation_;
+  std::set<std::string> draining_workers_;
+  std::map<jobs::job_id, std::string> queues_;
   double lost_answer_share_ = 0;
   std::uint64_t last_token_ = 0;
   std::map<std::uint64_t, std::pair<jobs::job_id, caller_method>> requests_;
@@ -434,20 +575,33 @@
     no_answer();
     return;
   }
-  const bool answer_lost = fleet_.DrawAnswerLost();
+  if (fleet_.StoreRefusing()) {
+    fleet_.ScheduleAfter(
+        fleet_.Delay(), [&fleet = fleet_, vm = vm_, incarnation = incarnation_,
+                         target = call.target, number = call.number] {
+          fleet.Deliver(vm, incarnation,
+                        append_reply{.target = target,
+                                     .number = number,
+                                     .result = store_result::kRefused});
+        });
+    return;
+  }
+  const bool answer_lost =
+      fleet_.DrawAnswerLost() || fleet_.StoreTooSlow(deadline);
   if (answer_lost) {
     no_answer();
   }
-  fleet_.ScheduleAfter(
-      fleet_.Delay(), [&fleet = fleet_, vm = vm_, incarnation = incarnation_,
-                       answer_lost, call = std::move(call)] {
-        const append_reply reply = fleet.Store().Append(call);
-        if (!answer_lost) {
-          fleet.ScheduleAfter(fleet.Delay(), [&fleet, vm, incarnation, reply] {
-            fleet.Deliver(vm, incarnation, reply);
-          });
-        }
+  fleet_.ScheduleAfter(fleet_.StoreDelay(), [&fleet = fleet_, vm = vm_,
+                                             incarnation = incarnation_,
+                                             answer_lost,
+                                             call = std::move(call)] {
+    const append_reply reply = fleet.Store().Append(call);
+    if (!answer_lost) {
+      fleet.ScheduleAfter(fleet.StoreDelay(), [&fleet, vm, incarnation, reply] {
+        fleet.Deliver(vm, incarnation, reply);
       });
+    }
+  });
 }
 
 inline void platform_fake::Read(const topic& source,
@@ -456,39 +610,49 @@
   if (call.snapshot && source.kind == topic_kind::kJobs) {
     fleet_.SnapshotStarted(vm_);
   }
-  if (!fleet_.StoreReachable(vm_)) {
-    fleet_.ScheduleAt(deadline,
-                      [&fleet = fleet_, vm = vm_, incarnation = incarnation_,
-                       source, number = call.number] {
-                        fleet.Deliver(vm, incarnation,
-                                      read_reply{.source = source,
-                                                 .number = number,
-                                                 .outcome = read_failed{}});
-                      });
+  const auto fail_at = [this, source, number = call.number](
+                           time_point when, store_result result) {
+    fleet_.ScheduleAt(
+        when, [&fleet = fleet_, vm = vm_, incarnation = incarnation_, source,
+               number, result] {
+          fleet.Deliver(vm, incarnation,
+                        read_reply{.source = source,
+                                   .number = number,
+                                   .outcome = read_failed{result}});
+        });
+  };
+  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline)) {
+    fail_at(deadline, store_result::kNoAnswer);
+    return;
+  }
+  if (fleet_.StoreRefusing()) {
+    fail_at(fleet_.Now() + fleet_.Delay(), store_result::kRefused);
     return;
   }
   const time_point until =
       fleet_.Now() +
       (call.tail ? call.tail->wait : std::chrono::milliseconds());
-  fleet_.ScheduleAfter(
-      fleet_.Delay(),
-      [&fleet = fleet_, vm = vm_, incarnation = incarnation_, source, call,
-       until] { fleet.PollRead(vm, incarnation, source, call, until); });
+  fleet_.ScheduleAfter(fleet_.StoreDelay(), [&fleet = fleet_, vm = vm_,
+                                             incarnation = incarnation_, source,
+                                             call, until, deadline] {
+    fleet.PollRead(vm, incarnation, source, call, until, deadline);
+  });
 }
 
 inline void virtual_fleet::PollRead(std::size_t vm,
                                     std::uint64_t incarnation,
                                     topic source,
                                     const jobs::read_request& call,
-                                    time_point until) {
+                                    time_point until,
+                                    time_point deadline) {
   read_reply reply{.source = source, .number = call.number};
   if (call.snapshot) {
     reply.outcome = store_.Snapshot(source, call.snapshot->after);
   } else if (auto page = store_.Tail(source, call.tail->from)) {
     if (page->records.empty() && now_ < until) {
       ScheduleAfter(kPollInterval,
-                    [this, vm, incarnation, source, call, until] {
-                      PollRead(vm, incarnation, source, call, until);
+                    [this, vm, incarnation, source, call, until, deadline] {
+                      PollRead(vm, incarnation, source, call, until, deadline);
                     });
       return;
     }
@@ -496,7 +660,12 @@
   } else {
     reply.outcome = history_trimmed{};
   }
-  ScheduleAfter(Delay(), [this, vm, incarnation, reply] {
+  time_point arrival = now_ + StoreDelay();
+  if (arrival > deadline) {
+    arrival = deadline;
+    reply.outcome = read_failed{};
+  }
+  ScheduleAt(arrival, [this, vm, incarnation, reply] {
     Deliver(vm, incarnation, reply);
   });
 }
--- a/src/skylarkbridge/control/worker_fake.hpp
+++ b/src/skylarkbridge/control/worker_fake.hpp
@@ -11,6 +11,7 @@
 
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/control/job_invariant_checker_fake.hpp"
+#include "skylarkbridge/control/restart_invariant_fake.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
 
 namespace skylarkbridge::control {
@@ -43,10 +44,10 @@
     last_end_number_ = 0;
     lease_until_ = {};
   }
-  void Crash() {
+  void Crash(time_point now) {
     up_ = false;
     for (const auto& [run, state] : runs_) {
-      checker_.RunEnded(id_, run, false, false);
+      checker_.RunEnded(id_, run, end_cause::kWorkerCrashed, now);
     }
     DiscardUnacknowledgedEnds();
     runs_.clear();
@@ -66,7 +67,7 @@
       }
     }
     for (const auto& [run, how] : due) {
-      End(run, how);
+      End(run, how, now);
     }
     if (Clock(now) >= lease_until_) {
       DiscardUnacknowledgedEnds();
@@ -123,7 +124,7 @@
     return reply;
   }
 
-  jobs::stop_reply Execute(const jobs::stop_order& order, time_point /*now*/) {
+  jobs::stop_reply Execute(const jobs::stop_order& order, time_point now) {
     jobs::stop_reply reply{.worker = id_, .run = order.run};
     if (!AcceptFence(order.target.fence)) {
       reply.result = jobs::order_result::kFenced;
@@ -133,7 +134,7 @@
     jobs::run_number& highest = highest_runs_[order.run.task];
     highest = std::max(highest, order.run.run);
     if (runs_.contains(order.run)) {
-      End(order.run, jobs::run_end::kStopped);
+      End(order.run, jobs::run_end::kStopped, now);
     }
     return reply;
   }
@@ -141,10 +142,35 @@
   /// @param fail whether every run that starts from now on fails.
   void FailAllRuns(bool fail) { fail_all_runs_ = fail; }
 
+  /// @brief Ends the run of a task as failed. Does nothing when the task has no
+  /// run on the worker.
+  void FailRun(const jobs::task_ref& task, time_point now) {
+    const auto found = std::find_if(
+        runs_.begin(), runs_.end(),
+        [&task](const auto& entry) { return entry.first.task == task; });
+    if (found != runs_.end()) {
+      End(jobs::run_ref(found->first), jobs::run_end::kFailed, now);
+    }
+  }
+
+  /// @brief Returns the capacity that no long-running task holds, and the
+  /// tasks that run.
+  worker_view View() const {
+    worker_view view{.worker = id_, .room = capacity_};
+    for (const auto& [run, state] : runs_) {
+      view.running.push_back(run.task);
+      if (state.long_running) {
+        view.room -= state.need;
+      }
+    }
+    return view;
+  }
+
  private:
   struct run_state {
     time_point ends_at;
     bool fails = false;
+    bool long_running = false;
     jobs::resources need;
   };
 
@@ -189,17 +215,30 @@
     const std::uint64_t run_in_epoch = order.run.run % kRunsPerEpoch;
     return {.ends_at = now + std::chrono::milliseconds(duration),
             .fails = fail_all_runs_ || run_in_epoch <= failures,
+            .long_running = millicores < 0,
             .need = {.millicores = std::abs(millicores)}};
   }
 
-  void End(const jobs::run_ref& run, jobs::run_end how) {
+  static end_cause CauseOf(jobs::run_end how) {
+    switch (how) {
+      case jobs::run_end::kDone:
+        return end_cause::kDone;
+      case jobs::run_end::kFailed:
+        return end_cause::kFailed;
+      case jobs::run_end::kLeaseExpired:
+        return end_cause::kLeaseExpired;
+      default:
+        return end_cause::kStopped;
+    }
+  }
+
+  void End(const jobs::run_ref& run, jobs::run_end how, time_point now) {
     runs_.erase(run);
     jobs::run_number& highest = highest_runs_[run.task];
     highest = std::max(highest, run.run);
     ended_.push_back(
         {.number = ++last_end_number_, .run = run, .outcome = how});
-    checker_.RunEnded(id_, run, how == jobs::run_end::kDone,
-                      how == jobs::run_end::kFailed);
+    checker_.RunEnded(id_, run, CauseOf(how), now);
   }
 
   /// Tells the checker to discard the ends that were not acknowledged before
