Reproduce the wait of a failed long-running task in a full cell

In its retry delay the task isn't ready, and a first start takes its room, from another job whose id sorts lower or from the same job.

--- /dev/null
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -0,0 +1,114 @@
+// Directed tests of the promise that a long-running task whose run ended runs
+// again within kMaxRestartTime where the fleet has room for it.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "skylarkbridge/control/restart_invariant_fake.hpp"
+#include "skylarkbridge/control/virtual_fleet_fake.hpp"
+
+namespace skylarkbridge::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The body of a job is described at platform_fake::DecodeJob. A worker has 4000
+// millicores, so that two tasks of 2000 fill it.
+
+/// A job that is larger than its cell: some of its tasks never ran. Its id
+/// sorts before kRestartingJob.
+constexpr jobs::job_id kWaitingJob{0x10};
+/// The job with the task whose run ends.
+constexpr jobs::job_id kRestartingJob{0x20};
+constexpr jobs::job_id kBatchJob{0x30};
+
+jobs::task_ref Task(jobs::job_id job, std::uint32_t index) {
+  return {.job = job, .index = index};
+}
+
+std::string Violations(const virtual_fleet& fleet) {
+  return absl::StrJoin(fleet.Checker().Violations(), "\n");
+}
+
+/// A fleet that has run long enough to have owners that have heard from all
+/// workers.
+std::unique_ptr<virtual_fleet> StartedFleet(virtual_fleet::options options) {
+  auto fleet = std::make_unique<virtual_fleet>(options);
+  fleet->Advance(seconds(2));
+  return fleet;
+}
+
+/// Submits a job and waits until its tasks have started, as far as they fit.
+void SubmitAndStart(virtual_fleet& fleet,
+                    jobs::job_id job,
+                    const std::string& body) {
+  fleet.Submit(0, job, body);
+  fleet.Advance(seconds(1));
+}
+
+std::size_t CountRunning(const virtual_fleet& fleet,
+                         jobs::job_id job,
+                         std::uint32_t tasks) {
+  std::size_t running = 0;
+  for (std::uint32_t index = 0; index < tasks; ++index) {
+    running += fleet.Checker().Running(Task(job, index)) ? 1 : 0;
+  }
+  return running;
+}
+
+/// Advances until the task runs, for at most @p limit.
+testing::AssertionResult RunsWithin(virtual_fleet& fleet,
+                                    const jobs::task_ref& task,
+                                    milliseconds limit) {
+  constexpr milliseconds kStep{20};
+  for (milliseconds waited{}; waited <= limit; waited += kStep) {
+    if (fleet.Checker().Running(task)) {
+      return testing::AssertionSuccess();
+    }
+    fleet.Advance(kStep);
+  }
+  return testing::AssertionFailure()
+         << jobs::Format(task) << " does not run after " << limit.count()
+         << " ms";
+}
+
+/// A fleet of one full cell in which one task of kRestartingJob and seven of
+/// kWaitingJob run, while five of kWaitingJob have never run.
+std::unique_ptr<virtual_fleet> FullFleet() {
+  auto fleet = StartedFleet({});
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 1");
+  SubmitAndStart(*fleet, kWaitingJob, "-2000 600000 0 12");
+  EXPECT_TRUE(fleet->Checker().Running(Task(kRestartingJob, 0)));
+  EXPECT_EQ(CountRunning(*fleet, kWaitingJob, 12), 7U);
+  return fleet;
+}
+
+// Guards against giving the room of a failed run away: first starts of another
+// job took it during the retry delay, and the task waited until other
+// long-running work ended.
+TEST(RestartTest, FirstStartsOfAnotherJobDoNotTakeTheRoomOfAFailedRun) {
+  auto fleet = FullFleet();
+  fleet->FailRun(Task(kRestartingJob, 0));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// As above, with the first starts of the tasks of the same job.
+TEST(RestartTest, FirstStartsOfTheSameJobDoNotTakeTheRoomOfAFailedRun) {
+  auto fleet = StartedFleet({});
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 12");
+  ASSERT_EQ(CountRunning(*fleet, kRestartingJob, 12), 8U);
+  ASSERT_TRUE(fleet->Checker().Running(Task(kRestartingJob, 3)));
+  fleet->FailRun(Task(kRestartingJob, 3));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 3), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+}  // namespace
+}  // namespace skylarkbridge::control
