Reproduce first starts that overtake restarts after other ends

The order of first starts and restarts decides wherever a run ends, not only when it fails. Four tests show it in a full cell: after a takeover, after a worker's restart, after both at once, and when a worker drains while another joins. After a takeover with a lost worker the successor can't tell tasks that ran from tasks that never did, because the log does not hold it.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -37,10 +37,10 @@
 }
 
 /// A fleet that has run long enough to have owners that have heard from all
-/// workers.
+/// workers, and to be calm.
 std::unique_ptr<virtual_fleet> StartedFleet(virtual_fleet::options options) {
   auto fleet = std::make_unique<virtual_fleet>(options);
-  fleet->Advance(seconds(2));
+  fleet->Advance(kCalmTime + seconds(1));
   return fleet;
 }
 
@@ -73,6 +73,8 @@
     }
     fleet.Advance(kStep);
   }
+  // The checker starts to count when it sees that the task waits.
+  fleet.Advance(2 * kStep);
   return testing::AssertionFailure()
          << jobs::Format(task) << " does not run after " << limit.count()
          << " ms";
@@ -110,5 +112,61 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// As the first test, with a takeover: the owner dies right after the run has
+// ended.
+TEST(RestartTest, FirstStartsDoNotTakeTheRoomOfAFailedRunAfterATakeover) {
+  auto fleet = FullFleet();
+  fleet->FailRun(Task(kRestartingJob, 0));
+  fleet->KillVm(*fleet->Owner());
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// Guards against giving the room of a restarted worker to tasks that have never
+// run, while those that it lost wait.
+TEST(RestartTest, FirstStartsDoNotTakeTheRoomOfARestartedWorker) {
+  auto fleet = FullFleet();
+  const std::string worker = fleet->Checker().WorkerOf(Task(kRestartingJob, 0));
+  fleet->CrashWorker(worker);
+  fleet->Advance(milliseconds(500));
+  fleet->StartWorker(worker);
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// As above, with a takeover: the owner dies together with the worker, so that
+// its successor has to learn which tasks have run.
+TEST(RestartTest, FirstStartsDoNotTakeTheRoomOfTasksLostInATakeover) {
+  auto fleet = FullFleet();
+  const std::string worker = fleet->Checker().WorkerOf(Task(kRestartingJob, 0));
+  fleet->KillVm(*fleet->Owner());
+  fleet->CrashWorker(worker);
+  fleet->Advance(milliseconds(500));
+  fleet->StartWorker(worker);
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// Guards against giving the room of a new worker to tasks that have never run,
+// while those of a draining worker wait for it.
+TEST(RestartTest, FirstStartsDoNotTakeTheRoomThatReplacesADrainingWorker) {
+  auto fleet = StartedFleet({.workers = 5});
+  fleet->CrashWorker("w4");
+  fleet->Advance(seconds(10));
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 1");
+  SubmitAndStart(*fleet, kWaitingJob, "-2000 600000 0 12");
+  ASSERT_EQ(CountRunning(*fleet, kWaitingJob, 12), 7U);
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     seconds(5));
+  fleet->Advance(milliseconds(500));
+  ASSERT_FALSE(fleet->Checker().Running(Task(kRestartingJob, 0)));
+  fleet->StartWorker("w4");
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
