Reproduce a restart that waits for the end of batch work

Reserved room comes free only as batch tasks end, and nothing bounds their run time. With batch tasks of 60 s in the rest of the cell, the tasks of a crashed or draining worker wait longer than 10 and 6 s. Both tests fail on the current code with RESTART violations. With batch tasks of 0.7 s the same moves, and a takeover right after a failed run, stay within the bound: three tests that pass.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -168,5 +168,68 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+/// A fleet of one cell in which kRestartingJob holds half of each worker, and
+/// tasks of kBatchJob hold the other half. More of them wait.
+/// @param batch_time run time of a batch task.
+std::unique_ptr<virtual_fleet> FleetSharedWithBatch(milliseconds batch_time) {
+  auto fleet = StartedFleet({});
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 4 max_per_worker=2");
+  SubmitAndStart(*fleet, kBatchJob,
+                 absl::StrCat("1000 ", batch_time.count(), " 0 200"));
+  EXPECT_EQ(CountRunning(*fleet, kRestartingJob, 4), 4U);
+  EXPECT_EQ(CountRunning(*fleet, kBatchJob, 200), 8U);
+  return fleet;
+}
+
+// Guards against a task that does not move off a crashed worker while short
+// batch work holds the rest of the cell.
+TEST(RestartTest, MovesTheTasksOfACrashedWorkerToRoomOfShortBatchWork) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->CrashWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)));
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// As above, with a draining worker.
+TEST(RestartTest, MovesTheTasksOfADrainingWorkerToRoomOfShortBatchWork) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     seconds(5));
+  fleet->Advance(milliseconds(100));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// Guards against a takeover that keeps a failed task from running again.
+TEST(RestartTest, ATakeoverDoesNotDelayARestart) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->FailRun(Task(kRestartingJob, 0));
+  fleet->KillVm(*fleet->Owner());
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// Guards against a task that waits for batch work to end, for which nothing
+// bounds the time.
+TEST(RestartTest, MovesTheTasksOfACrashedWorkerToRoomOfLongBatchWork) {
+  auto fleet = FleetSharedWithBatch(seconds(60));
+  fleet->CrashWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)));
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// As above, with a draining worker.
+TEST(RestartTest, MovesTheTasksOfADrainingWorkerToRoomOfLongBatchWork) {
+  auto fleet = FleetSharedWithBatch(seconds(60));
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     seconds(5));
+  fleet->Advance(milliseconds(100));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
