Reproduce a restart that waits although another cell has room

A job stays in the cell that it was given when it was accepted. When a worker of a full cell is lost, or a first start takes the room of a failed run there, the task waits while another cell is empty.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -231,5 +231,34 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+/// A fleet of two cells with four workers each. kRestartingJob fills its cell;
+/// the other is empty.
+/// @param tasks number of tasks of kRestartingJob, of which eight run.
+std::unique_ptr<virtual_fleet> FleetWithOneFullCell(std::uint32_t tasks) {
+  auto fleet = StartedFleet({.workers = 8, .cells = 2});
+  SubmitAndStart(*fleet, kRestartingJob,
+                 absl::StrCat("-2000 600000 0 ", tasks));
+  EXPECT_EQ(CountRunning(*fleet, kRestartingJob, tasks), 8U);
+  return fleet;
+}
+
+// As the second test, with room for the task in another cell.
+TEST(RestartTest, FirstStartsDoNotKeepAFailedRunFromRoomInAnotherCell) {
+  auto fleet = FleetWithOneFullCell(12);
+  fleet->FailRun(Task(kRestartingJob, 0));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// Guards against a task that waits for room in its cell while another cell has
+// room for it.
+TEST(RestartTest, MovesTheTasksOfACrashedWorkerToAnotherCell) {
+  auto fleet = FleetWithOneFullCell(8);
+  fleet->CrashWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)));
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
