Reproduce room reserved on a worker that never has room

ChooseWorkerToReserve takes the room of long-running tasks without a latency target for room that comes free. When all workers are full it prefers the first one, keeps to it, and batch work takes what comes free elsewhere.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -260,5 +261,29 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against reserving room on a worker that long-running tasks without a
+// latency target fill: it never comes free there.
+TEST(RestartTest, WaitsForNoRoomThatLongRunningTasksHold) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SCOPED_TRACE(testing::Message() << "seed " << seed);
+    auto fleet = StartedFleet({.workers = 6, .seed = seed});
+    SubmitAndStart(*fleet, kWaitingJob, "-4000 600000 0 3");
+    SubmitAndStart(*fleet, kRestartingJob, "-3000 600000 0 1");
+    ASSERT_EQ(CountRunning(*fleet, kWaitingJob, 3), 3U);
+    // Each batch job runs one task after the other, each of another length, so
+    // that the tasks of a worker rarely end at the same time.
+    const std::string tasks = absl::StrJoin(std::vector<int>(40, 1), " ");
+    for (std::uint64_t job = 0; job < 14; ++job) {
+      fleet->Submit(0, jobs::job_id{kBatchJob.value + job},
+                    absl::StrCat("1000 ", 700 + 70 * job, " 0 ", tasks));
+    }
+    fleet->Advance(seconds(2));
+    fleet->CrashWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)));
+    EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0),
+                           kCalmTime + kMaxRestartTime));
+    EXPECT_EQ(Violations(*fleet), "");
+  }
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
