Reproduce a restart that waits behind a more urgent queue

OrderedReadySteps compares the priority of the queue before it compares first starts and restarts, and room is reserved for a restart only after the steps before it have been placed. Batch work of a more urgent queue then takes all room. The test fails on the current code with a RESTART violation.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -285,5 +285,16 @@
   }
 }
 
+// Guards against batch work of a more urgent queue that takes all room that
+// comes free.
+TEST(RestartTest, MoreUrgentBatchWorkDoesNotDelayARestart) {
+  auto fleet = StartedFleet({});
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 1");
+  SubmitAndStart(*fleet, kBatchJob, "1000 700 0 400 queue=serving");
+  fleet->FailRun(Task(kRestartingJob, 0));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
