Reproduce a restart that no placement pass comes to

A pass ends after 40 steps that found no room. Steps of begun jobs that can't be placed (max_per_worker) and whose ids sort lower hide the restart of a failed task, although over ten cores are free. The test fails on the current code with a RESTART violation.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -296,5 +296,23 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a placement pass that ends before it comes to the task,
+// because many steps before it find no room.
+TEST(RestartTest, StepsWithoutRoomDoNotHideARestart) {
+  auto fleet = StartedFleet({.worker_millicores = 8000});
+  const jobs::job_id restarting_job{100};
+  SubmitAndStart(*fleet, restarting_job, "-1000 600000 0 1");
+  ASSERT_TRUE(fleet->Checker().Running(Task(restarting_job, 0)));
+  // One task of each job never finds a worker. The number of jobs is above
+  // fleet_scheduler_options::max_unplaced_steps.
+  for (std::uint64_t job = 1; job <= 45; ++job) {
+    fleet->Submit(0, jobs::job_id{job}, "-100 600000 0 5 max_per_worker=1");
+  }
+  fleet->Advance(seconds(2));
+  fleet->FailRun(Task(restarting_job, 0));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(restarting_job, 0), kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
