Reserve room for a restart only where it can come free

What callers would see: a long-running task waits without bound for its restart, although other workers of the cell have room that batch work will free. Cause: the worker to reserve room on was judged by the processor time of serving tasks alone. Room held by long-running tasks without a latency target, their memory and accelerators, and room already reserved for another restart counted as room that comes free. Change: a session sums up what its long-running runs hold; the room that can come free is the capacity without that sum and without what is reserved already. The unit test on such workers sets the new sum in place of the processor time of serving tasks; its check is the same.

--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -36,6 +36,9 @@
   /// Declared processor time of a best-effort task; it is not reserved.
   std::int64_t best_effort_millicores = 0;
   bool serving = false;
+  /// Runs until its job is cancelled, so its capacity does not come free by
+  /// itself.
+  bool long_running = false;
   std::chrono::milliseconds latency_target{};
   std::string image;
   /// Number of the first renewal whose report must list the run if it is on
@@ -114,6 +117,8 @@
   std::map<run_ref, time_point> unanswered_starts;
   /// Sum of `reserved` over the runs.
   resources used;
+  /// Sum of `reserved` over the long-running runs.
+  resources used_by_long_running;
   std::int64_t best_effort_millicores = 0;
   /// Declared processor time of the serving tasks.
   std::int64_t serving_millicores = 0;
@@ -131,6 +136,13 @@
     room -= used;
     return room;
   }
+  /// @brief Capacity that is not reserved once all runs other than long-running
+  /// ones have ended.
+  resources EventualRoom() const {
+    resources room = entry.capacity;
+    room -= used_by_long_running;
+    return room;
+  }
 };
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -151,22 +151,39 @@
   EXPECT_EQ(restarted->target.worker, "w0");
 }
 
-// Guards against reserving room on a worker whose serving tasks never leave
-// enough of it: a restart waited 11 s for such a worker.
-TEST(FleetSchedulerTest, ReservesNoRoomWhereServingTasksLeaveTooLittle) {
+// Guards against reserving room on a worker whose long-running tasks never
+// leave enough of it: a restart waited 11 s for such a worker.
+TEST(FleetSchedulerTest, ReservesNoRoomWhereLongRunningTasksLeaveTooLittle) {
   const step_spec step{.need = {.millicores = 3000}, .long_running = true};
-  worker_session held_by_serving{time_point{}};
-  held_by_serving.entry = {.worker = "full", .capacity = {.millicores = 4000}};
-  held_by_serving.serving_millicores = 2000;
-  held_by_serving.used = {.millicores = 2000};
+  worker_session held_by_long_running{time_point{}};
+  held_by_long_running.entry = {.worker = "full",
+                                .capacity = {.millicores = 4000}};
+  held_by_long_running.used_by_long_running = {.millicores = 2000};
+  held_by_long_running.used = {.millicores = 2000};
   worker_session held_by_batch{time_point{}};
   held_by_batch.entry = {.worker = "busy", .capacity = {.millicores = 4000}};
   held_by_batch.used = {.millicores = 4000};
   const std::vector<placement_candidate> candidates{
-      {.session = &held_by_serving}, {.session = &held_by_batch}};
+      {.session = &held_by_long_running}, {.session = &held_by_batch}};
   EXPECT_EQ(ChooseWorkerToReserve(step, candidates, "full"), 1U);
 }
 
+// Guards against two restarts that wait for the same room: the second one would
+// never find enough on the worker of the first.
+TEST(FleetSchedulerTest, ReservesNoRoomThatIsReservedAlready) {
+  const step_spec step{.need = {.millicores = 3000}, .long_running = true};
+  worker_session roomy{time_point{}};
+  roomy.entry = {.worker = "roomy", .capacity = {.millicores = 4000}};
+  worker_session busy{time_point{}};
+  busy.entry = {.worker = "busy", .capacity = {.millicores = 4000}};
+  busy.used = {.millicores = 4000};
+  std::vector<placement_candidate> candidates{{.session = &roomy},
+                                              {.session = &busy}};
+  EXPECT_EQ(ChooseWorkerToReserve(step, candidates, ""), 0U);
+  candidates[0].reserved = step.need;
+  EXPECT_EQ(ChooseWorkerToReserve(step, candidates, "roomy"), 1U);
+}
+
 // Guards against reserving a whole worker for one task: another task waited 30
 // s although the workers were almost idle and had room for both.
 TEST(FleetSchedulerTest, ReservesNoMoreRoomThanATaskNeeds) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -30,9 +30,13 @@
     state.reserved.millicores = 0;
   }
   state.serving = step.latency_target.count() > 0;
+  state.long_running = step.long_running;
   state.latency_target = step.latency_target;
   state.image = step.image;
   session.used += state.reserved;
+  if (state.long_running) {
+    session.used_by_long_running += state.reserved;
+  }
   session.best_effort_millicores += state.best_effort_millicores;
   if (state.serving) {
     session.serving_millicores += state.reserved.millicores;
@@ -47,6 +51,9 @@
   }
   const worker_run& state = found->second;
   session.used -= state.reserved;
+  if (state.long_running) {
+    session.used_by_long_running -= state.reserved;
+  }
   session.best_effort_millicores -= state.best_effort_millicores;
   if (state.serving) {
     session.serving_millicores -= state.reserved.millicores;
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -109,9 +109,8 @@
   std::optional<std::size_t> best;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
     const worker_session& session = *candidates[index].session;
-    // Room that is free once all tasks other than serving ones have ended.
-    resources eventual_room = session.entry.capacity;
-    eventual_room.millicores -= session.serving_millicores;
+    resources eventual_room = session.EventualRoom();
+    eventual_room -= candidates[index].reserved;
     if (!Fits(step.need, eventual_room) ||
         !IsEligible(step, candidates[index])) {
       continue;
