Stop batch runs for a restart that waits for room

What callers would see: the long-running tasks of a crashed or draining worker stay away as long as batch work holds the rest of the cell, which nothing bounds. Cause: reserved room came free only as the batch tasks on the reserved worker ended. Change: after a wait of 1 s the runs on that worker that are least urgent, and then those that lose the least work, are stopped, just enough of them; runs of gangs and long-running runs are spared. Why it works: the reservation keeps the worker from one pass to the next, runs that are being stopped count as room to come, and a stop is bounded by the service's stop timeout.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -21,6 +21,7 @@
 #include "skylarkbridge/jobs/orders.hpp"
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
+#include "skylarkbridge/jobs/preemption.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
 
@@ -66,6 +67,9 @@
   std::chrono::milliseconds pass_interval{20};
   /// A placement pass ends after this many steps with tasks that found no room.
   int max_unplaced_steps = 40;
+  /// For a restart of a long-running task that waits longer for room, other
+  /// runs are stopped on the worker on which room is reserved for it.
+  std::chrono::milliseconds preemption_delay{1000};
   /// A long-running task that waits longer for its restart is reported.
   std::chrono::milliseconds restart_report_delay{1000};
   /// Interval of these reports.
@@ -311,12 +315,13 @@
       placement_pass& pass,
       time_point now) const;
   /// Reserves room for a task that is not placed; otherwise other tasks would
-  /// use up all room that becomes free. Returns false when no worker can have
-  /// enough room.
-  bool ReserveRoom(const task_ref& task,
-                   const step_spec& step,
-                   std::vector<placement_candidate>& candidates,
-                   placement_pass& pass) const;
+  /// use up all room that becomes free. Returns the worker; null when none can
+  /// have enough room.
+  const placement_candidate* ReserveRoom(
+      const task_ref& task,
+      const step_spec& step,
+      std::vector<placement_candidate>& candidates,
+      placement_pass& pass) const;
   /// Places the tasks, with the permits that the queue requires. Returns false
   /// when some found no room.
   bool PlaceOnCandidates(const ready_step& ranked,
@@ -378,6 +383,14 @@
   void PlaceRestart(const waiting_restart& restart,
                     placement_pass& pass,
                     time_point now);
+  /// Stops runs on the worker on which room is reserved for the task, unless
+  /// the runs that are being stopped there free enough.
+  void PreemptRuns(const task_ref& task,
+                   const placement_candidate& reserved_on,
+                   time_point now);
+  /// The runs on the worker that can be stopped and started again later.
+  std::vector<preemptible_run> PreemptibleRuns(const worker_session& session,
+                                               time_point now) const;
   /// Adds notes on the tasks that have waited long for their restart.
   void ReportDelayedRestarts(time_point now);
   void ReportDelayedRestart(const waiting_restart& restart, time_point now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -307,24 +307,25 @@
   }
 }
 
-bool fleet_scheduler::ReserveRoom(const task_ref& task,
-                                  const step_spec& step,
-                                  std::vector<placement_candidate>& candidates,
-                                  placement_pass& pass) const {
+const placement_candidate* fleet_scheduler::ReserveRoom(
+    const task_ref& task,
+    const step_spec& step,
+    std::vector<placement_candidate>& candidates,
+    placement_pass& pass) const {
   const auto previous_worker = reserved_workers_.find(task);
   const auto chosen = ChooseWorkerToReserve(
       step, candidates,
       previous_worker == reserved_workers_.end() ? ""
                                                  : previous_worker->second);
   if (!chosen) {
-    return false;
+    return nullptr;
   }
   placement_candidate& candidate = candidates[*chosen];
   candidate.reserved += step.need;
   pass.reserved_room[candidate.session->entry.worker] += step.need;
   pass.reserved_workers[task] = candidate.session->entry.worker;
   ++candidate.siblings;
-  return true;
+  return &candidate;
 }
 
 std::vector<std::uint32_t> fleet_scheduler::TasksToPlace(const step_ref& ref,
@@ -383,7 +384,7 @@
   if (ranked.begun_long_running && !step->gang &&
       !queue->HasPlacementPolicy()) {
     for (const std::uint32_t index : TasksToPlace(ref, *step, now)) {
-      if (!ReserveRoom(TaskOf(ref, index), *step, candidates, pass)) {
+      if (ReserveRoom(TaskOf(ref, index), *step, candidates, pass) == nullptr) {
         break;
       }
     }
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -26,9 +26,59 @@
   const bool placed = now >= restart.not_before &&
                       PlaceOnCandidates({.ref = ref}, *step, *queue,
                                         {restart.task.index}, candidates, now);
-  if (!placed && !queue->HasPlacementPolicy()) {
-    ReserveRoom(restart.task, *step, candidates, pass);
+  if (placed || queue->HasPlacementPolicy()) {
+    return;
+  }
+  const placement_candidate* reserved_on =
+      ReserveRoom(restart.task, *step, candidates, pass);
+  if (reserved_on != nullptr &&
+      now >= restart.since + options_.preemption_delay) {
+    PreemptRuns(restart.task, *reserved_on, now);
+  }
+}
+
+void fleet_scheduler::PreemptRuns(const task_ref& task,
+                                  const placement_candidate& reserved_on,
+                                  time_point now) {
+  worker_session& session =
+      workers_.find(reserved_on.session->entry.worker)->second;
+  resources missing;
+  missing -= reserved_on.Room();
+  for (const auto& [run, state] : session.runs) {
+    if (state.stop_wanted) {
+      missing -= state.reserved;
+    }
+  }
+  for (const run_ref& run :
+       ChooseRunsToPreempt(PreemptibleRuns(session, now), missing)) {
+    session.runs.find(run)->second.stop_wanted = true;
+    AddNote(scheduling_event::kStopOrdered, run, session.entry.worker,
+            absl::StrCat("makes room for the restart of ", Format(task)));
+  }
+  SendStops(session, now);
+}
+
+std::vector<preemptible_run> fleet_scheduler::PreemptibleRuns(
+    const worker_session& session,
+    time_point now) const {
+  std::vector<preemptible_run> runs;
+  for (const auto& [run, state] : session.runs) {
+    const step_spec* step = jobs_.Spec(StepOf(run.task));
+    const queue_configuration* queue = Queue(run.task.job);
+    // To stop one task of a gang ends the work of all.
+    if (step == nullptr || queue == nullptr || step->long_running ||
+        step->gang || state.stop_wanted || state.phase != run_phase::kRunning) {
+      continue;
+    }
+    const double cores = static_cast<double>(step->need.millicores) / 1000;
+    const std::chrono::duration<double> elapsed = now - state.ordered_at;
+    runs.push_back(
+        {.run = run,
+         .held = state.reserved,
+         .priority = queue->priority,
+         .lost_work = step->checkpoints ? 0 : cores * elapsed.count()});
   }
+  return runs;
 }
 
 std::size_t fleet_scheduler::WaitingRestarts() const {
