Move adopted runs off a draining worker

Cause: a worker's runs are stopped once, when it is first seen as draining. A new owner sees that before the worker has reported its runs, and runs that are adopted later were not stopped. Change: a run that is adopted on a draining worker is stopped if it would be when the drain begins.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -221,8 +221,14 @@
   /// earlier owners have expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
   bool Usable(const worker_session& session, time_point now) const;
-  /// Stops the long-running tasks of a draining worker, and those that can
-  /// resume from a checkpoint but would not end before the worker leaves.
+  /// Whether a run on a draining worker has to be stopped: it is long-running,
+  /// or it can resume from a checkpoint but would not end before the worker
+  /// leaves.
+  bool MustLeave(const worker_session& session,
+                 const run_ref& run,
+                 const worker_run& state,
+                 time_point now) const;
+  /// Stops the runs of a draining worker that must leave it.
   void Evacuate(worker_session& session, time_point now);
 
   // Runs.
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -287,6 +287,29 @@
   EXPECT_EQ(driver.starts[2].run.task, first_to_end.task);
 }
 
+// Guards against long-running tasks that run on a draining worker until it
+// leaves: a new owner saw the worker drain before it had adopted the runs, and
+// stopped none of 318 of them.
+TEST(FleetSchedulerTest, MovesAdoptedRunsOffADrainingWorker) {
+  scheduler_driver driver;
+  driver.registry.Apply(
+      job_accepted{.job = kJob,
+                   .queue = "batch",
+                   .spec = {.steps = {{.count = 1,
+                                       .need = {.millicores = 3000},
+                                       .long_running = true}}}},
+      driver.now);
+  driver.registry.Apply(
+      job_advanced{.job = kJob, .progress = {.started = true}}, driver.now);
+  const run_ref run{{kJob, 0, 0, 0}, 1};
+  driver.reported_runs["w0"] = {{.run = run, .progress_percent = 100}};
+  driver.Begin({"w0"});
+  driver.DrainWorker("w0", 4000);
+  driver.RunRounds();
+  ASSERT_EQ(driver.stops.size(), 1U);
+  EXPECT_EQ(driver.stops[0].run, run);
+}
+
 // Guards against a wait that no log line explains: the record of an incident
 // named none of the tasks that waited 22 s and longer.
 TEST(FleetSchedulerTest, ReportsALongRunningTaskThatWaitsForItsRestart) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -280,6 +280,8 @@
     jobs_.RecordStart(task.run, session.entry.worker);
     jobs_.RecordCheckpoint(task.run, task.checkpoint);
     AddNote(scheduling_event::kRunAdopted, task.run, session.entry.worker);
+    run.stop_wanted =
+        session.entry.draining && MustLeave(session, task.run, run, now);
     return;
   }
   run.detached = true;
@@ -348,23 +350,31 @@
   }
 }
 
-void fleet_scheduler::Evacuate(worker_session& session, time_point now) {
+bool fleet_scheduler::MustLeave(const worker_session& session,
+                                const run_ref& run,
+                                const worker_run& state,
+                                time_point now) const {
+  const step_spec* step = jobs_.Spec(StepOf(run.task));
+  if (step == nullptr) {
+    return false;
+  }
+  if (step->long_running) {
+    return true;
+  }
   const std::chrono::milliseconds time_left = session.entry.minimum_time_left -
                                               options_.stop_timeout -
                                               kEvacuationMargin;
+  const auto elapsed = now - state.ordered_at;
+  const bool ends_in_time =
+      state.progress_percent > 0 &&
+      elapsed * (100 - state.progress_percent) / state.progress_percent <
+          time_left;
+  return step->checkpoints && !ends_in_time;
+}
+
+void fleet_scheduler::Evacuate(worker_session& session, time_point now) {
   for (auto& [run, state] : session.runs) {
-    const step_spec* step = jobs_.Spec(StepOf(run.task));
-    if (step == nullptr) {
-      continue;
-    }
-    const auto elapsed = now - state.ordered_at;
-    const bool ends_in_time =
-        !step->long_running && state.progress_percent > 0 &&
-        elapsed * (100 - state.progress_percent) / state.progress_percent <
-            time_left;
-    if (step->long_running || (step->checkpoints && !ends_in_time)) {
-      state.stop_wanted = true;
-    }
+    state.stop_wanted |= MustLeave(session, run, state, now);
   }
   SendStops(session, now);
 }
