Keep room for the tasks of silent and draining workers

Room was reserved only for tasks that were ready; the tasks of a silent worker are ready when its lease has expired, about 6 s later. Change: while a worker is silent or draining, first starts of long-running tasks leave room for its long-running tasks. Batch work still uses it, as it is stopped for a restart that waits.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -296,6 +296,13 @@
     absl::flat_hash_map<std::string, resources> reserved_room;
     /// Worker on which room is reserved, by task.
     std::map<task_ref, std::string> reserved_workers;
+    /// Room by worker that first starts of long-running tasks leave for the
+    /// restarts to come. Other tasks may use it, as they can be stopped.
+    absl::flat_hash_map<std::string, resources> expected_restart_room;
+
+    /// Room on the worker that is kept from a step.
+    resources ReservedRoom(const std::string& worker,
+                           bool with_expected_restarts) const;
   };
   best_effort_demand ComputeDemand() const;
   /// Share of the other images' demand that falls on the worker when each image
@@ -389,6 +396,12 @@
   void PlaceRestart(const waiting_restart& restart,
                     placement_pass& pass,
                     time_point now);
+  /// Leaves room for the long-running tasks on workers that are silent or
+  /// draining, which have to restart elsewhere unless the worker comes back.
+  void ReserveForExpectedRestarts(placement_pass& pass, time_point now) const;
+  void ReserveForExpectedRestart(const task_ref& task,
+                                 placement_pass& pass,
+                                 time_point now) const;
   /// Stops runs on the worker on which room is reserved for the task, unless
   /// the runs that are being stopped there free enough.
   void PreemptRuns(const task_ref& task,
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -178,6 +178,7 @@
   permits_.DropClosedSteps(jobs_);
   placement_pass pass;
   PlaceRestarts(pass, now);
+  ReserveForExpectedRestarts(pass, now);
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
@@ -328,6 +329,21 @@
   return &candidate;
 }
 
+resources fleet_scheduler::placement_pass::ReservedRoom(
+    const std::string& worker,
+    bool with_expected_restarts) const {
+  resources reserved;
+  if (const auto room = reserved_room.find(worker);
+      room != reserved_room.end()) {
+    reserved += room->second;
+  }
+  if (const auto room = expected_restart_room.find(worker);
+      with_expected_restarts && room != expected_restart_room.end()) {
+    reserved += room->second;
+  }
+  return reserved;
+}
+
 std::vector<std::uint32_t> fleet_scheduler::TasksToPlace(const step_ref& ref,
                                                          const step_spec& step,
                                                          time_point now) const {
@@ -349,14 +365,9 @@
     time_point now) const {
   std::vector<placement_candidate>& candidates =
       Candidates(step, queue, pass, now);
-  if (!pass.reserved_room.empty()) {
-    for (placement_candidate& candidate : candidates) {
-      if (const auto reserved =
-              pass.reserved_room.find(candidate.session->entry.worker);
-          reserved != pass.reserved_room.end()) {
-        candidate.reserved = reserved->second;
-      }
-    }
+  for (placement_candidate& candidate : candidates) {
+    candidate.reserved =
+        pass.ReservedRoom(candidate.session->entry.worker, step.long_running);
   }
   if (step.max_per_worker > 0) {
     CountSiblings(ref, candidates);
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -37,6 +37,38 @@
   }
 }
 
+void fleet_scheduler::ReserveForExpectedRestarts(placement_pass& pass,
+                                                 time_point now) const {
+  for (const auto& [id, session] : workers_) {
+    const bool is_silent = now >= session.last_answer + options_.max_silence;
+    if (!is_silent && !session.entry.draining) {
+      continue;
+    }
+    for (const auto& [run, state] : session.runs) {
+      if (state.long_running && !state.detached) {
+        ReserveForExpectedRestart(run.task, pass, now);
+      }
+    }
+  }
+}
+
+void fleet_scheduler::ReserveForExpectedRestart(const task_ref& task,
+                                                placement_pass& pass,
+                                                time_point now) const {
+  const step_ref ref = StepOf(task);
+  const step_spec* step = jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  if (step == nullptr || queue == nullptr) {
+    return;
+  }
+  const std::vector<placement_candidate>& candidates =
+      CandidatesForStep(ref, *step, *queue, pass, now);
+  if (const auto chosen = ChooseWorkerToReserve(*step, candidates, "")) {
+    pass.expected_restart_room[candidates[*chosen].session->entry.worker] +=
+        step->need;
+  }
+}
+
 void fleet_scheduler::PreemptRuns(const task_ref& task,
                                   const placement_candidate& reserved_on,
                                   time_point now) {
