--- a/src/skylarkbridge/control/restart_invariant_test.cpp
+++ b/src/skylarkbridge/control/restart_invariant_test.cpp
@@ -43,7 +43,8 @@
   restart_invariant invariant_;
 };
 
-fleet_view Fleet(std::vector<std::int64_t> room, bool disrupted = false) {
+fleet_view Fleet(const std::vector<std::int64_t>& room,
+                 bool disrupted = false) {
   fleet_view fleet{.disrupted = disrupted};
   for (const std::int64_t millicores : room) {
     fleet.workers.push_back(
