Reproduce a takeover that waits for a worker that left

After a takeover no task of earlier owners runs again before each worker that they leased has reported, or the last order (6 s) and the last lease (6.2 s) of the earlier owner have expired. A worker that left in the takeover never reports, so its tasks wait 12 s, and so does a failed task whose end a worker that stays has reported.

Both tests fail on the current code with RESTART violations.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -212,6 +212,35 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a successor that waits for a worker that has left: until the
+// last order and the last lease of the earlier owner have expired there, 12 s,
+// none of the tasks of earlier owners ran again.
+TEST(RestartTest, ATakeoverDoesNotWaitForAWorkerThatLeft) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     milliseconds(200));
+  fleet->KillVm(*fleet->Owner());
+  fleet->Advance(milliseconds(300));
+  ASSERT_FALSE(fleet->Checker().Running(Task(kRestartingJob, 0)));
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// As above, for a task whose end another worker reports to the successor.
+TEST(RestartTest, AReportedEndDoesNotWaitForAWorkerThatLeft) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  ASSERT_NE(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+            fleet->Checker().WorkerOf(Task(kRestartingJob, 1)));
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     milliseconds(200));
+  fleet->KillVm(*fleet->Owner());
+  fleet->FailRun(Task(kRestartingJob, 1));
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 1), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // Guards against a task that waits for batch work to end, for which nothing
 // bounds the time.
 TEST(RestartTest, MovesTheTasksOfACrashedWorkerToRoomOfLongBatchWork) {
