--- a/src/skylarkbridge/control/restart_explorer_test.cpp
+++ b/src/skylarkbridge/control/restart_explorer_test.cpp
@@ -372,6 +372,10 @@
     disturbance::kSilentStore,       disturbance::kRefusingStore,
     disturbance::kLostAnswers};
 
+TEST(RestartExplorerTest, AllFaultsWithOneCell) {
+  PlaySchedules({.disturbances = kAllDisturbances});
+}
+
 TEST(RestartExplorerTest, AllFaultsWithSeveralCells) {
   PlaySchedules(
       {.min_cells = 2, .max_cells = 3, .disturbances = kAllDisturbances});
