Remember across a takeover which long-running tasks have run

Cause: a successor ranks a task as a restart only if it has seen one of its runs end. Nothing durable said which tasks had been started, so all tasks without a run were first starts for it. Change: the progress of a job holds a flag for each started task of a long-running step. It is set at the first start, is taken back if the worker refuses that start, and waits for the owner's next append, which the confirmation of the ownership brings within 400 ms. A successor counts such a task as a restart that waits since the takeover. An end that a worker reports of an earlier owner's run counts as well, with the time of the report. Why it works: PlaceRestarts serves these tasks, and keeps room for them, before any first start, as it does without a takeover. Adopted runs leave the list as they become active. Versions: the flags are a fifth column of a step's progress. Earlier versions ignore it; rows without it decode as before, and a job without long-running steps is written as before.

--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -120,7 +120,7 @@
       }
     }
   }
-  if (scheduler_.HasRecords()) {
+  if (!batch.empty() || scheduler_.HasRecords()) {
     for (const jobs::log_record& record : scheduler_.TakeRecords()) {
       batch.push_back(records::Encode(record));
     }
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -25,7 +25,8 @@
 /// workers, and each failure must count only once.
 using failed_runs = std::set<run_number>;
 
-/// @brief Completed tasks and failed runs of one occurrence of a step.
+/// @brief Completed and started tasks and failed runs of one occurrence of a
+/// step.
 struct step_progress {
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
@@ -33,6 +34,9 @@
   std::vector<bool> done;
   /// Failed runs by index of the task.
   std::map<std::uint32_t, failed_runs> failures;
+  /// Whether each task of a long-running step has been started, by index; empty
+  /// while none has, and in records of versions that didn't store it.
+  std::vector<bool> started;
 
   bool operator==(const step_progress&) const = default;
 };
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -63,7 +63,8 @@
   /// The task is not started before this time, after a failed or lost run.
   time_point not_before;
   /// When its last run ended or was lost; empty while this owner knows of no
-  /// earlier run.
+  /// earlier run. For a task that an earlier owner started, the time at which
+  /// this owner added its job, until the end of a run is known.
   std::optional<time_point> last_run_ended_at;
 };
 
@@ -187,6 +188,8 @@
 
   /// @brief Returns the progress of each job that changed since the last call.
   std::vector<job_advanced> TakeChanges();
+  /// @brief Whether there are changes that have to be written at once. Others
+  /// wait for the next write.
   bool HasChanges() const { return !changed_.empty() || !finished_.empty(); }
 
   const std::map<job_id, open_job>& Jobs() const { return jobs_; }
@@ -202,6 +205,9 @@
   void MakeReady(const task_ref& ref, task_state& task);
   void RemoveIfNoneReady(const step_ref& step);
   void MarkDone(open_job& job, const task_ref& ref, task_state& task);
+  /// Records in the progress whether a task of a long-running step has been
+  /// started.
+  void SetStarted(open_job& job, const task_ref& task, bool started);
   /// Returns whether the task has used up its attempts.
   bool CountFailure(open_job& job,
                     const run_ref& run,
@@ -217,7 +223,11 @@
   job_table_options options_;
   std::map<job_id, open_job> jobs_;
   std::set<step_ref> ready_;
+  /// Jobs whose progress has changed.
   std::set<job_id> changed_;
+  /// Jobs in whose progress only step_progress::started has changed. It waits
+  /// for the next write, so that starts cause no writes.
+  std::set<job_id> deferred_changes_;
   /// Jobs that still have occurrences which are not due.
   std::set<job_id> scheduled_;
   /// Final progress of jobs that have ended and were removed.
--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -151,6 +151,28 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// As above, for tasks that started long after their job, which the owner writes
+// later. The other job comes first because its queue is more urgent.
+TEST(RestartTest, FirstStartsDoNotTakeTheRoomOfLateStartersLostInATakeover) {
+  auto fleet = StartedFleet({.workers = 5});
+  fleet->CrashWorker("w4");
+  fleet->Advance(seconds(10));
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 10");
+  ASSERT_EQ(CountRunning(*fleet, kRestartingJob, 10), 8U);
+  fleet->StartWorker("w4");
+  fleet->Advance(seconds(1));
+  ASSERT_EQ(fleet->Checker().WorkerOf(Task(kRestartingJob, 9)), "w4");
+  SubmitAndStart(*fleet, kWaitingJob, "-2000 600000 0 2 queue=serving");
+  ASSERT_EQ(CountRunning(*fleet, kWaitingJob, 2), 0U);
+  fleet->KillVm(*fleet->Owner());
+  fleet->CrashWorker("w4");
+  fleet->Advance(milliseconds(500));
+  fleet->StartWorker("w4");
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 9), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // Guards against giving the room of a new worker to tasks that have never run,
 // while those of a draining worker wait for it.
 TEST(RestartTest, FirstStartsDoNotTakeTheRoomThatReplacesADrainingWorker) {
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -28,6 +28,11 @@
          progress->done[index];
 }
 
+bool IsStarted(const step_progress* progress, std::uint32_t index) {
+  return progress != nullptr && index < progress->started.size() &&
+         progress->started[index];
+}
+
 bool AllDone(const std::vector<step_state>& steps) {
   return std::all_of(steps.begin(), steps.end(), [](const step_state& step) {
     return step.done == step.tasks.size();
@@ -116,6 +121,9 @@
       } else if (maybe_running) {
         task.phase = task_phase::kMaybeRunning;
       }
+      if (IsStarted(progress, index)) {
+        task.last_run_ended_at = job.added_at;
+      }
       if (progress != nullptr) {
         if (const auto failed = progress->failures.find(index);
             failed != progress->failures.end() && !failed->second.empty()) {
@@ -213,6 +221,7 @@
     job.progress.started = true;
     changed_.insert(run.task.job);
   }
+  SetStarted(job, run.task, true);
 }
 
 bool job_table::CanAdopt(const run_ref& run) const {
@@ -233,7 +242,10 @@
 }
 
 void job_table::RecordRejectedStart(const run_ref& run, time_point now) {
-  EndRun(run, now);
+  // A task without an earlier run has not been started after all.
+  if (EndRun(run, now) && !Find(run.task)->last_run_ended_at) {
+    SetStarted(jobs_.find(run.task.job)->second, run.task, false);
+  }
 }
 
 bool job_table::EndRun(const run_ref& run, time_point not_before) {
@@ -289,13 +301,28 @@
   if (outcome == run_end::kFailed && CountFailure(job, run, max_attempts)) {
     return Finish(run.task.job, job_status::kFailed);
   }
-  if (EndRun(run, outcome == run_end::kFailed ? now + RetryDelay(job, run.task)
-                                              : now)) {
+  SetStarted(job, run.task, true);
+  const time_point not_before =
+      outcome == run_end::kFailed ? now + RetryDelay(job, run.task) : now;
+  // The end may be that of a run of an earlier owner, which isn't active here.
+  if (EndRun(run, not_before) || !task->last_run_ended_at) {
     task->last_run_ended_at = now;
   }
   return {};
 }
 
+void job_table::SetStarted(open_job& job, const task_ref& task, bool started) {
+  if (!job.spec.steps[task.step].long_running) {
+    return;
+  }
+  std::vector<bool>& flags = FindOrAddProgress(job, task).started;
+  flags.resize(job.spec.steps[task.step].count);
+  if (flags[task.index] != started) {
+    flags[task.index] = started;
+    deferred_changes_.insert(task.job);
+  }
+}
+
 void job_table::MarkDone(open_job& job, const task_ref& ref, task_state& task) {
   task.phase = task_phase::kDone;
   task.active_runs.clear();
@@ -371,12 +398,14 @@
   }
   jobs_.erase(entry);
   changed_.erase(id);
+  deferred_changes_.erase(id);
   scheduled_.erase(id);
   return runs;
 }
 
 std::vector<job_advanced> job_table::TakeChanges() {
   std::vector<job_advanced> changes = std::exchange(finished_, {});
+  changed_.merge(std::exchange(deferred_changes_, {}));
   for (const job_id id : changed_) {
     if (const auto entry = jobs_.find(id); entry != jobs_.end()) {
       changes.push_back({id, entry->second.progress});
--- /dev/null
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -0,0 +1,161 @@
+#include "skylarkbridge/jobs/job_table.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace skylarkbridge::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kNow{seconds(100)};
+constexpr time_point kTakeover{seconds(200)};
+constexpr wall_time kWall{seconds(1'700'000'000)};
+constexpr job_id kJob{1};
+constexpr std::uint32_t kMaxAttempts = 3;
+
+run_ref FirstRun(std::uint32_t index) {
+  return {.task = {.job = kJob, .index = index}, .run = 1};
+}
+
+/// A job of one step of three tasks.
+job_state Job(bool long_running, job_progress progress = {}) {
+  job_state state;
+  state.spec.steps.push_back({.count = 3, .long_running = long_running});
+  state.progress = std::move(progress);
+  return state;
+}
+
+/// The table of the first owner of the job.
+job_table FirstOwner(bool long_running = true) {
+  job_table table{{}};
+  table.Add(kJob, Job(long_running), false, kNow, kWall);
+  return table;
+}
+
+/// The table of a successor, which has heard from no worker.
+job_table Successor(const job_progress& progress) {
+  job_table table{{}};
+  table.Add(kJob, Job(true, progress), true, kTakeover, kWall);
+  return table;
+}
+
+/// The progress that is written now; nullopt without a change.
+std::optional<job_progress> TakeProgress(job_table& table) {
+  const std::vector<job_advanced> changes = table.TakeChanges();
+  return changes.empty() ? std::nullopt
+                         : std::optional<job_progress>(changes[0].progress);
+}
+
+std::vector<bool> Started(const std::optional<job_progress>& progress) {
+  return progress && !progress->steps.empty() ? progress->steps[0].started
+                                              : std::vector<bool>();
+}
+
+// Guards against a write for each start: in a burst of starts they exceed the
+// store's write rate.
+TEST(JobTableTest, LaterStartsWaitForTheNextWrite) {
+  job_table table = FirstOwner();
+  table.RecordStart(FirstRun(0), "w");
+  EXPECT_TRUE(table.HasChanges());
+  EXPECT_EQ(Started(TakeProgress(table)),
+            std::vector<bool>({true, false, false}));
+  table.RecordStart(FirstRun(2), "w");
+  EXPECT_FALSE(table.HasChanges());
+  EXPECT_EQ(Started(TakeProgress(table)),
+            std::vector<bool>({true, false, true}));
+  EXPECT_EQ(TakeProgress(table), std::nullopt);
+}
+
+// Guards against writing a long-running task again for each of its runs.
+TEST(JobTableTest, ARestartChangesNoProgress) {
+  job_table table = FirstOwner();
+  table.RecordStart(FirstRun(0), "w");
+  table.TakeChanges();
+  table.RecordEnd(FirstRun(0), run_end::kFailed, "", kMaxAttempts, kNow);
+  table.RecordStart({FirstRun(0).task, 2}, "w");
+  EXPECT_EQ(TakeProgress(table), std::nullopt);
+}
+
+// Guards against larger records of batch jobs, which have many more tasks.
+TEST(JobTableTest, StartsOfBatchTasksAreNotWritten) {
+  job_table table = FirstOwner(false);
+  table.RecordStart(FirstRun(0), "w");
+  EXPECT_TRUE(Started(TakeProgress(table)).empty());
+  table.RecordStart(FirstRun(1), "w");
+  EXPECT_EQ(TakeProgress(table), std::nullopt);
+}
+
+// Guards against a task that counts as started although its worker refused to
+// start it.
+TEST(JobTableTest, ARefusedStartIsTakenBack) {
+  job_table table = FirstOwner();
+  table.RecordStart(FirstRun(0), "w");
+  table.RecordStart(FirstRun(1), "w");
+  table.RecordRejectedStart(FirstRun(1), kNow);
+  EXPECT_EQ(Started(TakeProgress(table)),
+            std::vector<bool>({true, false, false}));
+}
+
+// As above, for a task that has run before and has to keep its record.
+TEST(JobTableTest, ARefusedRestartIsNotTakenBack) {
+  job_table table =
+      Successor({.started = true, .steps = {{.started = {true}}}});
+  table.AllowUnreportedTasks();
+  table.RecordStart(FirstRun(0), "w");
+  table.RecordRejectedStart(FirstRun(0), kTakeover);
+  EXPECT_EQ(TakeProgress(table), std::nullopt);
+  ASSERT_EQ(table.WaitingRestarts().size(), 1U);
+}
+
+// Guards against a successor that takes the tasks of its predecessor for tasks
+// that have never run, and gives their room away.
+TEST(JobTableTest, ATaskThatAnEarlierOwnerStartedWaitsSinceTheTakeover) {
+  job_table table = Successor(
+      {.started = true, .steps = {{.started = {false, true, false}}}});
+  EXPECT_TRUE(table.WaitingRestarts().empty());
+  table.AllowUnreportedTasks();
+  const std::vector<waiting_restart> waiting = table.WaitingRestarts();
+  ASSERT_EQ(waiting.size(), 1U);
+  EXPECT_EQ(waiting[0].task, FirstRun(1).task);
+  EXPECT_EQ(waiting[0].since, kTakeover);
+}
+
+// Guards against the same for a run that a worker reports as ended while
+// nothing has been written about it.
+TEST(JobTableTest, ATaskWhoseEndASuccessorHearsOfWaitsForItsRestart) {
+  const time_point reported_at = kTakeover + milliseconds(20);
+  job_table table = Successor({.started = true});
+  table.RecordEnd(FirstRun(1), run_end::kFailed, "", kMaxAttempts, reported_at);
+  table.AllowUnreportedTasks();
+  const std::vector<waiting_restart> waiting = table.WaitingRestarts();
+  ASSERT_EQ(waiting.size(), 1U);
+  EXPECT_EQ(waiting[0].task, FirstRun(1).task);
+  EXPECT_EQ(waiting[0].since, reported_at);
+  EXPECT_EQ(Started(TakeProgress(table)),
+            std::vector<bool>({false, true, false}));
+}
+
+// Guards against a report of a run that a successor has adopted as a task that
+// waits.
+TEST(JobTableTest, AnAdoptedRunDoesNotWaitForARestart) {
+  job_table table =
+      Successor({.started = true, .steps = {{.started = {true}}}});
+  ASSERT_TRUE(table.CanAdopt(FirstRun(0)));
+  table.RecordStart(FirstRun(0), "w");
+  table.AllowUnreportedTasks();
+  EXPECT_TRUE(table.WaitingRestarts().empty());
+  const time_point lost_at = kTakeover + seconds(1);
+  table.RecordLoss(FirstRun(0), lost_at);
+  ASSERT_EQ(table.WaitingRestarts().size(), 1U);
+  EXPECT_EQ(table.WaitingRestarts()[0].since, lost_at);
+}
+
+}  // namespace
+}  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -20,6 +20,9 @@
 /// Keys of the records that concern no job.
 constexpr std::string_view kOwnerKey = "owner";
 constexpr std::string_view kLeasedWorkersKey = "leased";
+/// Column of step_progress::started. Rows without started tasks, and those of
+/// earlier versions, end before it; earlier versions ignore it.
+constexpr std::size_t kStartedColumn = 4;
 
 std::string Key(char kind, job_id job) {
   return absl::StrCat(std::string(1, kind), Format(job));
@@ -87,19 +90,52 @@
   return {.key = Key(kCancelledKind, record.job), .value = Pack(json(true))};
 }
 
+std::string ToDigits(const std::vector<bool>& flags) {
+  std::string digits;
+  for (const bool flag : flags) {
+    digits.push_back(flag ? '1' : '0');
+  }
+  return digits;
+}
+
+std::vector<bool> ToFlags(const std::string& digits) {
+  std::vector<bool> flags;
+  for (const char digit : digits) {
+    flags.push_back(digit == '1');
+  }
+  return flags;
+}
+
+json ToJson(const step_progress& step) {
+  json failures = json::array();
+  for (const auto& [index, runs] : step.failures) {
+    failures.push_back(json::array({index, runs}));
+  }
+  json row = json::array(
+      {step.occurrence, step.step, ToDigits(step.done), std::move(failures)});
+  if (!step.started.empty()) {
+    row.push_back(ToDigits(step.started));
+  }
+  return row;
+}
+
+step_progress ToStepProgress(const json& row) {
+  step_progress step{.occurrence = row.at(0),
+                     .step = row.at(1),
+                     .done = ToFlags(row.at(2).get<std::string>())};
+  for (const json& failure_row : row.at(3)) {
+    step.failures[failure_row.at(0)] = failure_row.at(1).get<failed_runs>();
+  }
+  if (row.size() > kStartedColumn) {
+    step.started = ToFlags(row.at(kStartedColumn).get<std::string>());
+  }
+  return step;
+}
+
 keyed_record ToRecord(const job_advanced& record) {
   json steps = json::array();
   for (const step_progress& step : record.progress.steps) {
-    std::string done;
-    for (const bool is_done : step.done) {
-      done.push_back(is_done ? '1' : '0');
-    }
-    json failures = json::array();
-    for (const auto& [index, runs] : step.failures) {
-      failures.push_back(json::array({index, runs}));
-    }
-    steps.push_back(json::array(
-        {step.occurrence, step.step, std::move(done), std::move(failures)}));
+    steps.push_back(ToJson(step));
   }
   return {.key = Key(kAdvancedKind, record.job),
           .value = Pack(json::array({record.progress.started,
@@ -150,14 +186,7 @@
                       .progress = {.started = value.at(0),
                                    .status = static_cast<job_status>(status)}};
   for (const json& row : value.at(2)) {
-    step_progress step{.occurrence = row.at(0), .step = row.at(1)};
-    for (const char digit : row.at(2).get<std::string>()) {
-      step.done.push_back(digit == '1');
-    }
-    for (const json& failure_row : row.at(3)) {
-      step.failures[failure_row.at(0)] = failure_row.at(1).get<failed_runs>();
-    }
-    record.progress.steps.push_back(std::move(step));
+    record.progress.steps.push_back(ToStepProgress(row));
   }
   return record;
 }
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/leaf/handle_errors.hpp>
+#include <nlohmann/json.hpp>
 #include <random>
 
 #include "skylarkbridge/base/failure.hpp"
@@ -12,9 +13,8 @@
 
 using namespace jobs;
 
-/// Encodes and decodes a record; nullopt if decoding fails.
-std::optional<log_record> RoundTrip(const log_record& record) {
-  const keyed_record encoded = Encode(record);
+/// Decodes a record; nullopt if that fails.
+std::optional<log_record> DecodeOrNothing(const keyed_record& encoded) {
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::optional<log_record>> {
         std::optional<std::string_view> value;
@@ -27,6 +27,21 @@
       [] { return std::optional<log_record>(); });
 }
 
+/// Encodes and decodes a record; nullopt if decoding fails.
+std::optional<log_record> RoundTrip(const log_record& record) {
+  return DecodeOrNothing(Encode(record));
+}
+
+/// The encoded progress of a job with one step.
+keyed_record ProgressRecord(const nlohmann::json& step_row) {
+  std::string value;
+  nlohmann::json::to_msgpack(
+      nlohmann::json::array({true, 0, nlohmann::json::array({step_row})}),
+      value);
+  return {.key = Encode(job_advanced{.job = job_id{1}}).key,
+          .value = std::move(value)};
+}
+
 // Guards against fields that are lost: a successor starts tasks from these
 // records.
 TEST(JobRecordCodecTest, KeepsEveryFieldOfAJob) {
@@ -80,12 +95,49 @@
                    .steps = {{.occurrence = 2,
                               .step = 1,
                               .done = {true, false, true},
-                              .failures = {{4, {1, 10'001}}}}}}};
+                              .failures = {{4, {1, 10'001}}},
+                              .started = {false, true}}}}};
   const auto decoded = RoundTrip(advanced);
   ASSERT_TRUE(decoded);
   EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
 }
 
+// Guards against losing the progress of jobs at an update: earlier versions
+// wrote no started tasks.
+TEST(JobRecordCodecTest, ReadsTheProgressThatEarlierVersionsWrote) {
+  const auto decoded = DecodeOrNothing(ProgressRecord(
+      nlohmann::json::array({2, 1, "101",
+                             nlohmann::json::array({nlohmann::json::array(
+                                 {4, nlohmann::json::array({1, 10'001})})})})));
+  ASSERT_TRUE(decoded);
+  const job_progress expected{.started = true,
+                              .steps = {{.occurrence = 2,
+                                         .step = 1,
+                                         .done = {true, false, true},
+                                         .failures = {{4, {1, 10'001}}}}}};
+  EXPECT_EQ(std::get<job_advanced>(*decoded).progress, expected);
+}
+
+// Guards against records that earlier versions, which run beside this one
+// during a rolling restart, can't read: they expect four columns at the front
+// and ignore others.
+TEST(JobRecordCodecTest, KeepsTheColumnsThatEarlierVersionsRead) {
+  const auto row_of = [](const step_progress& step) {
+    const keyed_record encoded = Encode(job_advanced{
+        .job = job_id{1}, .progress = {.started = true, .steps = {step}}});
+    return nlohmann::json::from_msgpack(*encoded.value).at(2).at(0);
+  };
+  step_progress step{.occurrence = 2, .step = 1, .done = {true, false}};
+  const nlohmann::json earlier_row =
+      nlohmann::json::array({2, 1, "10", nlohmann::json::array()});
+  EXPECT_EQ(row_of(step), earlier_row);
+  step.started = {true, true};
+  nlohmann::json row = row_of(step);
+  ASSERT_EQ(row.size(), 5U);
+  row.erase(4);
+  EXPECT_EQ(row, earlier_row);
+}
+
 // Guards against a successor that gives orders too early, or that does not know
 // on which workers tasks may run.
 TEST(JobRecordCodecTest, KeepsOwnershipAndLeasedWorkers) {
