Keep room for the tasks of an earlier owner too

What callers would see: after a takeover beside a lost worker, its long-running tasks wait longer than the lease, as first starts of newer jobs have taken the room meanwhile. Cause: the room of expected restarts left out tasks that an earlier owner started and that no worker has reported yet. Change: they count as expected restarts until the workers of the earlier owner have reported.

--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -186,6 +186,10 @@
   /// or in their retry delay; those that have waited longest come first.
   std::vector<waiting_restart> WaitingRestarts() const;
 
+  /// @brief Returns the long-running tasks that an earlier owner started and
+  /// that no worker has reported yet.
+  std::vector<task_ref> UnreportedLongRunningTasks() const;
+
   /// @brief Returns the progress of each job that changed since the last call.
   std::vector<job_advanced> TakeChanges();
   /// @brief Whether there are changes that have to be written at once. Others
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -39,6 +39,11 @@
 
 void fleet_scheduler::ReserveForExpectedRestarts(placement_pass& pass,
                                                  time_point now) const {
+  if (!unreported_workers_.empty()) {
+    for (const task_ref& task : jobs_.UnreportedLongRunningTasks()) {
+      ReserveForExpectedRestart(task, pass, now);
+    }
+  }
   for (const auto& [id, session] : workers_) {
     const bool is_silent = now >= session.last_answer + options_.max_silence;
     if (!is_silent && !session.entry.draining) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -362,6 +362,35 @@
   EXPECT_EQ(driver.starts[1].run.task.job, draining_job);
 }
 
+// Guards against the same after a takeover, while tasks of the earlier owner
+// wait for a worker that does not report.
+TEST(FleetSchedulerTest, LeavesRoomForTheTasksOfAnEarlierOwner) {
+  scheduler_driver driver;
+  const job_id earlier_job{7};
+  driver.registry.Apply(
+      job_accepted{.job = earlier_job,
+                   .queue = "batch",
+                   .spec = {.steps = {{.count = 1,
+                                       .need = {.millicores = 3000},
+                                       .long_running = true}}}},
+      driver.now);
+  driver.registry.Apply(
+      job_advanced{
+          .job = earlier_job,
+          .progress = {.started = true, .steps = {{.started = {true}}}}},
+      driver.now);
+  driver.Begin({"gone"});
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  for (int second = 0; second < 8; ++second) {
+    driver.Pass(seconds(1));
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  EXPECT_EQ(driver.starts[0].run.task.job, earlier_job);
+}
+
 // Guards against batch work that stands still for room that is only kept for
 // restarts to come.
 TEST(FleetSchedulerTest, BatchWorkUsesTheRoomOfExpectedRestarts) {
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -501,4 +501,25 @@
   return waiting;
 }
 
+std::vector<task_ref> job_table::UnreportedLongRunningTasks() const {
+  std::vector<task_ref> unreported;
+  for (const auto& [id, job] : jobs_) {
+    for (const auto& [occurrence, steps] : job.due_occurrences) {
+      for (std::uint32_t step = 0; step < steps.size(); ++step) {
+        if (!job.spec.steps[step].long_running) {
+          continue;
+        }
+        const std::vector<task_state>& tasks = steps[step].tasks;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+          if (tasks[index].phase == task_phase::kMaybeRunning &&
+              tasks[index].last_run_ended_at) {
+            unreported.push_back({id, occurrence, step, index});
+          }
+        }
+      }
+    }
+  }
+  return unreported;
+}
+
 }  // namespace skylarkbridge::jobs
