Close gaps in the reservation for restarts

Change: reserved tasks count as siblings; the room of a task under a policy is reserved on a permitted worker, or on any while none is known; workers on which preemption can free the room come first; restarts are ranked as starving like other tasks. What a task reserves stands in one function. Result: AFailedTaskKeepsItsPlaceUnderMaxPerWorker, ReservesRoomThatPreemptionCanFree, AFailedTaskUnderAPlacementPolicyKeepsItsRoom and RestartsABestEffortTaskOfAStarvingJob failed before and pass; PreemptsJustEnoughRunsAfterTheDelay and DoesNotPreemptGangs guard what held. jobs_test passes.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -376,7 +376,10 @@
                                                time_point now) const;
   void CountServingTasks(const std::string& image,
                          placement_candidate& candidate) const;
+  /// Counts the tasks of the step on each worker, with those for which room is
+  /// reserved there.
   void CountSiblings(const step_ref& ref,
+                     const placement_pass& pass,
                      std::vector<placement_candidate>& candidates) const;
   /// Whether less than half of the capacity of the usable workers is in use.
   bool IsUnderused(time_point now) const;
--- a/include/skylarkbridge/jobs/job_spec.hpp
+++ b/include/skylarkbridge/jobs/job_spec.hpp
@@ -77,6 +77,16 @@
   std::int32_t disruption_budget = -1;
 };
 
+/// @brief Returns what a task of the step reserves on its worker. Best-effort
+/// tasks reserve no processor time.
+inline resources ReservedResources(const step_spec& step) {
+  resources reserved = step.need;
+  if (step.best_effort) {
+    reserved.millicores = 0;
+  }
+  return reserved;
+}
+
 /// @brief A job as submitted by the caller.
 struct job_spec {
   /// Text that is passed to the workers unchanged.
--- a/include/skylarkbridge/jobs/placement.hpp
+++ b/include/skylarkbridge/jobs/placement.hpp
@@ -74,8 +74,9 @@
 /// @brief Returns the index of the worker to reserve room on for a task of the
 /// step. A worker qualifies if the task could be placed on it, beside the room
 /// that is already reserved, once all tasks on it other than long-running ones
-/// have ended. Prefers @p previous, then the worker with the most room now;
-/// nullopt when none qualifies.
+/// have ended. Prefers workers on which preemption can free the room, then
+/// @p previous, then the worker with the most room now; nullopt when none
+/// qualifies.
 /// @param previous worker of the last reservation; empty for none.
 std::optional<std::size_t> ChooseWorkerToReserve(
     const step_spec& step,
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -39,6 +39,8 @@
   /// Runs until its job is cancelled, so its capacity does not come free by
   /// itself.
   bool long_running = false;
+  /// Is part of a gang, whose other runs end with it.
+  bool gang = false;
   std::chrono::milliseconds latency_target{};
   std::string image;
   /// Number of the first renewal whose report must list the run if it is on
@@ -119,6 +121,8 @@
   resources used;
   /// Sum of `reserved` over the long-running runs.
   resources used_by_long_running;
+  /// Sum of `reserved` over the other runs that are part of a gang.
+  resources used_by_gangs;
   std::int64_t best_effort_millicores = 0;
   /// Declared processor time of the serving tasks.
   std::int64_t serving_millicores = 0;
@@ -143,6 +147,13 @@
     room -= used_by_long_running;
     return room;
   }
+  /// @brief Capacity that is not reserved once all runs that can be preempted
+  /// have been stopped.
+  resources PreemptibleRoom() const {
+    resources room = EventualRoom();
+    room -= used_by_gangs;
+    return room;
+  }
 };
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -295,6 +295,7 @@
 
 void fleet_scheduler::CountSiblings(
     const step_ref& ref,
+    const placement_pass& pass,
     std::vector<placement_candidate>& candidates) const {
   absl::flat_hash_map<std::string, std::uint32_t> siblings;
   for (const task_state& task : jobs_.Find(ref)->tasks) {
@@ -302,6 +303,12 @@
       ++siblings[copy.worker];
     }
   }
+  for (auto reserved = pass.reserved_workers.lower_bound(TaskOf(ref, 0));
+       reserved != pass.reserved_workers.end() &&
+       StepOf(reserved->first) == ref;
+       ++reserved) {
+    ++siblings[reserved->second];
+  }
   for (placement_candidate& candidate : candidates) {
     const auto count = siblings.find(candidate.session->entry.worker);
     candidate.siblings = count == siblings.end() ? 0 : count->second;
@@ -322,8 +329,9 @@
     return nullptr;
   }
   placement_candidate& candidate = candidates[*chosen];
-  candidate.reserved += step.need;
-  pass.reserved_room[candidate.session->entry.worker] += step.need;
+  const resources need = ReservedResources(step);
+  candidate.reserved += need;
+  pass.reserved_room[candidate.session->entry.worker] += need;
   pass.reserved_workers[task] = candidate.session->entry.worker;
   ++candidate.siblings;
   return &candidate;
@@ -370,7 +378,7 @@
         pass.ReservedRoom(candidate.session->entry.worker, step.long_running);
   }
   if (step.max_per_worker > 0) {
-    CountSiblings(ref, candidates);
+    CountSiblings(ref, pass, candidates);
   }
   return candidates;
 }
@@ -517,12 +525,10 @@
     if (!chosen) {
       return false;
     }
-    resources need = step.need;
     if (step.best_effort) {
-      trial_sessions[*chosen].best_effort_millicores += need.millicores;
-      need.millicores = 0;
+      trial_sessions[*chosen].best_effort_millicores += step.need.millicores;
     }
-    trial_sessions[*chosen].used += need;
+    trial_sessions[*chosen].used += ReservedResources(step);
     ++candidates[*chosen].siblings;
     chosen_workers.push_back(trial_sessions[*chosen].entry.worker);
     run = std::max(run, jobs_.NextRun(TaskOf(ref, index), epoch_));
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -23,15 +23,20 @@
   }
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
-  const bool placed = now >= restart.not_before &&
-                      PlaceOnCandidates({.ref = ref}, *step, *queue,
-                                        {restart.task.index}, candidates, now);
-  if (placed || queue->HasPlacementPolicy()) {
+  const ready_step ranked{.starving = IsStarving(ref.job, now), .ref = ref};
+  if (now >= restart.not_before &&
+      PlaceOnCandidates(ranked, *step, *queue, {restart.task.index}, candidates,
+                        now)) {
     return;
   }
-  const placement_candidate* reserved_on =
-      ReserveRoom(restart.task, *step, candidates, pass);
-  if (reserved_on != nullptr &&
+  std::vector<placement_candidate> permitted;
+  if (queue->HasPlacementPolicy()) {
+    permitted = Permitted(ref, candidates, now);
+  }
+  const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
+  const placement_candidate* reserved_on = ReserveRoom(
+      restart.task, *step, permitted.empty() ? candidates : permitted, pass);
+  if (reserved_on != nullptr && may_start &&
       now >= restart.since + options_.preemption_delay) {
     PreemptRuns(restart.task, *reserved_on, now);
   }
@@ -63,7 +68,7 @@
   const step_ref ref = StepOf(task);
   const step_spec* step = jobs_.Spec(ref);
   const queue_configuration* queue = Queue(ref.job);
-  if (step == nullptr || queue == nullptr) {
+  if (step == nullptr || queue == nullptr || step->gang) {
     return;
   }
   const std::vector<placement_candidate>& candidates =
@@ -158,7 +163,7 @@
     }
   }
   if (step.max_per_worker > 0) {
-    CountSiblings(ref, candidates);
+    CountSiblings(ref, {}, candidates);
   }
   const std::size_t usable = candidates.size();
   std::erase_if(candidates, [&step](const placement_candidate& candidate) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -414,6 +415,182 @@
   EXPECT_EQ(driver.starts[1].run.task.job, kJob);
 }
 
+// Guards against a restart whose place under max_per_worker is taken by a task
+// of its step that has never run.
+TEST(FleetSchedulerTest, AFailedTaskKeepsItsPlaceUnderMaxPerWorker) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 6000);
+  driver.RunRounds();
+  driver.Submit(kJob, {.count = 2,
+                       .need = {.millicores = 3000},
+                       .max_per_worker = 1,
+                       .long_running = true});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  const run_ref failed = driver.starts[0].run;
+  driver.EndRun(failed, run_end::kFailed);
+  for (int pass = 0; pass < 10; ++pass) {
+    driver.Pass(milliseconds(20));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.task, failed.task);
+}
+
+// Guards against room that is reserved where a gang holds it, while runs on
+// another worker could be stopped: runs of gangs are not preempted.
+TEST(FleetSchedulerTest, ReservesRoomThatPreemptionCanFree) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 4000);
+  driver.RunRounds();
+  driver.Submit(job_id{2},
+                {.count = 4, .need = {.millicores = 1000}, .gang = true});
+  driver.RunRounds();
+  driver.AddWorker("w1", 3000);
+  driver.RunRounds();
+  const job_id restarting_job{7};
+  driver.Submit(
+      restarting_job,
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.RunRounds();
+  driver.AddWorker("w2", 3000);
+  driver.RunRounds();
+  driver.Submit(kJob, {.count = 30, .need = {.millicores = 1000}});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 8U);
+  driver.DrainWorker("w1", 3000);
+  driver.RunRounds();
+  driver.EndRun(driver.LastRun({restarting_job, 0, 0, 0}), run_end::kStopped);
+  driver.stops.clear();
+  for (int pass = 0; pass < 100; ++pass) {
+    driver.Pass(milliseconds(20));
+  }
+  ASSERT_EQ(driver.stops.size(), 3U);
+  for (const stop_order& stop : driver.stops) {
+    EXPECT_EQ(stop.run.task.job, kJob);
+  }
+}
+
+// Guards against a restart that loses its room because its queue has a
+// placement policy.
+TEST(FleetSchedulerTest, AFailedTaskUnderAPlacementPolicyKeepsItsRoom) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  const job_id restarting_job{7};
+  driver.Submit(
+      restarting_job,
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true},
+      "restricted");
+  const auto pass_with_permits = [&driver] {
+    driver.Pass(milliseconds(10));
+    for (const permit_request& request : driver.permit_requests) {
+      driver.scheduler.Handle(
+          permit_reply{.step = request.step,
+                       .result = order_result::kDone,
+                       .eligible = {{request.workers[0], "ticket"}},
+                       .validity = milliseconds(1500)},
+          driver.now);
+    }
+    driver.permit_requests.clear();
+    driver.Pass(milliseconds(10));
+  };
+  for (int pass = 0; pass < 6; ++pass) {
+    pass_with_permits();
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.EndRun(driver.starts[0].run, run_end::kFailed);
+  for (int pass = 0; pass < 20; ++pass) {
+    pass_with_permits();
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.task.job, restarting_job);
+}
+
+// Guards against a best-effort long-running task that does not run again on an
+// underused fleet, as no worker has as much idle processor time as it declares.
+TEST(FleetSchedulerTest, RestartsABestEffortTaskOfAStarvingJob) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 10'000);
+  driver.RunRounds();
+  const job_id restarting_job{7};
+  driver.Submit(restarting_job, {.count = 1,
+                                 .need = {.millicores = 12'000},
+                                 .long_running = true,
+                                 .best_effort = true});
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 4000}, .long_running = true});
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  driver.EndRun(driver.LastRun({restarting_job, 0, 0, 0}), run_end::kFailed);
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  ASSERT_EQ(driver.starts.size(), 3U);
+  EXPECT_EQ(driver.starts[2].run.task.job, restarting_job);
+}
+
+/// One worker on which batch runs hold the room that a restart needs.
+class restart_beside_batch {
+ public:
+  /// @param batch step of the batch job.
+  explicit restart_beside_batch(const step_spec& batch) {
+    driver.Begin();
+    driver.AddWorker("w0", 3000);
+    driver.RunRounds();
+    driver.Submit(
+        kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+    driver.RunRounds();
+    driver.AddWorker("w1", 3000);
+    driver.RunRounds();
+    driver.Submit(job_id{2}, batch);
+    driver.RunRounds();
+    driver.DrainWorker("w0", 3000);
+    driver.RunRounds();
+    driver.EndRun(driver.LastRun({kJob, 0, 0, 0}), run_end::kStopped);
+    driver.stops.clear();
+  }
+  void PassFor(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(20)) {
+      driver.Pass(milliseconds(20));
+    }
+  }
+
+  scheduler_driver driver;
+};
+
+// Guards against stopping batch runs that may end in time by themselves, and
+// against stopping more of them in each pass.
+TEST(FleetSchedulerTest, PreemptsJustEnoughRunsAfterTheDelay) {
+  restart_beside_batch restart({.count = 3, .need = {.millicores = 1000}});
+  restart.PassFor(milliseconds(900));
+  EXPECT_TRUE(restart.driver.stops.empty());
+  restart.PassFor(milliseconds(2000));
+  std::set<run_ref> stopped;
+  for (const stop_order& stop : restart.driver.stops) {
+    stopped.insert(stop.run);
+  }
+  EXPECT_EQ(stopped.size(), 3U);
+}
+
+// Guards against ending the work of a whole gang by a stop of one of its runs.
+TEST(FleetSchedulerTest, DoesNotPreemptGangs) {
+  restart_beside_batch restart(
+      {.count = 3, .need = {.millicores = 1000}, .gang = true});
+  restart.PassFor(milliseconds(3000));
+  EXPECT_TRUE(restart.driver.stops.empty());
+}
+
 // Guards against a wait that no log line explains: the record of an incident
 // named none of the tasks that waited 22 s and longer.
 TEST(FleetSchedulerTest, ReportsALongRunningTaskThatWaitsForItsRestart) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -24,18 +24,20 @@
                                     const run_ref& run,
                                     const step_spec& step) {
   worker_run& state = session.runs[run];
-  state.reserved = step.need;
+  state.reserved = ReservedResources(step);
   if (step.best_effort) {
     state.best_effort_millicores = step.need.millicores;
-    state.reserved.millicores = 0;
   }
   state.serving = step.latency_target.count() > 0;
   state.long_running = step.long_running;
+  state.gang = step.gang;
   state.latency_target = step.latency_target;
   state.image = step.image;
   session.used += state.reserved;
   if (state.long_running) {
     session.used_by_long_running += state.reserved;
+  } else if (state.gang) {
+    session.used_by_gangs += state.reserved;
   }
   session.best_effort_millicores += state.best_effort_millicores;
   if (state.serving) {
@@ -53,6 +55,8 @@
   session.used -= state.reserved;
   if (state.long_running) {
     session.used_by_long_running -= state.reserved;
+  } else if (state.gang) {
+    session.used_by_gangs -= state.reserved;
   }
   session.best_effort_millicores -= state.best_effort_millicores;
   if (state.serving) {
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace skylarkbridge::jobs {
 namespace {
@@ -67,9 +68,7 @@
               const placement_candidate& candidate,
               const placement_options& options) {
   const worker_session& session = *candidate.session;
-  resources need = step.need;
   if (step.best_effort) {
-    need.millicores = 0;
     const double wanted =
         options.best_effort_share * static_cast<double>(step.need.millicores);
     if (wanted > 0 &&
@@ -77,7 +76,8 @@
       return false;
     }
   }
-  return Fits(need, candidate.Room()) && IsEligible(step, candidate);
+  return Fits(ReservedResources(step), candidate.Room()) &&
+         IsEligible(step, candidate);
 }
 
 std::optional<std::size_t> ChooseWorker(
@@ -106,20 +106,21 @@
     const step_spec& step,
     const std::vector<placement_candidate>& candidates,
     const std::string& previous) {
+  const resources need = ReservedResources(step);
+  // Orders the workers that qualify; the largest is chosen.
+  const auto rank = [&need, &previous](const placement_candidate& candidate) {
+    resources preemptible_room = candidate.session->PreemptibleRoom();
+    preemptible_room -= candidate.reserved;
+    return std::make_tuple(Fits(need, preemptible_room),
+                           candidate.session->entry.worker == previous,
+                           candidate.Room().millicores);
+  };
   std::optional<std::size_t> best;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
-    const worker_session& session = *candidates[index].session;
-    resources eventual_room = session.EventualRoom();
+    resources eventual_room = candidates[index].session->EventualRoom();
     eventual_room -= candidates[index].reserved;
-    if (!Fits(step.need, eventual_room) ||
-        !IsEligible(step, candidates[index])) {
-      continue;
-    }
-    if (session.entry.worker == previous) {
-      return index;
-    }
-    if (!best || candidates[index].Room().millicores >
-                     candidates[*best].Room().millicores) {
+    if (Fits(need, eventual_room) && IsEligible(step, candidates[index]) &&
+        (!best || rank(candidates[index]) > rank(candidates[*best]))) {
       best = index;
     }
   }
