Count only confirmed runs as interrupted

Cause: a run whose start order had no answer, and which the worker then did not list, counted as an interruption. A first start then ranked as a restart, and a restart lost its place in the order by waiting time. Change: a run that its worker does not list interrupts its task only if the worker had confirmed or reported it. Runs lost with a lease or a restart of the worker count as before, as they may have run. Result: FleetSchedulerTest.AStartThatWasNeverSeenIsNoInterruption fails without the change and passes; jobs_test passes.

--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -31,6 +31,8 @@
 /// @brief What the owner knows about a run on a worker.
 struct worker_run {
   run_phase phase = run_phase::kStarting;
+  /// The worker has confirmed the start or reported the run.
+  bool confirmed = false;
   /// Capacity reserved until the run is known not to be on the worker.
   resources reserved;
   /// Declared processor time of a best-effort task; it is not reserved.
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -610,6 +610,38 @@
   EXPECT_EQ(driver.scheduler.NextPass(), driver.now + milliseconds(20));
 }
 
+// Guards against a first start that ranks as a restart, and a restart that
+// loses its place, after a start order whose run was never seen.
+TEST(FleetSchedulerTest, AStartThatWasNeverSeenIsNoInterruption) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.scheduler.Run(driver.now, scheduler_driver::kWall);
+  // The start and its repeat get no answer, so the run is stopped.
+  for (int round = 0; round < 3; ++round) {
+    for (const order& sent_order : driver.scheduler.TakeOrders()) {
+      if (const auto* renewal = std::get_if<renew_order>(&sent_order)) {
+        driver.AnswerRenewal(*renewal);
+      } else if (const auto* start = std::get_if<start_order>(&sent_order)) {
+        driver.scheduler.Handle(
+            start_reply{"w0", start->run, order_result::kNoAnswer}, driver.now);
+      } else if (const auto* stop = std::get_if<stop_order>(&sent_order)) {
+        driver.scheduler.Handle(
+            stop_reply{"w0", stop->run, order_result::kDone}, driver.now);
+      }
+    }
+  }
+  driver.DrainWorker("w0", 3000);
+  driver.Pass(milliseconds(100));
+  driver.Pass(milliseconds(100));
+  EXPECT_EQ(driver.scheduler.Jobs().Find({kJob, 0, 0, 0})->phase,
+            task_phase::kReady);
+  EXPECT_EQ(driver.scheduler.WaitingRestarts(), 0U);
+}
+
 // Guards against a wait that no log line explains: the record of an incident
 // named none of the tasks that waited 22 s and longer.
 TEST(FleetSchedulerTest, ReportsALongRunningTaskThatWaitsForItsRestart) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -65,6 +65,18 @@
   session.runs.erase(found);
 }
 
+void fleet_scheduler::DropMissingRun(worker_session& session,
+                                     const run_ref& run,
+                                     time_point now) {
+  const bool confirmed = session.runs.find(run)->second.confirmed;
+  RemoveRun(session, run);
+  if (confirmed) {
+    jobs_.RecordLoss(run, now);
+  } else {
+    jobs_.RecordRejectedStart(run, now);
+  }
+}
+
 void fleet_scheduler::StartTask(worker_session& session,
                                 const step_spec& step,
                                 const run_ref& run,
@@ -125,6 +137,7 @@
   }
   worker_run& run = found->second;
   if (reply.result == order_result::kDone) {
+    run.confirmed = true;
     if (run.phase == run_phase::kStarting ||
         run.phase == run_phase::kUncertain) {
       run.phase = run_phase::kRunning;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -249,6 +249,7 @@
     return;
   }
   worker_run& run = found->second;
+  run.confirmed = true;
   if (run.phase == run_phase::kStarting || run.phase == run_phase::kUncertain) {
     run.phase = run_phase::kRunning;
     run.first_conclusive_renewal = renewal_number;
@@ -270,6 +271,7 @@
   const bool adopt = jobs_.CanAdopt(task.run);
   worker_run& run = AddRun(session, task.run, SpecOf(task.run, session));
   run.phase = run_phase::kRunning;
+  run.confirmed = true;
   run.first_conclusive_renewal = session.last_renewal;
   run.progress_percent = task.progress_percent;
   run.progressed_at = now;
@@ -308,8 +310,7 @@
   for (const run_ref& run : missing) {
     AddNote(scheduling_event::kRunLost, run, session.entry.worker,
             "not listed");
-    RemoveRun(session, run);
-    jobs_.RecordLoss(run, now);
+    DropMissingRun(session, run, now);
     placement_pending_ = true;
   }
 }
