Let VMs without a cell claim before owners of another one

Cause: the claim of an owner was delayed by 80 ms more than that of a VM without a cell, less than the spread with which VMs notice the silence (they read the log every 200 ms). Such a VM runs out of processor time: it follows the configuration 5 to 12 s late and stops cancelled tasks 8 s late. Change: each owned cell adds 120 ms, divided by the VM's share of a core, so 240 ms instead of 80. A VM that owns none claims as before, so small fleets with one cell do not take over later.

--- a/include/skylarkbridge/jobs/ownership.hpp
+++ b/include/skylarkbridge/jobs/ownership.hpp
@@ -23,10 +23,13 @@
   /// Upper bound of the random delay of a claim, which makes collisions of the
   /// claims of several VMs rare.
   std::chrono::milliseconds claim_jitter{80};
-  /// A claim is delayed by this value times the number of cells that the VM
-  /// would own after it, divided by `processor_share`, so that fast VMs with
-  /// few cells claim first.
-  std::chrono::milliseconds claim_delay_per_cell{40};
+  /// A claim is delayed by `claim_delay`, and by `claim_delay_per_owned_cell`
+  /// for each other cell that the VM owns, both divided by `processor_share`,
+  /// so that fast VMs without a cell claim first.
+  std::chrono::milliseconds claim_delay{40};
+  /// Covers most of the spread of the times at which VMs without a cell notice
+  /// the silence of an owner.
+  std::chrono::milliseconds claim_delay_per_owned_cell{120};
   /// This VM's share of a core.
   double processor_share = 0.25;
   /// An owner stops giving orders when its last accepted write is this old.
--- a/src/skylarkbridge/jobs/ownership.cpp
+++ b/src/skylarkbridge/jobs/ownership.cpp
@@ -132,9 +132,12 @@
 }
 
 std::chrono::nanoseconds ownership::ClaimDelay(std::size_t owned) const {
+  const std::chrono::duration<double, std::milli> delay =
+      options_.claim_delay +
+      static_cast<double>(owned) * std::chrono::duration<double, std::milli>(
+                                       options_.claim_delay_per_owned_cell);
   return std::chrono::duration_cast<std::chrono::nanoseconds>(
-      std::chrono::duration<double, std::milli>(options_.claim_delay_per_cell) *
-      static_cast<double>(owned + 1) / options_.processor_share);
+      delay / options_.processor_share);
 }
 
 std::chrono::nanoseconds ownership::ClaimJitter(epoch claim) const {
--- a/src/skylarkbridge/jobs/ownership_test.cpp
+++ b/src/skylarkbridge/jobs/ownership_test.cpp
@@ -42,6 +42,30 @@
   EXPECT_EQ(state.OrdersUntil(), until + seconds(1));
 }
 
+// Guards against a VM that takes several cells while others own none: it ran
+// out of processor time, followed the configuration 5 to 12 s late and stopped
+// cancelled tasks 8 s late. A VM without a cell may notice the silence later,
+// as VMs that do not own a cell read its log every 200 ms.
+TEST(OwnershipTest, AnOwnerOfAnotherCellLeavesTheClaimToIdleVms) {
+  constexpr milliseconds kReadLag{150};
+  for (std::uint64_t incarnation = 1; incarnation <= 200; ++incarnation) {
+    const auto first_claim = [incarnation](std::size_t owned) {
+      ownership state({.vm = "b",
+                       .incarnation = incarnation + 1000 * owned,
+                       .processor_share = 0.5});
+      state.Observe({.claim_epoch = 1, .vm = "a", .incarnation = 5}, kNow);
+      for (time_point now = kNow;; now += milliseconds(10)) {
+        state.LogReadToEnd(now, now);
+        if (state.NextClaim(now, owned)) {
+          return now;
+        }
+      }
+    };
+    EXPECT_LT(first_claim(0) + kReadLag, first_claim(1));
+    EXPECT_LT(first_claim(1), first_claim(2));
+  }
+}
+
 // Guards against two owners: a claim of a higher epoch in the log ends the
 // ownership immediately.
 TEST(OwnershipTest, AHigherClaimEndsTheOwnership) {
