Reproduce an end that a late acknowledgement deletes

A renewal without an answer is carried out after the worker has restarted under its id. The worker numbers its ended runs from 1 again, so the acknowledgement deletes ends of its new life that the owner has not stored.

The test fails: a batch task starts on such a worker.

--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -284,6 +284,42 @@
   EXPECT_EQ(driver.stops[0].run, starts[0].run);
 }
 
+// Guards against a second run of a task that is done. A renewal without an
+// answer may reach the worker after a restart, which keeps the worker's id and
+// numbers its ended runs from 1 again. Its acknowledgement, meant for the ended
+// runs before the restart, then deletes ends that are not durable yet.
+TEST(FleetSchedulerTest, ALateAcknowledgementDeletesNoEndsOfARestartedWorker) {
+  constexpr task_ref kBatchTask{.job = job_id{2}};
+  constexpr task_ref kLongRunningTask{.job = job_id{3}};
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 1000);
+  driver.start_times["w0"] = worker_start_time(seconds(1));
+  driver.RunRounds();
+  driver.Submit(kJob, {.count = 1, .need = {.millicores = 100}});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.EndRun(driver.starts[0].run, run_end::kDone);
+  driver.Pass(milliseconds(100));
+  driver.silent_worker = "w0";
+  driver.Pass(milliseconds(100));
+
+  driver.silent_worker.clear();
+  driver.reported_ends.clear();
+  driver.start_times["w0"] = worker_start_time(seconds(2));
+  driver.Submit(kBatchTask.job, {.count = 1, .need = {.millicores = 100}});
+  driver.Submit(
+      kLongRunningTask.job,
+      {.count = 1, .need = {.millicores = 100}, .long_running = true});
+  driver.Pass(seconds(1));
+  driver.Pass(seconds(1));
+  EXPECT_EQ(driver.LastRun(kBatchTask).run, 0U);
+  EXPECT_NE(driver.LastRun(kLongRunningTask).run, 0U);
+  driver.Pass(fleet_scheduler_options{}.max_order_delay);
+  driver.Pass(seconds(1));
+  EXPECT_NE(driver.LastRun(kBatchTask).run, 0U);
+}
+
 // Guards against a reset of the violation time by one noisy report below the
 // target, which would delay the pause of best-effort tasks.
 TEST(FleetSchedulerTest, OneReportBelowTargetDoesNotResetTheViolationTime) {
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -140,6 +140,9 @@
       report.running.push_back(task);
     }
     report.ended = reported_ends[id];
+    if (const auto start = start_times.find(id); start != start_times.end()) {
+      report.start_time = start->second;
+    }
     scheduler.Handle(renew_reply{.worker = id,
                                  .renewal_number = renewal.renewal_number,
                                  .result = order_result::kDone,
@@ -162,6 +165,8 @@
   /// Further runs that a worker reports.
   std::map<std::string, std::vector<running_task>> reported_runs;
   std::map<std::string, std::vector<ended_task>> reported_ends;
+  /// Start times that the workers report; a worker without one reports none.
+  std::map<std::string, worker_start_time> start_times;
 };
 
 }  // namespace skylarkbridge::jobs
