--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -151,6 +151,28 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// As above, for tasks that started long after their job, which the owner writes
+// later. The other job comes first because its queue is more urgent.
+TEST(RestartTest, FirstStartsDoNotTakeTheRoomOfLateStartersLostInATakeover) {
+  auto fleet = StartedFleet({.workers = 5});
+  fleet->CrashWorker("w4");
+  fleet->Advance(seconds(10));
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 10");
+  ASSERT_EQ(CountRunning(*fleet, kRestartingJob, 10), 8U);
+  fleet->StartWorker("w4");
+  fleet->Advance(seconds(1));
+  ASSERT_EQ(fleet->Checker().WorkerOf(Task(kRestartingJob, 9)), "w4");
+  SubmitAndStart(*fleet, kWaitingJob, "-2000 600000 0 2 queue=serving");
+  ASSERT_EQ(CountRunning(*fleet, kWaitingJob, 2), 0U);
+  fleet->KillVm(*fleet->Owner());
+  fleet->CrashWorker("w4");
+  fleet->Advance(milliseconds(500));
+  fleet->StartWorker("w4");
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 9), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // Guards against giving the room of a new worker to tasks that have never run,
 // while those of a draining worker wait for it.
 TEST(RestartTest, FirstStartsDoNotTakeTheRoomThatReplacesADrainingWorker) {
@@ -212,6 +234,35 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a successor that waits for a worker that has left: until the
+// last order and the last lease of the earlier owner have expired there, 12 s,
+// none of the tasks of earlier owners ran again.
+TEST(RestartTest, ATakeoverDoesNotWaitForAWorkerThatLeft) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     milliseconds(200));
+  fleet->KillVm(*fleet->Owner());
+  fleet->Advance(milliseconds(300));
+  ASSERT_FALSE(fleet->Checker().Running(Task(kRestartingJob, 0)));
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// As above, for a task whose end another worker reports to the successor.
+TEST(RestartTest, AReportedEndDoesNotWaitForAWorkerThatLeft) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  ASSERT_NE(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+            fleet->Checker().WorkerOf(Task(kRestartingJob, 1)));
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     milliseconds(200));
+  fleet->KillVm(*fleet->Owner());
+  fleet->FailRun(Task(kRestartingJob, 1));
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 1), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // Guards against a task that waits for batch work to end, for which nothing
 // bounds the time.
 TEST(RestartTest, MovesTheTasksOfACrashedWorkerToRoomOfLongBatchWork) {
