--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -177,8 +177,7 @@
   UpdateWaitingJobs(now);
   permits_.DropClosedSteps(jobs_);
   placement_pass pass;
-  PlaceRestarts(pass, now);
-  ReserveForExpectedRestarts(pass, now);
+  const bool restarts_placed = PlaceRestarts(pass, now);
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
@@ -188,9 +187,11 @@
   }
   reserved_workers_ = std::move(pass.reserved_workers);
   // While steps are ready, each call of Run starts a pass. After a pass that
-  // left steps unplaced, the next one waits for pass_interval, which limits the
-  // cost of a long backlog.
-  next_pass_ = unplaced_steps == 0 ? now : now + options_.pass_interval;
+  // left steps or restarts unplaced, the next one waits for pass_interval,
+  // which limits the cost of a long backlog.
+  next_pass_ = unplaced_steps == 0 && restarts_placed
+                   ? now
+                   : now + options_.pass_interval;
   placement_pending_ = !jobs_.ReadySteps().empty();
 }
 
@@ -295,6 +296,7 @@
 
 void fleet_scheduler::CountSiblings(
     const step_ref& ref,
+    const placement_pass& pass,
     std::vector<placement_candidate>& candidates) const {
   absl::flat_hash_map<std::string, std::uint32_t> siblings;
   for (const task_state& task : jobs_.Find(ref)->tasks) {
@@ -302,6 +304,12 @@
       ++siblings[copy.worker];
     }
   }
+  for (auto reserved = pass.reserved_workers.lower_bound(TaskOf(ref, 0));
+       reserved != pass.reserved_workers.end() &&
+       StepOf(reserved->first) == ref;
+       ++reserved) {
+    ++siblings[reserved->second];
+  }
   for (placement_candidate& candidate : candidates) {
     const auto count = siblings.find(candidate.session->entry.worker);
     candidate.siblings = count == siblings.end() ? 0 : count->second;
@@ -322,8 +330,9 @@
     return nullptr;
   }
   placement_candidate& candidate = candidates[*chosen];
-  candidate.reserved += step.need;
-  pass.reserved_room[candidate.session->entry.worker] += step.need;
+  const resources need = ReservedResources(step);
+  candidate.reserved += need;
+  pass.reserved_room[candidate.session->entry.worker] += need;
   pass.reserved_workers[task] = candidate.session->entry.worker;
   ++candidate.siblings;
   return &candidate;
@@ -370,7 +379,7 @@
         pass.ReservedRoom(candidate.session->entry.worker, step.long_running);
   }
   if (step.max_per_worker > 0) {
-    CountSiblings(ref, candidates);
+    CountSiblings(ref, pass, candidates);
   }
   return candidates;
 }
@@ -388,6 +397,10 @@
   if (ready.empty()) {
     return true;
   }
+  if (step->long_running && !pass.expects_restarts) {
+    pass.expects_restarts = true;
+    ReserveForExpectedRestarts(pass, now);
+  }
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
   const bool placed =
@@ -517,12 +530,10 @@
     if (!chosen) {
       return false;
     }
-    resources need = step.need;
     if (step.best_effort) {
-      trial_sessions[*chosen].best_effort_millicores += need.millicores;
-      need.millicores = 0;
+      trial_sessions[*chosen].best_effort_millicores += step.need.millicores;
     }
-    trial_sessions[*chosen].used += need;
+    trial_sessions[*chosen].used += ReservedResources(step);
     ++candidates[*chosen].siblings;
     chosen_workers.push_back(trial_sessions[*chosen].entry.worker);
     run = std::max(run, jobs_.NextRun(TaskOf(ref, index), epoch_));
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -5,13 +5,15 @@
 
 namespace skylarkbridge::jobs {
 
-void fleet_scheduler::PlaceRestarts(placement_pass& pass, time_point now) {
+bool fleet_scheduler::PlaceRestarts(placement_pass& pass, time_point now) {
+  bool all_placed = true;
   for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
-    PlaceRestart(restart, pass, now);
+    all_placed &= PlaceRestart(restart, pass, now);
   }
+  return all_placed;
 }
 
-void fleet_scheduler::PlaceRestart(const waiting_restart& restart,
+bool fleet_scheduler::PlaceRestart(const waiting_restart& restart,
                                    placement_pass& pass,
                                    time_point now) {
   const step_ref ref = StepOf(restart.task);
@@ -19,26 +21,37 @@
   const queue_configuration* queue = Queue(ref.job);
   // The tasks of a gang start together.
   if (step == nullptr || queue == nullptr || step->gang) {
-    return;
+    return true;
   }
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
-  const bool placed = now >= restart.not_before &&
-                      PlaceOnCandidates({.ref = ref}, *step, *queue,
-                                        {restart.task.index}, candidates, now);
-  if (placed || queue->HasPlacementPolicy()) {
-    return;
+  const ready_step ranked{.starving = IsStarving(ref.job, now), .ref = ref};
+  if (now >= restart.not_before &&
+      PlaceOnCandidates(ranked, *step, *queue, {restart.task.index}, candidates,
+                        now)) {
+    return true;
+  }
+  std::vector<placement_candidate> permitted;
+  if (queue->HasPlacementPolicy()) {
+    permitted = Permitted(ref, candidates, now);
   }
-  const placement_candidate* reserved_on =
-      ReserveRoom(restart.task, *step, candidates, pass);
-  if (reserved_on != nullptr &&
+  const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
+  const placement_candidate* reserved_on = ReserveRoom(
+      restart.task, *step, permitted.empty() ? candidates : permitted, pass);
+  if (reserved_on != nullptr && may_start &&
       now >= restart.since + options_.preemption_delay) {
     PreemptRuns(restart.task, *reserved_on, now);
   }
+  return now < restart.not_before;
 }
 
 void fleet_scheduler::ReserveForExpectedRestarts(placement_pass& pass,
                                                  time_point now) const {
+  if (!unreported_workers_.empty()) {
+    for (const task_ref& task : jobs_.UnreportedLongRunningTasks()) {
+      ReserveForExpectedRestart(task, pass, now);
+    }
+  }
   for (const auto& [id, session] : workers_) {
     const bool is_silent = now >= session.last_answer + options_.max_silence;
     if (!is_silent && !session.entry.draining) {
@@ -58,7 +71,7 @@
   const step_ref ref = StepOf(task);
   const step_spec* step = jobs_.Spec(ref);
   const queue_configuration* queue = Queue(ref.job);
-  if (step == nullptr || queue == nullptr) {
+  if (step == nullptr || queue == nullptr || step->gang) {
     return;
   }
   const std::vector<placement_candidate>& candidates =
@@ -153,7 +166,7 @@
     }
   }
   if (step.max_per_worker > 0) {
-    CountSiblings(ref, candidates);
+    CountSiblings(ref, {}, candidates);
   }
   const std::size_t usable = candidates.size();
   std::erase_if(candidates, [&step](const placement_candidate& candidate) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "skylarkbridge/jobs/scheduler_driver_fake.hpp"
@@ -283,6 +285,7 @@
   ASSERT_EQ(driver.starts.size(), 2U);
   driver.AddWorker("w2", 3000);
   driver.Pass(milliseconds(100));
+  driver.Pass(milliseconds(100));
   ASSERT_EQ(driver.starts.size(), 3U);
   EXPECT_EQ(driver.starts[2].run.task, first_to_end.task);
 }
@@ -362,6 +365,35 @@
   EXPECT_EQ(driver.starts[1].run.task.job, draining_job);
 }
 
+// Guards against the same after a takeover, while tasks of the earlier owner
+// wait for a worker that does not report.
+TEST(FleetSchedulerTest, LeavesRoomForTheTasksOfAnEarlierOwner) {
+  scheduler_driver driver;
+  const job_id earlier_job{7};
+  driver.registry.Apply(
+      job_accepted{.job = earlier_job,
+                   .queue = "batch",
+                   .spec = {.steps = {{.count = 1,
+                                       .need = {.millicores = 3000},
+                                       .long_running = true}}}},
+      driver.now);
+  driver.registry.Apply(
+      job_advanced{
+          .job = earlier_job,
+          .progress = {.started = true, .steps = {{.started = {true}}}}},
+      driver.now);
+  driver.Begin({"gone"});
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  for (int second = 0; second < 8; ++second) {
+    driver.Pass(seconds(1));
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  EXPECT_EQ(driver.starts[0].run.task.job, earlier_job);
+}
+
 // Guards against batch work that stands still for room that is only kept for
 // restarts to come.
 TEST(FleetSchedulerTest, BatchWorkUsesTheRoomOfExpectedRestarts) {
@@ -385,6 +417,231 @@
   EXPECT_EQ(driver.starts[1].run.task.job, kJob);
 }
 
+// Guards against a restart whose place under max_per_worker is taken by a task
+// of its step that has never run.
+TEST(FleetSchedulerTest, AFailedTaskKeepsItsPlaceUnderMaxPerWorker) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 6000);
+  driver.RunRounds();
+  driver.Submit(kJob, {.count = 2,
+                       .need = {.millicores = 3000},
+                       .max_per_worker = 1,
+                       .long_running = true});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  const run_ref failed = driver.starts[0].run;
+  driver.EndRun(failed, run_end::kFailed);
+  for (int pass = 0; pass < 10; ++pass) {
+    driver.Pass(milliseconds(20));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.task, failed.task);
+}
+
+// Guards against room that is reserved where a gang holds it, while runs on
+// another worker could be stopped: runs of gangs are not preempted.
+TEST(FleetSchedulerTest, ReservesRoomThatPreemptionCanFree) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 4000);
+  driver.RunRounds();
+  driver.Submit(job_id{2},
+                {.count = 4, .need = {.millicores = 1000}, .gang = true});
+  driver.RunRounds();
+  driver.AddWorker("w1", 3000);
+  driver.RunRounds();
+  const job_id restarting_job{7};
+  driver.Submit(
+      restarting_job,
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.RunRounds();
+  driver.AddWorker("w2", 3000);
+  driver.RunRounds();
+  driver.Submit(kJob, {.count = 30, .need = {.millicores = 1000}});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 8U);
+  driver.DrainWorker("w1", 3000);
+  driver.RunRounds();
+  driver.EndRun(driver.LastRun({restarting_job, 0, 0, 0}), run_end::kStopped);
+  driver.stops.clear();
+  for (int pass = 0; pass < 100; ++pass) {
+    driver.Pass(milliseconds(20));
+  }
+  ASSERT_EQ(driver.stops.size(), 3U);
+  for (const stop_order& stop : driver.stops) {
+    EXPECT_EQ(stop.run.task.job, kJob);
+  }
+}
+
+// Guards against a restart that loses its room because its queue has a
+// placement policy.
+TEST(FleetSchedulerTest, AFailedTaskUnderAPlacementPolicyKeepsItsRoom) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  const job_id restarting_job{7};
+  driver.Submit(
+      restarting_job,
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true},
+      "restricted");
+  const auto pass_with_permits = [&driver] {
+    driver.Pass(milliseconds(10));
+    for (const permit_request& request : driver.permit_requests) {
+      driver.scheduler.Handle(
+          permit_reply{.step = request.step,
+                       .result = order_result::kDone,
+                       .eligible = {{request.workers[0], "ticket"}},
+                       .validity = milliseconds(1500)},
+          driver.now);
+    }
+    driver.permit_requests.clear();
+    driver.Pass(milliseconds(10));
+  };
+  for (int pass = 0; pass < 6; ++pass) {
+    pass_with_permits();
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.EndRun(driver.starts[0].run, run_end::kFailed);
+  for (int pass = 0; pass < 20; ++pass) {
+    pass_with_permits();
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.task.job, restarting_job);
+}
+
+// Guards against a best-effort long-running task that does not run again on an
+// underused fleet, as no worker has as much idle processor time as it declares.
+TEST(FleetSchedulerTest, RestartsABestEffortTaskOfAStarvingJob) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 10'000);
+  driver.RunRounds();
+  const job_id restarting_job{7};
+  driver.Submit(restarting_job, {.count = 1,
+                                 .need = {.millicores = 12'000},
+                                 .long_running = true,
+                                 .best_effort = true});
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 4000}, .long_running = true});
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  driver.EndRun(driver.LastRun({restarting_job, 0, 0, 0}), run_end::kFailed);
+  for (int pass = 0; pass < 30; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  ASSERT_EQ(driver.starts.size(), 3U);
+  EXPECT_EQ(driver.starts[2].run.task.job, restarting_job);
+}
+
+/// One worker on which batch runs hold the room that a restart needs.
+class restart_beside_batch {
+ public:
+  /// @param batch step of the batch job.
+  explicit restart_beside_batch(const step_spec& batch) {
+    driver.Begin();
+    driver.AddWorker("w0", 3000);
+    driver.RunRounds();
+    driver.Submit(
+        kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+    driver.RunRounds();
+    driver.AddWorker("w1", 3000);
+    driver.RunRounds();
+    driver.Submit(job_id{2}, batch);
+    driver.RunRounds();
+    driver.DrainWorker("w0", 3000);
+    driver.RunRounds();
+    driver.EndRun(driver.LastRun({kJob, 0, 0, 0}), run_end::kStopped);
+    driver.stops.clear();
+  }
+  void PassFor(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(20)) {
+      driver.Pass(milliseconds(20));
+    }
+  }
+
+  scheduler_driver driver;
+};
+
+// Guards against stopping batch runs that may end in time by themselves, and
+// against stopping more of them in each pass.
+TEST(FleetSchedulerTest, PreemptsJustEnoughRunsAfterTheDelay) {
+  restart_beside_batch restart({.count = 3, .need = {.millicores = 1000}});
+  restart.PassFor(milliseconds(900));
+  EXPECT_TRUE(restart.driver.stops.empty());
+  restart.PassFor(milliseconds(2000));
+  std::set<run_ref> stopped;
+  for (const stop_order& stop : restart.driver.stops) {
+    stopped.insert(stop.run);
+  }
+  EXPECT_EQ(stopped.size(), 3U);
+}
+
+// Guards against ending the work of a whole gang by a stop of one of its runs.
+TEST(FleetSchedulerTest, DoesNotPreemptGangs) {
+  restart_beside_batch restart(
+      {.count = 3, .need = {.millicores = 1000}, .gang = true});
+  restart.PassFor(milliseconds(3000));
+  EXPECT_TRUE(restart.driver.stops.empty());
+}
+
+// Guards against a pass in each call of Run while restarts wait: 200 of them on
+// 120 workers cost 0.9 ms a pass.
+TEST(FleetSchedulerTest, WaitingRestartsKeepThePassInterval) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.RunRounds();
+  driver.DrainWorker("w0", 3000);
+  driver.RunRounds();
+  driver.EndRun(driver.starts.at(0).run, run_end::kStopped);
+  driver.Pass(milliseconds(100));
+  EXPECT_EQ(driver.scheduler.NextPass(), driver.now + milliseconds(20));
+}
+
+// Guards against a first start that ranks as a restart, and a restart that
+// loses its place, after a start order whose run was never seen.
+TEST(FleetSchedulerTest, AStartThatWasNeverSeenIsNoInterruption) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.scheduler.Run(driver.now, scheduler_driver::kWall);
+  // The start and its repeat get no answer, so the run is stopped.
+  for (int round = 0; round < 3; ++round) {
+    for (const order& sent_order : driver.scheduler.TakeOrders()) {
+      if (const auto* renewal = std::get_if<renew_order>(&sent_order)) {
+        driver.AnswerRenewal(*renewal);
+      } else if (const auto* start = std::get_if<start_order>(&sent_order)) {
+        driver.scheduler.Handle(
+            start_reply{"w0", start->run, order_result::kNoAnswer}, driver.now);
+      } else if (const auto* stop = std::get_if<stop_order>(&sent_order)) {
+        driver.scheduler.Handle(
+            stop_reply{"w0", stop->run, order_result::kDone}, driver.now);
+      }
+    }
+  }
+  driver.DrainWorker("w0", 3000);
+  driver.Pass(milliseconds(100));
+  driver.Pass(milliseconds(100));
+  EXPECT_EQ(driver.scheduler.Jobs().Find({kJob, 0, 0, 0})->phase,
+            task_phase::kReady);
+  EXPECT_EQ(driver.scheduler.WaitingRestarts(), 0U);
+}
+
 // Guards against a wait that no log line explains: the record of an incident
 // named none of the tasks that waited 22 s and longer.
 TEST(FleetSchedulerTest, ReportsALongRunningTaskThatWaitsForItsRestart) {
