--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -172,6 +172,8 @@
     std::uint32_t max_attempts = 3;
     /// Number of cells that the fleet is divided into.
     std::size_t cells = 1;
+    /// Share of a core of each VM; VMs beyond the list have the default.
+    std::vector<double> processor_shares;
   };
 
   explicit virtual_fleet(const options& settings)
@@ -240,6 +242,9 @@
     control_options options;
     options.ownership.vm = absl::StrCat("vm", vm);
     options.ownership.incarnation = state.incarnation;
+    if (vm < options_.processor_shares.size()) {
+      options.ownership.processor_share = options_.processor_shares[vm];
+    }
     // Differs for each start of each VM, so that two claims of one epoch have
     // different sequence numbers.
     options.first_sequence = 1000 * (vm + 1) + 100 * state.incarnation;
