Test that a cancellation stops all runs in time on its usual ways

No test measured the time from the acknowledgement of a cancellation to the last end. These do, with the users' bound of 4 s: a job that runs in another cell than its home, a cancellation while the tasks are being started, runs on draining and unlisted workers, and an owner that dies or is cut off right after the acknowledgement, also beside a worker that leaves.

--- /dev/null
+++ b/src/skylarkbridge/control/cancel_path_test.cpp
@@ -0,0 +1,201 @@
+// Directed tests of the promise that the tasks of a job stop in time after its
+// cancellation was acknowledged, on every way that a cancel record can take.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "absl/strings/str_join.h"
+#include "skylarkbridge/control/virtual_fleet_fake.hpp"
+
+namespace skylarkbridge::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Longest time from the acknowledgement of a cancellation until all tasks of
+/// the job are told to stop. Fake workers stop a task at once.
+constexpr milliseconds kMaxCancelTime{4000};
+
+/// The body of a long-running job of four tasks, see platform_fake::DecodeJob.
+constexpr char kLongRunningJob[] = "-1000 600000 0 4";
+constexpr std::uint32_t kTasks = 4;
+
+std::string Violations(const virtual_fleet& fleet) {
+  return absl::StrJoin(fleet.Checker().Violations(), "\n");
+}
+
+/// A fleet that has run long enough to have owners that have heard from all
+/// workers, and to be calm.
+std::unique_ptr<virtual_fleet> StartedFleet(virtual_fleet::options options) {
+  auto fleet = std::make_unique<virtual_fleet>(options);
+  fleet->Advance(kCalmTime + seconds(1));
+  return fleet;
+}
+
+/// Three VMs and three cells, so that each VM owns one.
+std::unique_ptr<virtual_fleet> FleetOfThreeCells(std::uint64_t seed = 1) {
+  return StartedFleet({.vms = 3, .workers = 9, .seed = seed, .cells = 3});
+}
+
+/// The first job from number @p first on whose home is @p cell.
+jobs::job_id JobWithHome(const virtual_fleet& fleet,
+                         jobs::cell_id cell,
+                         std::uint64_t first = 1) {
+  while (&fleet.Control(0).HomeOf(jobs::job_id{first}) !=
+         &fleet.Cell(0, cell)) {
+    ++first;
+  }
+  return jobs::job_id{first};
+}
+
+/// The cell that runs the job according to one VM.
+jobs::cell_id RunningCell(const virtual_fleet& fleet,
+                          std::size_t vm,
+                          jobs::job_id job) {
+  return fleet.Control(vm).HomeOf(job).Registry().Find(job)->cell;
+}
+
+std::size_t CountRunning(const virtual_fleet& fleet, jobs::job_id job) {
+  std::size_t running = 0;
+  for (std::uint32_t index = 0; index < kTasks; ++index) {
+    running += fleet.Checker().Running({.job = job, .index = index}) ? 1 : 0;
+  }
+  return running;
+}
+
+/// A long-running job whose home is @p home and which runs in another cell.
+jobs::job_id StartJobInAnotherCell(virtual_fleet& fleet, jobs::cell_id home) {
+  const jobs::job_id load = JobWithHome(fleet, home);
+  fleet.Submit(0, load, "-500 600000 0 1");
+  fleet.Advance(seconds(1));
+  const jobs::job_id job = JobWithHome(fleet, home, load.value + 1);
+  fleet.Submit(0, job, kLongRunningJob);
+  fleet.Advance(seconds(2));
+  EXPECT_NE(RunningCell(fleet, 0, job), home);
+  EXPECT_EQ(CountRunning(fleet, job), kTasks);
+  return job;
+}
+
+/// Cancels the job at a VM and returns once the cancellation is acknowledged.
+void CancelAndAwaitAnswer(virtual_fleet& fleet,
+                          std::size_t vm,
+                          jobs::job_id job) {
+  const std::uint64_t token = fleet.Send(vm, caller_method::kCancel, job);
+  for (int tick = 0; tick < 500 && fleet.AnswerTo(token) == nullptr; ++tick) {
+    fleet.Advance(milliseconds(2));
+  }
+  ASSERT_NE(fleet.AnswerTo(token), nullptr);
+  EXPECT_EQ(fleet.AnswerTo(token)->kind, answer_kind::kCancelled);
+}
+
+/// Advances by kMaxCancelTime. Succeeds if no task of the job runs in the end.
+testing::AssertionResult StopsInTime(virtual_fleet& fleet, jobs::job_id job) {
+  constexpr milliseconds kStep{20};
+  for (milliseconds waited{}; waited < kMaxCancelTime; waited += kStep) {
+    fleet.Advance(kStep);
+  }
+  if (CountRunning(fleet, job) == 0) {
+    return testing::AssertionSuccess();
+  }
+  milliseconds late{};
+  while (late < seconds(30) && CountRunning(fleet, job) > 0) {
+    fleet.Advance(kStep);
+    late += kStep;
+  }
+  return testing::AssertionFailure()
+         << "tasks run on for " << (kMaxCancelTime + late).count() << " ms";
+}
+
+// Guards against a cancellation that does not reach the cell that runs the job:
+// it is stored in the log of the home cell.
+TEST(CancelPathTest, ReachesTheCellThatRunsTheJob) {
+  for (jobs::cell_id home = 0; home < 3; ++home) {
+    auto fleet = FleetOfThreeCells(1 + home);
+    const jobs::job_id job = StartJobInAnotherCell(*fleet, home);
+    CancelAndAwaitAnswer(*fleet, home, job);
+    EXPECT_TRUE(StopsInTime(*fleet, job)) << "home " << home;
+    EXPECT_EQ(Violations(*fleet), "") << "home " << home;
+  }
+}
+
+// Guards against a task that starts, or stays, after its job was cancelled
+// while the order to start it was under way.
+TEST(CancelPathTest, StopsTasksThatAreBeingStarted) {
+  for (std::uint64_t delay = 0; delay <= 40; delay += 2) {
+    auto fleet = FleetOfThreeCells(1 + delay);
+    const jobs::job_id job = JobWithHome(*fleet, 0);
+    const std::uint64_t token = fleet->Submit(0, job, kLongRunningJob);
+    while (fleet->AnswerTo(token) == nullptr) {
+      fleet->Advance(milliseconds(2));
+    }
+    fleet->Advance(milliseconds(delay));
+    CancelAndAwaitAnswer(*fleet, 1, job);
+    EXPECT_TRUE(StopsInTime(*fleet, job)) << "delay " << delay;
+    fleet->Advance(seconds(2));
+    EXPECT_EQ(CountRunning(*fleet, job), 0U) << "delay " << delay;
+    EXPECT_EQ(Violations(*fleet), "") << "delay " << delay;
+  }
+}
+
+// Guards against a run that stays on a worker that drains or is no longer
+// listed when the job is cancelled.
+TEST(CancelPathTest, StopsRunsOnDrainingAndUnlistedWorkers) {
+  for (const bool unlisted : {false, true}) {
+    auto fleet = StartedFleet({.workers = 3});
+    const jobs::job_id job{1};
+    // A batch job that is not stopped when its worker drains.
+    fleet->Submit(0, job, "1000 600000 0 4");
+    fleet->Advance(seconds(1));
+    ASSERT_EQ(CountRunning(*fleet, job), kTasks);
+    const std::string worker = fleet->Checker().WorkerOf({.job = job});
+    if (unlisted) {
+      fleet->Store().Put({topic_kind::kWorkers}, worker, std::nullopt);
+    } else {
+      fleet->DrainWorker(worker, seconds(20));
+    }
+    fleet->Advance(milliseconds(500));
+    CancelAndAwaitAnswer(*fleet, 0, job);
+    EXPECT_TRUE(StopsInTime(*fleet, job)) << "unlisted " << unlisted;
+  }
+}
+
+// Guards against runs that nobody stops when the owner dies, or stops, after
+// the cancellation was acknowledged and before it has read it.
+TEST(CancelPathTest, ASuccessorStopsTheRunsOfACancelledJob) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    auto fleet = FleetOfThreeCells(seed);
+    const jobs::job_id job = StartJobInAnotherCell(*fleet, seed % 3);
+    const std::size_t owner = *fleet->Owner(RunningCell(*fleet, 0, job));
+    CancelAndAwaitAnswer(*fleet, (owner + 1) % 3, job);
+    if (seed % 2 == 0) {
+      fleet->KillVm(owner);
+    } else {
+      fleet->CutFromStore(owner, true);
+      fleet->StopVm(owner);
+    }
+    EXPECT_TRUE(StopsInTime(*fleet, job)) << "seed " << seed;
+    EXPECT_EQ(Violations(*fleet), "") << "seed " << seed;
+  }
+}
+
+// As above, with a worker that leaves at the same time as the owner dies.
+TEST(CancelPathTest, ASuccessorStopsTheRunsOfACancelledJobBesideALostWorker) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    auto fleet = FleetOfThreeCells(seed);
+    const jobs::job_id job = StartJobInAnotherCell(*fleet, seed % 3);
+    const std::size_t owner = *fleet->Owner(RunningCell(*fleet, 0, job));
+    const std::string worker = fleet->Checker().WorkerOf({.job = job});
+    CancelAndAwaitAnswer(*fleet, (owner + 1) % 3, job);
+    fleet->DrainWorker(worker, milliseconds(200));
+    fleet->KillVm(owner);
+    EXPECT_TRUE(StopsInTime(*fleet, job)) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace skylarkbridge::control
