Show that a job submitted twice can run in two cells

A long-running job that a caller submits again at another VM, before that VM has read the first record, is stored twice, each time with the cell that the VM chose.

--- a/src/skylarkbridge/control/cancel_path_test.cpp
+++ b/src/skylarkbridge/control/cancel_path_test.cpp
@@ -197,5 +197,35 @@
   }
 }
 
+// Guards against a job that is submitted at two VMs at the same time, each of
+// which chooses another cell to run it. VMs that read the tail of the log kept
+// the first choice, those that read a snapshot after a restart the last one, so
+// that two owners ran the job.
+TEST(CancelPathTest, AJobSubmittedTwiceRunsInOneCellOnly) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    auto fleet = FleetOfThreeCells(seed);
+    const jobs::job_id load = JobWithHome(*fleet, 0);
+    const jobs::job_id job = JobWithHome(*fleet, 0, load.value + 1);
+    // VM 1 counts the load of its own submission before it is stored.
+    fleet->Submit(1, load, "-500 600000 0 1");
+    fleet->Submit(0, job, kLongRunningJob);
+    fleet->Submit(1, job, kLongRunningJob);
+    fleet->Advance(seconds(2));
+    EXPECT_EQ(CountRunning(*fleet, job), kTasks) << "seed " << seed;
+    // A planned restart of all VMs, one after the other.
+    for (std::size_t vm = 0; vm < 3; ++vm) {
+      fleet->StopVm(vm);
+      fleet->Advance(seconds(2));
+      fleet->KillVm(vm);
+      fleet->StartVm(vm);
+      fleet->Advance(seconds(2));
+    }
+    EXPECT_EQ(Violations(*fleet), "") << "seed " << seed;
+    EXPECT_EQ(CountRunning(*fleet, job), kTasks) << "seed " << seed;
+    CancelAndAwaitAnswer(*fleet, 1, job);
+    EXPECT_TRUE(StopsInTime(*fleet, job)) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
