Show that a job can start after its cancellation was answered with 410

A caller that gives up its submission and cancels at another VM is told that there is no such job, as that VM reads the log before the append of the submission is carried out.

--- a/src/skylarkbridge/control/cancel_path_test.cpp
+++ b/src/skylarkbridge/control/cancel_path_test.cpp
@@ -227,5 +227,22 @@
   }
 }
 
+// Guards against a job that runs on although its cancellation was answered: the
+// caller gave up its submission and cancelled at another VM, which answered
+// that there is no such job while the append of the submission was under way.
+TEST(CancelPathTest, ACancellationAnsweredBeforeItsJobIsStoredStaysInForce) {
+  auto fleet = FleetOfThreeCells();
+  const jobs::job_id job = JobWithHome(*fleet, 0);
+  fleet->SetStoreDelay(milliseconds(150));
+  fleet->Submit(0, job, kLongRunningJob);
+  fleet->Advance(milliseconds(4));
+  fleet->SetStoreDelay(milliseconds(0));
+  const std::uint64_t token = fleet->Send(1, caller_method::kCancel, job);
+  fleet->Advance(milliseconds(100));
+  ASSERT_NE(fleet->AnswerTo(token), nullptr);
+  EXPECT_EQ(fleet->AnswerTo(token)->kind, answer_kind::kNoJob);
+  EXPECT_TRUE(StopsInTime(*fleet, job));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
