--- a/src/skylarkbridge/control/cancel_path_test.cpp
+++ b/src/skylarkbridge/control/cancel_path_test.cpp
@@ -10,6 +10,7 @@
 
 #include "absl/strings/str_join.h"
 #include "skylarkbridge/control/virtual_fleet_fake.hpp"
+#include "skylarkbridge/records/job_record_codec.hpp"
 
 namespace skylarkbridge::control {
 namespace {
@@ -111,6 +112,17 @@
          << "tasks run on for " << (kMaxCancelTime + late).count() << " ms";
 }
 
+/// Appends a record to the log of each cell and trims it before any VM has read
+/// it, so that all VMs have to read snapshots.
+void TrimUnreadRecords(virtual_fleet& fleet) {
+  const records::keyed_record record =
+      records::Encode(jobs::job_cancelled{jobs::job_id{0xffff}});
+  for (jobs::cell_id cell = 0; cell < fleet.Control(0).Cells().size(); ++cell) {
+    fleet.Store().Put({topic_kind::kJobs, cell}, record.key, record.value);
+  }
+  fleet.TrimStore();
+}
+
 // Guards against a cancellation that does not reach the cell that runs the job:
 // it is stored in the log of the home cell.
 TEST(CancelPathTest, ReachesTheCellThatRunsTheJob) {
@@ -244,5 +256,39 @@
   EXPECT_TRUE(StopsInTime(*fleet, job));
 }
 
+// Guards against an owner that learns of no cancellation for 4 s because one
+// answer to a read of a snapshot was lost, after it had missed records that the
+// store no longer has.
+TEST(CancelPathTest, ALostSnapshotAnswerDoesNotDelayACancellation) {
+  auto fleet = StartedFleet({});
+  const jobs::job_id job{1};
+  fleet->Submit(0, job, kLongRunningJob);
+  fleet->Advance(seconds(1));
+  ASSERT_EQ(CountRunning(*fleet, job), kTasks);
+  const std::size_t owner = *fleet->Owner();
+  fleet->LoseSnapshotAnswers(owner, 1);
+  TrimUnreadRecords(*fleet);
+  fleet->Advance(milliseconds(20));
+  CancelAndAwaitAnswer(*fleet, (owner + 1) % 3, job);
+  EXPECT_TRUE(StopsInTime(*fleet, job));
+}
+
+// As above, where the answer is that to a read of another cell's log: snapshots
+// are read one after the other, and that of the owner's own cell came last.
+TEST(CancelPathTest, ASnapshotOfAnotherCellDoesNotDelayACancellation) {
+  auto fleet = FleetOfThreeCells();
+  const jobs::job_id job = JobWithHome(*fleet, 2);
+  fleet->Submit(0, job, kLongRunningJob);
+  fleet->Advance(seconds(1));
+  ASSERT_EQ(CountRunning(*fleet, job), kTasks);
+  ASSERT_EQ(RunningCell(*fleet, 0, job), 2U);
+  const std::size_t owner = *fleet->Owner(2);
+  fleet->LoseSnapshotAnswers(owner, 1);
+  TrimUnreadRecords(*fleet);
+  fleet->Advance(milliseconds(20));
+  CancelAndAwaitAnswer(*fleet, (owner + 1) % 3, job);
+  EXPECT_TRUE(StopsInTime(*fleet, job));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -361,6 +361,17 @@
     vms_[vm].next_run_at = now_;
     return token;
   }
+  /// @brief Loses the answers to the next @p count snapshot reads of cell logs
+  /// that the VM sends.
+  void LoseSnapshotAnswers(std::size_t vm, int count) {
+    vms_[vm].snapshot_answers_to_lose = count;
+  }
+  /// @brief Whether the answer to a snapshot read that the VM sends now is
+  /// lost.
+  bool TakeLostSnapshotAnswer(std::size_t vm) {
+    int& left = vms_[vm].snapshot_answers_to_lose;
+    return left > 0 && left-- > 0;
+  }
   /// @brief Highest number of snapshot reads of cell logs that the VM has had
   /// in flight at once.
   int MaxConcurrentSnapshots(std::size_t vm) const {
@@ -497,6 +508,7 @@
     /// Snapshot reads of cell logs in flight, and their highest number so far.
     int snapshots_in_flight = 0;
     int max_concurrent_snapshots = 0;
+    int snapshot_answers_to_lose = 0;
     time_point next_run_at;
     bool store_cut = false;
     bool workers_cut = false;
@@ -607,7 +619,9 @@
 inline void platform_fake::Read(const topic& source,
                                 const jobs::read_request& call,
                                 time_point deadline) {
-  if (call.snapshot && source.kind == topic_kind::kJobs) {
+  const bool snapshot_of_cell =
+      call.snapshot && source.kind == topic_kind::kJobs;
+  if (snapshot_of_cell) {
     fleet_.SnapshotStarted(vm_);
   }
   const auto fail_at = [this, source, number = call.number](
@@ -621,7 +635,8 @@
                                    .outcome = read_failed{result}});
         });
   };
-  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline)) {
+  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline) ||
+      (snapshot_of_cell && fleet_.TakeLostSnapshotAnswer(vm_))) {
     fail_at(deadline, store_result::kNoAnswer);
     return;
   }
