Test cancellations on random calm schedules

Submissions, repeated submissions, cancellations and leaving workers at random on three VMs with three cells, without any fault.

--- a/src/skylarkbridge/control/cancel_path_test.cpp
+++ b/src/skylarkbridge/control/cancel_path_test.cpp
@@ -6,8 +6,11 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "skylarkbridge/control/virtual_fleet_fake.hpp"
 #include "skylarkbridge/records/job_record_codec.hpp"
@@ -209,6 +212,71 @@
   }
 }
 
+/// A job with the time at which its cancellation was acknowledged.
+struct cancelled_job {
+  jobs::job_id job;
+  std::uint64_t token = 0;
+  std::optional<time_point> acknowledged_at;
+};
+
+/// Plays random submissions, repeated submissions, cancellations and leaving
+/// workers without any fault. Checks that the tasks of each cancelled job stop
+/// in time.
+void RunCalmSchedule(std::uint64_t seed) {
+  SCOPED_TRACE(testing::Message() << "seed " << seed);
+  constexpr milliseconds kStep{10};
+  constexpr std::size_t kVms = 3;
+  constexpr std::size_t kWorkers = 9;
+  auto fleet = FleetOfThreeCells(seed);
+  std::mt19937_64 random(seed);
+  const auto draw = [&random](std::uint64_t below) { return random() % below; };
+  std::vector<jobs::job_id> open;
+  std::vector<cancelled_job> cancelled;
+  std::uint64_t last_job = 0;
+  std::size_t left = 0;
+  for (time_point end = fleet->Now() + seconds(30); fleet->Now() < end;) {
+    if (draw(15) == 0) {
+      const jobs::job_id job{++last_job};
+      const std::string body = draw(3) == 0 ? "300 600 0 4" : "-300 600000 0 4";
+      fleet->Submit(draw(kVms), job, body);
+      open.push_back(job);
+    }
+    if (draw(20) == 0 && !open.empty()) {
+      const std::size_t chosen = draw(open.size());
+      cancelled.push_back(
+          {.job = open[chosen],
+           .token =
+               fleet->Send(draw(kVms), caller_method::kCancel, open[chosen])});
+      open.erase(open.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    if (draw(500) == 0 && left < kWorkers / 3) {
+      fleet->DrainWorker(absl::StrCat("w", left++), seconds(2));
+    }
+    fleet->Advance(kStep);
+    for (cancelled_job& entry : cancelled) {
+      const caller_answer* const answer = fleet->AnswerTo(entry.token);
+      if (!entry.acknowledged_at && answer != nullptr &&
+          answer->kind == answer_kind::kCancelled) {
+        entry.acknowledged_at = fleet->Now();
+      }
+      if (entry.acknowledged_at &&
+          fleet->Now() >= *entry.acknowledged_at + kMaxCancelTime) {
+        ASSERT_EQ(CountRunning(*fleet, entry.job), 0U)
+            << jobs::Format(entry.job);
+      }
+    }
+  }
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// Guards against a task that runs on after its job was cancelled, on calm
+// schedules that no other test covers.
+TEST(CancelPathTest, StopsInTimeOnRandomCalmSchedules) {
+  for (std::uint64_t seed = 1; seed <= 20 && !HasFailure(); ++seed) {
+    RunCalmSchedule(seed);
+  }
+}
+
 // Guards against a job that is submitted at two VMs at the same time, each of
 // which chooses another cell to run it. VMs that read the tail of the log kept
 // the first choice, those that read a snapshot after a restart the last one, so
