Show three waits in which the control thread does not sleep

NextDeadline states times that have passed for work that Run can't do yet: the

appends in flight, and renewals of an owner that may give no orders. The control thread then runs in a loop. On a VM with an eighth of a core that uses up its share, and reads of the logs and stop orders wait.

--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -215,6 +215,7 @@
         if (vm.control && now_ >= vm.next_run_at) {
           vm.control->Run(now_, Wall());
           vm.next_run_at = vm.control->NextDeadline(now_);
+          vm.runs_due_at_once += vm.next_run_at <= now_ ? 1 : 0;
         }
       }
       if (now_ >= next_observation_) {
@@ -361,6 +362,9 @@
     vms_[vm].next_run_at = now_;
     return token;
   }
+  /// @brief How often the VM's control state was due to run again at once after
+  /// a run. Its thread does not sleep then.
+  int RunsDueAtOnce(std::size_t vm) const { return vms_[vm].runs_due_at_once; }
   /// @brief Loses the answers to the next @p count snapshot reads of cell logs
   /// that the VM sends.
   void LoseSnapshotAnswers(std::size_t vm, int count) {
@@ -509,6 +513,7 @@
     int snapshots_in_flight = 0;
     int max_concurrent_snapshots = 0;
     int snapshot_answers_to_lose = 0;
+    int runs_due_at_once = 0;
     time_point next_run_at;
     bool store_cut = false;
     bool workers_cut = false;
