Repeat an acknowledged stop while its run is still listed

What callers would see: a task of a cancelled job that runs on until its owner changes, with a lease that is renewed every second.

Cause: an acknowledged stop moved the run to a phase in which no further stop was sent, whatever the worker reported. An order was taken for its effect.

Evidence: FleetSchedulerStopsTest.RepeatsAStopAfterWhichTheRunIsStillListed and AStopAnsweredBeforeARestartDoesNotCountAfterIt failed, the second on a sequence that needs an unanswered start and a worker that restarts under its id.

--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -52,7 +52,8 @@
   bool detached = false;
   bool stop_wanted = false;
   bool stop_under_way = false;
-  /// A stop order that failed is not sent again before this time.
+  /// A stop order that failed, or that was acknowledged while the worker still
+  /// lists the run, is not sent again before this time.
   time_point earliest_stop_retry;
   int start_attempts = 0;
   worker_time start_by;
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -243,6 +243,8 @@
       reply.result == order_result::kStaleRun) {
     run.phase = run_phase::kStopping;
     run.first_conclusive_renewal = session.last_renewal + 1;
+    run.earliest_stop_retry =
+        now + options_.stop_timeout + options_.stop_retry_delay;
   } else {
     run.earliest_stop_retry = now + options_.stop_retry_delay;
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -254,6 +254,10 @@
     run.phase = run_phase::kRunning;
     run.first_conclusive_renewal = renewal_number;
   }
+  if (run.phase == run_phase::kStopping && now >= run.earliest_stop_retry) {
+    // The worker has acknowledged the stop order, but still lists the run.
+    run.phase = run_phase::kRunning;
+  }
   if (task.progress_percent != run.progress_percent) {
     run.progress_percent = task.progress_percent;
     run.progressed_at = now;
