--- a/include/skylarkbridge/jobs/topic_reader.hpp
+++ b/include/skylarkbridge/jobs/topic_reader.hpp
@@ -75,6 +75,9 @@
   std::chrono::milliseconds pause{0};
   /// Delay after a failed read.
   std::chrono::milliseconds retry{150};
+  /// A read of a snapshot page that has no answer after this time is sent a
+  /// second time. The first answer counts.
+  std::chrono::milliseconds snapshot_repeat{1200};
 };
 
 /// @brief Follows a topic: reads a snapshot, then the tail, and a new snapshot
@@ -128,6 +131,8 @@
  private:
   struct pending_read {
     bool snapshot = false;
+    /// When to send a read of a snapshot page again if it has no answer.
+    time_point repeat_at;
     /// A read that Refresh returned.
     bool refresh = false;
     std::uint64_t from = 0;
@@ -136,6 +141,10 @@
   };
 
   std::optional<pending_read> TakePending(std::uint64_t number);
+  /// When the regular read in flight is to be sent a second time: now or
+  /// earlier if there is none, time_point::max() if it is not to be repeated.
+  time_point RepeatAt() const;
+  void DiscardSnapshotReads();
   /// Whether the record is newer than that of its key in the snapshot.
   bool IsNewer(const topic_record& record);
 
--- a/src/skylarkbridge/jobs/topic_reader.cpp
+++ b/src/skylarkbridge/jobs/topic_reader.cpp
@@ -4,16 +4,39 @@
 #include <utility>
 
 namespace skylarkbridge::jobs {
+namespace {
+
+/// Reads of one snapshot page that may be in flight at a time.
+constexpr std::size_t kMaxSnapshotReads = 2;
+
+}  // namespace
+
+time_point topic_reader::RepeatAt() const {
+  time_point repeat_at = time_point::min();
+  std::size_t snapshot_reads = 0;
+  for (const auto& [number, read] : pending_reads_) {
+    if (read.snapshot) {
+      ++snapshot_reads;
+      repeat_at = std::max(repeat_at, read.repeat_at);
+    } else if (!read.refresh) {
+      return time_point::max();
+    }
+  }
+  return snapshot_reads < kMaxSnapshotReads ? repeat_at : time_point::max();
+}
+
+void topic_reader::DiscardSnapshotReads() {
+  std::erase_if(pending_reads_,
+                [](const auto& read) { return read.second.snapshot; });
+}
 
 std::optional<read_request> topic_reader::Next(time_point now) {
-  const bool in_flight =
-      std::any_of(pending_reads_.begin(), pending_reads_.end(),
-                  [](const auto& read) { return !read.second.refresh; });
-  if (in_flight || now < next_read_at_) {
+  if (now < std::max(next_read_at_, RepeatAt())) {
     return std::nullopt;
   }
   read_request request{.number = ++last_number_};
   pending_reads_[request.number] = {.snapshot = in_snapshot_,
+                                    .repeat_at = now + options_.snapshot_repeat,
                                     .from = next_offset_,
                                     .sent_at = now,
                                     .wait = options_.wait};
@@ -67,6 +90,7 @@
   if (!pending || !in_snapshot_) {
     return update;
   }
+  DiscardSnapshotReads();
   failing_ = false;
   next_read_at_ = now;
   if (last_key_.empty()) {
@@ -141,12 +165,9 @@
 
 void topic_reader::Trimmed(std::uint64_t number, time_point now) {
   const std::optional<pending_read> pending = TakePending(number);
-  if (!pending || in_snapshot_ || pending->from < next_offset_) {
-    return;
+  if (pending && !in_snapshot_ && pending->from >= next_offset_) {
+    Restart(now);
   }
-  in_snapshot_ = true;
-  last_key_.clear();
-  next_read_at_ = now;
 }
 
 void topic_reader::Failed(std::uint64_t number, time_point now) {
@@ -160,10 +181,9 @@
 }
 
 std::optional<time_point> topic_reader::NextDeadline() const {
-  const bool in_flight =
-      std::any_of(pending_reads_.begin(), pending_reads_.end(),
-                  [](const auto& read) { return !read.second.refresh; });
-  return in_flight ? std::nullopt : std::optional<time_point>(next_read_at_);
+  const time_point next = std::max(next_read_at_, RepeatAt());
+  return next == time_point::max() ? std::nullopt
+                                   : std::optional<time_point>(next);
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/topic_reader_test.cpp
+++ b/src/skylarkbridge/jobs/topic_reader_test.cpp
@@ -74,6 +74,30 @@
   EXPECT_EQ(reader.CompleteUntil(), kNow + milliseconds(800));
 }
 
+// Guards against a reader that learns of nothing until the answer to a read of
+// a snapshot has timed out: it is lost, or on its way for long.
+TEST(TopicReaderTest, RepeatsAReadOfASnapshotOnceBeforeItsAnswer) {
+  topic_reader reader({.snapshot_repeat = milliseconds(1200)});
+  const auto first = reader.Next(kNow);
+  ASSERT_TRUE(first && first->snapshot);
+  EXPECT_FALSE(reader.Next(kNow + milliseconds(1100)));
+  EXPECT_EQ(reader.NextDeadline(), kNow + milliseconds(1200));
+  const auto repeat = reader.Next(kNow + milliseconds(1200));
+  ASSERT_TRUE(repeat && repeat->snapshot);
+  EXPECT_FALSE(reader.Next(kNow + milliseconds(3000)));
+  EXPECT_FALSE(reader.NextDeadline());
+  const reader_update update = reader.Received(
+      repeat->number, snapshot_page{.records = {Record(1, "a")}, .end = 2},
+      kNow + milliseconds(1210));
+  EXPECT_TRUE(update.snapshot_complete);
+  const reader_update late = reader.Received(
+      first->number, snapshot_page{.records = {Record(1, "a")}, .end = 2},
+      kNow + milliseconds(1300));
+  EXPECT_TRUE(late.records.empty());
+  const auto tail = reader.Next(kNow + milliseconds(1310));
+  EXPECT_TRUE(tail && tail->tail);
+}
+
 // Guards against a failed read that is repeated without a delay or not at all.
 TEST(TopicReaderTest, RepeatsAFailedReadAfterADelay) {
   topic_reader reader({.retry = milliseconds(150)});
