Store the cancellation of a job that is not known

What callers would see: a job runs although its cancellation was answered with 410: its submission was still being stored by another VM.

Cause: a fresh read of the log shows that a job is not stored yet, not that it never will be. Nothing was written that would hold for it later.

Evidence: CancelPathTest.ACancellationAnsweredBeforeItsJobIsStoredStaysInForce failed: the job ran for 34 s, until the test ended.

The cancellation is stored before the 410. It costs one record for each cancellation of an unknown job; the owner removes it after the same time as an ended job. So that this can't remove an open job of the same id, only ended jobs count for the removal.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -127,6 +127,11 @@
               wall_time wall);
   void Query(const caller_request& request, jobs::job_id job, time_point now);
   void Cancel(const caller_request& request, jobs::job_id job, time_point now);
+  /// Stores the cancellation of a job, which may be unknown.
+  void StoreCancellation(std::uint64_t token,
+                         jobs::job_id job,
+                         time_point deadline,
+                         time_point now);
   /// Number of pending jobs of a queue in all cells.
   std::size_t Pending(std::string_view queue) const;
   void QueryPending(const caller_request& request,
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -208,10 +208,18 @@
           {.kind = answer_kind::kCancelled, .reason = "ended before"});
     return;
   }
-  Store({.token = request.token,
+  StoreCancellation(request.token, job, request.deadline, now);
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::StoreCancellation(std::uint64_t token,
+                                                         jobs::job_id job,
+                                                         time_point deadline,
+                                                         time_point now) {
+  Store({.token = token,
          .job = job,
          .record = records::Encode(jobs::job_cancelled{job}),
-         .deadline = request.deadline},
+         .deadline = deadline},
         "cancel", now);
 }
 
@@ -256,7 +264,12 @@
   if (!result.stored && !cancel) {
     unconfirmed_submissions_.erase(result.request.job);
   }
-  if (result.stored) {
+  if (result.stored && cancel &&
+      HomeOf(result.request.job).Registry().Find(result.request.job) ==
+          nullptr) {
+    Reply(result.request.token, result.request.job, method,
+          {.kind = answer_kind::kNoJob, .reason = "not in the log"});
+  } else if (result.stored) {
     Reply(result.request.token, result.request.job, method,
           {.kind = cancel ? answer_kind::kCancelled : answer_kind::kAccepted});
   } else if (result.request.uncertain) {
@@ -296,6 +309,11 @@
     Reply(entry.token, entry.job, "query",
           {.kind = answer_kind::kState,
            .state = *registry.ReportedState(entry.job)});
+  } else if (!known && read_since_request &&
+             entry.method == caller_method::kCancel) {
+    // The job may be on its way to the log. A stored cancellation holds for a
+    // job that is accepted later, too.
+    StoreCancellation(entry.token, entry.job, entry.deadline, now);
   } else if (!known && read_since_request) {
     Reply(entry.token, entry.job, "lookup",
           {.kind = answer_kind::kNoJob, .reason = "not in the log"});
--- a/include/skylarkbridge/jobs/job_registry.hpp
+++ b/include/skylarkbridge/jobs/job_registry.hpp
@@ -79,7 +79,7 @@
   std::size_t CountUnstarted(std::string_view queue) const;
 
   /// @brief Returns up to @p max_count jobs that ended before @p limit, the
-  /// earliest first.
+  /// earliest first. Includes cancelled jobs that were never accepted.
   std::vector<job_id> EndedBefore(time_point limit,
                                   std::size_t max_count) const;
 
@@ -88,7 +88,8 @@
  private:
   /// Records of a job that were read before its job_accepted record. The pages
   /// of a snapshot are ordered by key, and the key of job_cancelled sorts
-  /// before that of job_accepted.
+  /// before that of job_accepted. A cancellation may also be stored before the
+  /// acceptance, or without one.
   struct early_records {
     bool cancelled = false;
     std::optional<job_progress> progress;
--- a/src/skylarkbridge/jobs/job_registry.cpp
+++ b/src/skylarkbridge/jobs/job_registry.cpp
@@ -1,6 +1,7 @@
 #include "skylarkbridge/jobs/job_registry.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkbridge::jobs {
 
@@ -31,7 +32,10 @@
 bool job_registry::Apply(const job_cancelled& record, time_point now) {
   const auto entry = jobs_.find(record.job);
   if (entry == jobs_.end()) {
-    early_records_[record.job].cancelled = true;
+    early_records& early = early_records_[record.job];
+    if (!std::exchange(early.cancelled, true)) {
+      ended_.emplace_back(now, record.job);
+    }
     return false;
   }
   job_state& state = entry->second;
@@ -115,7 +119,10 @@
     if (ended >= limit || found.size() >= max_count) {
       break;
     }
-    if (jobs_.contains(job)) {
+    const job_state* const state = Find(job);
+    const auto early = early_records_.find(job);
+    if ((state != nullptr && state->ended_at) ||
+        (early != early_records_.end() && early->second.cancelled)) {
       found.push_back(job);
     }
   }
