--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -218,6 +218,8 @@
   owner_writer writer_;
   std::vector<jobs::log_record> cross_cell_records_;
   bool refresh_requested_ = false;
+  /// The snapshot of this cell waits for that of another cell.
+  bool snapshot_deferred_ = false;
   bool worker_list_needed_ = false;
 
   std::uint64_t last_append_number_ = 0;
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -207,7 +207,8 @@
   while (auto append = request_writer_.Next(now, last_append_number_ + 1)) {
     Send(std::move(*append), now);
   }
-  if (may_read_snapshot || !follower_.Reader().InSnapshot()) {
+  snapshot_deferred_ = !may_read_snapshot && follower_.Reader().InSnapshot();
+  if (!snapshot_deferred_) {
     follower_.Send(platform_, now);
   }
   if (refresh_requested_ && !follower_.Reader().Refreshing()) {
@@ -245,7 +246,9 @@
       next = std::min(next, *at);
     }
   };
-  consider(follower_.Reader().NextDeadline());
+  if (!snapshot_deferred_) {
+    consider(follower_.Reader().NextDeadline());
+  }
   consider(request_writer_.NextDeadline());
   consider(writer_.NextDeadline());
   if (scheduler_.Active()) {
