Sleep while requests wait for appends in flight

Cause: the request writer stated that an append was due although all that it may have in flight were. The control thread ran without a pause until one was answered, which is when the store is slow.

Evidence: ControlLoopTest.SleepsWhileRequestsWaitForAppendsInFlight counted 133 runs due at once during appends of 0.3 s; now at most 5.

--- a/src/skylarkbridge/control/request_writer.cpp
+++ b/src/skylarkbridge/control/request_writer.cpp
@@ -106,9 +106,13 @@
 }
 
 std::optional<time_point> request_writer::NextDeadline() const {
+  // Further appends wait for the answer to one in flight.
+  const time_point next_append = in_flight_.size() >= options_.max_appends
+                                     ? time_point::max()
+                                     : next_append_;
   std::optional<time_point> next;
   for (const pending_request& request : waiting_) {
-    const time_point at = std::min(request.deadline, next_append_);
+    const time_point at = std::min(request.deadline, next_append);
     next = next ? std::min(*next, at) : at;
   }
   return next;
