Discard silent connections with the first request that shows them

What callers would see: tasks of a cancelled job that run on for up to 10 s, and reads of the logs that lag by seconds, after open connections have gone silent without a reset.

Cause: the client kept idle connections without a limit and took a request without a response as news of one connection only. Each silent one cost another request its whole timeout: 0.7 s of a stop order, 1.2 s of a read of a log.

Evidence: SilentConnectionsTest.OneFailedRequestIsEnoughToOpenANewConnection failed 3 times of 3, and passes 3 times of 3.

A request without a response on a connection that worked before closes the idle connections to the address on which nothing was received since it was sent. The next request opens a new one, so a stop order fails once. Connections that answer meanwhile stay.

--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "skylarkbridge/transport/http_client.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -8,6 +9,7 @@
 #include <chrono>
 #include <deque>
 #include <optional>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "skylarkbridge/transport/endpoint.hpp"
@@ -54,6 +56,9 @@
   void OnIdle(const std::string& address,
               const std::shared_ptr<connection>& idle);
   void OnClosed(const std::string& address);
+  /// Closes the idle connections to the address on which nothing has been
+  /// received since @p since.
+  void CloseIdle(const std::string& address, time_point since);
   void DispatchWaiting(const std::string& address);
 
   asio::io_context& context_;
@@ -73,6 +78,7 @@
 
   void SendRequest(pending_request pending) {
     pending_ = std::move(pending);
+    request_started_at_ = boot_clock::now();
     write_started_ = false;
     StartDeadlineTimer();
     if (socket_.is_open()) {
@@ -82,6 +88,15 @@
     }
   }
 
+  /// When the last response was received; nullopt before the first one.
+  std::optional<time_point> LastResponseAt() const { return last_response_at_; }
+  /// Closes an idle connection.
+  void Close() {
+    error_code ignored;  // The connection is discarded in any case.
+    socket_.close(ignored);
+    owner_->OnClosed(address_);
+  }
+
  private:
   void StartDeadlineTimer() {
     timer_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
@@ -173,6 +188,7 @@
     const bool keep_alive = parser_->get().keep_alive();
     http_callback callback = std::move(pending_->callback);
     pending_.reset();
+    last_response_at_ = boot_clock::now();
     if (keep_alive) {
       owner_->OnIdle(address_, shared_from_this());
     } else {
@@ -187,21 +203,22 @@
     http_callback callback = std::move(pending_->callback);
     pending_.reset();
     Close();
+    if (last_response_at_) {
+      // The connection worked before, so others that are as old may have gone
+      // silent with it: only a request without a response shows that.
+      owner_->CloseIdle(address_, request_started_at_);
+    }
     callback(write_started_ ? http_failure::kNoResponse
                             : http_failure::kNotSent);
   }
 
-  void Close() {
-    error_code ignored;  // The connection is discarded in any case.
-    socket_.close(ignored);
-    owner_->OnClosed(address_);
-  }
-
   std::shared_ptr<connection_pool> owner_;
   const std::string address_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::optional<pending_request> pending_;
+  time_point request_started_at_;
+  std::optional<time_point> last_response_at_;
   /// Incremented for each request and at its end, so that completion handlers
   /// of an earlier request are ignored.
   std::uint64_t generation_ = 0;
@@ -241,6 +258,20 @@
   DispatchWaiting(address);
 }
 
+void http_client::connection_pool::CloseIdle(const std::string& address,
+                                             time_point since) {
+  std::vector<std::shared_ptr<connection>>& idle = by_address_[address].idle;
+  const auto first_silent = std::partition(
+      idle.begin(), idle.end(),
+      [since](const auto& each) { return each->LastResponseAt() >= since; });
+  const std::vector<std::shared_ptr<connection>> silent(first_silent,
+                                                        idle.end());
+  idle.erase(first_silent, idle.end());
+  for (const std::shared_ptr<connection>& each : silent) {
+    each->Close();
+  }
+}
+
 void http_client::connection_pool::DispatchWaiting(const std::string& address) {
   address_connections& connections = by_address_[address];
   while (!connections.waiting.empty() &&
