Test cancellations on slow VMs

A VM with 0.12 of a core in a fleet of four cells pauses for 0.83 s between two reads of the log of a cell that it doesn't own.

--- a/src/skylarkbridge/control/cancel_path_test.cpp
+++ b/src/skylarkbridge/control/cancel_path_test.cpp
@@ -46,6 +46,16 @@
   return StartedFleet({.vms = 3, .workers = 9, .seed = seed, .cells = 3});
 }
 
+/// As above with one more cell, and with the slowest VMs of the users, which
+/// pause longer between two reads.
+std::unique_ptr<virtual_fleet> FleetOfSlowVms(std::uint64_t seed) {
+  return StartedFleet({.vms = 4,
+                       .workers = 12,
+                       .seed = seed,
+                       .cells = 4,
+                       .processor_share = 0.12});
+}
+
 /// The first job from number @p first on whose home is @p cell.
 jobs::job_id JobWithHome(const virtual_fleet& fleet,
                          jobs::cell_id cell,
@@ -198,6 +208,19 @@
   }
 }
 
+// As above, on slow VMs, which notice later that the owner has died.
+TEST(CancelPathTest, ASuccessorOnASlowVmStopsTheRunsOfACancelledJob) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    auto fleet = FleetOfSlowVms(seed);
+    const jobs::job_id job = StartJobInAnotherCell(*fleet, seed % 4);
+    const std::size_t owner = *fleet->Owner(RunningCell(*fleet, 0, job));
+    CancelAndAwaitAnswer(*fleet, (owner + 1) % 4, job);
+    fleet->KillVm(owner);
+    EXPECT_TRUE(StopsInTime(*fleet, job)) << "seed " << seed;
+    EXPECT_EQ(Violations(*fleet), "") << "seed " << seed;
+  }
+}
+
 // As above, with a worker that leaves at the same time as the owner dies.
 TEST(CancelPathTest, ASuccessorStopsTheRunsOfACancelledJobBesideALostWorker) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -227,7 +250,7 @@
   constexpr milliseconds kStep{10};
   constexpr std::size_t kVms = 3;
   constexpr std::size_t kWorkers = 9;
-  auto fleet = FleetOfThreeCells(seed);
+  auto fleet = seed % 2 == 0 ? FleetOfSlowVms(seed) : FleetOfThreeCells(seed);
   std::mt19937_64 random(seed);
   const auto draw = [&random](std::uint64_t below) { return random() % below; };
   std::vector<jobs::job_id> open;
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -172,6 +172,8 @@
     std::uint32_t max_attempts = 3;
     /// Number of cells that the fleet is divided into.
     std::size_t cells = 1;
+    /// Each VM's share of a core. It sets the pauses of its reads.
+    double processor_share = 0.25;
   };
 
   explicit virtual_fleet(const options& settings)
@@ -241,6 +243,7 @@
     control_options options;
     options.ownership.vm = absl::StrCat("vm", vm);
     options.ownership.incarnation = state.incarnation;
+    options.ownership.processor_share = options_.processor_share;
     // Differs for each start of each VM, so that two claims of one epoch have
     // different sequence numbers.
     options.first_sequence = 1000 * (vm + 1) + 100 * state.incarnation;
