Restore the first record of a job that was submitted twice

What callers would see: a long-running job of which two runs of each task run at the same time, in two cells, after a VM has started again; or none runs, as each owner takes the other cell for the one that runs it.

Cause: the first record of a job holds for VMs that follow the log, but the topic keeps only the newest record of a key, and that is the second one. The two name different cells if two VMs accepted the job.

A VM that reads a record with another cell than the known one remembers the job, and the owner of the home cell stores the first record again, with its next write. A successor does it if the owner dies before.

--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -185,6 +185,8 @@
   void Apply(jobs::job_advanced record, std::uint64_t offset, time_point now);
   void Apply(const jobs::job_dropped& record);
   void Apply(const jobs::ownership_record& record, time_point now);
+  /// The record with which a known job was accepted.
+  jobs::job_accepted AcceptedRecord(jobs::job_id job) const;
   void DropMissingJobs(const std::set<std::string>& keys);
 
   // Ownership.
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -122,18 +122,24 @@
       scheduler_.JobAccepted(job, state, false, now, wall);
       return;
     }
-    cross_cell_records_.emplace_back(
-        jobs::job_accepted{.job = job,
-                           .queue = state.queue,
-                           .accepted_at = state.accepted_at,
-                           .spec = state.spec,
-                           .cell = state.cell});
+    cross_cell_records_.emplace_back(AcceptedRecord(job));
     if (state.cancelled) {
       cross_cell_records_.emplace_back(jobs::job_cancelled{job});
     }
   }
 }
 
+template <fleet_platform Platform>
+jobs::job_accepted fleet_cell<Platform>::AcceptedRecord(
+    jobs::job_id job) const {
+  const jobs::job_state& state = *registry_.Find(job);
+  return {.job = job,
+          .queue = state.queue,
+          .accepted_at = state.accepted_at,
+          .spec = state.spec,
+          .cell = state.cell};
+}
+
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Apply(const jobs::job_cancelled& record,
                                  std::uint64_t offset,
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -120,6 +120,9 @@
       }
     }
   }
+  for (const jobs::job_id job : registry_.JobsWithOverwrittenCell()) {
+    batch.push_back(records::Encode(AcceptedRecord(job)));
+  }
   if (!batch.empty() || scheduler_.HasRecords()) {
     for (const jobs::log_record& record : scheduler_.TakeRecords()) {
       batch.push_back(records::Encode(record));
--- a/include/skylarkbridge/jobs/job_registry.hpp
+++ b/include/skylarkbridge/jobs/job_registry.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -52,7 +53,8 @@
  public:
   explicit job_registry(cell_id cell = 0) : cell_(cell) {}
 
-  /// @brief Adds a job unless it is known. Returns whether it was added.
+  /// @brief Adds a job unless it is known: of several records of a job the
+  /// first one holds. Returns whether it was added.
   bool Apply(job_accepted record, time_point now);
   /// @brief Cancels a job. Returns whether it was known and open.
   bool Apply(const job_cancelled& record, time_point now);
@@ -83,6 +85,13 @@
   std::vector<job_id> EndedBefore(time_point limit,
                                   std::size_t max_count) const;
 
+  /// @brief The jobs whose newest record names another running cell than the
+  /// first one, which holds. A VM that reads only the newest record of each key
+  /// would disagree with the others.
+  const std::set<job_id>& JobsWithOverwrittenCell() const {
+    return overwritten_;
+  }
+
   const absl::flat_hash_map<job_id, job_state>& Jobs() const { return jobs_; }
 
  private:
@@ -103,6 +112,7 @@
   std::int64_t long_running_millicores_ = 0;
   absl::flat_hash_map<job_id, job_state> jobs_;
   absl::flat_hash_map<job_id, early_records> early_records_;
+  std::set<job_id> overwritten_;
   /// Ended jobs, in the order in which this process learned of their ends.
   std::deque<std::pair<time_point, job_id>> ended_;
 };
--- a/src/skylarkbridge/jobs/job_registry.cpp
+++ b/src/skylarkbridge/jobs/job_registry.cpp
@@ -7,10 +7,15 @@
 
 bool job_registry::Apply(job_accepted record, time_point now) {
   auto [entry, added] = jobs_.try_emplace(record.job);
+  job_state& state = entry->second;
   if (!added) {
+    if (record.cell == state.cell) {
+      overwritten_.erase(record.job);
+    } else {
+      overwritten_.insert(record.job);
+    }
     return false;
   }
-  job_state& state = entry->second;
   state.queue = std::move(record.queue);
   state.accepted_at = record.accepted_at;
   state.spec = std::move(record.spec);
@@ -63,6 +68,7 @@
     jobs_.erase(entry);
   }
   early_records_.erase(record.job);
+  overwritten_.erase(record.job);
 }
 
 std::int64_t job_registry::LongRunningMillicoresOf(
