--- a/src/skylarkbridge/transport/silent_connections_test.cpp
+++ b/src/skylarkbridge/transport/silent_connections_test.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -28,6 +29,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::string_view kResponse =
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 /// An HTTP server whose open connections can go silent: they stay open, but
 /// nothing that arrives on them is answered any more. New connections work.
 class server_fake {
@@ -89,8 +93,6 @@
         });
   }
   static void Answer(const std::shared_ptr<connection>& to) {
-    static const std::string kResponse =
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     asio::async_write(to->socket, asio::buffer(kResponse),
                       [to](const error_code& /*error*/, std::size_t) {});
   }
