--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -185,6 +185,8 @@
   void Apply(jobs::job_advanced record, std::uint64_t offset, time_point now);
   void Apply(const jobs::job_dropped& record);
   void Apply(const jobs::ownership_record& record, time_point now);
+  /// The record with which a known job was accepted.
+  jobs::job_accepted AcceptedRecord(jobs::job_id job) const;
   void DropMissingJobs(const std::set<std::string>& keys);
 
   // Ownership.
@@ -218,6 +220,8 @@
   owner_writer writer_;
   std::vector<jobs::log_record> cross_cell_records_;
   bool refresh_requested_ = false;
+  /// The snapshot of this cell waits for that of another cell.
+  bool snapshot_deferred_ = false;
   bool worker_list_needed_ = false;
 
   std::uint64_t last_append_number_ = 0;
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -121,6 +121,9 @@
       }
     }
   }
+  for (const jobs::job_id job : registry_.JobsWithOverwrittenCell()) {
+    batch.push_back(records::Encode(AcceptedRecord(job)));
+  }
   if (!batch.empty() || scheduler_.HasRecords()) {
     for (const jobs::log_record& record : scheduler_.TakeRecords()) {
       batch.push_back(records::Encode(record));
@@ -208,7 +211,8 @@
   while (auto append = request_writer_.Next(now, last_append_number_ + 1)) {
     Send(std::move(*append), now);
   }
-  if (may_read_snapshot || !follower_.Reader().InSnapshot()) {
+  snapshot_deferred_ = !may_read_snapshot && follower_.Reader().InSnapshot();
+  if (!snapshot_deferred_) {
     follower_.Send(platform_, now);
   }
   if (refresh_requested_ && !follower_.Reader().Refreshing()) {
@@ -246,7 +250,9 @@
       next = std::min(next, *at);
     }
   };
-  consider(follower_.Reader().NextDeadline());
+  if (!snapshot_deferred_) {
+    consider(follower_.Reader().NextDeadline());
+  }
   consider(request_writer_.NextDeadline());
   consider(writer_.NextDeadline());
   if (scheduler_.Active()) {
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -172,7 +172,9 @@
     std::uint32_t max_attempts = 3;
     /// Number of cells that the fleet is divided into.
     std::size_t cells = 1;
-    /// Share of a core of each VM; VMs beyond the list have the default.
+    /// Each VM's share of a core. It sets the pauses of its reads.
+    double processor_share = 0.25;
+    /// Shares of the first VMs, where they differ.
     std::vector<double> processor_shares;
   };
 
@@ -217,6 +219,7 @@
         if (vm.control && now_ >= vm.next_run_at) {
           vm.control->Run(now_, Wall());
           vm.next_run_at = vm.control->NextDeadline(now_);
+          vm.runs_due_at_once += vm.next_run_at <= now_ ? 1 : 0;
         }
       }
       if (now_ >= next_observation_) {
@@ -242,9 +245,9 @@
     control_options options;
     options.ownership.vm = absl::StrCat("vm", vm);
     options.ownership.incarnation = state.incarnation;
-    if (vm < options_.processor_shares.size()) {
-      options.ownership.processor_share = options_.processor_shares[vm];
-    }
+    options.ownership.processor_share =
+        vm < options_.processor_shares.size() ? options_.processor_shares[vm]
+                                              : options_.processor_share;
     // Differs for each start of each VM, so that two claims of one epoch have
     // different sequence numbers.
     options.first_sequence = 1000 * (vm + 1) + 100 * state.incarnation;
@@ -366,6 +369,20 @@
     vms_[vm].next_run_at = now_;
     return token;
   }
+  /// @brief How often the VM's control state was due to run again at once after
+  /// a run. Its thread does not sleep then.
+  int RunsDueAtOnce(std::size_t vm) const { return vms_[vm].runs_due_at_once; }
+  /// @brief Loses the answers to the next @p count snapshot reads of a cell's
+  /// log that the VM sends.
+  void LoseSnapshotAnswers(std::size_t vm, jobs::cell_id cell, int count) {
+    vms_[vm].snapshot_answers_to_lose[cell] = count;
+  }
+  /// @brief Whether the answer to a snapshot read that the VM sends now is
+  /// lost.
+  bool TakeLostSnapshotAnswer(std::size_t vm, jobs::cell_id cell) {
+    int& left = vms_[vm].snapshot_answers_to_lose[cell];
+    return left > 0 && left-- > 0;
+  }
   /// @brief Highest number of snapshot reads of cell logs that the VM has had
   /// in flight at once.
   int MaxConcurrentSnapshots(std::size_t vm) const {
@@ -502,6 +519,8 @@
     /// Snapshot reads of cell logs in flight, and their highest number so far.
     int snapshots_in_flight = 0;
     int max_concurrent_snapshots = 0;
+    std::map<jobs::cell_id, int> snapshot_answers_to_lose;
+    int runs_due_at_once = 0;
     time_point next_run_at;
     bool store_cut = false;
     bool workers_cut = false;
@@ -612,7 +631,9 @@
 inline void platform_fake::Read(const topic& source,
                                 const jobs::read_request& call,
                                 time_point deadline) {
-  if (call.snapshot && source.kind == topic_kind::kJobs) {
+  const bool snapshot_of_cell =
+      call.snapshot && source.kind == topic_kind::kJobs;
+  if (snapshot_of_cell) {
     fleet_.SnapshotStarted(vm_);
   }
   const auto fail_at = [this, source, number = call.number](
@@ -626,7 +647,8 @@
                                    .outcome = read_failed{result}});
         });
   };
-  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline)) {
+  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline) ||
+      (snapshot_of_cell && fleet_.TakeLostSnapshotAnswer(vm_, source.cell))) {
     fail_at(deadline, store_result::kNoAnswer);
     return;
   }
