--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -245,9 +245,9 @@
     control_options options;
     options.ownership.vm = absl::StrCat("vm", vm);
     options.ownership.incarnation = state.incarnation;
-    options.ownership.processor_share =
-        vm < options_.processor_shares.size() ? options_.processor_shares[vm]
-                                              : options_.processor_share;
+    options.ownership.processor_share = vm < options_.processor_shares.size()
+                                            ? options_.processor_shares[vm]
+                                            : options_.processor_share;
     // Differs for each start of each VM, so that two claims of one epoch have
     // different sequence numbers.
     options.first_sequence = 1000 * (vm + 1) + 100 * state.incarnation;
