Check in virtual time that cancelled jobs end within the bound

cancel_invariant counts from the moment the cancel is durable in the store, or acknowledged, and only calm time: no fault present or in the last contact time. A run may go on for the cancel bound and the stop timeout, and none may start after the cancel bound. The platform's figures are parameters of the fleet.

--- a/src/skylarkbridge/control/job_invariant_checker_fake.hpp
+++ b/src/skylarkbridge/control/job_invariant_checker_fake.hpp
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/control/cancel_invariant_fake.hpp"
 #include "skylarkbridge/control/restart_invariant_fake.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
@@ -21,8 +22,9 @@
  public:
   /// @param max_attempts number of failed runs after which a task must not
   /// start again, unless it is long-running.
-  explicit job_invariant_checker(std::size_t max_attempts)
-      : max_attempts_(max_attempts) {}
+  explicit job_invariant_checker(std::size_t max_attempts,
+                                 cancel_bounds bounds = {})
+      : max_attempts_(max_attempts), cancels_(bounds) {}
 
   void JobSubmitted(jobs::job_id job, const jobs::job_spec& spec) {
     specs_[job] = spec;
@@ -34,10 +36,15 @@
     cancelled_.insert(job);
     restarts_.JobCancelled(job);
   }
+  /// @brief The cancel was acknowledged, or an append of it is durable.
+  void CancelStored(jobs::job_id job, time_point now) {
+    cancels_.CancelStored(job, now);
+  }
 
   void RunStarted(const std::string& worker,
                   const jobs::run_ref& run,
-                  const jobs::resources& available) {
+                  const jobs::resources& available,
+                  time_point now) {
     const jobs::task_ref& task = run.task;
     const auto spec = specs_.find(task.job);
     if (spec == specs_.end()) {
@@ -76,6 +83,7 @@
     }
     running_[task].insert(worker);
     restarts_.RunStarted(task);
+    cancels_.RunStarted(worker, run, now);
   }
 
   void RunEnded(const std::string& worker,
@@ -83,6 +91,7 @@
                 end_cause cause,
                 time_point now) {
     running_[run.task].erase(worker);
+    cancels_.RunEnded(worker, run);
     if (cause == end_cause::kDone) {
       done_.insert(run.task);
       ever_done_.insert(run.task);
@@ -111,6 +120,10 @@
          restarts_.Observe(fleet, is_owed, step_of, now)) {
       violations_.push_back(Format(violation));
     }
+    for (const cancel_violation& violation :
+         cancels_.Observe(fleet.disrupted, now)) {
+      violations_.push_back(Format(violation));
+    }
   }
 
   /// @brief Removes the outcome that RunEnded recorded: the worker crashed, or
@@ -173,6 +186,7 @@
   /// have started before that.
   std::set<jobs::task_ref> ever_done_;
   restart_invariant restarts_;
+  cancel_invariant cancels_;
   std::vector<std::string> violations_;
 };
 
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -172,12 +172,14 @@
     std::uint32_t max_attempts = 3;
     /// Number of cells that the fleet is divided into.
     std::size_t cells = 1;
+    /// The platform's bounds that the checker applies to cancelled jobs.
+    cancel_bounds cancels = {};
   };
 
   explicit virtual_fleet(const options& settings)
       : options_(settings),
         random_(settings.seed),
-        checker_(settings.max_attempts) {
+        checker_(settings.max_attempts, settings.cancels) {
     store_.Put({topic_kind::kConfiguration}, "config",
                absl::StrCat("1 ", settings.max_attempts));
     for (std::size_t worker = 0; worker < settings.workers; ++worker) {
@@ -317,6 +319,11 @@
     }
   }
   void TrimStore() { store_.Trim(); }
+  /// @brief Publishes a configuration with the same settings.
+  void PublishConfiguration(std::uint64_t version) {
+    store_.Put({topic_kind::kConfiguration}, "config",
+               absl::StrCat(version, " ", options_.max_attempts));
+  }
   worker_fake& Worker(const std::string& id) { return workers_.at(id); }
 
   // Callers.
@@ -378,6 +385,10 @@
   void RecordAnswer(std::uint64_t token, const caller_answer& answer) {
     answers_[token] = answer;
     const auto& [job, method] = requests_.at(token);
+    if (method == caller_method::kCancel &&
+        answer.kind == answer_kind::kCancelled) {
+      checker_.CancelStored(job, now_);
+    }
     if (method != caller_method::kSubmit) {
       return;
     }
@@ -433,6 +444,16 @@
   /// @brief Draws the delay of a call to the store in one direction.
   std::chrono::milliseconds StoreDelay() { return store_delay_ + Delay(); }
   store_fake& Store() { return store_; }
+  /// @brief Executes an append and tells the checker which cancels it stores.
+  append_reply ExecuteAppend(const append_call& call) {
+    const append_reply reply = store_.Append(call);
+    if (reply.result == store_result::kDone) {
+      for (const records::keyed_record& record : call.batch) {
+        NoteCancel(record);
+      }
+    }
+    return reply;
+  }
   /// @brief Draws the delay of a call in one direction.
   std::chrono::milliseconds Delay() {
     return std::chrono::milliseconds(1 + static_cast<int>(Draw() * 3));
@@ -523,6 +544,19 @@
     }
     return view;
   }
+  void NoteCancel(const records::keyed_record& record) {
+    if (!record.value) {
+      return;
+    }
+    const auto decoded = records::Decode(record.key, *record.value);
+    if (!decoded || !*decoded) {
+      return;
+    }
+    if (const auto* const cancelled =
+            std::get_if<jobs::job_cancelled>(&**decoded)) {
+      checker_.CancelStored(cancelled->job, now_);
+    }
+  }
   std::string PathOf(jobs::job_id job) const {
     const auto queue = queues_.find(job);
     return absl::StrCat("/", queue == queues_.end() ? "batch" : queue->second,
@@ -595,7 +629,7 @@
                                              incarnation = incarnation_,
                                              answer_lost,
                                              call = std::move(call)] {
-    const append_reply reply = fleet.Store().Append(call);
+    const append_reply reply = fleet.ExecuteAppend(call);
     if (!answer_lost) {
       fleet.ScheduleAfter(fleet.StoreDelay(), [&fleet, vm, incarnation, reply] {
         fleet.Deliver(vm, incarnation, reply);
--- a/src/skylarkbridge/control/worker_fake.hpp
+++ b/src/skylarkbridge/control/worker_fake.hpp
@@ -118,7 +118,7 @@
     } else {
       reply.result = jobs::order_result::kDone;
       ExtendLease(order.start_by, now);
-      checker_.RunStarted(id_, order.run, AvailableCapacity());
+      checker_.RunStarted(id_, order.run, AvailableCapacity(), now);
       runs_[order.run] = ParseRunState(order, now);
     }
     return reply;
