Reproduce a page of a log that is lost on a busy traffic thread

Owners log store_lost no_answer for reads of logs while the store is well and their processor share is used up. The HTTP client reads into a buffer without capacity, and Beast then asks for 512 bytes at a time. Each piece is a handler of its own behind all other handlers that are ready, so that a page of 64 KB waits about 128 times for the replies of the workers, and the timer of its deadline fires meanwhile although the page has arrived. The read is repeated from the same offset, with more records.

--- a/src/skylarkbridge/transport/http_test.cpp
+++ b/src/skylarkbridge/transport/http_test.cpp
@@ -2,9 +2,12 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 #include <variant>
 
 #include "skylarkbridge/base/mailbox.hpp"
@@ -50,6 +53,7 @@
   }
   server_request ReceiveRequest() { return ReceiveOne(requests_); }
   http_outcome ReceiveOutcome() { return ReceiveOne(outcomes_); }
+  const std::string& Address() const { return address_; }
   http_server& Server() { return server_; }
   http_client& Client() { return client_; }
   mailbox<http_outcome>& Outcomes() { return outcomes_; }
@@ -112,6 +116,44 @@
             http_failure::kNotSent);
 }
 
+/// Runs on the context's thread, takes 20 ms, and runs again after the handlers
+/// that are ready.
+void PostOtherWork(boost::asio::io_context& context) {
+  boost::asio::post(context, [&context] {
+    std::this_thread::sleep_for(milliseconds(20));
+    PostOtherWork(context);
+  });
+}
+
+// Guards against a page of a log that is lost on a busy thread although the
+// store has sent it in time: read in pieces of 512 bytes, a response of 64 KB
+// waits 128 times for the other replies.
+TEST(HttpTest, ReceivesALargeResponseInTimeOnABusyThread) {
+  constexpr std::size_t kPageBytes = 64'000;
+  http_loopback loopback;
+  boost::asio::io_context busy_context;
+  http_client client(busy_context, {.max_connections = 1});
+  std::optional<http_outcome> outcome;
+  client.Send({.address = loopback.Address(),
+               .method = "GET",
+               .target = "/log",
+               .deadline = boot_clock::now() + milliseconds(1200)},
+              [&outcome](http_outcome received) { outcome = received; });
+  PostOtherWork(busy_context);
+  auto server_thread =
+      posix_thread::Start("responder", [&loopback] {
+        loopback.Server().Respond(
+            loopback.ReceiveRequest().token,
+            {.status = 200, .body = std::string(kPageBytes, 'x')});
+      }).value();
+  while (!outcome) {
+    busy_context.run_one();
+  }
+  server_thread.Join();
+  ASSERT_TRUE(std::holds_alternative<http_response>(*outcome));
+  EXPECT_EQ(std::get<http_response>(*outcome).body.size(), kPageBytes);
+}
+
 // Guards against a server that accepts a body above its limit, with which a
 // caller could exhaust its memory.
 TEST(HttpTest, RejectsBodyAboveLimit) {
