Read a large response in few pieces

Callers saw tasks of cancelled jobs run on, and configurations and draining workers noticed late, when an owner had used up its processor share: its reads of the logs timed out although the store had answered.

Each connection of the HTTP client now reserves 64 KB to read into, so that a page of 64 KB takes 4 to 5 handlers instead of 130 and no longer waits for the replies of the workers 130 times. A page that arrives whole is then read, and its timer cancelled, in one turn of the loop.

The memory is touched only as far as responses fill it.

--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -20,6 +20,10 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// Bytes that one read from a connection may return. Without a reserved buffer
+/// Beast reads 512 bytes at a time, each behind the other work of the thread.
+constexpr std::size_t kReadBytes = 64U << 10U;
+
 struct pending_request {
   http_request request;
   http_callback callback;
@@ -69,7 +73,9 @@
       : owner_(std::move(owner)),
         address_(std::move(address)),
         socket_(owner_->context_),
-        timer_(owner_->context_) {}
+        timer_(owner_->context_) {
+    buffer_.reserve(kReadBytes);
+  }
 
   void SendRequest(pending_request pending) {
     pending_ = std::move(pending);
