Give the VMs of the virtual fleet a share of a processor

Nothing in virtual time took processor time, so no test could decide it.

A VM may now have a share of a processor, which its traffic thread and its control thread divide. Requests and replies wait in one queue as in the HTTP client, a reply of several reads waits once for each, and it is lost when a further read comes after its deadline.

The passes and the renewals slow down with the owner, so that an overload limits itself.

--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -15,6 +15,7 @@
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/control/control_state.hpp"
 #include "skylarkbridge/control/job_invariant_checker_fake.hpp"
+#include "skylarkbridge/control/processor_fake.hpp"
 #include "skylarkbridge/control/store_fake.hpp"
 #include "skylarkbridge/control/worker_fake.hpp"
 
@@ -34,6 +35,12 @@
             const jobs::read_request& call,
             time_point deadline);
   void SendOrder(const jobs::order& order, time_point deadline);
+  /// @brief The calls themselves, once the traffic thread sends them.
+  void AppendNow(append_call call, time_point deadline);
+  void ReadNow(const topic& source,
+               const jobs::read_request& call,
+               time_point deadline);
+  void SendOrderNow(const jobs::order& order, time_point deadline);
 
   /// @brief Decodes "VERSION MAX_ATTEMPTS" into a configuration with the queue
   /// "batch" and the more urgent queue "serving".
@@ -174,6 +181,8 @@
     std::size_t cells = 1;
     /// The platform's bounds that the checker applies to cancelled jobs.
     cancel_bounds cancels = {};
+    /// The processor of each VM.
+    processor_options processor = {};
   };
 
   explicit virtual_fleet(const options& settings)
@@ -214,7 +223,9 @@
         action();
       }
       for (vm_state& vm : vms_) {
-        if (vm.control && now_ >= vm.next_run_at) {
+        if (vm.control && vm.processor) {
+          vm.processor->Work(kTick, now_, [&] { return RunControl(vm); });
+        } else if (vm.control && now_ >= vm.next_run_at) {
           vm.control->Run(now_, Wall());
           vm.next_run_at = vm.control->NextDeadline(now_);
         }
@@ -252,6 +263,11 @@
         std::make_unique<control_state<platform_fake, callers_fake>>(
             options, *state.platform, *state.callers, metrics_);
     state.next_run_at = now_;
+    state.mailbox.clear();
+    state.processor.reset();
+    if (options_.processor.share > 0) {
+      state.processor = std::make_unique<processor_fake>(options_.processor);
+    }
   }
   void StopVm(std::size_t vm) {
     fault_occurred_ = true;
@@ -421,6 +437,10 @@
                                         jobs::cell_id cell = 0) const {
     return *Control(vm).Cells().at(cell);
   }
+  /// @brief The VM's processor; null for one without a share.
+  const processor_fake* Processor(std::size_t vm) const {
+    return vms_[vm].processor.get();
+  }
   const job_invariant_checker& Checker() const { return checker_; }
   time_point Now() const { return now_; }
   std::mt19937_64& Random() { return random_; }
@@ -483,19 +503,30 @@
                     const Order& order,
                     bool deliver_reply,
                     int worker_incarnation,
-                    time_point until);
+                    time_point until,
+                    time_point deadline);
+  /// @brief Sends a call of a VM, after the earlier work of its traffic thread
+  /// when its processor has a share.
+  void Transmit(std::size_t vm, std::function<void()> send);
   /// @brief Hands a reply to the VM, unless it has been restarted since the
   /// call.
+  /// @param deadline when the VM stops waiting for the reply.
   void Deliver(std::size_t vm,
                std::uint64_t incarnation,
-               platform_reply reply) {
+               platform_reply reply,
+               time_point deadline = time_point::max()) {
     vm_state& state = vms_[vm];
     if (const auto* const read = std::get_if<read_reply>(&reply);
         read != nullptr && read->source.kind == topic_kind::kJobs &&
         std::holds_alternative<jobs::snapshot_page>(read->outcome)) {
       --state.snapshots_in_flight;
     }
-    if (state.control && state.incarnation == incarnation) {
+    if (!state.control || state.incarnation != incarnation) {
+      return;
+    }
+    if (state.processor) {
+      Receive(vm, std::move(reply), deadline);
+    } else {
       state.control->Handle(std::move(reply), now_, Wall());
       state.next_run_at = now_;
     }
@@ -519,11 +550,21 @@
     int snapshots_in_flight = 0;
     int max_concurrent_snapshots = 0;
     time_point next_run_at;
+    /// Present when the processor has a share.
+    std::unique_ptr<processor_fake> processor;
+    /// Replies that wait for the control thread.
+    std::vector<platform_reply> mailbox;
     bool store_cut = false;
     bool workers_cut = false;
     std::set<std::string> cut_workers;
   };
 
+  /// Queues a reply for the traffic thread of a VM.
+  void Receive(std::size_t vm, platform_reply reply, time_point deadline);
+  /// Makes a pass of the control thread if one is due. Returns its processor
+  /// time.
+  std::chrono::nanoseconds RunControl(vm_state& vm);
+
   /// Whether a fault is present that has not ended.
   bool FaultPresent() const {
     const auto unavailable = [](const vm_state& vm) { return !vm.control; };
@@ -597,6 +638,23 @@
 }
 
 inline void platform_fake::Append(append_call call, time_point deadline) {
+  fleet_.Transmit(vm_, [this, call = std::move(call), deadline] {
+    AppendNow(call, deadline);
+  });
+}
+inline void platform_fake::Read(const topic& source,
+                                const jobs::read_request& call,
+                                time_point deadline) {
+  fleet_.Transmit(
+      vm_, [this, source, call, deadline] { ReadNow(source, call, deadline); });
+}
+inline void platform_fake::SendOrder(const jobs::order& order,
+                                     time_point deadline) {
+  fleet_.Transmit(vm_,
+                  [this, order, deadline] { SendOrderNow(order, deadline); });
+}
+
+inline void platform_fake::AppendNow(append_call call, time_point deadline) {
   const auto no_answer = [this, target = call.target, number = call.number,
                           deadline] {
     fleet_.ScheduleAt(deadline, [&fleet = fleet_, vm = vm_,
@@ -625,22 +683,23 @@
   if (answer_lost) {
     no_answer();
   }
-  fleet_.ScheduleAfter(fleet_.StoreDelay(), [&fleet = fleet_, vm = vm_,
-                                             incarnation = incarnation_,
-                                             answer_lost,
-                                             call = std::move(call)] {
-    const append_reply reply = fleet.ExecuteAppend(call);
-    if (!answer_lost) {
-      fleet.ScheduleAfter(fleet.StoreDelay(), [&fleet, vm, incarnation, reply] {
-        fleet.Deliver(vm, incarnation, reply);
+  fleet_.ScheduleAfter(
+      fleet_.StoreDelay(),
+      [&fleet = fleet_, vm = vm_, incarnation = incarnation_, answer_lost,
+       deadline, call = std::move(call)] {
+        const append_reply reply = fleet.ExecuteAppend(call);
+        if (!answer_lost) {
+          fleet.ScheduleAfter(fleet.StoreDelay(),
+                              [&fleet, vm, incarnation, reply, deadline] {
+                                fleet.Deliver(vm, incarnation, reply, deadline);
+                              });
+        }
       });
-    }
-  });
 }
 
-inline void platform_fake::Read(const topic& source,
-                                const jobs::read_request& call,
-                                time_point deadline) {
+inline void platform_fake::ReadNow(const topic& source,
+                                   const jobs::read_request& call,
+                                   time_point deadline) {
   if (call.snapshot && source.kind == topic_kind::kJobs) {
     fleet_.SnapshotStarted(vm_);
   }
@@ -699,8 +758,8 @@
     arrival = deadline;
     reply.outcome = read_failed{};
   }
-  ScheduleAt(arrival, [this, vm, incarnation, reply] {
-    Deliver(vm, incarnation, reply);
+  ScheduleAt(arrival, [this, vm, incarnation, reply, deadline] {
+    Deliver(vm, incarnation, reply, deadline);
   });
 }
 
@@ -716,13 +775,125 @@
 inline jobs::stop_reply NoAnswerReply(const jobs::stop_order& order) {
   return {.worker = order.target.worker, .run = order.run};
 }
+/// Replaces a reply that is lost at the VM.
+inline platform_reply WithoutAnswer(const platform_reply& reply) {
+  if (const auto* const append = std::get_if<append_reply>(&reply)) {
+    return append_reply{.target = append->target, .number = append->number};
+  }
+  if (const auto* const read = std::get_if<read_reply>(&reply)) {
+    return read_reply{.source = read->source,
+                      .number = read->number,
+                      .outcome = read_failed{}};
+  }
+  if (const auto* const renewal = std::get_if<jobs::renew_reply>(&reply)) {
+    return jobs::renew_reply{.worker = renewal->worker,
+                             .renewal_number = renewal->renewal_number};
+  }
+  if (const auto* const start = std::get_if<jobs::start_reply>(&reply)) {
+    return jobs::start_reply{.worker = start->worker, .run = start->run};
+  }
+  if (const auto* const stop = std::get_if<jobs::stop_reply>(&reply)) {
+    return jobs::stop_reply{.worker = stop->worker, .run = stop->run};
+  }
+  return reply;
+}
+
+/// The records in a reply of the store.
+inline const std::vector<jobs::topic_record>* RecordsOf(
+    const platform_reply& reply) {
+  const auto* const read = std::get_if<read_reply>(&reply);
+  if (read == nullptr) {
+    return nullptr;
+  }
+  if (const auto* const tail = std::get_if<jobs::tail_page>(&read->outcome)) {
+    return &tail->records;
+  }
+  const auto* const page = std::get_if<jobs::snapshot_page>(&read->outcome);
+  return page == nullptr ? nullptr : &page->records;
+}
+
+/// The runs that a worker's report lists.
+inline std::size_t RunsOf(const platform_reply& reply) {
+  const auto* const renewal = std::get_if<jobs::renew_reply>(&reply);
+  return renewal == nullptr || !renewal->report
+             ? 0
+             : renewal->report->running.size() + renewal->report->ended.size();
+}
+
+/// Size of a reply's body on the platform's connections, about.
+inline std::size_t BytesOf(const platform_reply& reply) {
+  constexpr std::size_t kOtherBytes = 70;
+  constexpr std::size_t kRunBytes = 61;
+  constexpr std::size_t kRecordBytes = 5;
+  std::size_t bytes = kOtherBytes + kRunBytes * RunsOf(reply);
+  if (const auto* const page = RecordsOf(reply)) {
+    for (const jobs::topic_record& record : *page) {
+      bytes += kRecordBytes + record.key.size() +
+               (record.value ? record.value->size() : 0);
+    }
+  }
+  return bytes;
+}
+
+inline void virtual_fleet::Transmit(std::size_t vm,
+                                    std::function<void()> send) {
+  vm_state& state = vms_[vm];
+  if (!state.processor) {
+    send();
+    return;
+  }
+  state.processor->Add(
+      {.first_turn = options_.processor.costs.request,
+       .finish = [send = std::move(send)](bool /*in_time*/) { send(); }});
+}
+
+inline void virtual_fleet::Receive(std::size_t vm,
+                                   platform_reply reply,
+                                   time_point deadline) {
+  const processor_costs& costs = options_.processor.costs;
+  if (now_ > deadline) {
+    reply = WithoutAnswer(reply);
+  }
+  vms_[vm].processor->Add(
+      {.turns = 1 + BytesOf(reply) / options_.processor.read_bytes,
+       .first_turn = costs.reply + costs.reported_run * RunsOf(reply),
+       .further_turn = costs.further_read,
+       .deadline = deadline,
+       .finish = [this, vm, reply](bool in_time) {
+         vms_[vm].mailbox.push_back(in_time ? reply : WithoutAnswer(reply));
+       }});
+}
+
+inline std::chrono::nanoseconds virtual_fleet::RunControl(vm_state& vm) {
+  if (vm.mailbox.empty() && now_ < vm.next_run_at) {
+    return std::chrono::nanoseconds(0);
+  }
+  const processor_costs& costs = options_.processor.costs;
+  std::chrono::nanoseconds cost = costs.pass;
+  for (platform_reply& reply : std::exchange(vm.mailbox, {})) {
+    const auto* const records = RecordsOf(reply);
+    cost += costs.handled_reply;
+    cost += costs.record * (records == nullptr ? 0 : records->size());
+    vm.control->Handle(std::move(reply), now_, Wall());
+  }
+  for (const auto& cell : vm.control->Cells()) {
+    if (cell->Active()) {
+      cost += costs.ready_step * cell->Scheduler().Jobs().ReadySteps().size();
+    }
+  }
+  vm.control->Run(now_, Wall());
+  vm.next_run_at = std::max(vm.control->NextDeadline(now_), now_ + kTick);
+  return cost;
+}
+
 template <class Order>
 void virtual_fleet::ExecuteOrder(std::size_t vm,
                                  std::uint64_t incarnation,
                                  const Order& order,
                                  bool deliver_reply,
                                  int worker_incarnation,
-                                 time_point until) {
+                                 time_point until,
+                                 time_point deadline) {
   worker_fake& worker = Worker(order.target.worker);
   // A crash breaks the connections of the calls in flight. An order whose
   // answer is lost may still reach the restarted worker.
@@ -737,15 +908,16 @@
   if constexpr (std::is_same_v<Order, jobs::renew_order>) {
     if (!worker.HasUnacknowledgedEnds(order) && now_ < until && deliver_reply) {
       ScheduleAfter(kPollInterval, [this, vm, incarnation, order,
-                                    worker_incarnation, until] {
-        ExecuteOrder(vm, incarnation, order, true, worker_incarnation, until);
+                                    worker_incarnation, until, deadline] {
+        ExecuteOrder(vm, incarnation, order, true, worker_incarnation, until,
+                     deadline);
       });
       return;
     }
   }
   if (deliver_reply) {
-    ScheduleAfter(Delay(), [this, vm, incarnation, reply] {
-      Deliver(vm, incarnation, reply);
+    ScheduleAfter(Delay(), [this, vm, incarnation, reply, deadline] {
+      Deliver(vm, incarnation, reply, deadline);
     });
   }
 }
@@ -780,14 +952,14 @@
       delay,
       [&fleet = fleet_, vm = vm_, incarnation = incarnation_, order,
        answer_lost, worker_incarnation = fleet_.Worker(worker).Incarnation(),
-       until = fleet_.Now() + LongPollWait(order)] {
+       until = fleet_.Now() + LongPollWait(order), deadline] {
         fleet.ExecuteOrder(vm, incarnation, order, !answer_lost,
-                           worker_incarnation, until);
+                           worker_incarnation, until, deadline);
       });
 }
 
-inline void platform_fake::SendOrder(const jobs::order& order,
-                                     time_point deadline) {
+inline void platform_fake::SendOrderNow(const jobs::order& order,
+                                        time_point deadline) {
   if (const auto* renewal = std::get_if<jobs::renew_order>(&order)) {
     SendToWorker(*renewal, deadline);
   } else if (const auto* start = std::get_if<jobs::start_order>(&order)) {
