Count only answered submissions as refused in the checker

The checker reported REFUSED for a run of a job whose first submission was refused although a repeat had no answer yet. In schedule 126 of CancelExplorerTest.AllFaults the store refuses the first submission, the repeat is sent 2 s later at another VM while the store is silent, its record is stored, and the run starts before the caller is answered. The submissions are therefore not all refused, which is what the rule says.

The checker now counts the submissions of a job and the refused ones. To be as strict as before, a submission that does not reach a VM which is down counts as refused.

--- a/src/skylarkbridge/control/job_invariant_checker_fake.hpp
+++ b/src/skylarkbridge/control/job_invariant_checker_fake.hpp
@@ -28,8 +28,10 @@
 
   void JobSubmitted(jobs::job_id job, const jobs::job_spec& spec) {
     specs_[job] = spec;
+    ++submissions_[job];
   }
-  void JobRefused(jobs::job_id job) { refused_.insert(job); }
+  /// @brief One submission was answered as not run, or did not reach its VM.
+  void JobRefused(jobs::job_id job) { ++refusals_[job]; }
   void JobAccepted(jobs::job_id job) { accepted_.insert(job); }
   /// @brief The caller sent a cancel, which may not have reached the owner.
   void JobCancelled(jobs::job_id job) {
@@ -77,8 +79,8 @@
         }
       }
     }
-    if (refused_.contains(task.job) && !accepted_.contains(task.job) &&
-        !uncertain_.contains(task.job)) {
+    if (refusals_[task.job] == submissions_[task.job] &&
+        !accepted_.contains(task.job) && !uncertain_.contains(task.job)) {
       AddViolation("REFUSED", run, "every submission attempt was refused");
     }
     running_[task].insert(worker);
@@ -175,7 +177,10 @@
 
   const std::size_t max_attempts_;
   std::map<jobs::job_id, jobs::job_spec> specs_;
-  std::set<jobs::job_id> refused_;
+  /// Submissions of each job, and how many of them were refused. One without
+  /// an answer may be stored.
+  std::map<jobs::job_id, int> submissions_;
+  std::map<jobs::job_id, int> refusals_;
   std::set<jobs::job_id> accepted_;
   std::set<jobs::job_id> uncertain_;
   std::set<jobs::job_id> cancelled_;
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -367,6 +367,8 @@
                          .deadline = now_ + std::chrono::seconds(3)},
           now_, Wall());
       vms_[vm].next_run_at = now_;
+    } else if (method == caller_method::kSubmit) {
+      checker_.JobRefused(job);
     }
     return token;
   }
