Report how far a VM is behind, and why cancelled runs go on

Cause: two long-running tasks ran on for 7 s after their job's cancel was acknowledged, and the record can't tell why: the owner may have read the cancel late, ordered no stop, or got no answer.

Change: - reads_behind (5006) and skylarkbridge_read_age_milliseconds tell when each topic was last read to its end. - thread_behind (5207), skylarkbridge_mailbox_wait_seconds and skylarkbridge_calls_delay_seconds tell how long work waits for the control thread and for the thread that handles the replies. - cancel_delayed (5041) names the runs of cancelled jobs that are still on a worker 1 s after the owner has read the cancel, with phase, stop orders, last result, age of the worker's last report, and whether the owner may send orders. skylarkbridge_cancel_seconds measures the time up to the reported end of each such run. - 100 lines of the log's budget are left to warnings and errors. All events are limited to one line a second and topic or thread, or five runs a second and cell. No order changes.

--- a/include/skylarkbridge/base/mailbox.hpp
+++ b/include/skylarkbridge/base/mailbox.hpp
@@ -14,6 +14,14 @@
 
 namespace skylarkbridge {
 
+/// @brief Messages that were taken from a mailbox at once.
+template <class T>
+struct mailbox_batch {
+  std::vector<T> messages;
+  /// When the first of them was sent; empty without a message.
+  std::optional<time_point> first_sent_at;
+};
+
 /// @brief Bounded queue of messages from many threads to one.
 ///
 /// A sender is never blocked: when the mailbox is full or closed, the message
@@ -30,7 +38,7 @@
     if (closed_ || queue_.size() >= capacity_) {
       return false;
     }
-    queue_.push_back(std::move(message));
+    Push(std::move(message));
     return true;
   }
 
@@ -42,13 +50,18 @@
     if (closed_) {
       return false;
     }
-    queue_.push_back(std::move(message));
+    Push(std::move(message));
     return true;
   }
 
   /// @brief Takes all messages. Waits until there is one, the deadline has
   /// passed or the mailbox is closed; without a deadline it waits for ever.
   std::vector<T> ReceiveAll(std::optional<time_point> deadline) {
+    return ReceiveBatch(deadline).messages;
+  }
+
+  /// @brief As ReceiveAll, with the time at which the first message was sent.
+  mailbox_batch<T> ReceiveBatch(std::optional<time_point> deadline) {
     absl::MutexLock lock(&mutex_);
     const absl::Condition ready(this, &mailbox::Ready);
     if (deadline) {
@@ -57,10 +70,12 @@
     } else {
       mutex_.Await(ready);
     }
-    std::vector<T> messages(std::make_move_iterator(queue_.begin()),
-                            std::make_move_iterator(queue_.end()));
+    mailbox_batch<T> batch{
+        .messages = {std::make_move_iterator(queue_.begin()),
+                     std::make_move_iterator(queue_.end())},
+        .first_sent_at = std::exchange(first_sent_at_, std::nullopt)};
     queue_.clear();
-    return messages;
+    return batch;
   }
 
   /// @brief Refuses further messages and wakes the receiver.
@@ -81,6 +96,12 @@
   }
 
  private:
+  void Push(T message) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    if (queue_.empty()) {
+      first_sent_at_ = boot_clock::now();
+    }
+    queue_.push_back(std::move(message));
+  }
   bool Ready() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
     return closed_ || !queue_.empty();
   }
@@ -88,6 +109,7 @@
   const std::size_t capacity_;
   mutable absl::Mutex mutex_;
   std::deque<T> queue_ ABSL_GUARDED_BY(mutex_);
+  std::optional<time_point> first_sent_at_ ABSL_GUARDED_BY(mutex_);
   bool closed_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -21,6 +21,12 @@
         restart_seconds(registry.Latency(
             "skylarkbridge_restart_seconds",
             "From the end of a long-running task's run to its next start")),
+        cancel_seconds(registry.Latency(
+            "skylarkbridge_cancel_seconds",
+            "From reading a job's cancellation to the reported end of a run")),
+        log_age_ms(AgeGauge(registry, "jobs")),
+        configuration_age_ms(AgeGauge(registry, "configuration")),
+        worker_list_age_ms(AgeGauge(registry, "workers")),
         cells_owned(registry.Gauge("skylarkbridge_cells_owned",
                                    "Cells of the fleet that this VM owns")),
         epoch_sum(
@@ -73,6 +79,12 @@
 
   telemetry::latency_histogram& append_seconds;
   telemetry::latency_histogram& restart_seconds;
+  telemetry::latency_histogram& cancel_seconds;
+  /// Time since the topics were read to their ends. Of the logs of all cells
+  /// the oldest counts; for the list of workers 0 while it is not followed.
+  telemetry::gauge& log_age_ms;
+  telemetry::gauge& configuration_age_ms;
+  telemetry::gauge& worker_list_age_ms;
   telemetry::gauge& cells_owned;
   telemetry::gauge& epoch_sum;
   telemetry::gauge& configuration_version;
@@ -84,6 +96,13 @@
   telemetry::gauge& intake_waiting;
 
  private:
+  static telemetry::gauge& AgeGauge(telemetry::metrics_registry& registry,
+                                    const std::string& topic) {
+    return registry.Gauge("skylarkbridge_read_age_milliseconds",
+                          "Time since the topic was read to its end",
+                          {{"topic", topic}});
+  }
+
   /// The counters of one metric, created when their labels are first used.
   using counters = std::map<telemetry::metric_labels, telemetry::counter*>;
 
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -205,9 +205,11 @@
   jobs::cell_id ChooseCell(jobs::job_id job, const jobs::job_spec& spec) const;
   /// Passes on the records in the log of @p from that also concern other cells.
   void ForwardToOtherCells(cell& from, time_point now, wall_time wall);
-  /// Whether this VM schedules the tasks of a cell and so needs the list of
-  /// workers.
+  /// Whether this VM schedules the tasks of a cell.
   bool AnyCellActive() const;
+  /// Whether this VM reads the list of workers: to schedule tasks or to divide
+  /// the fleet.
+  bool FollowsWorkers() const;
   void LogRejectedRecord(topic_kind kind,
                          std::uint64_t offset,
                          const failure& error);
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -332,7 +332,7 @@
     each_cell->SendCalls(!snapshot_due, now);
     snapshot_due |= each_cell->Reader().InSnapshot();
   }
-  if (AnyCellActive() || (!map_ && bootstrap_.Begun())) {
+  if (FollowsWorkers()) {
     worker_follower_.Send(platform_, now);
   }
 }
@@ -350,7 +350,9 @@
   std::chrono::milliseconds longest_restart_wait{};
   std::size_t workers_usable = 0;
   std::size_t requests_waiting = 0;
+  std::chrono::milliseconds log_age{};
   for (const auto& each_cell : cells_) {
+    log_age = std::max(log_age, each_cell->ReportLogAge(now));
     epochs += each_cell->NewestEpoch();
     jobs_known += each_cell->Registry().Jobs().size();
     steps_ready += each_cell->Scheduler().Jobs().ReadySteps().size();
@@ -360,6 +362,15 @@
     workers_usable += each_cell->Scheduler().UsableWorkers(now);
     requests_waiting += each_cell->WaitingRequests();
   }
+  metrics_.log_age_ms.Set(log_age.count());
+  metrics_.configuration_age_ms.Set(
+      configuration_follower_.ReportAge(now).count());
+  if (FollowsWorkers()) {
+    metrics_.worker_list_age_ms.Set(worker_follower_.ReportAge(now).count());
+  } else {
+    worker_follower_.PauseReports();
+    metrics_.worker_list_age_ms.Set(0);
+  }
   metrics_.cells_owned.Set(static_cast<std::int64_t>(CellsOwned()));
   metrics_.epoch_sum.Set(static_cast<std::int64_t>(epochs));
   metrics_.configuration_version.Set(
@@ -378,6 +389,11 @@
                      [](const auto& each_cell) { return each_cell->Active(); });
 }
 
+template <fleet_platform Platform, caller_port Callers>
+bool control_state<Platform, Callers>::FollowsWorkers() const {
+  return AnyCellActive() || (!map_ && bootstrap_.Begun());
+}
+
 template <fleet_platform Platform, caller_port Callers>
 std::size_t control_state<Platform, Callers>::CellsOwned() const {
   return static_cast<std::size_t>(std::count_if(
@@ -406,7 +422,7 @@
   if (!map_) {
     consider(map_follower_.Reader().NextDeadline());
   }
-  if (AnyCellActive() || (!map_ && bootstrap_.Begun())) {
+  if (FollowsWorkers()) {
     consider(worker_follower_.Reader().NextDeadline());
   }
   for (const auto& each_cell : cells_) {
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -17,6 +17,11 @@
                                                  "store_regained", "topic"};
 inline constexpr event_definition kSnapshotRead{
     5005, event_severity::kInfo, "snapshot_read", "topic keys next"};
+/// A topic was last read to its end `age_ms` ago; `failed` reads have failed
+/// since.
+inline constexpr event_definition kReadsBehind{5006, event_severity::kWarning,
+                                               "reads_behind",
+                                               "topic age_ms failed snapshot"};
 inline constexpr event_definition kRequestAnswered{
     5010, event_severity::kInfo, "request_answered",
     "job method answer reason version"};
@@ -52,11 +57,17 @@
     5040, event_severity::kInfo, "scheduling",
     "what run worker detail cell epoch"};
 
+/// A run of a cancelled job is still on its worker.
+inline constexpr event_definition kCancelDelayed{
+    5041, event_severity::kWarning, "cancel_delayed",
+    "run worker detail cell epoch"};
+
 inline constexpr event_definition kEvents[] = {kConfigurationInForce,
                                                kRecordRejected,
                                                kStoreLost,
                                                kStoreRegained,
                                                kSnapshotRead,
+                                               kReadsBehind,
                                                kRequestAnswered,
                                                kJobKnown,
                                                kJobEnded,
@@ -68,7 +79,8 @@
                                                kFleetMapWritten,
                                                kWorkerListed,
                                                kWorkerUnlisted,
-                                               kScheduling};
+                                               kScheduling,
+                                               kCancelDelayed};
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -157,6 +157,11 @@
     return request_writer_.Idle() && !pending_release_ &&
            (!releasing_ || writer_.Idle());
   }
+  /// @brief Returns how long ago the log was read to its end, and logs when
+  /// the reads are behind.
+  std::chrono::milliseconds ReportLogAge(time_point now) {
+    return follower_.ReportAge(now);
+  }
   std::size_t WaitingRequests() const { return request_writer_.Waiting(); }
   const jobs::topic_reader& Reader() const { return follower_.Reader(); }
   const jobs::job_registry& Registry() const { return registry_; }
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -182,6 +182,18 @@
     if (note.restart_wait) {
       metrics_.restart_seconds.Record(*note.restart_wait);
     }
+    if (note.cancel_wait) {
+      metrics_.cancel_seconds.Record(*note.cancel_wait);
+    }
+    if (note.event == jobs::scheduling_event::kCancelDelayed) {
+      LogEvent(kCancelDelayed,
+               {{"run", Format(note.run)},
+                {"worker", note.worker},
+                {"detail", note.detail},
+                {"cell", FormatCell()},
+                {"epoch", absl::StrCat(ownership_.OwnEpoch())}});
+      continue;
+    }
     LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
                            {"run", Format(note.run)},
                            {"worker", note.worker},
--- a/include/skylarkbridge/control/topic_follower.hpp
+++ b/include/skylarkbridge/control/topic_follower.hpp
@@ -43,11 +43,23 @@
   /// store_regained when this changes. @p result alone doesn't tell: a fenced
   /// append, for example, is no failure of the store.
   void RecordStoreResult(store_result result, bool failed);
+  /// @brief Returns how long ago the topic was read to its end, and logs
+  /// reads_behind when that is kMaxDelay more than between regular reads. Call
+  /// it at regular intervals while the topic is followed.
+  std::chrono::milliseconds ReportAge(time_point now);
+  /// @brief The topic is not followed at present; its age starts at zero with
+  /// the next ReportAge.
+  void PauseReports() { reported_since_.reset(); }
 
   jobs::topic_reader& Reader() { return reader_; }
   const jobs::topic_reader& Reader() const { return reader_; }
 
  private:
+  /// Delay of the reads that is logged.
+  static constexpr std::chrono::milliseconds kMaxDelay{1000};
+  /// Interval between two of these events.
+  static constexpr std::chrono::milliseconds kReportInterval{1000};
+
   template <fleet_platform Platform>
   void Send(Platform& platform,
             const std::optional<jobs::read_request>& call,
@@ -64,6 +76,11 @@
   const std::chrono::milliseconds read_timeout_;
   const std::chrono::milliseconds snapshot_timeout_;
   bool store_lost_ = false;
+  /// Failed reads since the topic was last read to its end.
+  int failed_reads_ = 0;
+  /// Since when ReportAge has been called; empty while reports are paused.
+  std::optional<time_point> reported_since_;
+  time_point next_report_;
 };
 
 }  // namespace skylarkbridge::control
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -76,6 +76,12 @@
   std::chrono::milliseconds restart_report_interval{1000};
   /// Tasks that are reported at once, those that have waited longest.
   std::size_t max_restart_reports = 5;
+  /// A run of a cancelled job that is on its worker for longer is reported.
+  std::chrono::milliseconds cancel_report_delay{1000};
+  /// Interval of these reports.
+  std::chrono::milliseconds cancel_report_interval{1000};
+  /// Runs that are reported at once, those that have been cancelled longest.
+  std::size_t max_cancel_reports = 5;
   job_table_options jobs;
   placement_options placement;
   permit_options permits;
@@ -428,6 +434,12 @@
   void ReportDelayedRestarts(time_point now);
   void ReportDelayedRestart(const waiting_restart& restart, time_point now);
 
+  // Runs of cancelled jobs.
+  /// Adds notes on the runs that should have been stopped.
+  void ReportDelayedCancels(time_point now);
+  /// When this VM read the job's cancellation; nullopt for any other job.
+  std::optional<time_point> CancelledAt(job_id job) const;
+
   // Interference of best-effort tasks with serving tasks.
   void UpdateInterferenceModel(worker_session& session);
   /// For a serving step: probability that its task would be over its target on
@@ -483,6 +495,7 @@
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
   time_point next_restart_report_;
+  time_point next_cancel_report_;
   permit_cache permits_;
   interference_model interference_;
   std::vector<order> orders_;
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -33,6 +33,10 @@
   /// A long-running task has waited for its restart for over
   /// fleet_scheduler_options::restart_report_delay.
   kRestartDelayed,
+  /// A run of a cancelled job has been on its worker for over
+  /// fleet_scheduler_options::cancel_report_delay since the cancellation was
+  /// read.
+  kCancelDelayed,
 };
 
 /// @brief A decision or an observation of the scheduler, for the event log.
@@ -46,6 +50,9 @@
   /// For the start of a long-running task that has run before: the time since
   /// its last run ended.
   std::optional<std::chrono::milliseconds> restart_wait;
+  /// For the reported end of a run of a cancelled job: the time since this VM
+  /// read the cancellation.
+  std::optional<std::chrono::milliseconds> cancel_wait;
 };
 
 }  // namespace skylarkbridge::jobs
--- a/include/skylarkbridge/jobs/topic_reader.hpp
+++ b/include/skylarkbridge/jobs/topic_reader.hpp
@@ -113,6 +113,11 @@
   /// @brief All records that were written before this time have been read;
   /// nullopt before the first complete read of the tail.
   std::optional<time_point> CompleteUntil() const { return complete_until_; }
+  /// @brief Age that CompleteUntil reaches between two reads while the topic
+  /// has no new records, without the time that the calls take.
+  std::chrono::milliseconds RegularAge() const {
+    return options_.wait + options_.pause;
+  }
   /// @brief Whether the last regular read failed.
   bool Failing() const { return failing_; }
   /// @brief Whether a read that Refresh returned is in flight.
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -12,6 +12,7 @@
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
+#include "skylarkbridge/jobs/orders.hpp"
 #include "skylarkbridge/jobs/worker_lease.hpp"
 #include "skylarkbridge/jobs/worker_report.hpp"
 
@@ -54,6 +55,9 @@
   bool stop_under_way = false;
   /// A stop order that failed is not sent again before this time.
   time_point earliest_stop_retry;
+  /// Stop orders that were sent, and the result of the last one with a reply.
+  int stop_attempts = 0;
+  std::optional<order_result> last_stop_result;
   int start_attempts = 0;
   worker_time start_by;
   std::string checkpoint;
--- a/include/skylarkbridge/service/events.hpp
+++ b/include/skylarkbridge/service/events.hpp
@@ -20,10 +20,13 @@
     "cause changed restart_needed"};
 inline constexpr event_definition kSettingsRejected{
     5206, event_severity::kWarning, "settings_rejected", "findings"};
+/// Work waited `delay_ms` for a thread of the process.
+inline constexpr event_definition kThreadBehind{
+    5207, event_severity::kWarning, "thread_behind", "thread delay_ms"};
 
 inline constexpr event_definition kEvents[] = {
-    kServiceStarted, kServiceStopping,  kServiceStopped,
-    kServiceFailed,  kSettingsReloaded, kSettingsRejected};
+    kServiceStarted,   kServiceStopping,  kServiceStopped, kServiceFailed,
+    kSettingsReloaded, kSettingsRejected, kThreadBehind};
 
 }  // namespace skylarkbridge::service
 
--- a/src/skylarkbridge/base/base_test.cpp
+++ b/src/skylarkbridge/base/base_test.cpp
@@ -20,6 +20,23 @@
   EXPECT_EQ(box.ReceiveAll(std::nullopt), (std::vector<int>{1, 2, 4}));
 }
 
+// Guards against a wait that is measured from a message that was taken before.
+TEST(MailboxTest, TellsWhenTheFirstMessageOfABatchWasSent) {
+  mailbox<int> box(2);
+  EXPECT_FALSE(box.ReceiveBatch(boot_clock::now()).first_sent_at);
+  const time_point before = boot_clock::now();
+  box.TrySend(1);
+  const time_point after = boot_clock::now();
+  box.SendUnbounded(2);
+  const mailbox_batch<int> first = box.ReceiveBatch(std::nullopt);
+  EXPECT_EQ(first.messages, (std::vector<int>{1, 2}));
+  ASSERT_TRUE(first.first_sent_at);
+  EXPECT_GE(*first.first_sent_at, before);
+  EXPECT_LE(*first.first_sent_at, after);
+  box.TrySend(3);
+  EXPECT_GE(box.ReceiveBatch(std::nullopt).first_sent_at, after);
+}
+
 // A closed mailbox must wake its receiver, or a stop would hang.
 TEST(MailboxTest, CloseWakesReceiver) {
   mailbox<int> box(2);
@@ -81,5 +98,31 @@
       << line;
 }
 
+// Guards against warnings that are lost among many lines: an owner under load
+// logs more than the budget, and the lines that tell its trouble were dropped.
+TEST(EventLogTest, KeepsRoomForWarnings) {
+  constexpr event_definition kFrequent{1, event_severity::kInfo, "frequent",
+                                       ""};
+  constexpr event_definition kRare{2, event_severity::kWarning, "rare", ""};
+  testing::internal::CaptureStdout();
+  for (int line = 0; line < 5000; ++line) {
+    LogEvent(kFrequent, {});
+  }
+  for (int line = 0; line < 20; ++line) {
+    LogEvent(kRare, {});
+  }
+  const std::string log = testing::internal::GetCapturedStdout();
+  const auto count = [&log](std::string_view text) {
+    int found = 0;
+    for (std::size_t at = log.find(text); at != std::string::npos;
+         at = log.find(text, at + 1)) {
+      ++found;
+    }
+    return found;
+  };
+  EXPECT_LT(count("\"frequent\""), 5000);
+  EXPECT_EQ(count("\"rare\""), 20);
+}
+
 }  // namespace
 }  // namespace skylarkbridge
--- a/src/skylarkbridge/base/event_log.cpp
+++ b/src/skylarkbridge/base/event_log.cpp
@@ -25,6 +25,8 @@
 /// Lines that may be written at once, and in each second on average.
 constexpr double kBurstLines = 2000;
 constexpr double kLinesPerSecond = 400;
+/// Lines of the budget that are left to warnings and errors.
+constexpr double kReservedLines = 100;
 
 std::string_view Name(event_severity severity) {
   switch (severity) {
@@ -58,10 +60,13 @@
 /// Limits the volume and never waits for the reader of the log.
 class line_writer {
  public:
-  void Write(std::string line) ABSL_LOCKS_EXCLUDED(mutex_) {
+  void Write(std::string line, event_severity severity)
+      ABSL_LOCKS_EXCLUDED(mutex_) {
     absl::MutexLock lock(&mutex_);
     Refill();
-    if (budget_ < 1 || !Writable()) {
+    const double reserved =
+        severity == event_severity::kInfo ? kReservedLines : 0;
+    if (budget_ < 1 + reserved || !Writable()) {
       ++dropped_;
       return;
     }
@@ -139,7 +144,7 @@
 
 void LogEvent(const event_definition& event,
               std::initializer_list<event_field> fields) {
-  Writer().Write(FormatEvent(event, fields));
+  Writer().Write(FormatEvent(event, fields), event.severity);
 }
 
 }  // namespace skylarkbridge
--- a/src/skylarkbridge/cli/explain_command.cpp
+++ b/src/skylarkbridge/cli/explain_command.cpp
@@ -35,6 +35,7 @@
 bool ConcernsAll(const std::string& name) {
   return name == "ownership_taken" || name == "ownership_lost" ||
          name == "store_lost" || name == "store_regained" ||
+         name == "reads_behind" || name == "thread_behind" ||
          name == "log_lines_dropped";
 }
 
@@ -49,24 +50,26 @@
       {"run_lost", "lost"},
       {"stop_ordered", "ordered to stop"},
       {"restart_delayed", "waits for its restart"},
+      {"cancel_delayed", "runs on though its job is cancelled"},
       {"pace_ordered", "ordered to work at a share of its speed, percent"},
       {"worker_quarantined", "failed; its worker gets no work for a while"}};
   static const char* const ends[] = {
       "done",    "failed",           "stopped",
       "expired", "broken by others", "incomplete gang"};
   const std::string name = Text(fields, "name");
-  if (name != "scheduling") {
+  if (name != "scheduling" && name != "cancel_delayed") {
     std::string text = name;
     for (const char* const field :
          {"method", "answer", "state", "reason", "queue", "topic", "result",
-          "epoch", "owner", "version", "lines"}) {
+          "epoch", "owner", "version", "lines", "age_ms", "failed", "thread",
+          "delay_ms"}) {
       if (const std::string value = Text(fields, field); !value.empty()) {
         absl::StrAppend(&text, " ", field, "=", value);
       }
     }
     return text;
   }
-  const std::string event = Text(fields, "what");
+  const std::string event = name == "scheduling" ? Text(fields, "what") : name;
   const auto sentence = sentences.find(event);
   std::string detail = Text(fields, "detail");
   if (event == "run_ended" && detail.size() == 1 && detail[0] >= '0' &&
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -106,7 +106,11 @@
 }
 
 void fleet_scheduler::Run(time_point now, wall_time wall) {
-  if (!active_ || now >= orders_until_) {
+  if (!active_) {
+    return;
+  }
+  ReportDelayedCancels(now);
+  if (now >= orders_until_) {
     return;
   }
   jobs_.StartDue(wall);
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -219,6 +219,7 @@
       continue;
     }
     state.stop_under_way = true;
+    ++state.stop_attempts;
     orders_.emplace_back(stop_order{.target = Target(session), .run = run});
     AddNote(scheduling_event::kStopOrdered, run, session.entry.worker);
   }
@@ -239,6 +240,7 @@
   }
   worker_run& run = found->second;
   run.stop_under_way = false;
+  run.last_stop_result = reply.result;
   if (reply.result == order_result::kDone ||
       reply.result == order_result::kStaleRun) {
     run.phase = run_phase::kStopping;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -233,6 +233,10 @@
   }
   AddNote(scheduling_event::kRunEnded, end.run, session.entry.worker,
           absl::StrCat(static_cast<int>(end.outcome)));
+  if (const auto cancelled_at = CancelledAt(end.run.task.job)) {
+    notes_.back().cancel_wait =
+        std::chrono::floor<std::chrono::milliseconds>(now - *cancelled_at);
+  }
   RequestStops(
       jobs_.RecordEnd(end.run, end.outcome, end.checkpoint, max_attempts, now),
       true);
--- a/src/skylarkbridge/service/fleet_service.cpp
+++ b/src/skylarkbridge/service/fleet_service.cpp
@@ -3,6 +3,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <exception>
+#include <memory>
 #include <optional>
 #include <random>
 #include <utility>
@@ -11,6 +12,8 @@
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/base/termination.hpp"
 #include "skylarkbridge/base/whole_file.hpp"
+#include "skylarkbridge/service/context_probe.hpp"
+#include "skylarkbridge/service/delay_monitor.hpp"
 #include "skylarkbridge/service/events.hpp"
 
 namespace skylarkbridge::service {
@@ -116,7 +119,17 @@
 }
 
 leaf::result<void> fleet_service::RunOutbound(stop_signal& stop) {
-  return RunContext(outbound_context_, stop, "calls");
+  const auto probe = std::make_shared<context_probe>(
+      outbound_context_,
+      delay_monitor("calls",
+                    metrics_.Latency("skylarkbridge_calls_delay_seconds",
+                                     "How late the thread that handles the "
+                                     "replies of the store and the workers "
+                                     "handles a timer")));
+  probe->Start();
+  leaf::result<void> result = RunContext(outbound_context_, stop, "calls");
+  probe->Stop();
+  return result;
 }
 
 leaf::result<void> fleet_service::RunInbound(stop_signal& stop) {
@@ -187,15 +200,23 @@
       metrics_.Latency("skylarkbridge_pass_lateness_seconds",
                        "By how much a pass of the control thread began after "
                        "its deadline");
+  delay_monitor mailbox_wait(
+      "control",
+      metrics_.Latency("skylarkbridge_mailbox_wait_seconds",
+                       "How long the first message of each batch waited for "
+                       "the control thread"));
   time_point now = boot_clock::now();
   while (!stop.Requested()) {
     state.Run(now, WallNow());
     PublishStatus(state, now);
     const time_point deadline = state.NextDeadline(now);
-    std::vector<control_message> messages = mailbox_.ReceiveAll(deadline);
+    mailbox_batch<control_message> batch = mailbox_.ReceiveBatch(deadline);
     now = boot_clock::now();
     lateness.Record(now - deadline);
-    for (control_message& message : messages) {
+    if (batch.first_sent_at) {
+      mailbox_wait.Record(now - *batch.first_sent_at, now);
+    }
+    for (control_message& message : batch.messages) {
       if (auto* const request =
               std::get_if<control::caller_request>(&message)) {
         state.Handle(std::move(*request), now, WallNow());
