--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -288,17 +289,43 @@
                   time_point now) const;
   std::vector<ready_step> OrderedReadySteps(time_point now) const;
   void PlaceReadySteps(time_point now);
-  /// Demand for best-effort tasks of one image, and the workers on which they
-  /// interfere little with serving tasks.
+  /// Demand for best-effort tasks of one image.
   struct image_demand {
-    /// Step used to estimate the interference of the image.
-    step_spec representative_step;
+    std::string_view image;
+    /// Resources of one of its tasks, used to estimate its interference.
+    resources need;
     /// Share in all best-effort tasks that wait or run.
     double share = 0;
-    absl::flat_hash_set<std::string> suitable_workers;
+    /// Number of workers on which its tasks interfere little with serving
+    /// tasks.
+    std::size_t suitable_workers = 0;
   };
-  /// By image.
-  using best_effort_demand = std::map<std::string, image_demand>;
+  /// The strings belong to runs and jobs, so it is valid for one pass only.
+  struct best_effort_demand {
+    /// Ordered by image.
+    std::vector<image_demand> images;
+    /// Positions in `images` of those that the worker suits.
+    absl::flat_hash_map<const worker_session*, std::vector<std::size_t>>
+        images_by_worker;
+  };
+  /// What the interference of further tasks on a worker depends on. The strings
+  /// belong to runs, so it is valid for one pass only.
+  struct interference_view {
+    struct serving_run {
+      std::string_view image;
+      /// Expected logarithm of the ratio of its tail latency to its target.
+      double log_ratio = 0;
+    };
+
+    /// Number of runs on the worker when the view was computed. A pass only
+    /// adds runs, so that a view with this number is up to date.
+    std::size_t runs = 0;
+    /// The best-effort tasks at their declared load.
+    std::vector<neighbour> neighbours;
+    std::vector<serving_run> serving_runs;
+  };
+  using interference_views =
+      absl::flat_hash_map<const worker_session*, interference_view>;
   /// State of one placement pass, shared by its steps.
   struct placement_pass {
     /// Candidates by service, image and whether the step is best-effort.
@@ -306,6 +333,7 @@
              std::vector<placement_candidate>>
         by_kind;
     std::optional<best_effort_demand> demand;
+    interference_views views;
     /// Room reserved for tasks that found none yet, by worker.
     absl::flat_hash_map<std::string, resources> reserved_room;
     /// Worker on which room is reserved, by task.
@@ -320,7 +348,9 @@
     resources ReservedRoom(const std::string& worker,
                            bool with_expected_restarts) const;
   };
-  best_effort_demand ComputeDemand() const;
+  best_effort_demand ComputeDemand(interference_views& views) const;
+  /// The best-effort images that wait or run, without the workers they suit.
+  std::vector<image_demand> BestEffortImages() const;
   /// Share of the other images' demand that falls on the worker when each image
   /// spreads evenly over its suitable workers, times the number of workers.
   /// Used as a penalty, so that a worker is left to images which few workers
@@ -446,7 +476,16 @@
   /// the worker. For a best-effort step: sum of the increases of that
   /// probability for the serving tasks there. Zero for any other step.
   double InterferenceRisk(const step_spec& step,
-                          const worker_session& session) const;
+                          const worker_session& session,
+                          interference_views& views) const;
+  /// The risk for a best-effort step.
+  double BestEffortRisk(std::string_view image,
+                        std::int64_t millicores,
+                        const worker_session& session,
+                        interference_views& views) const;
+  const interference_view& ViewOf(const worker_session& session,
+                                  interference_views& views) const;
+  interference_view ComputeView(const worker_session& session) const;
   /// Updates the start times of the current series of reports over or under
   /// the target of a serving task.
   static void TrackTargetViolation(worker_run& run, time_point now);
--- a/src/skylarkbridge/control/topic_follower_test.cpp
+++ b/src/skylarkbridge/control/topic_follower_test.cpp
@@ -17,7 +17,7 @@
 struct reads_fake {
   std::vector<std::uint64_t> numbers;
 
-  void Append(append_call /*call*/, time_point /*deadline*/) {}
+  void Append(const append_call& /*call*/, time_point /*deadline*/) {}
   void Read(const topic& /*source*/,
             const jobs::read_request& read,
             time_point /*deadline*/) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -108,33 +108,71 @@
   }
 }
 
-double fleet_scheduler::InterferenceRisk(const step_spec& step,
-                                         const worker_session& session) const {
+fleet_scheduler::interference_view fleet_scheduler::ComputeView(
+    const worker_session& session) const {
+  interference_view view{.runs = session.runs.size(),
+                         .neighbours = DeclaredNeighbours(session)};
+  // Runs are ordered by job, so those of one image mostly follow one another.
+  std::string_view image;
+  double predicted = 0;
+  for (const auto& [run, state] : session.runs) {
+    if (!state.serving) {
+      continue;
+    }
+    if (view.serving_runs.empty() || state.image != image) {
+      image = state.image;
+      predicted = interference_.Predict(image, view.neighbours);
+    }
+    view.serving_runs.push_back({image, predicted + state.tail_residual});
+  }
+  return view;
+}
+
+const fleet_scheduler::interference_view& fleet_scheduler::ViewOf(
+    const worker_session& session,
+    interference_views& views) const {
+  const auto [entry, added] = views.try_emplace(&session);
+  if (added || entry->second.runs != session.runs.size()) {
+    entry->second = ComputeView(session);
+  }
+  return entry->second;
+}
+
+double fleet_scheduler::BestEffortRisk(std::string_view image,
+                                       std::int64_t millicores,
+                                       const worker_session& session,
+                                       interference_views& views) const {
+  const double load = NormalisedLoad(static_cast<double>(millicores), session);
   double risk = 0;
-  if (step.best_effort) {
-    const double load =
-        NormalisedLoad(static_cast<double>(step.need.millicores), session);
-    const std::vector<neighbour> neighbours = DeclaredNeighbours(session);
-    for (const auto& [run, state] : session.runs) {
-      const double increase =
-          state.serving
-              ? interference_.TailImpact(state.image, step.image) * load
-              : 0;
-      if (increase < kNegligibleImpact) {
-        continue;
-      }
-      const double expected =
-          interference_.Predict(state.image, neighbours) + state.tail_residual;
-      risk += OverTargetProbability(expected + increase) -
-              OverTargetProbability(expected);
+  std::string_view serving_image;
+  double increase = 0;
+  for (const interference_view::serving_run& run :
+       ViewOf(session, views).serving_runs) {
+    if (run.image.data() != serving_image.data()) {
+      serving_image = run.image;
+      increase = interference_.TailImpact(serving_image, image) * load;
+    }
+    if (increase >= kNegligibleImpact) {
+      risk += OverTargetProbability(run.log_ratio + increase) -
+              OverTargetProbability(run.log_ratio);
     }
-  } else if (step.latency_target.count() > 0) {
-    const std::vector<neighbour> neighbours = DeclaredNeighbours(session);
-    risk = OverTargetProbability(interference_.Predict(step.image, neighbours));
   }
   return risk;
 }
 
+double fleet_scheduler::InterferenceRisk(const step_spec& step,
+                                         const worker_session& session,
+                                         interference_views& views) const {
+  if (step.best_effort) {
+    return BestEffortRisk(step.image, step.need.millicores, session, views);
+  }
+  if (step.latency_target.count() > 0) {
+    return OverTargetProbability(
+        interference_.Predict(step.image, ViewOf(session, views).neighbours));
+  }
+  return 0;
+}
+
 void fleet_scheduler::TrackTargetViolation(worker_run& run, time_point now) {
   if (!HasTailReport(run)) {
     run.over_target_since.reset();
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -200,24 +200,28 @@
     const worker_session& session,
     const best_effort_demand& demand) const {
   double competing_demand = 0;
-  for (const auto& [image, entry] : demand) {
-    if (image != spec.image &&
-        entry.suitable_workers.contains(session.entry.worker)) {
-      competing_demand +=
-          entry.share / static_cast<double>(entry.suitable_workers.size());
+  if (const auto suited = demand.images_by_worker.find(&session);
+      suited != demand.images_by_worker.end()) {
+    for (const std::size_t position : suited->second) {
+      const image_demand& entry = demand.images[position];
+      if (entry.image != spec.image) {
+        competing_demand +=
+            entry.share / static_cast<double>(entry.suitable_workers);
+      }
     }
   }
   return competing_demand * static_cast<double>(workers_.size());
 }
 
-fleet_scheduler::best_effort_demand fleet_scheduler::ComputeDemand() const {
-  best_effort_demand demand;
+std::vector<fleet_scheduler::image_demand> fleet_scheduler::BestEffortImages()
+    const {
+  std::map<std::string_view, image_demand> by_image;
   double total = 0;
-  const auto add = [&](const std::string& image, const resources& need,
+  const auto add = [&](std::string_view image, const resources& need,
                        std::size_t tasks) {
-    image_demand& entry = demand[image];
-    entry.representative_step = {
-        .need = need, .image = image, .best_effort = true};
+    image_demand& entry = by_image[image];
+    entry.image = image;
+    entry.need = need;
     entry.share += static_cast<double>(tasks);
     total += static_cast<double>(tasks);
   };
@@ -227,18 +231,36 @@
     }
   }
   for (const auto& [id, session] : workers_) {
+    if (session.best_effort_millicores == 0) {
+      continue;
+    }
     for (const auto& [run, state] : session.runs) {
       if (state.best_effort_millicores > 0) {
         add(state.image, {.millicores = state.best_effort_millicores}, 1);
       }
     }
   }
-  for (auto& [image, entry] : demand) {
-    entry.share /= total;
-    for (const auto& [id, session] : workers_) {
-      if (InterferenceRisk(entry.representative_step, session) <=
+  std::vector<image_demand> images;
+  images.reserve(by_image.size());
+  for (const auto& [image, entry] : by_image) {
+    images.push_back(entry);
+    images.back().share /= total;
+  }
+  return images;
+}
+
+fleet_scheduler::best_effort_demand fleet_scheduler::ComputeDemand(
+    interference_views& views) const {
+  best_effort_demand demand{.images = BestEffortImages()};
+  for (const auto& [id, session] : workers_) {
+    std::vector<std::size_t>& suited = demand.images_by_worker[&session];
+    for (std::size_t position = 0; position < demand.images.size();
+         ++position) {
+      image_demand& entry = demand.images[position];
+      if (BestEffortRisk(entry.image, entry.need.millicores, session, views) <=
           kMaxInterferenceRisk) {
-        entry.suitable_workers.insert(id);
+        suited.push_back(position);
+        ++entry.suitable_workers;
       }
     }
   }
@@ -260,7 +282,7 @@
     if (session.entry.service != queue.service || !Usable(session, now)) {
       continue;
     }
-    const double risk = InterferenceRisk(spec, session);
+    const double risk = InterferenceRisk(spec, session, pass.views);
     const bool violates_target =
         session.over_target_since &&
         now >= *session.over_target_since + options_.over_target_grace;
@@ -270,7 +292,7 @@
     placement_candidate candidate{.session = &session, .penalty = risk};
     if (spec.best_effort) {
       if (!pass.demand) {
-        pass.demand = ComputeDemand();
+        pass.demand = ComputeDemand(pass.views);
       }
       candidate.penalty +=
           kCompetingDemandWeight * CompetingDemand(spec, session, *pass.demand);
@@ -374,9 +396,13 @@
     time_point now) const {
   std::vector<placement_candidate>& candidates =
       Candidates(step, queue, pass, now);
+  const bool nothing_reserved =
+      pass.reserved_room.empty() && pass.expected_restart_room.empty();
   for (placement_candidate& candidate : candidates) {
     candidate.reserved =
-        pass.ReservedRoom(candidate.session->entry.worker, step.long_running);
+        nothing_reserved ? resources()
+                         : pass.ReservedRoom(candidate.session->entry.worker,
+                                             step.long_running);
   }
   if (step.max_per_worker > 0) {
     CountSiblings(ref, pass, candidates);
