Let fake workers crash under a task and change their capacity

A job that is shown as failed without cause counts as lost. Fake entries of workers now carry their start time, as the real ones do.

The job's settings crash and crashers make its tasks crash their workers. No test uses this yet.

--- a/src/skylarkbridge/control/job_invariant_checker_fake.hpp
+++ b/src/skylarkbridge/control/job_invariant_checker_fake.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_CONTROL_JOB_INVARIANT_CHECKER_FAKE_HPP
 #define SKYLARKBRIDGE_CONTROL_JOB_INVARIANT_CHECKER_FAKE_HPP
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -15,6 +16,13 @@
 
 namespace skylarkbridge::control {
 
+/// @brief Crashed workers under a task after which its job may be given up.
+constexpr int kCrashesToGiveUp = 2;
+/// @brief Crashed workers under a task after which its starts are counted.
+constexpr int kCrashesBeforeBudget = 3;
+/// @brief Counted starts that are one too many.
+constexpr int kStartsOverBudget = 3;
+
 /// @brief Checks the runs of the fake workers against the invariants of the
 /// scheduler, and collects the violations.
 class job_invariant_checker {
@@ -60,6 +68,11 @@
                    absl::StrCat("has failed in runs ",
                                 absl::StrJoin(failed_[task], " ")));
     }
+    if (crashes_[task] >= kCrashesBeforeBudget &&
+        ++starts_after_crashes_[task] >= kStartsOverBudget) {
+      AddViolation("BUDGET", run,
+                   absl::StrCat("has crashed ", crashes_[task], " workers"));
+    }
     for (const std::uint32_t dependency : step.depends_on) {
       for (std::uint32_t index = 0;
            index < spec->second.steps[dependency].count; ++index) {
@@ -89,6 +102,7 @@
     }
     if (cause == end_cause::kFailed) {
       failed_[run.task].insert(run.run);
+      ever_failed_[run.task].insert(run.run);
     }
     const auto spec = specs_.find(run.task.job);
     if (spec != specs_.end() &&
@@ -98,10 +112,27 @@
     }
   }
 
+  /// @brief The task crashed a worker that had started it.
+  void WorkerCrashedUnder(const jobs::task_ref& task) { ++crashes_[task]; }
+
+  /// @brief A caller was told that the job has failed.
+  void JobShownFailed(jobs::job_id job) {
+    if (!HasTaskThatMayBeGivenUp(job) && !HasTaskWithoutAttempts(job)) {
+      violations_.push_back(
+          absl::StrCat("LOST: ", jobs::Format(job), " failed without cause"));
+    }
+  }
+  /// @brief Number of workers that the task has crashed.
+  int Crashes(const jobs::task_ref& task) const {
+    const auto count = crashes_.find(task);
+    return count == crashes_.end() ? 0 : count->second;
+  }
+
   /// @brief Checks what depends on the state of the whole fleet.
   void Observe(const fleet_view& fleet, time_point now) {
     const auto is_owed = [this](jobs::job_id job) {
-      return accepted_.contains(job) && !cancelled_.contains(job);
+      return accepted_.contains(job) && !cancelled_.contains(job) &&
+             !HasTaskThatMayBeGivenUp(job);
     };
     const auto step_of =
         [this](const jobs::task_ref& task) -> const jobs::step_spec& {
@@ -153,6 +184,20 @@
   const std::vector<std::string>& Violations() const { return violations_; }
 
  private:
+  bool HasTaskThatMayBeGivenUp(jobs::job_id job) const {
+    return std::any_of(
+        crashes_.begin(), crashes_.end(), [job](const auto& entry) {
+          return entry.first.job == job && entry.second >= kCrashesToGiveUp;
+        });
+  }
+  bool HasTaskWithoutAttempts(jobs::job_id job) const {
+    return std::any_of(ever_failed_.begin(), ever_failed_.end(),
+                       [this, job](const auto& entry) {
+                         return entry.first.job == job &&
+                                entry.second.size() >= max_attempts_;
+                       });
+  }
+
   void AddViolation(const std::string& invariant,
                     const jobs::run_ref& run,
                     const std::string& reason) {
@@ -168,6 +213,12 @@
   std::set<jobs::job_id> cancelled_;
   std::map<jobs::task_ref, std::set<std::string>> running_;
   std::map<jobs::task_ref, std::set<jobs::run_number>> failed_;
+  /// As failed_, with the ends that were discarded later.
+  std::map<jobs::task_ref, std::set<jobs::run_number>> ever_failed_;
+  /// Workers that each task has crashed.
+  std::map<jobs::task_ref, int> crashes_;
+  /// Starts of each task after kCrashesBeforeBudget crashes.
+  std::map<jobs::task_ref, int> starts_after_crashes_;
   std::set<jobs::task_ref> done_;
   /// Also holds tasks whose end was discarded later, as dependent steps may
   /// have started before that.
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -14,6 +14,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/control/control_state.hpp"
+#include "skylarkbridge/control/job_body_fake.hpp"
 #include "skylarkbridge/control/job_invariant_checker_fake.hpp"
 #include "skylarkbridge/control/store_fake.hpp"
 #include "skylarkbridge/control/worker_fake.hpp"
@@ -54,8 +55,9 @@
     configuration.queues.push_back(queue);
     return configuration;
   }
-  /// @brief Decodes "MILLICORES", or "MILLICORES MILLISECONDS" of a worker that
-  /// drains and leaves after that time. Each worker has a rack of its own.
+  /// @brief Decodes "MILLICORES BORN", or "MILLICORES BORN MILLISECONDS" of a
+  /// worker that drains and leaves after that time. BORN is its start time.
+  /// Each worker has a rack of its own.
   static boost::leaf::result<jobs::worker_entry> DecodeWorker(
       const std::string& worker,
       std::string_view bytes) {
@@ -63,7 +65,9 @@
         .worker = worker, .service = "service", .address = worker};
     entry.rack = worker;
     std::istringstream text{std::string(bytes)};
-    text >> entry.capacity.millicores;
+    std::int64_t born = 0;
+    text >> entry.capacity.millicores >> born;
+    entry.start_time = jobs::worker_start_time(std::chrono::milliseconds(born));
     if (std::int64_t time_left = 0; text >> time_left) {
       entry.draining = true;
       entry.minimum_time_left = std::chrono::milliseconds(time_left);
@@ -77,10 +81,11 @@
   /// before it. Negative MILLICORES stand for a long-running job, which should
   /// have one step. FAILURES: see worker_fake::ParseRunState. The settings
   /// after the counts apply to all steps: max_per_worker, image, and target,
-  /// the latency target in milliseconds. For queue see QueueOf.
+  /// the latency target in milliseconds. For queue see QueueOf, for crash and
+  /// crashers worker_fake::ParseRunState.
   static boost::leaf::result<jobs::job_spec> DecodeJob(std::string_view body) {
     jobs::job_spec spec{.payload = std::string(body)};
-    const std::map<std::string, std::string> settings = Settings(body);
+    const std::map<std::string, std::string> settings = JobSettings(body);
     std::istringstream text{spec.payload};
     std::int64_t millicores = 0;
     std::int64_t duration = 0;
@@ -102,7 +107,7 @@
   /// @brief Returns the value of "queue" in the body of a job; "batch" without
   /// it.
   static std::string QueueOf(std::string_view body) {
-    const std::map<std::string, std::string> settings = Settings(body);
+    const std::map<std::string, std::string> settings = JobSettings(body);
     const auto queue = settings.find("queue");
     return queue == settings.end() ? "batch" : queue->second;
   }
@@ -111,18 +116,6 @@
   }
 
  private:
-  /// The words of the form NAME=VALUE.
-  static std::map<std::string, std::string> Settings(std::string_view body) {
-    std::map<std::string, std::string> settings;
-    std::istringstream text{std::string(body)};
-    for (std::string word; text >> word;) {
-      if (const std::size_t separator = word.find('=');
-          separator != std::string::npos) {
-        settings[word.substr(0, separator)] = word.substr(separator + 1);
-      }
-    }
-    return settings;
-  }
   static void ApplySettings(const std::map<std::string, std::string>& settings,
                             jobs::step_spec& step) {
     for (const auto& [name, value] : settings) {
@@ -172,6 +165,10 @@
     std::uint32_t max_attempts = 3;
     /// Number of cells that the fleet is divided into.
     std::size_t cells = 1;
+    /// How long a worker that a task crashed stays away.
+    std::chrono::milliseconds crash_return{3000};
+    /// Whether it returns as a new worker, and not under its id.
+    bool returns_under_new_id = false;
   };
 
   explicit virtual_fleet(const options& settings)
@@ -202,6 +199,7 @@
       for (auto& [id, worker] : workers_) {
         if (worker.Up()) {
           worker.Advance(now_);
+          CrashUnderTasks(worker);
         }
       }
       while (!pending_events_.empty() &&
@@ -280,8 +278,7 @@
     fault_occurred_ = true;
     draining_workers_.erase(id);
     workers_.at(id).Start(now_);
-    store_.Put({topic_kind::kWorkers}, id,
-               absl::StrCat(workers_.at(id).Capacity().millicores));
+    store_.Put({topic_kind::kWorkers}, id, EntryOf(workers_.at(id)));
   }
   /// @brief Crashes a worker. After 3 s it disappears from the store's list of
   /// workers, unless it has been started again.
@@ -294,14 +291,22 @@
       }
     });
   }
+  /// @brief Changes the capacity of a worker, which says so in the store. This
+  /// is not a fault.
+  void SetCapacity(const std::string& id, std::int64_t millicores) {
+    worker_fake& worker = workers_.at(id);
+    worker.SetCapacity({.millicores = millicores}, now_);
+    if (worker.Up() && !draining_workers_.contains(id)) {
+      store_.Put({topic_kind::kWorkers}, id, EntryOf(worker));
+    }
+  }
   /// @brief Announces that a worker leaves after @p time_left, which it then
   /// does unless it has been started again. This is planned and not a fault.
   void DrainWorker(const std::string& id, std::chrono::milliseconds time_left) {
     const int incarnation = workers_.at(id).Incarnation();
     draining_workers_.insert(id);
     store_.Put({topic_kind::kWorkers}, id,
-               absl::StrCat(workers_.at(id).Capacity().millicores, " ",
-                            time_left.count()));
+               absl::StrCat(EntryOf(workers_.at(id)), " ", time_left.count()));
     ScheduleAfter(time_left, [this, id, incarnation] {
       worker_fake& worker = workers_.at(id);
       if (worker.Up() && worker.Incarnation() == incarnation) {
@@ -378,6 +383,10 @@
   void RecordAnswer(std::uint64_t token, const caller_answer& answer) {
     answers_[token] = answer;
     const auto& [job, method] = requests_.at(token);
+    if (answer.kind == answer_kind::kState &&
+        answer.state == jobs::reported_state::kFailed) {
+      checker_.JobShownFailed(job);
+    }
     if (method != caller_method::kSubmit) {
       return;
     }
@@ -503,6 +512,35 @@
     std::set<std::string> cut_workers;
   };
 
+  /// The entry of a worker that does not drain; see
+  /// platform_fake::DecodeWorker.
+  static std::string EntryOf(const worker_fake& worker) {
+    return absl::StrCat(worker.Capacity().millicores, " ",
+                        worker.StartTime().time_since_epoch().count());
+  }
+  /// Crashes a worker under the tasks whose time to do so has come. It returns
+  /// after options::crash_return.
+  void CrashUnderTasks(worker_fake& worker) {
+    const std::vector<jobs::task_ref> tasks = worker.CrashingTasks(now_);
+    if (tasks.empty()) {
+      return;
+    }
+    for (const jobs::task_ref& task : tasks) {
+      checker_.WorkerCrashedUnder(task);
+    }
+    CrashWorker(worker.Id());
+    ScheduleAfter(options_.crash_return, [this, &worker] {
+      if (worker.Up()) {
+        return;
+      }
+      std::string id = worker.Id();
+      if (options_.returns_under_new_id) {
+        id = absl::StrCat("n", workers_.size());
+        workers_.emplace(id, worker_fake(id, worker.Capacity(), checker_));
+      }
+      StartWorker(id);
+    });
+  }
   /// Whether a fault is present that has not ended.
   bool FaultPresent() const {
     const auto unavailable = [](const vm_state& vm) { return !vm.control; };
--- a/src/skylarkbridge/control/worker_fake.hpp
+++ b/src/skylarkbridge/control/worker_fake.hpp
@@ -4,18 +4,26 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <deque>
 #include <map>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/control/job_body_fake.hpp"
 #include "skylarkbridge/control/job_invariant_checker_fake.hpp"
 #include "skylarkbridge/control/restart_invariant_fake.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
 
 namespace skylarkbridge::control {
 
+/// @brief Time after a worker's capacity has shrunk until starts have to keep
+/// to it.
+constexpr std::chrono::milliseconds kShrinkDelay{4500};
+
 /// @brief A worker in virtual time. It refuses orders with an outdated fence,
 /// ends its runs when its lease expires, and reports ended runs until they are
 /// acknowledged.
@@ -32,6 +40,11 @@
   const std::string& Id() const { return id_; }
   const jobs::resources& Capacity() const { return capacity_; }
   bool Up() const { return up_; }
+  jobs::worker_start_time StartTime() const {
+    return jobs::worker_start_time(
+        std::chrono::floor<std::chrono::milliseconds>(
+            started_.time_since_epoch()));
+  }
   /// @brief Number of starts so far.
   int Incarnation() const { return incarnation_; }
 
@@ -43,6 +56,7 @@
     fence_ = 0;
     last_end_number_ = 0;
     lease_until_ = {};
+    earlier_capacities_.clear();
   }
   void Crash(time_point now) {
     up_ = false;
@@ -55,6 +69,23 @@
     highest_runs_.clear();
   }
 
+  /// @brief Changes the capacity. What runs goes on.
+  void SetCapacity(const jobs::resources& capacity, time_point now) {
+    earlier_capacities_.emplace_back(now + kShrinkDelay, capacity_);
+    capacity_ = capacity;
+  }
+
+  /// @brief Returns the tasks of the runs that crash the worker now.
+  std::vector<jobs::task_ref> CrashingTasks(time_point now) const {
+    std::vector<jobs::task_ref> tasks;
+    for (const auto& [run, state] : runs_) {
+      if (state.crashes_at && now >= *state.crashes_at) {
+        tasks.push_back(run.task);
+      }
+    }
+    return tasks;
+  }
+
   /// @brief Ends the runs that are due, or all runs once the lease has expired.
   void Advance(time_point now) {
     std::vector<std::pair<jobs::run_ref, jobs::run_end>> due;
@@ -88,12 +119,8 @@
       return end.number <= order.acknowledged;
     });
     reply.result = jobs::order_result::kDone;
-    reply.report =
-        jobs::worker_report{.start_time = jobs::worker_start_time(
-                                std::chrono::floor<std::chrono::milliseconds>(
-                                    started_.time_since_epoch())),
-                            .clock = Clock(now),
-                            .ended = ended_};
+    reply.report = jobs::worker_report{
+        .start_time = StartTime(), .clock = Clock(now), .ended = ended_};
     for (const auto& [run, state] : runs_) {
       reply.report->running.push_back({.run = run, .progress_percent = 50});
     }
@@ -118,7 +145,7 @@
     } else {
       reply.result = jobs::order_result::kDone;
       ExtendLease(order.start_by, now);
-      checker_.RunStarted(id_, order.run, AvailableCapacity());
+      checker_.RunStarted(id_, order.run, AvailableCapacity(now));
       runs_[order.run] = ParseRunState(order, now);
     }
     return reply;
@@ -169,6 +196,7 @@
  private:
   struct run_state {
     time_point ends_at;
+    std::optional<time_point> crashes_at;
     bool fails = false;
     bool long_running = false;
     jobs::resources need;
@@ -195,8 +223,22 @@
         std::max(lease_until_, std::min(until, Clock(now) + kMaxLease));
   }
 
-  jobs::resources AvailableCapacity() const {
-    jobs::resources available = capacity_;
+  /// The capacity that starts have to keep to: before kShrinkDelay has passed,
+  /// that from before a change.
+  jobs::resources BindingCapacity(time_point now) {
+    while (!earlier_capacities_.empty() &&
+           now >= earlier_capacities_.front().first) {
+      earlier_capacities_.pop_front();
+    }
+    jobs::resources binding = capacity_;
+    for (const auto& [until, capacity] : earlier_capacities_) {
+      binding.millicores = std::max(binding.millicores, capacity.millicores);
+    }
+    return binding;
+  }
+
+  jobs::resources AvailableCapacity(time_point now) {
+    jobs::resources available = BindingCapacity(now);
     for (const auto& [run, state] : runs_) {
       available -= state.need;
     }
@@ -204,7 +246,10 @@
   }
 
   /// Parses the payload, which begins with "MILLICORES MILLISECONDS FAILURES".
-  /// A run fails when its number within the epoch is at most FAILURES.
+  /// A run fails when its number within the epoch is at most FAILURES. With the
+  /// settings crash=MILLISECONDS and crashers=COUNT, each run of the first
+  /// COUNT tasks of a step (1 without the setting) crashes its worker after
+  /// that time.
   run_state ParseRunState(const jobs::start_order& order,
                           time_point now) const {
     std::int64_t millicores = 0;
@@ -214,11 +259,26 @@
     text >> millicores >> duration >> failures;
     const std::uint64_t run_in_epoch = order.run.run % kRunsPerEpoch;
     return {.ends_at = now + std::chrono::milliseconds(duration),
+            .crashes_at = CrashTime(order, now),
             .fails = fail_all_runs_ || run_in_epoch <= failures,
             .long_running = millicores < 0,
             .need = {.millicores = std::abs(millicores)}};
   }
 
+  static std::optional<time_point> CrashTime(const jobs::start_order& order,
+                                             time_point now) {
+    const std::map<std::string, std::string> settings =
+        JobSettings(order.payload);
+    const auto delay = settings.find("crash");
+    const auto crashers = settings.find("crashers");
+    const std::uint64_t count =
+        crashers == settings.end() ? 1 : std::stoull(crashers->second);
+    if (delay == settings.end() || order.run.task.index >= count) {
+      return std::nullopt;
+    }
+    return now + std::chrono::milliseconds(std::stoll(delay->second));
+  }
+
   static end_cause CauseOf(jobs::run_end how) {
     switch (how) {
       case jobs::run_end::kDone:
@@ -254,7 +314,9 @@
   static constexpr std::uint64_t kRunsPerEpoch = 10'000;
 
   const std::string id_;
-  const jobs::resources capacity_;
+  jobs::resources capacity_;
+  /// Capacities that starts may still keep to, with the time until which.
+  std::deque<std::pair<time_point, jobs::resources>> earlier_capacities_;
   job_invariant_checker& checker_;
   bool up_ = false;
   int incarnation_ = 0;
