Give up tasks that crash the workers that start them

Cause: a crashed worker counted as a fault of the worker alone. Its tasks were lost and started again, without a count.

Change: a task that was started shortly before its worker crashed is suspected. Suspects are started on different workers, from the second crash on with no other start beside them, and a task is given up after three crashes of which two are blamed on it, or four of which one is.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -55,6 +55,16 @@
   /// runs without a successful one.
   std::chrono::milliseconds quarantine{3000};
   int failures_for_quarantine = 4;
+  /// A task is suspected of a worker's crash when it was started there this
+  /// long before the worker's last answer, or later.
+  std::chrono::milliseconds crash_window{1000};
+  /// Interval of the starts of suspected tasks on one worker. Longer than
+  /// crash_window and renewal_wait together, so that only one of them can be
+  /// suspected of the worker's next crash.
+  std::chrono::milliseconds suspect_interval{2100};
+  /// After the start of a task that is suspected of this many crashes, no other
+  /// task is started on the worker for suspect_interval.
+  std::size_t crashes_before_isolation = 2;
   /// A worker with a serving task over its latency target for this long gets no
   /// best-effort tasks until the tail latency is below the target again.
   std::chrono::milliseconds over_target_grace{300};
@@ -225,6 +235,26 @@
   /// that may still start there.
   void HandleRestart(worker_session& session, time_point now);
   void ExpireLeases(time_point now);
+  /// Records a crash of the worker for the tasks that were started there
+  /// shortly before, and gives up those that crash their workers. The runs stay
+  /// in the session.
+  void RecordCrash(const worker_session& session);
+  /// The runs that were started shortly before the worker crashed.
+  std::vector<run_ref> CrashSuspects(const worker_session& session) const;
+  /// The run among @p suspects to blame for a crash, with the other members of
+  /// its gang; none while several may have caused it.
+  std::vector<run_ref> CrashCulprits(
+      const worker_session& session,
+      const std::vector<run_ref>& suspects) const;
+  /// Whether the runs belong to one task or to one gang.
+  bool AreOneUnit(const std::vector<run_ref>& runs) const;
+  /// Keeps other tasks away from the worker if the task is suspected of
+  /// crashing its workers.
+  void IsolateSuspect(worker_session& session,
+                      const run_ref& run,
+                      worker_run& state,
+                      time_point now);
+  bool IsSuspected(const task_ref& task) const;
   /// Once each worker of an earlier owner has sent a report or all leases of
   /// earlier owners have expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
@@ -379,6 +409,15 @@
                   const std::vector<std::uint32_t>& ready,
                   std::vector<placement_candidate>& candidates,
                   time_point now);
+  /// As jobs::ChooseWorker, for one task. Keeps a task that is suspected of
+  /// crashing its workers away from those on which another one was started
+  /// shortly before.
+  std::optional<std::size_t> ChooseWorkerFor(
+      const task_ref& task,
+      const step_spec& step,
+      const std::vector<placement_candidate>& candidates,
+      const placement_options& options,
+      time_point now) const;
   /// The usable workers for steps of this kind; computed once in each pass.
   std::vector<placement_candidate>& Candidates(const step_spec& spec,
                                                const queue_configuration& queue,
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -25,8 +25,25 @@
 /// workers, and each failure must count only once.
 using failed_runs = std::set<run_number>;
 
-/// @brief Completed and started tasks and failed runs of one occurrence of a
-/// step.
+/// @brief What a run says about whether its task crashes its workers.
+enum class crash_evidence {
+  /// The task was suspected before the run. How the run ended is not known: if
+  /// its owner dies, the next owner counts it as suspected.
+  kPending,
+  /// Its worker crashed shortly after the start. Other tasks had been started
+  /// there as well.
+  kSuspected,
+  /// As above, and the task had been kept apart from others that may have
+  /// crashed the worker.
+  kBlamed,
+};
+
+/// @brief Runs of one task that its worker may have crashed under. Stored by
+/// run, so that no crash counts twice.
+using crashed_runs = std::map<run_number, crash_evidence>;
+
+/// @brief Completed and started tasks, and failed and crashed runs, of one
+/// occurrence of a step.
 struct step_progress {
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
@@ -37,6 +54,8 @@
   /// Whether each task of a long-running step has been started, by index; empty
   /// while none has, and in records of versions that didn't store it.
   std::vector<bool> started;
+  /// Crashed runs by index of the task.
+  std::map<std::uint32_t, crashed_runs> crashes;
 
   bool operator==(const step_progress&) const = default;
 };
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -66,6 +66,8 @@
   /// earlier run. For a task that an earlier owner started, the time at which
   /// this owner added its job, until the end of a run is known.
   std::optional<time_point> last_run_ended_at;
+  /// Number of crashes of workers that the task is suspected of.
+  std::size_t suspected_crashes = 0;
 };
 
 /// @brief State of the tasks of one occurrence of a step.
@@ -118,6 +120,11 @@
   std::chrono::milliseconds retry_delay{50};
   /// Upper bound of the delay before a failed task starts again.
   std::chrono::milliseconds max_retry_delay{1000};
+  /// A task is given up when this many workers have crashed shortly after they
+  /// started it, and two of the crashes are blamed on it.
+  std::size_t max_crashes_two_blamed = 3;
+  /// The same with one crash that is blamed on it.
+  std::size_t max_crashes_one_blamed = 4;
 };
 
 /// @brief Tracks the dependencies, runs and failures of the tasks of all open
@@ -157,6 +164,11 @@
   bool CanAdopt(const run_ref& run) const;
   /// @brief Records that a run was lost without a reported end.
   void RecordLoss(const run_ref& run, time_point now);
+  /// @brief Records that the worker of a run crashed shortly after the start;
+  /// the run still has to be recorded as lost. When the task has to be given
+  /// up, its job fails; returns the runs of the job, which must be stopped.
+  std::vector<run_to_stop> RecordCrash(const run_ref& run,
+                                       crash_evidence evidence);
   /// @brief Records that a worker did not carry out the start order of a run.
   void RecordRejectedStart(const run_ref& run, time_point now);
   /// @brief Records an end that a worker reported. Returns other runs that must
@@ -216,6 +228,12 @@
   bool CountFailure(open_job& job,
                     const run_ref& run,
                     std::uint32_t max_attempts);
+  /// Whether the task has to be given up after these crashes.
+  bool ExceedsCrashLimit(const crashed_runs& crashes) const;
+  /// Records a run of a task that is suspected of crashing its workers.
+  void AddPendingRun(open_job& job, const run_ref& run, task_state& task);
+  /// Removes the run if it is pending: it ended without a crash.
+  void RemovePendingRun(const run_ref& run);
   /// Removes an active run. Returns whether its task is ready again, which it
   /// is once no other run is active.
   bool EndRun(const run_ref& run, time_point not_before);
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -33,6 +33,10 @@
   /// A long-running task has waited for its restart for over
   /// fleet_scheduler_options::restart_report_delay.
   kRestartDelayed,
+  /// A worker crashed shortly after it had been ordered to start the run.
+  kCrashSuspected,
+  /// The job of a task that crashes its workers has failed.
+  kTaskGivenUp,
 };
 
 /// @brief A decision or an observation of the scheduler, for the event log.
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -50,6 +50,9 @@
   std::uint64_t first_conclusive_renewal = 0;
   /// The run no longer belongs to its task; its end is ignored.
   bool detached = false;
+  /// The task is suspected of crashing its workers, and no other task was
+  /// started on the worker for some time after it.
+  bool isolated = false;
   bool stop_wanted = false;
   bool stop_under_way = false;
   /// A stop order that failed is not sent again before this time.
@@ -106,6 +109,9 @@
   int failed_renewals = 0;
   /// The worker gets no new tasks before this time.
   time_point excluded_until;
+  /// When a task that is suspected of crashing its workers was last started
+  /// on the worker; empty for never.
+  std::optional<time_point> last_suspect_start;
 
   /// Number of the last ended run that was applied to its job.
   std::uint64_t last_applied_ended_run = 0;
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -39,6 +39,10 @@
       return "unaccounted_released";
     case scheduling_event::kRestartDelayed:
       return "restart_delayed";
+    case scheduling_event::kCrashSuspected:
+      return "crash_suspected";
+    case scheduling_event::kTaskGivenUp:
+      return "task_given_up";
   }
   return "unknown";
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -377,6 +377,10 @@
   for (placement_candidate& candidate : candidates) {
     candidate.reserved =
         pass.ReservedRoom(candidate.session->entry.worker, step.long_running);
+    // A start of this pass may have excluded the worker.
+    if (now < candidate.session->excluded_until) {
+      candidate.reserved += candidate.session->entry.capacity;
+    }
   }
   if (step.max_per_worker > 0) {
     CountSiblings(ref, pass, candidates);
@@ -487,18 +491,24 @@
     options.best_effort_share = 0;
   }
   for (const std::uint32_t index : ready) {
+    if (!ChooseWorker(step, candidates, "", options)) {
+      return false;
+    }
+    const task_ref task = TaskOf(ranked.ref, index);
     const std::optional<std::size_t> chosen =
-        ChooseWorker(step, candidates, "", options);
+        ChooseWorkerFor(task, step, candidates, options, now);
     if (!chosen) {
-      return false;
+      continue;
     }
     placement_candidate& candidate = candidates[*chosen];
     worker_session& session =
         workers_.find(candidate.session->entry.worker)->second;
-    const task_ref task = TaskOf(ranked.ref, index);
     StartTask(session, step, {task, jobs_.NextRun(task, epoch_)}, now);
     ++candidate.siblings;
     candidate.same_image += step.latency_target.count() > 0 ? 1 : 0;
+    if (now < session.excluded_until) {
+      candidate.reserved += session.entry.capacity;
+    }
     if (ranked.starving) {
       break;
     }
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -99,6 +99,7 @@
           now - *task->last_run_ended_at);
     }
   }
+  IsolateSuspect(session, run, state, now);
   jobs_.RecordStart(run, session.entry.worker);
   SendStart(session, run, state, now);
   AddNote(scheduling_event::kStartOrdered, run, session.entry.worker,
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -113,8 +113,8 @@
     return;
   }
   session.failed_renewals = 0;
-  session.last_answer = now;
   ApplyReport(session, reply.renewal_number, *reply.report, now);
+  session.last_answer = now;
   session.next_renewal = session.pending_ended_runs.empty()
                              ? now
                              : now + options_.unstored_renewal_interval;
@@ -156,6 +156,9 @@
 void fleet_scheduler::HandleRestart(worker_session& session, time_point now) {
   AddNote(scheduling_event::kWorkerRestarted, {}, session.entry.worker,
           absl::StrCat("runs ", session.runs.size()));
+  if (!session.entry.draining) {
+    RecordCrash(session);
+  }
   std::vector<run_ref> lost;
   for (auto& [run, state] : session.runs) {
     const bool may_still_start = state.phase == run_phase::kStarting ||
@@ -281,6 +284,9 @@
   if (adopt) {
     jobs_.RecordStart(task.run, session.entry.worker);
     jobs_.RecordCheckpoint(task.run, task.checkpoint);
+    if (IsSuspected(task.run.task)) {
+      session.last_suspect_start = now;
+    }
     AddNote(scheduling_event::kRunAdopted, task.run, session.entry.worker);
     run.stop_wanted =
         session.entry.draining && MustLeave(session, task.run, run, now);
@@ -328,6 +334,10 @@
     if (!session.runs.empty()) {
       AddNote(scheduling_event::kLeaseExpired, {}, session.entry.worker,
               absl::StrCat("runs ", session.runs.size()));
+      // A worker that is only cut off from this VM stays in the list.
+      if (session.unlisted_since && !session.entry.draining) {
+        RecordCrash(session);
+      }
       std::vector<run_ref> lost;
       for (const auto& [run, state] : session.runs) {
         lost.push_back(run);
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -33,6 +33,12 @@
          progress->started[index];
 }
 
+std::size_t CountCrashes(const crashed_runs& crashes, crash_evidence at_least) {
+  return static_cast<std::size_t>(std::count_if(
+      crashes.begin(), crashes.end(),
+      [at_least](const auto& entry) { return entry.second >= at_least; }));
+}
+
 bool AllDone(const std::vector<step_state>& steps) {
   return std::all_of(steps.begin(), steps.end(), [](const step_state& step) {
     return step.done == step.tasks.size();
@@ -129,6 +135,11 @@
             failed != progress->failures.end() && !failed->second.empty()) {
           task.last_run = *failed->second.rbegin();
         }
+        if (const auto crashed = progress->crashes.find(index);
+            crashed != progress->crashes.end()) {
+          task.suspected_crashes =
+              CountCrashes(crashed->second, crash_evidence::kSuspected);
+        }
       }
     }
   }
@@ -222,6 +233,9 @@
     changed_.insert(run.task.job);
   }
   SetStarted(job, run.task, true);
+  if (task->suspected_crashes > 0) {
+    AddPendingRun(job, run, *task);
+  }
 }
 
 bool job_table::CanAdopt(const run_ref& run) const {
@@ -236,12 +250,71 @@
 }
 
 void job_table::RecordLoss(const run_ref& run, time_point now) {
+  RemovePendingRun(run);
   if (EndRun(run, now)) {
     MutableTask(run.task)->last_run_ended_at = now;
   }
 }
 
+std::vector<run_to_stop> job_table::RecordCrash(const run_ref& run,
+                                                crash_evidence evidence) {
+  task_state* task = MutableTask(run.task);
+  if (task == nullptr || task->phase == task_phase::kDone) {
+    return {};
+  }
+  open_job& job = jobs_.find(run.task.job)->second;
+  crashed_runs& crashes =
+      FindOrAddProgress(job, run.task).crashes[run.task.index];
+  crash_evidence& known = crashes[run.run];
+  if (known != crash_evidence::kPending) {
+    return {};
+  }
+  known = evidence;
+  changed_.insert(run.task.job);
+  task->suspected_crashes = CountCrashes(crashes, crash_evidence::kSuspected);
+  return ExceedsCrashLimit(crashes) ? Finish(run.task.job, job_status::kFailed)
+                                    : std::vector<run_to_stop>();
+}
+
+bool job_table::ExceedsCrashLimit(const crashed_runs& crashes) const {
+  const std::size_t count = CountCrashes(crashes, crash_evidence::kSuspected);
+  const std::size_t blamed = CountCrashes(crashes, crash_evidence::kBlamed);
+  return (count >= options_.max_crashes_two_blamed && blamed >= 2) ||
+         (count >= options_.max_crashes_one_blamed && blamed >= 1);
+}
+
+void job_table::AddPendingRun(open_job& job,
+                              const run_ref& run,
+                              task_state& task) {
+  crashed_runs& crashes =
+      FindOrAddProgress(job, run.task).crashes[run.task.index];
+  for (auto& [earlier, evidence] : crashes) {
+    if (earlier < run.run && evidence == crash_evidence::kPending) {
+      evidence = crash_evidence::kSuspected;
+    }
+  }
+  crashes.try_emplace(run.run, crash_evidence::kPending);
+  task.suspected_crashes = CountCrashes(crashes, crash_evidence::kSuspected);
+  changed_.insert(run.task.job);
+}
+
+void job_table::RemovePendingRun(const run_ref& run) {
+  const task_state* task = Find(run.task);
+  if (task == nullptr || task->suspected_crashes == 0) {
+    return;
+  }
+  crashed_runs& crashes =
+      FindOrAddProgress(jobs_.find(run.task.job)->second, run.task)
+          .crashes[run.task.index];
+  if (const auto entry = crashes.find(run.run);
+      entry != crashes.end() && entry->second == crash_evidence::kPending) {
+    crashes.erase(entry);
+    changed_.insert(run.task.job);
+  }
+}
+
 void job_table::RecordRejectedStart(const run_ref& run, time_point now) {
+  RemovePendingRun(run);
   // A task without an earlier run has not been started after all.
   if (EndRun(run, now) && !Find(run.task)->last_run_ended_at) {
     SetStarted(jobs_.find(run.task.job)->second, run.task, false);
@@ -282,6 +355,7 @@
   }
   open_job& job = entry->second;
   task->last_run = std::max(task->last_run, run.run);
+  RemovePendingRun(run);
   RecordCheckpoint(run, checkpoint);
   if (outcome == run_end::kDone &&
       !job.spec.steps[run.task.step].long_running) {
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -157,5 +157,54 @@
   EXPECT_EQ(table.WaitingRestarts()[0].since, lost_at);
 }
 
+/// Records a run of the first task of a job whose worker then crashes.
+/// @return whether the task has been given up.
+bool CrashRun(job_table& table, run_number run, crash_evidence evidence) {
+  const run_ref crashed{.task = FirstRun(0).task, .run = run};
+  table.RecordStart(crashed, "w");
+  table.RecordCrash(crashed, evidence);
+  table.RecordLoss(crashed, kNow);
+  return table.Find(kJob) == nullptr;
+}
+
+// Guards against a task that crashes worker after worker, and against giving up
+// one that was only near such a task.
+TEST(JobTableTest, ATaskIsGivenUpForBlamedCrashes) {
+  job_table table = FirstOwner(false);
+  EXPECT_FALSE(CrashRun(table, 1, crash_evidence::kSuspected));
+  EXPECT_FALSE(CrashRun(table, 2, crash_evidence::kBlamed));
+  EXPECT_TRUE(CrashRun(table, 3, crash_evidence::kBlamed));
+  job_table innocent = FirstOwner(false);
+  for (run_number run = 1; run <= 6; ++run) {
+    EXPECT_FALSE(CrashRun(innocent, run, crash_evidence::kSuspected));
+  }
+}
+
+// Guards against a takeover that forgets a crash: the owner died after it had
+// started a suspected task, and no worker reports how the run ended.
+TEST(JobTableTest, ARunOfASuspectWithoutAnEndCountsAfterATakeover) {
+  job_table table = FirstOwner(false);
+  CrashRun(table, 1, crash_evidence::kSuspected);
+  CrashRun(table, 2, crash_evidence::kBlamed);
+  table.RecordStart({.task = FirstRun(0).task, .run = 3}, "w");
+  job_table successor{{}};
+  successor.Add(kJob, Job(false, *TakeProgress(table)), false, kTakeover,
+                kWall);
+  EXPECT_EQ(successor.Find(FirstRun(0).task)->suspected_crashes, 2U);
+  successor.RecordStart({.task = FirstRun(0).task, .run = 10'001}, "w");
+  EXPECT_EQ(successor.Find(FirstRun(0).task)->suspected_crashes, 3U);
+}
+
+// Guards against suspicion of a run that ended without a crash.
+TEST(JobTableTest, ARunOfASuspectThatEndsIsNotCounted) {
+  job_table table = FirstOwner(false);
+  CrashRun(table, 1, crash_evidence::kSuspected);
+  const run_ref second{.task = FirstRun(0).task, .run = 2};
+  table.RecordStart(second, "w");
+  table.RecordEnd(second, run_end::kStopped, "", kMaxAttempts, kNow);
+  table.RecordStart({.task = FirstRun(0).task, .run = 3}, "w");
+  EXPECT_EQ(table.Find(FirstRun(0).task)->suspected_crashes, 1U);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -23,6 +23,8 @@
 /// Column of step_progress::started. Rows without started tasks, and those of
 /// earlier versions, end before it; earlier versions ignore it.
 constexpr std::size_t kStartedColumn = 4;
+/// Column of step_progress::crashes, under the same rules.
+constexpr std::size_t kCrashesColumn = 5;
 
 std::string Key(char kind, job_id job) {
   return absl::StrCat(std::string(1, kind), Format(job));
@@ -106,6 +108,30 @@
   return flags;
 }
 
+json CrashesToJson(const step_progress& step) {
+  json rows = json::array();
+  for (const auto& [index, crashes] : step.crashes) {
+    json runs = json::array();
+    for (const auto& [run, evidence] : crashes) {
+      runs.push_back(json::array({run, static_cast<int>(evidence)}));
+    }
+    rows.push_back(json::array({index, std::move(runs)}));
+  }
+  return rows;
+}
+
+crashed_runs ToCrashedRuns(const json& rows) {
+  crashed_runs crashes;
+  for (const json& row : rows) {
+    const int evidence = row.at(1);
+    if (evidence < 0 || evidence > static_cast<int>(crash_evidence::kBlamed)) {
+      throw json::other_error::create(501, "unknown evidence", &row);
+    }
+    crashes[row.at(0)] = static_cast<crash_evidence>(evidence);
+  }
+  return crashes;
+}
+
 json ToJson(const step_progress& step) {
   json failures = json::array();
   for (const auto& [index, runs] : step.failures) {
@@ -113,9 +139,12 @@
   }
   json row = json::array(
       {step.occurrence, step.step, ToDigits(step.done), std::move(failures)});
-  if (!step.started.empty()) {
+  if (!step.started.empty() || !step.crashes.empty()) {
     row.push_back(ToDigits(step.started));
   }
+  if (!step.crashes.empty()) {
+    row.push_back(CrashesToJson(step));
+  }
   return row;
 }
 
@@ -129,6 +158,11 @@
   if (row.size() > kStartedColumn) {
     step.started = ToFlags(row.at(kStartedColumn).get<std::string>());
   }
+  if (row.size() > kCrashesColumn) {
+    for (const json& crash_row : row.at(kCrashesColumn)) {
+      step.crashes[crash_row.at(0)] = ToCrashedRuns(crash_row.at(1));
+    }
+  }
   return step;
 }
 
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -102,6 +102,23 @@
   EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
 }
 
+// Guards against a successor that starts a task again which crashes its
+// workers: the crashes have to be kept, also without the column before theirs.
+TEST(JobRecordCodecTest, KeepsTheCrashes) {
+  const job_advanced advanced{
+      .job = job_id{1},
+      .progress = {
+          .started = true,
+          .steps = {{.step = 1,
+                     .crashes = {{4,
+                                  {{1, crash_evidence::kSuspected},
+                                   {2, crash_evidence::kBlamed},
+                                   {10'001, crash_evidence::kPending}}}}}}}};
+  const auto decoded = RoundTrip(advanced);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
+}
+
 // Guards against losing the progress of jobs at an update: earlier versions
 // wrote no started tasks.
 TEST(JobRecordCodecTest, ReadsTheProgressThatEarlierVersionsWrote) {
