--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -37,6 +37,10 @@
   /// fleet_scheduler_options::cancel_report_delay since the cancellation was
   /// read.
   kCancelDelayed,
+  /// A worker crashed shortly after it had been ordered to start the run.
+  kCrashSuspected,
+  /// The job of a task that crashes its workers has failed.
+  kTaskGivenUp,
 };
 
 /// @brief A decision or an observation of the scheduler, for the event log.
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -41,6 +41,10 @@
       return "restart_delayed";
     case scheduling_event::kCancelDelayed:
       return "cancel_delayed";
+    case scheduling_event::kCrashSuspected:
+      return "crash_suspected";
+    case scheduling_event::kTaskGivenUp:
+      return "task_given_up";
   }
   return "unknown";
 }
