--- a/src/skylarkbridge/control/cancel_test.cpp
+++ b/src/skylarkbridge/control/cancel_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
--- a/src/skylarkbridge/transport/http_test.cpp
+++ b/src/skylarkbridge/transport/http_test.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <variant>
 
 #include "skylarkbridge/base/mailbox.hpp"
@@ -134,11 +135,12 @@
   boost::asio::io_context busy_context;
   http_client client(busy_context, {.max_connections = 1});
   std::optional<http_outcome> outcome;
-  client.Send({.address = loopback.Address(),
-               .method = "GET",
-               .target = "/log",
-               .deadline = boot_clock::now() + milliseconds(1200)},
-              [&outcome](http_outcome received) { outcome = received; });
+  client.Send(
+      {.address = loopback.Address(),
+       .method = "GET",
+       .target = "/log",
+       .deadline = boot_clock::now() + milliseconds(1200)},
+      [&outcome](http_outcome received) { outcome = std::move(received); });
   PostOtherWork(busy_context);
   auto server_thread =
       posix_thread::Start("responder", [&loopback] {
