--- a/src/skylarkbridge/control/crashing_task_explorer_test.cpp
+++ b/src/skylarkbridge/control/crashing_task_explorer_test.cpp
@@ -36,14 +36,20 @@
   kLostAnswers,
 };
 
+/// The schedules that a test draws from.
+struct crash_profile {
+  std::vector<crash_fault> faults;
+  /// Whether there are tasks that crash their workers.
+  bool crashing_tasks = true;
+  /// Upper bound of the time from the start of such a task to the crash.
+  milliseconds max_crash_delay{1000};
+};
+
 /// One random schedule. Its draws come from its seed alone.
 class crash_schedule {
  public:
-  crash_schedule(std::vector<crash_fault> faults,
-                 milliseconds max_crash_delay,
-                 std::uint64_t seed)
-      : faults_(std::move(faults)),
-        max_crash_delay_(max_crash_delay),
+  crash_schedule(const crash_profile& profile, std::uint64_t seed)
+      : profile_(profile),
         random_(seed),
         workers_(4 + Draw(5)),
         new_ids_(Draw(2) == 0),
@@ -62,10 +68,10 @@
     constexpr int kRounds = 8;
     for (int round = 0; round < kRounds && !Violated(); ++round) {
       SubmitBatchJobs();
-      if (Draw(2) == 0) {
+      if (profile_.crashing_tasks && Draw(2) == 0) {
         SubmitCrashingJob();
       }
-      Disturb(faults_[Draw(faults_.size())]);
+      Disturb(profile_.faults[Draw(profile_.faults.size())]);
       fleet_.Advance(milliseconds(200 + Draw(4000)));
       if (Draw(3) != 0) {
         EndFaults();
@@ -120,7 +126,7 @@
       const std::uint64_t tasks = 1 + Draw(6);
       const std::uint64_t crashers = 1 + Draw(2);
       const std::uint64_t delay =
-          Draw(static_cast<std::uint64_t>(max_crash_delay_.count()));
+          Draw(static_cast<std::uint64_t>(profile_.max_crash_delay.count()));
       Submit(absl::StrCat(sign, millicores, " 600000 0 ", tasks,
                           " crash=", delay, " crashers=", crashers));
     }
@@ -202,8 +208,7 @@
     fleet_.Advance(seconds(4));
   }
 
-  const std::vector<crash_fault> faults_;
-  const milliseconds max_crash_delay_;
+  const crash_profile profile_;
   std::mt19937_64 random_;
   const std::size_t workers_;
   const bool new_ids_;
@@ -219,14 +224,13 @@
 
 /// Plays all schedules; fails with the seeds and the first schedule that broke
 /// an invariant.
-void PlaySchedules(const std::vector<crash_fault>& faults,
-                   milliseconds max_crash_delay = milliseconds(1000)) {
+void PlaySchedules(const crash_profile& profile) {
   const std::uint64_t first = EnvironmentOr("FIRST_SCHEDULE", 1);
   const std::uint64_t last = EnvironmentOr("LAST_SCHEDULE", kSchedules);
   std::vector<std::uint64_t> broken;
   std::string first_broken;
   for (std::uint64_t seed = first; seed <= last; ++seed) {
-    crash_schedule schedule(faults, max_crash_delay, seed);
+    crash_schedule schedule(profile, seed);
     schedule.Play();
     if (schedule.Violated()) {
       if (broken.empty()) {
@@ -241,28 +245,39 @@
 }
 
 TEST(CrashingTaskExplorerTest, WithoutOtherFaults) {
-  PlaySchedules({crash_fault::kNone});
+  PlaySchedules({.faults = {crash_fault::kNone}});
 }
 
 TEST(CrashingTaskExplorerTest, BesideCrashedAndCutWorkers) {
-  PlaySchedules(
-      {crash_fault::kNone, crash_fault::kCrashWorker, crash_fault::kCutWorker});
+  PlaySchedules({.faults = {crash_fault::kNone, crash_fault::kCrashWorker,
+                            crash_fault::kCutWorker}});
 }
 
 TEST(CrashingTaskExplorerTest, BesideTakeovers) {
-  PlaySchedules(
-      {crash_fault::kNone, crash_fault::kKillOwner, crash_fault::kSlowStore});
+  PlaySchedules({.faults = {crash_fault::kNone, crash_fault::kKillOwner,
+                            crash_fault::kSlowStore}});
 }
 
 TEST(CrashingTaskExplorerTest, BesideAllFaults) {
-  PlaySchedules({crash_fault::kNone, crash_fault::kKillOwner,
-                 crash_fault::kCrashWorker, crash_fault::kCutWorker,
-                 crash_fault::kSlowStore, crash_fault::kLostAnswers});
+  PlaySchedules(
+      {.faults = {crash_fault::kNone, crash_fault::kKillOwner,
+                  crash_fault::kCrashWorker, crash_fault::kCutWorker,
+                  crash_fault::kSlowStore, crash_fault::kLostAnswers}});
+}
+
+// Guards against giving up jobs for crashes that no task causes. Without
+// takeovers, which can delay restarts for long (issue #21).
+TEST(CrashingTaskExplorerTest, OnlyOtherFaults) {
+  PlaySchedules(
+      {.faults = {crash_fault::kCrashWorker, crash_fault::kCrashWorker,
+                  crash_fault::kCutWorker, crash_fault::kLostAnswers},
+       .crashing_tasks = false});
 }
 
 // As the first test, with workers that crash seconds after the start.
 TEST(CrashingTaskExplorerTest, LateCrashesWithoutOtherFaults) {
-  PlaySchedules({crash_fault::kNone}, seconds(6));
+  PlaySchedules(
+      {.faults = {crash_fault::kNone}, .max_crash_delay = seconds(6)});
 }
 
 }  // namespace
