Read responses in pieces of 16 KB instead of 512 bytes

Cause: the buffer of a connection had no reservation, and Beast reads 512 bytes at a time into such a buffer. Each piece is a handler that waits for all others of the thread, so a page of 100 KB takes 196 rounds; at 6 ms a round it misses its timeout of 1.2 s. The reply is then thrown away, and the page that is asked for next is larger.

Change: connections reserve 16 KB.

Result: handlers that a response of 100 KB takes: 196 before, at most 16 after (HttpTest.ReadsALargeResponseInFewSteps fails before). Timeouts and the reader's retries are unchanged.

--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -20,6 +20,11 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+/// Bytes that a connection reads at a time. A buffer without a reservation
+/// would be read into in pieces of 512 bytes, each of which waits for the other
+/// handlers of the context.
+constexpr std::size_t kReadBytes = 16'384;
+
 struct pending_request {
   http_request request;
   http_callback callback;
@@ -150,6 +155,7 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(owner_->options_.max_body_bytes);
+    buffer_.reserve(kReadBytes);
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this(), generation = generation_](
                          const error_code& error, std::size_t /*bytes*/) {
--- a/src/skylarkbridge/transport/http_test.cpp
+++ b/src/skylarkbridge/transport/http_test.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 #include <variant>
 
 #include "skylarkbridge/base/mailbox.hpp"
@@ -50,6 +52,7 @@
   }
   server_request ReceiveRequest() { return ReceiveOne(requests_); }
   http_outcome ReceiveOutcome() { return ReceiveOne(outcomes_); }
+  const std::string& Address() const { return address_; }
   http_server& Server() { return server_; }
   http_client& Client() { return client_; }
   mailbox<http_outcome>& Outcomes() { return outcomes_; }
@@ -112,6 +115,36 @@
             http_failure::kNotSent);
 }
 
+// Guards against a client that reads a large response in many small pieces.
+// Each piece waits for the other handlers of the context, so that a busy thread
+// did not finish a page of a log within its timeout, and the next page was
+// larger.
+TEST(HttpTest, ReadsALargeResponseInFewSteps) {
+  constexpr std::size_t kBodyBytes = 100'000;
+  http_loopback loopback;
+  boost::asio::io_context context(1);
+  http_client client(context, {});
+  std::optional<http_outcome> outcome;
+  client.Send({.address = loopback.Address(),
+               .method = "GET",
+               .target = "/",
+               .deadline = boot_clock::now() + seconds(20)},
+              [&](http_outcome result) { outcome = std::move(result); });
+  context.run_for(milliseconds(200));
+  loopback.Server().Respond(
+      loopback.ReceiveRequest().token,
+      {.status = 200, .body = std::string(kBodyBytes, 'x')});
+  // The response arrives before the client reads on.
+  std::this_thread::sleep_for(milliseconds(200));
+  std::size_t steps = 0;
+  while (!outcome && context.run_one_for(seconds(20)) > 0) {
+    ++steps;
+  }
+  ASSERT_TRUE(outcome && std::holds_alternative<http_response>(*outcome));
+  EXPECT_EQ(std::get<http_response>(*outcome).body.size(), kBodyBytes);
+  EXPECT_LE(steps, 16U);
+}
+
 // Guards against a server that accepts a body above its limit, with which a
 // caller could exhaust its memory.
 TEST(HttpTest, RejectsBodyAboveLimit) {
