Take a cell over only with fresh logs of all cells

What callers would see: a VM that returns from a cut, reads the log of one cell first and takes that cell over, while the log of another cell, which holds cancellations of its jobs, or the configuration is seconds behind.

Cause: a hand-over asked for a fresh read of the cell's own log only. The other logs had to be read once.

Change: all logs and the configuration have to be read up to the moment from which the hand-over is due, and not longer ago than 2 s. The delay counts anew for each epoch.

--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -299,14 +299,16 @@
     }
   }
   AnswerLookups(now);
-  const bool all_read = AllLogsReadAt().has_value();
+  // Empty, and so less than any time, while one has not been read to its end.
+  const std::optional<time_point> all_read_until = std::min(
+      AllLogsReadAt(), configuration_follower_.Reader().CompleteUntil());
   for (const auto& each_cell : cells_) {
     // The number of cells that this VM owns or claims.
     const auto held = static_cast<std::size_t>(std::count_if(
         cells_.begin(), cells_.end(),
         [](const auto& other) { return other->IsOwnerOrClaiming(); }));
-    each_cell->Run(each_cell->IsOwnerOrClaiming() ? held - 1 : held, all_read,
-                   now, wall);
+    each_cell->Run(each_cell->IsOwnerOrClaiming() ? held - 1 : held,
+                   all_read_until, now, wall);
     if (each_cell->TakeWorkerListRequest()) {
       // A cell that was just taken over needs the whole list of workers.
       worker_follower_.Reader().Restart(now);
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -124,11 +124,12 @@
   /// orders.
   /// @param other_owned_cells number of other cells that this VM owns or
   /// claims.
-  /// @param may_claim whether the logs of all cells have been read. An owner
-  /// needs them all, as jobs that its cell runs may be recorded in the logs of
-  /// other cells.
+  /// @param all_read_until time up to which the logs of all cells and the
+  /// configuration have been read; empty while one has not been read to its
+  /// end, and then this VM claims nothing. An owner needs them all, as jobs
+  /// that its cell runs may be recorded in the logs of other cells.
   void Run(std::size_t other_owned_cells,
-           bool may_claim,
+           std::optional<time_point> all_read_until,
            time_point now,
            wall_time wall);
   /// @brief Sends the appends and reads that are due.
@@ -196,7 +197,7 @@
 
   // Ownership.
   void MaintainOwnership(std::size_t other_owned_cells,
-                         bool may_claim,
+                         std::optional<time_point> all_read_until,
                          time_point now,
                          wall_time wall);
   void HandleClaimReply(const append_reply& reply, time_point now);
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -31,10 +31,11 @@
 }
 
 template <fleet_platform Platform>
-void fleet_cell<Platform>::MaintainOwnership(std::size_t other_owned_cells,
-                                             bool may_claim,
-                                             time_point now,
-                                             wall_time wall) {
+void fleet_cell<Platform>::MaintainOwnership(
+    std::size_t other_owned_cells,
+    std::optional<time_point> all_read_until,
+    time_point now,
+    wall_time wall) {
   if (scheduler_.Active() && (scheduler_.Fenced() || !ownership_.IsOwner())) {
     LoseOwnership(scheduler_.Fenced() ? "a worker has seen a higher epoch"
                                       : "another VM has claimed it");
@@ -50,10 +51,11 @@
       ownership_.ClaimFailed();
     }
   }
-  if (claiming_ || stopping_ || !may_claim || configuration_ == nullptr) {
+  if (claiming_ || stopping_ || !all_read_until || configuration_ == nullptr) {
     return;
   }
-  if (const auto claim = ownership_.NextClaim(now, other_owned_cells)) {
+  if (const auto claim =
+          ownership_.NextClaim(now, other_owned_cells, *all_read_until)) {
     claiming_ = true;
     writer_.Begin(claim->claim_epoch, options_.first_sequence);
     claim_in_doubt_ = false;
@@ -161,7 +163,7 @@
 
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Run(std::size_t other_owned_cells,
-                               bool may_claim,
+                               std::optional<time_point> all_read_until,
                                time_point now,
                                wall_time wall) {
   if (pending_release_ && writer_.Idle()) {
@@ -169,7 +171,7 @@
     pending_release_.reset();
     releasing_ = true;
   }
-  MaintainOwnership(other_owned_cells, may_claim, now, wall);
+  MaintainOwnership(other_owned_cells, all_read_until, now, wall);
   if (scheduler_.Active()) {
     scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
--- a/include/skylarkbridge/jobs/ownership.hpp
+++ b/include/skylarkbridge/jobs/ownership.hpp
@@ -41,8 +41,9 @@
   /// How long a VM has to have this advantage. A VM that has just started does
   /// not know yet whether it will get a cell whose owner stops.
   std::chrono::milliseconds hand_over_delay{1000};
-  /// A VM that has last read the log earlier than this takes no cell over.
-  std::chrono::milliseconds max_hand_over_read_age{1000};
+  /// A VM that has last read this log, the logs of the other cells or the
+  /// configuration earlier than this takes no cell over.
+  std::chrono::milliseconds max_hand_over_read_age{2000};
 };
 
 /// @brief Why a VM claims a cell.
@@ -75,8 +76,12 @@
 
   /// @brief Returns the claim to write now, if one is due.
   /// @param owned number of other cells that this VM owns or claims.
-  std::optional<ownership_record> NextClaim(time_point now,
-                                            std::size_t owned = 0);
+  /// @param all_read_until time up to which this VM has read all that an owner
+  /// needs besides this log. It takes no cell over while that is long ago.
+  std::optional<ownership_record> NextClaim(
+      time_point now,
+      std::size_t owned = 0,
+      time_point all_read_until = time_point::max());
   /// @brief Why the last claim was made.
   claim_reason ClaimReason() const { return claim_reason_; }
   /// @brief The log refused the claim, as other records were written before it.
@@ -130,12 +135,14 @@
   ownership_record Record(bool released, time_point now) const;
   std::chrono::nanoseconds ClaimJitter(epoch claim) const;
   /// Reason for a claim that is due now; nullopt without one.
-  std::optional<claim_reason> ReasonToClaim(time_point now, std::size_t owned);
+  std::optional<claim_reason> ReasonToClaim(time_point now,
+                                            std::size_t owned,
+                                            time_point all_read_until);
   /// Processor time that this VM has for each cell when it owns @p owned cells
   /// besides this one, in thousandths of a core.
   std::int64_t MillicoresPerCell(std::size_t owned) const;
-  /// Whether the hand-over of the cell to this VM is due.
-  bool HandOverDue(time_point now, std::size_t owned);
+  /// Updates when this VM may take the cell over from an owner that is well.
+  void UpdateHandOver(time_point now, std::size_t owned);
   std::chrono::nanoseconds ClaimDelay(std::size_t owned) const;
 
   const ownership_options options_;
--- a/src/skylarkbridge/jobs/ownership.cpp
+++ b/src/skylarkbridge/jobs/ownership.cpp
@@ -28,6 +28,9 @@
     // VMs that read the same record should not claim at the same time.
     next_claim_at_ = now + ClaimJitter(record.claim_epoch);
   }
+  if (record.claim_epoch > newest_.claim_epoch) {
+    hand_over_at_.reset();
+  }
   // An upper bound, as the record was written before it was read.
   const time_point predecessor_orders_until = now + record.predecessor_validity;
   newest_predecessor_orders_until_ =
@@ -55,13 +58,16 @@
   }
 }
 
-std::optional<ownership_record> ownership::NextClaim(time_point now,
-                                                     std::size_t owned) {
+std::optional<ownership_record> ownership::NextClaim(
+    time_point now,
+    std::size_t owned,
+    time_point all_read_until) {
   if (owner_ || released_ || claiming_ || !last_observed_ ||
       now < next_claim_at_ + ClaimDelay(owned)) {
     return std::nullopt;
   }
-  const std::optional<claim_reason> reason = ReasonToClaim(now, owned);
+  const std::optional<claim_reason> reason =
+      ReasonToClaim(now, owned, all_read_until);
   if (!reason) {
     return std::nullopt;
   }
@@ -80,8 +86,10 @@
   return Record(false, now);
 }
 
-std::optional<claim_reason> ownership::ReasonToClaim(time_point now,
-                                                     std::size_t owned) {
+std::optional<claim_reason> ownership::ReasonToClaim(
+    time_point now,
+    std::size_t owned,
+    time_point all_read_until) {
   // The newest owner may be an earlier process of this VM, which has ended.
   const bool own_predecessor = newest_.vm == options_.vm;
   if (newest_.claim_epoch == 0 || newest_.released || own_predecessor) {
@@ -92,24 +100,25 @@
                          ClaimDelay(owned) + ClaimJitter(newest_.claim_epoch)) {
     return claim_reason::kSilent;
   }
-  return HandOverDue(now, owned)
+  UpdateHandOver(now, owned);
+  const time_point read_until = std::min(read_until_, all_read_until);
+  return hand_over_at_ && read_until >= *hand_over_at_ &&
+                 now < read_until + options_.max_hand_over_read_age
              ? std::optional(claim_reason::kMoreProcessorTime)
              : std::nullopt;
 }
 
-bool ownership::HandOverDue(time_point now, std::size_t owned) {
+void ownership::UpdateHandOver(time_point now, std::size_t owned) {
   const double wanted = options_.min_hand_over_advantage *
                         static_cast<double>(newest_.millicores_per_cell);
   if (wanted <= 0 || static_cast<double>(MillicoresPerCell(owned)) < wanted) {
     hand_over_at_.reset();
-    return false;
+    return;
   }
   if (!hand_over_at_) {
     hand_over_at_ = now + options_.hand_over_delay +
                     kHandOverJitterFactor * ClaimJitter(newest_.claim_epoch);
   }
-  return now >= *hand_over_at_ &&
-         now < read_until_ + options_.max_hand_over_read_age;
 }
 
 std::int64_t ownership::MillicoresPerCell(std::size_t owned) const {
