--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -127,6 +127,11 @@
               wall_time wall);
   void Query(const caller_request& request, jobs::job_id job, time_point now);
   void Cancel(const caller_request& request, jobs::job_id job, time_point now);
+  /// Stores the cancellation of a job, which may be unknown.
+  void StoreCancellation(std::uint64_t token,
+                         jobs::job_id job,
+                         time_point deadline,
+                         time_point now);
   /// Number of pending jobs of a queue in all cells.
   std::size_t Pending(std::string_view queue) const;
   void QueryPending(const caller_request& request,
@@ -205,9 +210,11 @@
   jobs::cell_id ChooseCell(jobs::job_id job, const jobs::job_spec& spec) const;
   /// Passes on the records in the log of @p from that also concern other cells.
   void ForwardToOtherCells(cell& from, time_point now, wall_time wall);
-  /// Whether this VM schedules the tasks of a cell and so needs the list of
-  /// workers.
+  /// Whether this VM schedules the tasks of a cell.
   bool AnyCellActive() const;
+  /// Whether this VM reads the list of workers: to schedule tasks or to divide
+  /// the fleet.
+  bool FollowsWorkers() const;
   void LogRejectedRecord(topic_kind kind,
                          std::uint64_t offset,
                          const failure& error);
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -124,11 +124,12 @@
   /// orders.
   /// @param other_owned_cells number of other cells that this VM owns or
   /// claims.
-  /// @param may_claim whether the logs of all cells have been read. An owner
-  /// needs them all, as jobs that its cell runs may be recorded in the logs of
-  /// other cells.
+  /// @param all_read_until time up to which the logs of all cells and the
+  /// configuration have been read; empty while one has not been read to its
+  /// end, and then this VM claims nothing. An owner needs them all, as jobs
+  /// that its cell runs may be recorded in the logs of other cells.
   void Run(std::size_t other_owned_cells,
-           bool may_claim,
+           std::optional<time_point> all_read_until,
            time_point now,
            wall_time wall);
   /// @brief Sends the appends and reads that are due.
@@ -157,6 +158,11 @@
     return request_writer_.Idle() && !pending_release_ &&
            (!releasing_ || writer_.Idle());
   }
+  /// @brief Returns how long ago the log was read to its end, and logs when
+  /// the reads are behind.
+  std::chrono::milliseconds ReportLogAge(time_point now) {
+    return follower_.ReportAge(now);
+  }
   std::size_t WaitingRequests() const { return request_writer_.Waiting(); }
   const jobs::topic_reader& Reader() const { return follower_.Reader(); }
   const jobs::job_registry& Registry() const { return registry_; }
@@ -185,11 +191,13 @@
   void Apply(jobs::job_advanced record, std::uint64_t offset, time_point now);
   void Apply(const jobs::job_dropped& record);
   void Apply(const jobs::ownership_record& record, time_point now);
+  /// The record with which a known job was accepted.
+  jobs::job_accepted AcceptedRecord(jobs::job_id job) const;
   void DropMissingJobs(const std::set<std::string>& keys);
 
   // Ownership.
   void MaintainOwnership(std::size_t other_owned_cells,
-                         bool may_claim,
+                         std::optional<time_point> all_read_until,
                          time_point now,
                          wall_time wall);
   void HandleClaimReply(const append_reply& reply, time_point now);
@@ -218,6 +226,8 @@
   owner_writer writer_;
   std::vector<jobs::log_record> cross_cell_records_;
   bool refresh_requested_ = false;
+  /// The snapshot of this cell waits for that of another cell.
+  bool snapshot_deferred_ = false;
   bool worker_list_needed_ = false;
 
   std::uint64_t last_append_number_ = 0;
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -31,10 +31,11 @@
 }
 
 template <fleet_platform Platform>
-void fleet_cell<Platform>::MaintainOwnership(std::size_t other_owned_cells,
-                                             bool may_claim,
-                                             time_point now,
-                                             wall_time wall) {
+void fleet_cell<Platform>::MaintainOwnership(
+    std::size_t other_owned_cells,
+    std::optional<time_point> all_read_until,
+    time_point now,
+    wall_time wall) {
   if (scheduler_.Active() && (scheduler_.Fenced() || !ownership_.IsOwner())) {
     LoseOwnership(scheduler_.Fenced() ? "a worker has seen a higher epoch"
                                       : "another VM has claimed it");
@@ -50,10 +51,11 @@
       ownership_.ClaimFailed();
     }
   }
-  if (claiming_ || stopping_ || !may_claim || configuration_ == nullptr) {
+  if (claiming_ || stopping_ || !all_read_until || configuration_ == nullptr) {
     return;
   }
-  if (const auto claim = ownership_.NextClaim(now, other_owned_cells)) {
+  if (const auto claim =
+          ownership_.NextClaim(now, other_owned_cells, *all_read_until)) {
     claiming_ = true;
     writer_.Begin(claim->claim_epoch, options_.first_sequence);
     claim_in_doubt_ = false;
@@ -121,6 +123,9 @@
       }
     }
   }
+  for (const jobs::job_id job : registry_.JobsWithOverwrittenCell()) {
+    batch.push_back(records::Encode(AcceptedRecord(job)));
+  }
   if (!batch.empty() || scheduler_.HasRecords()) {
     for (const jobs::log_record& record : scheduler_.TakeRecords()) {
       batch.push_back(records::Encode(record));
@@ -158,7 +163,7 @@
 
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Run(std::size_t other_owned_cells,
-                               bool may_claim,
+                               std::optional<time_point> all_read_until,
                                time_point now,
                                wall_time wall) {
   if (pending_release_ && writer_.Idle()) {
@@ -166,7 +171,7 @@
     pending_release_.reset();
     releasing_ = true;
   }
-  MaintainOwnership(other_owned_cells, may_claim, now, wall);
+  MaintainOwnership(other_owned_cells, all_read_until, now, wall);
   if (scheduler_.Active()) {
     scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
@@ -208,7 +213,8 @@
   while (auto append = request_writer_.Next(now, last_append_number_ + 1)) {
     Send(std::move(*append), now);
   }
-  if (may_read_snapshot || !follower_.Reader().InSnapshot()) {
+  snapshot_deferred_ = !may_read_snapshot && follower_.Reader().InSnapshot();
+  if (!snapshot_deferred_) {
     follower_.Send(platform_, now);
   }
   if (refresh_requested_ && !follower_.Reader().Refreshing()) {
@@ -246,7 +252,9 @@
       next = std::min(next, *at);
     }
   };
-  consider(follower_.Reader().NextDeadline());
+  if (!snapshot_deferred_) {
+    consider(follower_.Reader().NextDeadline());
+  }
   consider(request_writer_.NextDeadline());
   consider(writer_.NextDeadline());
   if (scheduler_.Active()) {
--- a/include/skylarkbridge/jobs/topic_reader.hpp
+++ b/include/skylarkbridge/jobs/topic_reader.hpp
@@ -75,6 +75,9 @@
   std::chrono::milliseconds pause{0};
   /// Delay after a failed read.
   std::chrono::milliseconds retry{150};
+  /// A read of a snapshot page that has no answer after this time is sent a
+  /// second time. The first answer counts.
+  std::chrono::milliseconds snapshot_repeat{1200};
 };
 
 /// @brief Follows a topic: reads a snapshot, then the tail, and a new snapshot
@@ -113,6 +116,11 @@
   /// @brief All records that were written before this time have been read;
   /// nullopt before the first complete read of the tail.
   std::optional<time_point> CompleteUntil() const { return complete_until_; }
+  /// @brief Age that CompleteUntil reaches between two reads while the topic
+  /// has no new records, without the time that the calls take.
+  std::chrono::milliseconds RegularAge() const {
+    return options_.wait + options_.pause;
+  }
   /// @brief Whether the last regular read failed.
   bool Failing() const { return failing_; }
   /// @brief Whether a read that Refresh returned is in flight.
@@ -128,6 +136,8 @@
  private:
   struct pending_read {
     bool snapshot = false;
+    /// When to send a read of a snapshot page again if it has no answer.
+    time_point repeat_at;
     /// A read that Refresh returned.
     bool refresh = false;
     std::uint64_t from = 0;
@@ -136,6 +146,10 @@
   };
 
   std::optional<pending_read> TakePending(std::uint64_t number);
+  /// When the regular read in flight is to be sent a second time: now or
+  /// earlier if there is none, time_point::max() if it is not to be repeated.
+  time_point RepeatAt() const;
+  void DiscardSnapshotReads();
   /// Whether the record is newer than that of its key in the snapshot.
   bool IsNewer(const topic_record& record);
 
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -12,6 +12,7 @@
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
+#include "skylarkbridge/jobs/orders.hpp"
 #include "skylarkbridge/jobs/worker_lease.hpp"
 #include "skylarkbridge/jobs/worker_report.hpp"
 
@@ -50,10 +51,17 @@
   std::uint64_t first_conclusive_renewal = 0;
   /// The run no longer belongs to its task; its end is ignored.
   bool detached = false;
+  /// The task is suspected of crashing its workers, and no other task was
+  /// started on the worker for some time after it.
+  bool isolated = false;
   bool stop_wanted = false;
   bool stop_under_way = false;
-  /// A stop order that failed is not sent again before this time.
+  /// A stop order that failed, or that was acknowledged while the worker still
+  /// lists the run, is not sent again before this time.
   time_point earliest_stop_retry;
+  /// Stop orders that were sent, and the result of the last one with a reply.
+  int stop_attempts = 0;
+  std::optional<order_result> last_stop_result;
   int start_attempts = 0;
   worker_time start_by;
   std::string checkpoint;
@@ -106,6 +114,9 @@
   int failed_renewals = 0;
   /// The worker gets no new tasks before this time.
   time_point excluded_until;
+  /// When a task that is suspected of crashing its workers was last started
+  /// on the worker; empty for never.
+  std::optional<time_point> last_suspect_start;
 
   /// Number of the last ended run that was applied to its job.
   std::uint64_t last_applied_ended_run = 0;
--- a/src/skylarkbridge/control/job_invariant_checker_fake.hpp
+++ b/src/skylarkbridge/control/job_invariant_checker_fake.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_CONTROL_JOB_INVARIANT_CHECKER_FAKE_HPP
 #define SKYLARKBRIDGE_CONTROL_JOB_INVARIANT_CHECKER_FAKE_HPP
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -9,35 +10,51 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/control/cancel_invariant_fake.hpp"
 #include "skylarkbridge/control/restart_invariant_fake.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
 
 namespace skylarkbridge::control {
 
+/// @brief Crashed workers under a task after which its job may be given up.
+constexpr int kCrashesToGiveUp = 2;
+/// @brief Crashed workers under a task after which its starts are counted.
+constexpr int kCrashesBeforeBudget = 3;
+/// @brief Counted starts that are one too many.
+constexpr int kStartsOverBudget = 3;
+
 /// @brief Checks the runs of the fake workers against the invariants of the
 /// scheduler, and collects the violations.
 class job_invariant_checker {
  public:
   /// @param max_attempts number of failed runs after which a task must not
   /// start again, unless it is long-running.
-  explicit job_invariant_checker(std::size_t max_attempts)
-      : max_attempts_(max_attempts) {}
+  explicit job_invariant_checker(std::size_t max_attempts,
+                                 cancel_bounds bounds = {})
+      : max_attempts_(max_attempts), cancels_(bounds) {}
 
   void JobSubmitted(jobs::job_id job, const jobs::job_spec& spec) {
     specs_[job] = spec;
+    ++submissions_[job];
   }
-  void JobRefused(jobs::job_id job) { refused_.insert(job); }
+  /// @brief One submission was answered as not run, or did not reach its VM.
+  void JobRefused(jobs::job_id job) { ++refusals_[job]; }
   void JobAccepted(jobs::job_id job) { accepted_.insert(job); }
   /// @brief The caller sent a cancel, which may not have reached the owner.
   void JobCancelled(jobs::job_id job) {
     cancelled_.insert(job);
     restarts_.JobCancelled(job);
   }
+  /// @brief The cancel was acknowledged, or an append of it is durable.
+  void CancelStored(jobs::job_id job, time_point now) {
+    cancels_.CancelStored(job, now);
+  }
 
   void RunStarted(const std::string& worker,
                   const jobs::run_ref& run,
-                  const jobs::resources& available) {
+                  const jobs::resources& available,
+                  time_point now) {
     const jobs::task_ref& task = run.task;
     const auto spec = specs_.find(task.job);
     if (spec == specs_.end()) {
@@ -60,6 +77,11 @@
                    absl::StrCat("has failed in runs ",
                                 absl::StrJoin(failed_[task], " ")));
     }
+    if (crashes_[task] >= kCrashesBeforeBudget &&
+        ++starts_after_crashes_[task] >= kStartsOverBudget) {
+      AddViolation("BUDGET", run,
+                   absl::StrCat("has crashed ", crashes_[task], " workers"));
+    }
     for (const std::uint32_t dependency : step.depends_on) {
       for (std::uint32_t index = 0;
            index < spec->second.steps[dependency].count; ++index) {
@@ -70,12 +92,13 @@
         }
       }
     }
-    if (refused_.contains(task.job) && !accepted_.contains(task.job) &&
-        !uncertain_.contains(task.job)) {
+    if (refusals_[task.job] == submissions_[task.job] &&
+        !accepted_.contains(task.job) && !uncertain_.contains(task.job)) {
       AddViolation("REFUSED", run, "every submission attempt was refused");
     }
     running_[task].insert(worker);
     restarts_.RunStarted(task);
+    cancels_.RunStarted(worker, run, now);
   }
 
   void RunEnded(const std::string& worker,
@@ -83,12 +106,14 @@
                 end_cause cause,
                 time_point now) {
     running_[run.task].erase(worker);
+    cancels_.RunEnded(worker, run);
     if (cause == end_cause::kDone) {
       done_.insert(run.task);
       ever_done_.insert(run.task);
     }
     if (cause == end_cause::kFailed) {
       failed_[run.task].insert(run.run);
+      ever_failed_[run.task].insert(run.run);
     }
     const auto spec = specs_.find(run.task.job);
     if (spec != specs_.end() &&
@@ -98,10 +123,27 @@
     }
   }
 
+  /// @brief The task crashed a worker that had started it.
+  void WorkerCrashedUnder(const jobs::task_ref& task) { ++crashes_[task]; }
+
+  /// @brief A caller was told that the job has failed.
+  void JobShownFailed(jobs::job_id job) {
+    if (!HasTaskThatMayBeGivenUp(job) && !HasTaskWithoutAttempts(job)) {
+      violations_.push_back(
+          absl::StrCat("LOST: ", jobs::Format(job), " failed without cause"));
+    }
+  }
+  /// @brief Number of workers that the task has crashed.
+  int Crashes(const jobs::task_ref& task) const {
+    const auto count = crashes_.find(task);
+    return count == crashes_.end() ? 0 : count->second;
+  }
+
   /// @brief Checks what depends on the state of the whole fleet.
   void Observe(const fleet_view& fleet, time_point now) {
     const auto is_owed = [this](jobs::job_id job) {
-      return accepted_.contains(job) && !cancelled_.contains(job);
+      return accepted_.contains(job) && !cancelled_.contains(job) &&
+             !HasTaskThatMayBeGivenUp(job);
     };
     const auto step_of =
         [this](const jobs::task_ref& task) -> const jobs::step_spec& {
@@ -111,6 +153,10 @@
          restarts_.Observe(fleet, is_owed, step_of, now)) {
       violations_.push_back(Format(violation));
     }
+    for (const cancel_violation& violation :
+         cancels_.Observe(fleet.disrupted, now)) {
+      violations_.push_back(Format(violation));
+    }
   }
 
   /// @brief Removes the outcome that RunEnded recorded: the worker crashed, or
@@ -153,6 +199,20 @@
   const std::vector<std::string>& Violations() const { return violations_; }
 
  private:
+  bool HasTaskThatMayBeGivenUp(jobs::job_id job) const {
+    return std::any_of(
+        crashes_.begin(), crashes_.end(), [job](const auto& entry) {
+          return entry.first.job == job && entry.second >= kCrashesToGiveUp;
+        });
+  }
+  bool HasTaskWithoutAttempts(jobs::job_id job) const {
+    return std::any_of(ever_failed_.begin(), ever_failed_.end(),
+                       [this, job](const auto& entry) {
+                         return entry.first.job == job &&
+                                entry.second.size() >= max_attempts_;
+                       });
+  }
+
   void AddViolation(const std::string& invariant,
                     const jobs::run_ref& run,
                     const std::string& reason) {
@@ -162,17 +222,27 @@
 
   const std::size_t max_attempts_;
   std::map<jobs::job_id, jobs::job_spec> specs_;
-  std::set<jobs::job_id> refused_;
+  /// Submissions of each job, and how many of them were refused. One without
+  /// an answer may be stored.
+  std::map<jobs::job_id, int> submissions_;
+  std::map<jobs::job_id, int> refusals_;
   std::set<jobs::job_id> accepted_;
   std::set<jobs::job_id> uncertain_;
   std::set<jobs::job_id> cancelled_;
   std::map<jobs::task_ref, std::set<std::string>> running_;
   std::map<jobs::task_ref, std::set<jobs::run_number>> failed_;
+  /// As failed_, with the ends that were discarded later.
+  std::map<jobs::task_ref, std::set<jobs::run_number>> ever_failed_;
+  /// Workers that each task has crashed.
+  std::map<jobs::task_ref, int> crashes_;
+  /// Starts of each task after kCrashesBeforeBudget crashes.
+  std::map<jobs::task_ref, int> starts_after_crashes_;
   std::set<jobs::task_ref> done_;
   /// Also holds tasks whose end was discarded later, as dependent steps may
   /// have started before that.
   std::set<jobs::task_ref> ever_done_;
   restart_invariant restarts_;
+  cancel_invariant cancels_;
   std::vector<std::string> violations_;
 };
 
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -14,7 +14,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/control/control_state.hpp"
+#include "skylarkbridge/control/job_body_fake.hpp"
 #include "skylarkbridge/control/job_invariant_checker_fake.hpp"
+#include "skylarkbridge/control/processor_fake.hpp"
 #include "skylarkbridge/control/store_fake.hpp"
 #include "skylarkbridge/control/worker_fake.hpp"
 
@@ -34,6 +36,12 @@
             const jobs::read_request& call,
             time_point deadline);
   void SendOrder(const jobs::order& order, time_point deadline);
+  /// @brief The calls themselves, once the traffic thread sends them.
+  void AppendNow(append_call call, time_point deadline);
+  void ReadNow(const topic& source,
+               const jobs::read_request& call,
+               time_point deadline);
+  void SendOrderNow(const jobs::order& order, time_point deadline);
 
   /// @brief Decodes "VERSION MAX_ATTEMPTS" into a configuration with the queue
   /// "batch" and the more urgent queue "serving".
@@ -54,8 +62,9 @@
     configuration.queues.push_back(queue);
     return configuration;
   }
-  /// @brief Decodes "MILLICORES", or "MILLICORES MILLISECONDS" of a worker that
-  /// drains and leaves after that time. Each worker has a rack of its own.
+  /// @brief Decodes "MILLICORES BORN", or "MILLICORES BORN MILLISECONDS" of a
+  /// worker that drains and leaves after that time. BORN is its start time.
+  /// Each worker has a rack of its own.
   static boost::leaf::result<jobs::worker_entry> DecodeWorker(
       const std::string& worker,
       std::string_view bytes) {
@@ -63,7 +72,9 @@
         .worker = worker, .service = "service", .address = worker};
     entry.rack = worker;
     std::istringstream text{std::string(bytes)};
-    text >> entry.capacity.millicores;
+    std::int64_t born = 0;
+    text >> entry.capacity.millicores >> born;
+    entry.start_time = jobs::worker_start_time(std::chrono::milliseconds(born));
     if (std::int64_t time_left = 0; text >> time_left) {
       entry.draining = true;
       entry.minimum_time_left = std::chrono::milliseconds(time_left);
@@ -77,10 +88,11 @@
   /// before it. Negative MILLICORES stand for a long-running job, which should
   /// have one step. FAILURES: see worker_fake::ParseRunState. The settings
   /// after the counts apply to all steps: max_per_worker, image, and target,
-  /// the latency target in milliseconds. For queue see QueueOf.
+  /// the latency target in milliseconds. For queue see QueueOf, for crash and
+  /// crashers worker_fake::ParseRunState.
   static boost::leaf::result<jobs::job_spec> DecodeJob(std::string_view body) {
     jobs::job_spec spec{.payload = std::string(body)};
-    const std::map<std::string, std::string> settings = Settings(body);
+    const std::map<std::string, std::string> settings = JobSettings(body);
     std::istringstream text{spec.payload};
     std::int64_t millicores = 0;
     std::int64_t duration = 0;
@@ -102,7 +114,7 @@
   /// @brief Returns the value of "queue" in the body of a job; "batch" without
   /// it.
   static std::string QueueOf(std::string_view body) {
-    const std::map<std::string, std::string> settings = Settings(body);
+    const std::map<std::string, std::string> settings = JobSettings(body);
     const auto queue = settings.find("queue");
     return queue == settings.end() ? "batch" : queue->second;
   }
@@ -111,18 +123,6 @@
   }
 
  private:
-  /// The words of the form NAME=VALUE.
-  static std::map<std::string, std::string> Settings(std::string_view body) {
-    std::map<std::string, std::string> settings;
-    std::istringstream text{std::string(body)};
-    for (std::string word; text >> word;) {
-      if (const std::size_t separator = word.find('=');
-          separator != std::string::npos) {
-        settings[word.substr(0, separator)] = word.substr(separator + 1);
-      }
-    }
-    return settings;
-  }
   static void ApplySettings(const std::map<std::string, std::string>& settings,
                             jobs::step_spec& step) {
     for (const auto& [name, value] : settings) {
@@ -172,14 +172,24 @@
     std::uint32_t max_attempts = 3;
     /// Number of cells that the fleet is divided into.
     std::size_t cells = 1;
-    /// Share of a core of each VM; VMs beyond the list have the default.
+    /// Each VM's share of a core. It sets the pauses of its reads.
+    double processor_share = 0.25;
+    /// Shares of the first VMs, where they differ.
     std::vector<double> processor_shares;
+    /// The platform's bounds that the checker applies to cancelled jobs.
+    cancel_bounds cancels = {};
+    /// The processor of each VM.
+    processor_options processor = {};
+    /// How long a worker that a task crashed stays away.
+    std::chrono::milliseconds crash_return{3000};
+    /// Whether it returns as a new worker, and not under its id.
+    bool returns_under_new_id = false;
   };
 
   explicit virtual_fleet(const options& settings)
       : options_(settings),
         random_(settings.seed),
-        checker_(settings.max_attempts) {
+        checker_(settings.max_attempts, settings.cancels) {
     store_.Put({topic_kind::kConfiguration}, "config",
                absl::StrCat("1 ", settings.max_attempts));
     for (std::size_t worker = 0; worker < settings.workers; ++worker) {
@@ -204,6 +214,7 @@
       for (auto& [id, worker] : workers_) {
         if (worker.Up()) {
           worker.Advance(now_);
+          CrashUnderTasks(worker);
         }
       }
       while (!pending_events_.empty() &&
@@ -214,9 +225,12 @@
         action();
       }
       for (vm_state& vm : vms_) {
-        if (vm.control && now_ >= vm.next_run_at) {
+        if (vm.control && vm.processor) {
+          vm.processor->Work(kTick, now_, [&] { return RunControl(vm); });
+        } else if (vm.control && now_ >= vm.next_run_at) {
           vm.control->Run(now_, Wall());
           vm.next_run_at = vm.control->NextDeadline(now_);
+          vm.runs_due_at_once += vm.next_run_at <= now_ ? 1 : 0;
         }
       }
       if (now_ >= next_observation_) {
@@ -242,9 +256,9 @@
     control_options options;
     options.ownership.vm = absl::StrCat("vm", vm);
     options.ownership.incarnation = state.incarnation;
-    if (vm < options_.processor_shares.size()) {
-      options.ownership.processor_share = options_.processor_shares[vm];
-    }
+    options.ownership.processor_share = vm < options_.processor_shares.size()
+                                            ? options_.processor_shares[vm]
+                                            : options_.processor_share;
     // Differs for each start of each VM, so that two claims of one epoch have
     // different sequence numbers.
     options.first_sequence = 1000 * (vm + 1) + 100 * state.incarnation;
@@ -255,6 +269,11 @@
         std::make_unique<control_state<platform_fake, callers_fake>>(
             options, *state.platform, *state.callers, metrics_);
     state.next_run_at = now_;
+    state.mailbox.clear();
+    state.processor.reset();
+    if (options_.processor.share > 0) {
+      state.processor = std::make_unique<processor_fake>(options_.processor);
+    }
   }
   void StopVm(std::size_t vm) {
     fault_occurred_ = true;
@@ -285,8 +304,7 @@
     fault_occurred_ = true;
     draining_workers_.erase(id);
     workers_.at(id).Start(now_);
-    store_.Put({topic_kind::kWorkers}, id,
-               absl::StrCat(workers_.at(id).Capacity().millicores));
+    store_.Put({topic_kind::kWorkers}, id, EntryOf(workers_.at(id)));
   }
   /// @brief Crashes a worker. After 3 s it disappears from the store's list of
   /// workers, unless it has been started again.
@@ -299,14 +317,22 @@
       }
     });
   }
+  /// @brief Changes the capacity of a worker, which says so in the store. This
+  /// is not a fault.
+  void SetCapacity(const std::string& id, std::int64_t millicores) {
+    worker_fake& worker = workers_.at(id);
+    worker.SetCapacity({.millicores = millicores}, now_);
+    if (worker.Up() && !draining_workers_.contains(id)) {
+      store_.Put({topic_kind::kWorkers}, id, EntryOf(worker));
+    }
+  }
   /// @brief Announces that a worker leaves after @p time_left, which it then
   /// does unless it has been started again. This is planned and not a fault.
   void DrainWorker(const std::string& id, std::chrono::milliseconds time_left) {
     const int incarnation = workers_.at(id).Incarnation();
     draining_workers_.insert(id);
     store_.Put({topic_kind::kWorkers}, id,
-               absl::StrCat(workers_.at(id).Capacity().millicores, " ",
-                            time_left.count()));
+               absl::StrCat(EntryOf(workers_.at(id)), " ", time_left.count()));
     ScheduleAfter(time_left, [this, id, incarnation] {
       worker_fake& worker = workers_.at(id);
       if (worker.Up() && worker.Incarnation() == incarnation) {
@@ -322,6 +348,11 @@
     }
   }
   void TrimStore() { store_.Trim(); }
+  /// @brief Publishes a configuration with the same settings.
+  void PublishConfiguration(std::uint64_t version) {
+    store_.Put({topic_kind::kConfiguration}, "config",
+               absl::StrCat(version, " ", options_.max_attempts));
+  }
   worker_fake& Worker(const std::string& id) { return workers_.at(id); }
 
   // Callers.
@@ -349,6 +380,8 @@
                          .deadline = now_ + std::chrono::seconds(3)},
           now_, Wall());
       vms_[vm].next_run_at = now_;
+    } else if (method == caller_method::kSubmit) {
+      checker_.JobRefused(job);
     }
     return token;
   }
@@ -366,6 +399,20 @@
     vms_[vm].next_run_at = now_;
     return token;
   }
+  /// @brief How often the VM's control state was due to run again at once after
+  /// a run. Its thread does not sleep then.
+  int RunsDueAtOnce(std::size_t vm) const { return vms_[vm].runs_due_at_once; }
+  /// @brief Loses the answers to the next @p count snapshot reads of a cell's
+  /// log that the VM sends.
+  void LoseSnapshotAnswers(std::size_t vm, jobs::cell_id cell, int count) {
+    vms_[vm].snapshot_answers_to_lose[cell] = count;
+  }
+  /// @brief Whether the answer to a snapshot read that the VM sends now is
+  /// lost.
+  bool TakeLostSnapshotAnswer(std::size_t vm, jobs::cell_id cell) {
+    int& left = vms_[vm].snapshot_answers_to_lose[cell];
+    return left > 0 && left-- > 0;
+  }
   /// @brief Highest number of snapshot reads of cell logs that the VM has had
   /// in flight at once.
   int MaxConcurrentSnapshots(std::size_t vm) const {
@@ -383,6 +430,14 @@
   void RecordAnswer(std::uint64_t token, const caller_answer& answer) {
     answers_[token] = answer;
     const auto& [job, method] = requests_.at(token);
+    if (method == caller_method::kCancel &&
+        answer.kind == answer_kind::kCancelled) {
+      checker_.CancelStored(job, now_);
+    }
+    if (answer.kind == answer_kind::kState &&
+        answer.state == jobs::reported_state::kFailed) {
+      checker_.JobShownFailed(job);
+    }
     if (method != caller_method::kSubmit) {
       return;
     }
@@ -415,6 +470,10 @@
                                         jobs::cell_id cell = 0) const {
     return *Control(vm).Cells().at(cell);
   }
+  /// @brief The VM's processor; null for one without a share.
+  const processor_fake* Processor(std::size_t vm) const {
+    return vms_[vm].processor.get();
+  }
   const job_invariant_checker& Checker() const { return checker_; }
   time_point Now() const { return now_; }
   std::mt19937_64& Random() { return random_; }
@@ -438,6 +497,16 @@
   /// @brief Draws the delay of a call to the store in one direction.
   std::chrono::milliseconds StoreDelay() { return store_delay_ + Delay(); }
   store_fake& Store() { return store_; }
+  /// @brief Executes an append and tells the checker which cancels it stores.
+  append_reply ExecuteAppend(const append_call& call) {
+    const append_reply reply = store_.Append(call);
+    if (reply.result == store_result::kDone) {
+      for (const records::keyed_record& record : call.batch) {
+        NoteCancel(record);
+      }
+    }
+    return reply;
+  }
   /// @brief Draws the delay of a call in one direction.
   std::chrono::milliseconds Delay() {
     return std::chrono::milliseconds(1 + static_cast<int>(Draw() * 3));
@@ -467,19 +536,30 @@
                     const Order& order,
                     bool deliver_reply,
                     int worker_incarnation,
-                    time_point until);
+                    time_point until,
+                    time_point deadline);
+  /// @brief Sends a call of a VM, after the earlier work of its traffic thread
+  /// when its processor has a share.
+  void Transmit(std::size_t vm, std::function<void()> send);
   /// @brief Hands a reply to the VM, unless it has been restarted since the
   /// call.
+  /// @param deadline when the VM stops waiting for the reply.
   void Deliver(std::size_t vm,
                std::uint64_t incarnation,
-               platform_reply reply) {
+               platform_reply reply,
+               time_point deadline = time_point::max()) {
     vm_state& state = vms_[vm];
     if (const auto* const read = std::get_if<read_reply>(&reply);
         read != nullptr && read->source.kind == topic_kind::kJobs &&
         std::holds_alternative<jobs::snapshot_page>(read->outcome)) {
       --state.snapshots_in_flight;
     }
-    if (state.control && state.incarnation == incarnation) {
+    if (!state.control || state.incarnation != incarnation) {
+      return;
+    }
+    if (state.processor) {
+      Receive(vm, std::move(reply), deadline);
+    } else {
       state.control->Handle(std::move(reply), now_, Wall());
       state.next_run_at = now_;
     }
@@ -502,12 +582,53 @@
     /// Snapshot reads of cell logs in flight, and their highest number so far.
     int snapshots_in_flight = 0;
     int max_concurrent_snapshots = 0;
+    std::map<jobs::cell_id, int> snapshot_answers_to_lose;
+    int runs_due_at_once = 0;
     time_point next_run_at;
+    /// Present when the processor has a share.
+    std::unique_ptr<processor_fake> processor;
+    /// Replies that wait for the control thread.
+    std::vector<platform_reply> mailbox;
     bool store_cut = false;
     bool workers_cut = false;
     std::set<std::string> cut_workers;
   };
 
+  /// Queues a reply for the traffic thread of a VM.
+  void Receive(std::size_t vm, platform_reply reply, time_point deadline);
+  /// Makes a pass of the control thread if one is due. Returns its processor
+  /// time.
+  std::chrono::nanoseconds RunControl(vm_state& vm);
+
+  /// The entry of a worker that does not drain; see
+  /// platform_fake::DecodeWorker.
+  static std::string EntryOf(const worker_fake& worker) {
+    return absl::StrCat(worker.Capacity().millicores, " ",
+                        worker.StartTime().time_since_epoch().count());
+  }
+  /// Crashes a worker under the tasks whose time to do so has come. It returns
+  /// after options::crash_return.
+  void CrashUnderTasks(worker_fake& worker) {
+    const std::vector<jobs::task_ref> tasks = worker.CrashingTasks(now_);
+    if (tasks.empty()) {
+      return;
+    }
+    for (const jobs::task_ref& task : tasks) {
+      checker_.WorkerCrashedUnder(task);
+    }
+    CrashWorker(worker.Id());
+    ScheduleAfter(options_.crash_return, [this, &worker] {
+      if (worker.Up()) {
+        return;
+      }
+      std::string id = worker.Id();
+      if (options_.returns_under_new_id) {
+        id = absl::StrCat("n", workers_.size());
+        workers_.emplace(id, worker_fake(id, worker.Capacity(), checker_));
+      }
+      StartWorker(id);
+    });
+  }
   /// Whether a fault is present that has not ended.
   bool FaultPresent() const {
     const auto unavailable = [](const vm_state& vm) { return !vm.control; };
@@ -528,6 +649,19 @@
     }
     return view;
   }
+  void NoteCancel(const records::keyed_record& record) {
+    if (!record.value) {
+      return;
+    }
+    const auto decoded = records::Decode(record.key, *record.value);
+    if (!decoded || !*decoded) {
+      return;
+    }
+    if (const auto* const cancelled =
+            std::get_if<jobs::job_cancelled>(&**decoded)) {
+      checker_.CancelStored(cancelled->job, now_);
+    }
+  }
   std::string PathOf(jobs::job_id job) const {
     const auto queue = queues_.find(job);
     return absl::StrCat("/", queue == queues_.end() ? "batch" : queue->second,
@@ -568,6 +702,23 @@
 }
 
 inline void platform_fake::Append(append_call call, time_point deadline) {
+  fleet_.Transmit(vm_, [this, call = std::move(call), deadline] {
+    AppendNow(call, deadline);
+  });
+}
+inline void platform_fake::Read(const topic& source,
+                                const jobs::read_request& call,
+                                time_point deadline) {
+  fleet_.Transmit(
+      vm_, [this, source, call, deadline] { ReadNow(source, call, deadline); });
+}
+inline void platform_fake::SendOrder(const jobs::order& order,
+                                     time_point deadline) {
+  fleet_.Transmit(vm_,
+                  [this, order, deadline] { SendOrderNow(order, deadline); });
+}
+
+inline void platform_fake::AppendNow(append_call call, time_point deadline) {
   const auto no_answer = [this, target = call.target, number = call.number,
                           deadline] {
     fleet_.ScheduleAt(deadline, [&fleet = fleet_, vm = vm_,
@@ -596,23 +747,26 @@
   if (answer_lost) {
     no_answer();
   }
-  fleet_.ScheduleAfter(fleet_.StoreDelay(), [&fleet = fleet_, vm = vm_,
-                                             incarnation = incarnation_,
-                                             answer_lost,
-                                             call = std::move(call)] {
-    const append_reply reply = fleet.Store().Append(call);
-    if (!answer_lost) {
-      fleet.ScheduleAfter(fleet.StoreDelay(), [&fleet, vm, incarnation, reply] {
-        fleet.Deliver(vm, incarnation, reply);
+  fleet_.ScheduleAfter(
+      fleet_.StoreDelay(),
+      [&fleet = fleet_, vm = vm_, incarnation = incarnation_, answer_lost,
+       deadline, call = std::move(call)] {
+        const append_reply reply = fleet.ExecuteAppend(call);
+        if (!answer_lost) {
+          fleet.ScheduleAfter(fleet.StoreDelay(),
+                              [&fleet, vm, incarnation, reply, deadline] {
+                                fleet.Deliver(vm, incarnation, reply, deadline);
+                              });
+        }
       });
-    }
-  });
 }
 
-inline void platform_fake::Read(const topic& source,
-                                const jobs::read_request& call,
-                                time_point deadline) {
-  if (call.snapshot && source.kind == topic_kind::kJobs) {
+inline void platform_fake::ReadNow(const topic& source,
+                                   const jobs::read_request& call,
+                                   time_point deadline) {
+  const bool snapshot_of_cell =
+      call.snapshot && source.kind == topic_kind::kJobs;
+  if (snapshot_of_cell) {
     fleet_.SnapshotStarted(vm_);
   }
   const auto fail_at = [this, source, number = call.number](
@@ -626,7 +780,8 @@
                                    .outcome = read_failed{result}});
         });
   };
-  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline)) {
+  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline) ||
+      (snapshot_of_cell && fleet_.TakeLostSnapshotAnswer(vm_, source.cell))) {
     fail_at(deadline, store_result::kNoAnswer);
     return;
   }
@@ -670,8 +825,8 @@
     arrival = deadline;
     reply.outcome = read_failed{};
   }
-  ScheduleAt(arrival, [this, vm, incarnation, reply] {
-    Deliver(vm, incarnation, reply);
+  ScheduleAt(arrival, [this, vm, incarnation, reply, deadline] {
+    Deliver(vm, incarnation, reply, deadline);
   });
 }
 
@@ -687,13 +842,125 @@
 inline jobs::stop_reply NoAnswerReply(const jobs::stop_order& order) {
   return {.worker = order.target.worker, .run = order.run};
 }
+/// Replaces a reply that is lost at the VM.
+inline platform_reply WithoutAnswer(const platform_reply& reply) {
+  if (const auto* const append = std::get_if<append_reply>(&reply)) {
+    return append_reply{.target = append->target, .number = append->number};
+  }
+  if (const auto* const read = std::get_if<read_reply>(&reply)) {
+    return read_reply{.source = read->source,
+                      .number = read->number,
+                      .outcome = read_failed{}};
+  }
+  if (const auto* const renewal = std::get_if<jobs::renew_reply>(&reply)) {
+    return jobs::renew_reply{.worker = renewal->worker,
+                             .renewal_number = renewal->renewal_number};
+  }
+  if (const auto* const start = std::get_if<jobs::start_reply>(&reply)) {
+    return jobs::start_reply{.worker = start->worker, .run = start->run};
+  }
+  if (const auto* const stop = std::get_if<jobs::stop_reply>(&reply)) {
+    return jobs::stop_reply{.worker = stop->worker, .run = stop->run};
+  }
+  return reply;
+}
+
+/// The records in a reply of the store.
+inline const std::vector<jobs::topic_record>* RecordsOf(
+    const platform_reply& reply) {
+  const auto* const read = std::get_if<read_reply>(&reply);
+  if (read == nullptr) {
+    return nullptr;
+  }
+  if (const auto* const tail = std::get_if<jobs::tail_page>(&read->outcome)) {
+    return &tail->records;
+  }
+  const auto* const page = std::get_if<jobs::snapshot_page>(&read->outcome);
+  return page == nullptr ? nullptr : &page->records;
+}
+
+/// The runs that a worker's report lists.
+inline std::size_t RunsOf(const platform_reply& reply) {
+  const auto* const renewal = std::get_if<jobs::renew_reply>(&reply);
+  return renewal == nullptr || !renewal->report
+             ? 0
+             : renewal->report->running.size() + renewal->report->ended.size();
+}
+
+/// Size of a reply's body on the platform's connections, about.
+inline std::size_t BytesOf(const platform_reply& reply) {
+  constexpr std::size_t kOtherBytes = 70;
+  constexpr std::size_t kRunBytes = 61;
+  constexpr std::size_t kRecordBytes = 5;
+  std::size_t bytes = kOtherBytes + kRunBytes * RunsOf(reply);
+  if (const auto* const page = RecordsOf(reply)) {
+    for (const jobs::topic_record& record : *page) {
+      bytes += kRecordBytes + record.key.size() +
+               (record.value ? record.value->size() : 0);
+    }
+  }
+  return bytes;
+}
+
+inline void virtual_fleet::Transmit(std::size_t vm,
+                                    std::function<void()> send) {
+  vm_state& state = vms_[vm];
+  if (!state.processor) {
+    send();
+    return;
+  }
+  state.processor->Add(
+      {.first_turn = options_.processor.costs.request,
+       .finish = [send = std::move(send)](bool /*in_time*/) { send(); }});
+}
+
+inline void virtual_fleet::Receive(std::size_t vm,
+                                   platform_reply reply,
+                                   time_point deadline) {
+  const processor_costs& costs = options_.processor.costs;
+  if (now_ > deadline) {
+    reply = WithoutAnswer(reply);
+  }
+  vms_[vm].processor->Add(
+      {.turns = 1 + BytesOf(reply) / options_.processor.read_bytes,
+       .first_turn = costs.reply + costs.reported_run * RunsOf(reply),
+       .further_turn = costs.further_read,
+       .deadline = deadline,
+       .finish = [this, vm, reply](bool in_time) {
+         vms_[vm].mailbox.push_back(in_time ? reply : WithoutAnswer(reply));
+       }});
+}
+
+inline std::chrono::nanoseconds virtual_fleet::RunControl(vm_state& vm) {
+  if (vm.mailbox.empty() && now_ < vm.next_run_at) {
+    return std::chrono::nanoseconds(0);
+  }
+  const processor_costs& costs = options_.processor.costs;
+  std::chrono::nanoseconds cost = costs.pass;
+  for (platform_reply& reply : std::exchange(vm.mailbox, {})) {
+    const auto* const records = RecordsOf(reply);
+    cost += costs.handled_reply;
+    cost += costs.record * (records == nullptr ? 0 : records->size());
+    vm.control->Handle(std::move(reply), now_, Wall());
+  }
+  for (const auto& cell : vm.control->Cells()) {
+    if (cell->Active()) {
+      cost += costs.ready_step * cell->Scheduler().Jobs().ReadySteps().size();
+    }
+  }
+  vm.control->Run(now_, Wall());
+  vm.next_run_at = std::max(vm.control->NextDeadline(now_), now_ + kTick);
+  return cost;
+}
+
 template <class Order>
 void virtual_fleet::ExecuteOrder(std::size_t vm,
                                  std::uint64_t incarnation,
                                  const Order& order,
                                  bool deliver_reply,
                                  int worker_incarnation,
-                                 time_point until) {
+                                 time_point until,
+                                 time_point deadline) {
   worker_fake& worker = Worker(order.target.worker);
   // A crash breaks the connections of the calls in flight. An order whose
   // answer is lost may still reach the restarted worker.
@@ -708,15 +975,16 @@
   if constexpr (std::is_same_v<Order, jobs::renew_order>) {
     if (!worker.HasUnacknowledgedEnds(order) && now_ < until && deliver_reply) {
       ScheduleAfter(kPollInterval, [this, vm, incarnation, order,
-                                    worker_incarnation, until] {
-        ExecuteOrder(vm, incarnation, order, true, worker_incarnation, until);
+                                    worker_incarnation, until, deadline] {
+        ExecuteOrder(vm, incarnation, order, true, worker_incarnation, until,
+                     deadline);
       });
       return;
     }
   }
   if (deliver_reply) {
-    ScheduleAfter(Delay(), [this, vm, incarnation, reply] {
-      Deliver(vm, incarnation, reply);
+    ScheduleAfter(Delay(), [this, vm, incarnation, reply, deadline] {
+      Deliver(vm, incarnation, reply, deadline);
     });
   }
 }
@@ -751,14 +1019,14 @@
       delay,
       [&fleet = fleet_, vm = vm_, incarnation = incarnation_, order,
        answer_lost, worker_incarnation = fleet_.Worker(worker).Incarnation(),
-       until = fleet_.Now() + LongPollWait(order)] {
+       until = fleet_.Now() + LongPollWait(order), deadline] {
         fleet.ExecuteOrder(vm, incarnation, order, !answer_lost,
-                           worker_incarnation, until);
+                           worker_incarnation, until, deadline);
       });
 }
 
-inline void platform_fake::SendOrder(const jobs::order& order,
-                                     time_point deadline) {
+inline void platform_fake::SendOrderNow(const jobs::order& order,
+                                        time_point deadline) {
   if (const auto* renewal = std::get_if<jobs::renew_order>(&order)) {
     SendToWorker(*renewal, deadline);
   } else if (const auto* start = std::get_if<jobs::start_order>(&order)) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -99,6 +99,7 @@
           now - *task->last_run_ended_at);
     }
   }
+  IsolateSuspect(session, run, state, now);
   jobs_.RecordStart(run, session.entry.worker);
   SendStart(session, run, state, now);
   AddNote(scheduling_event::kStartOrdered, run, session.entry.worker,
@@ -219,6 +220,7 @@
       continue;
     }
     state.stop_under_way = true;
+    ++state.stop_attempts;
     orders_.emplace_back(stop_order{.target = Target(session), .run = run});
     AddNote(scheduling_event::kStopOrdered, run, session.entry.worker);
   }
@@ -239,10 +241,13 @@
   }
   worker_run& run = found->second;
   run.stop_under_way = false;
+  run.last_stop_result = reply.result;
   if (reply.result == order_result::kDone ||
       reply.result == order_result::kStaleRun) {
     run.phase = run_phase::kStopping;
     run.first_conclusive_renewal = session.last_renewal + 1;
+    run.earliest_stop_retry =
+        now + options_.stop_timeout + options_.stop_retry_delay;
   } else {
     run.earliest_stop_retry = now + options_.stop_retry_delay;
   }
