--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -516,7 +516,6 @@
   if (ranked.starving) {
     options.best_effort_share = 0;
   }
-  bool all_placed = true;
   for (const std::uint32_t index : ready) {
     if (!ChooseWorker(step, candidates, "", options)) {
       return false;
@@ -525,7 +524,6 @@
     const std::optional<std::size_t> chosen =
         ChooseWorkerFor(task, step, candidates, options, now);
     if (!chosen) {
-      all_placed = false;
       continue;
     }
     placement_candidate& candidate = candidates[*chosen];
@@ -541,7 +539,7 @@
       break;
     }
   }
-  return all_placed;
+  return true;
 }
 
 bool fleet_scheduler::PlaceGang(const step_ref& ref,
