--- a/bench/fleet_cost_bench.cpp
+++ b/bench/fleet_cost_bench.cpp
@@ -188,7 +188,7 @@
 /// One placement pass after a run has ended, with jobs that wait for room. The
 /// counters identify the decisions: they must not differ after a change that
 /// only saves time.
-void BM_PlacementPass(benchmark::State& state) {
+void PlacementPassBenchmark(benchmark::State& state) {
   cell_driver driver(static_cast<int>(state.range(0)));
   std::uint64_t decisions = 14695981039346656037U;
   int pass = 0;
@@ -232,7 +232,7 @@
       static_cast<double>(driver.scheduler.Jobs().ReadySteps().size());
   state.counters["decisions"] = static_cast<double>(decisions % 1'000'000);
 }
-BENCHMARK(BM_PlacementPass)
+BENCHMARK(PlacementPassBenchmark)
     ->Arg(20)
     ->Arg(60)
     ->Arg(120)
@@ -240,7 +240,7 @@
     ->Unit(benchmark::kMicrosecond);
 
 /// A report of a worker without ends.
-void BM_HandleReport(benchmark::State& state) {
+void HandleReportBenchmark(benchmark::State& state) {
   cell_driver driver(60);
   const std::string worker = driver.scheduler.Workers().begin()->first;
   const worker_report report = driver.Report(worker);
@@ -262,7 +262,9 @@
                             driver.now);
   }
 }
-BENCHMARK(BM_HandleReport)->Iterations(2000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(HandleReportBenchmark)
+    ->Iterations(2000)
+    ->Unit(benchmark::kMicrosecond);
 
 std::string ReportBody() {
   nlohmann::json body{{"clock_ms", 123456}, {"born", 1771563591000}};
@@ -279,13 +281,13 @@
   return body.dump();
 }
 
-void BM_DecodeReport(benchmark::State& state) {
+void DecodeReportBenchmark(benchmark::State& state) {
   const std::string body = ReportBody();
   for (auto _ : state) {
     benchmark::DoNotOptimize(platform::DecodeWorkerReport(body));
   }
 }
-BENCHMARK(BM_DecodeReport)->Unit(benchmark::kMicrosecond);
+BENCHMARK(DecodeReportBenchmark)->Unit(benchmark::kMicrosecond);
 
 job_accepted Accepted() {
   job_accepted record{.job = job_id{7},
@@ -302,31 +304,31 @@
   return record;
 }
 
-void BM_DecodeAccepted(benchmark::State& state) {
+void DecodeAcceptedBenchmark(benchmark::State& state) {
   const records::keyed_record record = records::Encode(Accepted());
   for (auto _ : state) {
     benchmark::DoNotOptimize(records::Decode(record.key, *record.value));
   }
 }
-BENCHMARK(BM_DecodeAccepted)->Unit(benchmark::kMicrosecond);
+BENCHMARK(DecodeAcceptedBenchmark)->Unit(benchmark::kMicrosecond);
 
-void BM_EncodeAdvanced(benchmark::State& state) {
+void EncodeAdvancedBenchmark(benchmark::State& state) {
   const job_advanced record = Advanced();
   for (auto _ : state) {
     benchmark::DoNotOptimize(records::Encode(record));
   }
 }
-BENCHMARK(BM_EncodeAdvanced)->Unit(benchmark::kMicrosecond);
+BENCHMARK(EncodeAdvancedBenchmark)->Unit(benchmark::kMicrosecond);
 
-void BM_DecodeAdvanced(benchmark::State& state) {
+void DecodeAdvancedBenchmark(benchmark::State& state) {
   const records::keyed_record record = records::Encode(Advanced());
   for (auto _ : state) {
     benchmark::DoNotOptimize(records::Decode(record.key, *record.value));
   }
 }
-BENCHMARK(BM_DecodeAdvanced)->Unit(benchmark::kMicrosecond);
+BENCHMARK(DecodeAdvancedBenchmark)->Unit(benchmark::kMicrosecond);
 
-void BM_FormatEvent(benchmark::State& state) {
+void FormatEventBenchmark(benchmark::State& state) {
   for (auto _ : state) {
     benchmark::DoNotOptimize(
         FormatEvent(control::kScheduling, {{"what", "start_ordered"},
@@ -337,7 +339,7 @@
                                            {"epoch", "3"}}));
   }
 }
-BENCHMARK(BM_FormatEvent)->Unit(benchmark::kMicrosecond);
+BENCHMARK(FormatEventBenchmark)->Unit(benchmark::kMicrosecond);
 
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/control/cancel_path_test.cpp
+++ b/src/skylarkbridge/control/cancel_path_test.cpp
@@ -35,7 +35,8 @@
 
 /// A fleet that has run long enough to have owners that have heard from all
 /// workers, and to be calm.
-std::unique_ptr<virtual_fleet> StartedFleet(virtual_fleet::options options) {
+std::unique_ptr<virtual_fleet> StartedFleet(
+    const virtual_fleet::options& options) {
   auto fleet = std::make_unique<virtual_fleet>(options);
   fleet->Advance(kCalmTime + seconds(1));
   return fleet;
--- a/src/skylarkbridge/control/control_loop_test.cpp
+++ b/src/skylarkbridge/control/control_loop_test.cpp
@@ -19,7 +19,8 @@
 /// A run may leave a few calls that are due at once.
 constexpr int kMaxRunsDueAtOnce = 5;
 
-std::unique_ptr<virtual_fleet> StartedFleet(virtual_fleet::options options) {
+std::unique_ptr<virtual_fleet> StartedFleet(
+    const virtual_fleet::options& options) {
   auto fleet = std::make_unique<virtual_fleet>(options);
   fleet->Advance(seconds(5));
   return fleet;
--- a/src/skylarkbridge/control/control_state_test.cpp
+++ b/src/skylarkbridge/control/control_state_test.cpp
@@ -31,7 +31,8 @@
 
 /// A fleet that has run long enough to have an owner that has heard from all
 /// workers.
-std::unique_ptr<virtual_fleet> StartedFleet(virtual_fleet::options options) {
+std::unique_ptr<virtual_fleet> StartedFleet(
+    const virtual_fleet::options& options) {
   auto fleet = std::make_unique<virtual_fleet>(options);
   fleet->Advance(seconds(2));
   return fleet;
