List only workers that have reported as leased

Callers saw long-running tasks that did not run again for 12 s after a takeover although every worker in use had reported to the new owner.

Each entry of the list of workers became a session, and each session went into the stored list of leased workers, also when the worker never answered. A successor waits for every worker of that list until the last lease of the earlier owner has expired, and holds all tasks back meanwhile. One entry of another writer, or of a worker that no VM reaches, was enough.

No task is started on a worker before it has reported and is in the stored list, so the list needs only the workers that have reported, and those of earlier owners that are not accounted for. A worker is now listed with its first report, and starts still wait until the list is stored.

RestartTest.ATakeoverDoesNotWaitForAWorkerThatNeverReported and FleetSchedulerTest.RegistersOnlyWorkersThatHaveReported fail without the change (the first: no run within 10 s) and pass with it. RestartExplorerTest.TakeoversOfOneCell passes 1 to 500 with the change.

--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -264,6 +264,19 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a successor that waits for a worker of the list that no VM has
+// ever reached, and on which no task can have been started.
+TEST(RestartTest, ATakeoverDoesNotWaitForAWorkerThatNeverReported) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->ListUnreachableWorker("unreachable");
+  fleet->Advance(seconds(1));
+  fleet->FailRun(Task(kRestartingJob, 0));
+  fleet->KillVm(*fleet->Owner());
+  EXPECT_TRUE(
+      RunsWithin(*fleet, Task(kRestartingJob, 0), kCalmTime + kMaxRestartTime));
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // Guards against a task that waits for batch work to end, for which nothing
 // bounds the time.
 TEST(RestartTest, MovesTheTasksOfACrashedWorkerToRoomOfLongBatchWork) {
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -306,6 +306,13 @@
     workers_.at(id).Start(now_);
     store_.Put({topic_kind::kWorkers}, id, EntryOf(workers_.at(id)));
   }
+  /// @brief Lists a worker that no VM ever reaches. This is not a fault.
+  void ListUnreachableWorker(const std::string& id) {
+    workers_.emplace(
+        id,
+        worker_fake(id, {.millicores = options_.worker_millicores}, checker_));
+    store_.Put({topic_kind::kWorkers}, id, EntryOf(workers_.at(id)));
+  }
   /// @brief Crashes a worker. After 3 s it disappears from the store's list of
   /// workers, unless it has been started again.
   void CrashWorker(const std::string& id) {
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -168,17 +168,17 @@
   }
   if (std::exchange(leased_workers_changed_, false)) {
     leased_workers leased{.claim_epoch = epoch_};
+    std::set<std::string> workers = unreported_workers_;
     for (const auto& [id, session] : workers_) {
-      leased.workers.push_back(id);
+      if (!session.has_reported) {
+        continue;
+      }
+      workers.insert(id);
       if (!session.registered) {
         registration_writes_.try_emplace(id, write_number_);
       }
     }
-    for (const std::string& worker : unreported_workers_) {
-      if (!workers_.contains(worker)) {
-        leased.workers.push_back(worker);
-      }
-    }
+    leased.workers = {workers.begin(), workers.end()};
     records.emplace_back(std::move(leased));
   }
   return records;
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -182,6 +182,23 @@
   EXPECT_EQ(driver.starts[1].run.task.job, job_id{7});
 }
 
+// Guards against a successor that waits for workers on which no task can have
+// been started, and against one that does not wait for those on which an
+// earlier owner may have started some.
+TEST(FleetSchedulerTest, RegistersOnlyWorkersThatHaveReported) {
+  scheduler_driver driver;
+  driver.Begin({"gone"});
+  driver.silent_worker = "silent";
+  driver.AddWorker("silent", 1000);
+  driver.AddWorker("w0", 1000);
+  driver.RunRounds();
+  EXPECT_EQ(driver.leased, (std::vector<std::string>{"gone", "w0"}));
+  driver.silent_worker.clear();
+  driver.now += milliseconds(500);
+  driver.RunRounds();
+  EXPECT_EQ(driver.leased, (std::vector<std::string>{"gone", "silent", "w0"}));
+}
+
 // Guards against start orders that a worker rejects: it requires a ticket of
 // the queue's placement policy, which decides on the eligible workers.
 TEST(FleetSchedulerTest, StartsTasksOnlyWithATicketOfThePlacementPolicy) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -28,7 +28,6 @@
   session.unlisted_since.reset();
   if (added) {
     session.next_renewal = now;
-    leased_workers_changed_ = true;
   }
   if (entry.start_time && session.start_time &&
       *entry.start_time > *session.start_time) {
@@ -144,6 +143,8 @@
   AdjustPaces(session, now);
   if (!session.has_reported) {
     session.has_reported = true;
+    // No task is started on the worker before this is stored.
+    leased_workers_changed_ = true;
     // From now on the worker refuses the orders of earlier owners.
     session.lease.LimitTo(LatestLeaseExpiry(now));
     placement_pending_ = true;
@@ -360,9 +361,9 @@
         session.unlisted_since &&
         now > *session.unlisted_since + kUnlistedGrace;
     if (removed_from_list && !session.renewal_under_way) {
+      leased_workers_changed_ |= session.has_reported;
       registration_writes_.erase(position->first);
       position = workers_.erase(position);
-      leased_workers_changed_ = true;
     } else {
       ++position;
     }
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -75,7 +75,11 @@
     for (int round = 0; round < 4; ++round) {
       scheduler.Run(now, kWall);
       if (scheduler.HasRecords()) {
-        scheduler.TakeRecords();
+        for (const log_record& record : scheduler.TakeRecords()) {
+          if (const auto* list = std::get_if<leased_workers>(&record)) {
+            leased = list->workers;
+          }
+        }
         scheduler.RecordsStored(scheduler.WriteNumber(), now);
       }
       for (const order& sent_order : scheduler.TakeOrders()) {
@@ -160,6 +164,8 @@
   std::vector<stop_order> stops;
   std::vector<pace_order> paces;
   std::vector<permit_request> permit_requests;
+  /// The workers in the last list of leased workers that was stored.
+  std::vector<std::string> leased;
   /// Worker whose renewals get no answer.
   std::string silent_worker;
   /// Further runs that a worker reports.
