Take a worker out of use while its entry can't be decoded

An entry of another writer under the id of a worker in use changed nothing: the worker kept getting new tasks by the entry before.

A worker whose newest entry can't be decoded now gets no new tasks until it writes a good one. Its runs go on and its lease is renewed.

Event 5032 gives the key and the reason, for each entry once, at most once a minute for a key and five times a second. The event log escapes bytes beyond ASCII. skylarkbridge_worker_entries_rejected_total counts the entries.

Open: an owner that takes over while the entry is odd doesn't know the worker's address, so that its lease ends.

--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -50,6 +50,9 @@
                            "Workers that the owner gives new tasks to")),
         intake_waiting(registry.Gauge("skylarkbridge_intake_waiting",
                                       "Requests that wait for the store")),
+        worker_entries_rejected(registry.Counter(
+            "skylarkbridge_worker_entries_rejected_total",
+            "Entries of the list of workers that could not be decoded")),
         registry_(registry) {}
 
   /// @brief Counts an answer to a caller by the method of its request.
@@ -94,6 +97,7 @@
   telemetry::gauge& longest_restart_wait_ms;
   telemetry::gauge& workers_usable;
   telemetry::gauge& intake_waiting;
+  telemetry::counter& worker_entries_rejected;
 
  private:
   static telemetry::gauge& AgeGauge(telemetry::metrics_registry& registry,
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -23,6 +23,7 @@
 #include "skylarkbridge/control/events.hpp"
 #include "skylarkbridge/control/fleet_cell.hpp"
 #include "skylarkbridge/control/ports.hpp"
+#include "skylarkbridge/control/rejected_entries.hpp"
 #include "skylarkbridge/control/text_format.hpp"
 #include "skylarkbridge/control/topic_follower.hpp"
 #include "skylarkbridge/jobs/fleet_bootstrap.hpp"
@@ -196,6 +197,10 @@
   void ApplyFleetMap(const jobs::reader_update& update, time_point now);
   void ApplyWorkerList(const jobs::reader_update& update, time_point now);
   void ApplyWorkerEntry(const jobs::topic_record& record, time_point now);
+  /// Takes a worker out of use whose entry could not be decoded.
+  void RejectWorkerEntry(const jobs::topic_record& record,
+                         const failure& error,
+                         time_point now);
   void CreateCells(jobs::fleet_map map);
   /// Writes a fleet map if the store has none, once the list of workers is
   /// complete or the time limit of bootstrap_ has passed.
@@ -235,6 +240,7 @@
   std::vector<std::unique_ptr<cell>> cells_;
   /// The cell of each worker that was ever listed.
   absl::flat_hash_map<std::string, jobs::cell_id> worker_cells_;
+  rejected_entries rejected_entries_;
   /// A long-running job that was submitted here and has not been read from a
   /// log yet. ChooseCell counts it as load of its cell.
   struct unconfirmed_submission {
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -267,12 +267,33 @@
         cells_[number]->WorkerListed(entry, now);
         return {};
       },
-      [&](const failure& error) {
-        LogRejectedRecord(topic_kind::kWorkers, record.offset, error);
-      },
+      [&](const failure& error) { RejectWorkerEntry(record, error, now); },
       [] {});
 }
 
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::RejectWorkerEntry(
+    const jobs::topic_record& record,
+    const failure& error,
+    time_point now) {
+  // Both may contain text of any length from the entry.
+  constexpr std::size_t kMaxKeyBytes = 100;
+  constexpr std::size_t kMaxErrorBytes = 300;
+  if (cell* const worker_cell = CellOfWorker(record.key)) {
+    worker_cell->WorkerEntryRejected(record.key);
+  }
+  if (!rejected_entries_.Add(record.key, record.offset)) {
+    return;
+  }
+  metrics_.worker_entries_rejected.Add();
+  if (rejected_entries_.TakeLine(record.key, now)) {
+    LogEvent(kWorkerEntryRejected,
+             {{"worker", record.key.substr(0, kMaxKeyBytes)},
+              {"offset", absl::StrCat(record.offset)},
+              {"error", Format(error).substr(0, kMaxErrorBytes)}});
+  }
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::SetSchedulerOptions(
     const jobs::fleet_scheduler_options& options) {
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -53,6 +53,11 @@
     5030, event_severity::kInfo, "worker_listed", "worker address state rack"};
 inline constexpr event_definition kWorkerUnlisted{5031, event_severity::kInfo,
                                                   "worker_unlisted", "worker"};
+/// An entry of the list of workers could not be decoded. Lines are limited in
+/// each second and for each worker.
+inline constexpr event_definition kWorkerEntryRejected{
+    5032, event_severity::kWarning, "worker_entry_rejected",
+    "worker offset error"};
 inline constexpr event_definition kScheduling{
     5040, event_severity::kInfo, "scheduling",
     "what run worker detail cell epoch"};
@@ -79,6 +84,7 @@
                                                kFleetMapWritten,
                                                kWorkerListed,
                                                kWorkerUnlisted,
+                                               kWorkerEntryRejected,
                                                kScheduling,
                                                kCancelDelayed};
 
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -94,6 +94,10 @@
     scheduler_.SetOptions(options);
   }
   void WorkerListed(const jobs::worker_entry& entry, time_point now);
+  /// @brief The worker's newest entry in the list could not be decoded.
+  void WorkerEntryRejected(const std::string& worker) {
+    scheduler_.WorkerEntryRejected(worker);
+  }
   void WorkerUnlisted(const std::string& worker, time_point now);
   /// @brief Marks the known workers that are missing from @p listed, a complete
   /// list, as unlisted.
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -154,6 +154,9 @@
 
   /// @brief Adds or updates a worker in the platform's list.
   void WorkerListed(const worker_entry& entry, time_point now);
+  /// @brief Records that the worker's newest entry could not be decoded. Its
+  /// runs go on. Does nothing for an unknown worker.
+  void WorkerEntryRejected(const std::string& worker);
   /// @brief Records that the platform's list no longer contains the worker.
   void WorkerUnlisted(const std::string& worker, time_point now);
 
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -98,6 +98,9 @@
   worker_entry entry;
   /// When the worker disappeared from the platform's list; empty while listed.
   std::optional<time_point> unlisted_since;
+  /// The newest entry of the worker in the list could not be decoded. It gets
+  /// no new tasks until it writes one that can; `entry` is the last of these.
+  bool entry_rejected = false;
   std::optional<worker_start_time> start_time;
   worker_lease lease;
   /// The worker has seen this owner's epoch and has sent a report since.
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -64,7 +64,8 @@
   }
   /// @brief Decodes "MILLICORES BORN", or "MILLICORES BORN MILLISECONDS" of a
   /// worker that drains and leaves after that time. BORN is its start time.
-  /// Each worker has a rack of its own.
+  /// Each worker has a rack of its own, unless the setting "rack" names one.
+  /// Fails for a text that begins with anything else.
   static boost::leaf::result<jobs::worker_entry> DecodeWorker(
       const std::string& worker,
       std::string_view bytes) {
@@ -73,7 +74,13 @@
     entry.rack = worker;
     std::istringstream text{std::string(bytes)};
     std::int64_t born = 0;
-    text >> entry.capacity.millicores >> born;
+    if (!(text >> entry.capacity.millicores >> born)) {
+      return boost::leaf::new_error(failure{"worker", "is not a number"});
+    }
+    const std::map<std::string, std::string> settings = JobSettings(bytes);
+    if (const auto rack = settings.find("rack"); rack != settings.end()) {
+      entry.rack = rack->second;
+    }
     entry.start_time = jobs::worker_start_time(std::chrono::milliseconds(born));
     if (std::int64_t time_left = 0; text >> time_left) {
       entry.draining = true;
@@ -306,6 +313,17 @@
     workers_.at(id).Start(now_);
     store_.Put({topic_kind::kWorkers}, id, EntryOf(workers_.at(id)));
   }
+  /// @brief The entry of a worker that does not drain; see
+  /// platform_fake::DecodeWorker.
+  static std::string EntryOf(const worker_fake& worker) {
+    return absl::StrCat(worker.Capacity().millicores, " ",
+                        worker.StartTime().time_since_epoch().count());
+  }
+  /// @brief Writes an entry into the list of workers. This is not a fault.
+  /// @param entry see platform_fake::DecodeWorker.
+  void WriteWorkerEntry(const std::string& key, const std::string& entry) {
+    store_.Put({topic_kind::kWorkers}, key, entry);
+  }
   /// @brief Lists a worker that no VM ever reaches. This is not a fault.
   void ListUnreachableWorker(const std::string& id) {
     workers_.emplace(
@@ -607,12 +625,6 @@
   /// time.
   std::chrono::nanoseconds RunControl(vm_state& vm);
 
-  /// The entry of a worker that does not drain; see
-  /// platform_fake::DecodeWorker.
-  static std::string EntryOf(const worker_fake& worker) {
-    return absl::StrCat(worker.Capacity().millicores, " ",
-                        worker.StartTime().time_since_epoch().count());
-  }
   /// Crashes a worker under the tasks whose time to do so has come. It returns
   /// after options::crash_return.
   void CrashUnderTasks(worker_fake& worker) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -26,6 +26,7 @@
       entry.draining && (added || !session.entry.draining);
   session.entry = entry;
   session.unlisted_since.reset();
+  session.entry_rejected = false;
   if (added) {
     session.next_renewal = now;
   }
@@ -40,6 +41,12 @@
   placement_pending_ = true;
 }
 
+void fleet_scheduler::WorkerEntryRejected(const std::string& worker) {
+  if (const auto session = workers_.find(worker); session != workers_.end()) {
+    session->second.entry_rejected = true;
+  }
+}
+
 void fleet_scheduler::WorkerUnlisted(const std::string& worker,
                                      time_point now) {
   if (const auto session = workers_.find(worker);
@@ -51,8 +58,8 @@
 bool fleet_scheduler::Usable(const worker_session& session,
                              time_point now) const {
   return session.has_reported && session.registered &&
-         !session.entry.draining && !session.unlisted_since &&
-         now >= session.excluded_until &&
+         !session.entry.draining && !session.entry_rejected &&
+         !session.unlisted_since && now >= session.excluded_until &&
          now < session.last_answer + options_.max_silence;
 }
 
