Keep a worker in the cell that may run tasks on it

The owners of two cells could order one worker. Each VM assigned a worker for good to the cell of the rack in the first entry that it read. When the rack of an entry changed, by another writer or as the id came back elsewhere, a VM that became the owner of the other cell later read only the new entry and ordered the same worker under the epochs of its own cell. The worker refused the owner with the lower epoch, which lost its cell. The other way round, a worker that left and came back in another rack stayed assigned to its old cell on VMs that knew it, so that no cell used it there.

The stored list of leased workers of each cell, which every VM reads, now decides: a worker in it belongs to that cell, whatever its rack says, until the owner removes it from the list after it left and its lease has ended. Any other worker belongs to the cell that has a session with it here, or else to that of its rack.

WorkerEntryTest.AChangedRackMovesNoWorkerToAnotherCell (before: the first cell changes its owner's epoch, and both cells have the worker) and AWorkerThatComesBackBelongsToTheCellOfItsRack fail without the change and pass with it.

Open: a rack that changes between the first entry and the first stored report of a worker, on two VMs that read different entries.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -205,6 +205,12 @@
   /// Writes a fleet map if the store has none, once the list of workers is
   /// complete or the time limit of bootstrap_ has passed.
   void WriteFleetMap(time_point now);
+  /// The cell whose owner may have started tasks on the worker, by the log of
+  /// the cell.
+  std::optional<jobs::cell_id> CellThatHolds(const std::string& worker) const;
+  /// The cell of a listed worker: the one that holds it, so that two owners
+  /// never order one worker, or else that of its rack.
+  jobs::cell_id CellFor(const jobs::worker_entry& entry) const;
   /// The cell of a listed worker; null for an unknown one.
   cell* CellOfWorker(const std::string& worker);
   cell& HomeOf(jobs::job_id job) { return *cells_[map_->HomeOf(job)]; }
@@ -238,7 +244,7 @@
   std::optional<jobs::fleet_map> map_;
   /// The cells keep a reference to map_.
   std::vector<std::unique_ptr<cell>> cells_;
-  /// The cell of each worker that was ever listed.
+  /// The cell to which the last entry of each worker was passed on.
   absl::flat_hash_map<std::string, jobs::cell_id> worker_cells_;
   rejected_entries rejected_entries_;
   /// A long-running job that was submitted here and has not been read from a
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -225,6 +225,32 @@
   return known == worker_cells_.end() ? nullptr : cells_[known->second].get();
 }
 
+template <fleet_platform Platform, caller_port Callers>
+std::optional<jobs::cell_id> control_state<Platform, Callers>::CellThatHolds(
+    const std::string& worker) const {
+  for (jobs::cell_id number = 0; number < cells_.size(); ++number) {
+    if (cells_[number]->MayRunTasksOn(worker)) {
+      return number;
+    }
+  }
+  return std::nullopt;
+}
+
+template <fleet_platform Platform, caller_port Callers>
+jobs::cell_id control_state<Platform, Callers>::CellFor(
+    const jobs::worker_entry& entry) const {
+  if (const auto holder = CellThatHolds(entry.worker)) {
+    return *holder;
+  }
+  // A worker that has not reported yet is in no list of leased workers.
+  if (const auto known = worker_cells_.find(entry.worker);
+      known != worker_cells_.end() &&
+      cells_[known->second]->Scheduler().Workers().contains(entry.worker)) {
+    return known->second;
+  }
+  return map_->CellOfRack(entry.rack);
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::ApplyWorkerList(
     const jobs::reader_update& update,
@@ -232,8 +258,10 @@
   for (const jobs::topic_record& record : update.records) {
     if (record.value) {
       ApplyWorkerEntry(record, now);
-    } else if (cell* const worker_cell = CellOfWorker(record.key)) {
-      worker_cell->WorkerUnlisted(record.key, now);
+      continue;
+    }
+    for (const auto& each_cell : cells_) {
+      each_cell->WorkerUnlisted(record.key, now);
     }
   }
   if (update.snapshot_complete) {
@@ -247,8 +275,8 @@
 void control_state<Platform, Callers>::ApplyWorkerEntry(
     const jobs::topic_record& record,
     time_point now) {
-  if (const cell* const worker_cell = CellOfWorker(record.key);
-      worker_cell != nullptr && !worker_cell->Active()) {
+  if (const auto holder = CellThatHolds(record.key);
+      holder && !cells_[*holder]->Active()) {
     return;
   }
   boost::leaf::try_handle_all(
@@ -259,11 +287,8 @@
           bootstrap_.Observe(entry, now);
           return {};
         }
-        // A worker's rack never changes, so its cell doesn't either.
-        const jobs::cell_id number =
-            worker_cells_
-                .try_emplace(entry.worker, map_->CellOfRack(entry.rack))
-                .first->second;
+        const jobs::cell_id number = CellFor(entry);
+        worker_cells_[entry.worker] = number;
         cells_[number]->WorkerListed(entry, now);
         return {};
       },
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/base/string_view.hpp"
@@ -155,6 +156,11 @@
   bool IsOwnerOrClaiming() const { return claiming_ || ownership_.IsOwner(); }
   /// @brief Whether the cell's scheduler runs on this VM.
   bool Active() const { return scheduler_.Active(); }
+  /// @brief Whether an owner of the cell may have started tasks on the worker,
+  /// by the cell's log.
+  bool MayRunTasksOn(const std::string& worker) const {
+    return leased_ids_.contains(worker);
+  }
   jobs::epoch NewestEpoch() const { return ownership_.NewestEpoch(); }
   /// @brief Whether no request of a caller is left to write, and the release,
   /// if any, has been written.
@@ -224,6 +230,8 @@
   topic_follower follower_;
   jobs::job_registry registry_;
   jobs::leased_workers leased_;
+  /// The workers in leased_.
+  absl::flat_hash_set<std::string> leased_ids_;
   jobs::ownership ownership_;
   jobs::fleet_scheduler scheduler_;
   request_writer request_writer_;
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -100,6 +100,7 @@
   } else if (auto* const leased = std::get_if<jobs::leased_workers>(&record)) {
     if (leased->claim_epoch >= leased_.claim_epoch) {
       leased_ = std::move(*leased);
+      leased_ids_ = {leased_.workers.begin(), leased_.workers.end()};
     }
   }
 }
--- a/src/skylarkbridge/control/worker_entry_test.cpp
+++ b/src/skylarkbridge/control/worker_entry_test.cpp
@@ -67,5 +67,59 @@
   EXPECT_TRUE(fleet.Owner(1));
 }
 
+// Guards against owners of two cells that order one worker: each is fenced by
+// the other's epoch and loses its cell. The rack of a known worker leads a new
+// owner, which has not read the earlier entry, to another cell.
+TEST(WorkerEntryTest, AChangedRackMovesNoWorkerToAnotherCell) {
+  virtual_fleet fleet({.workers = 4, .cells = 2});
+  fleet.Advance(seconds(3));
+  ASSERT_TRUE(fleet.Owner(0));
+  ASSERT_TRUE(fleet.Owner(1));
+  const auto workers_of = [&fleet](jobs::cell_id cell) {
+    return fleet.Cell(*fleet.Owner(cell), cell).Scheduler().Workers();
+  };
+  const auto held = workers_of(0);
+  ASSERT_FALSE(held.empty());
+  ASSERT_FALSE(workers_of(1).empty());
+  const std::string worker = held.begin()->first;
+  const std::string other_rack = workers_of(1).begin()->second.entry.rack;
+  const jobs::epoch epoch = fleet.Cell(*fleet.Owner(0), 0).NewestEpoch();
+  fleet.WriteWorkerEntry(
+      worker, absl::StrCat(virtual_fleet::EntryOf(fleet.Worker(worker)),
+                           " rack=", other_rack));
+  fleet.Advance(milliseconds(500));
+  const std::size_t owner = *fleet.Owner(1);
+  ASSERT_NE(owner, *fleet.Owner(0));
+  fleet.KillVm(owner);
+  fleet.Advance(seconds(10));
+  EXPECT_EQ(fleet.Cell(*fleet.Owner(0), 0).NewestEpoch(), epoch);
+  EXPECT_TRUE(workers_of(0).contains(worker));
+  EXPECT_FALSE(workers_of(1).contains(worker));
+}
+
+// Guards against a worker that no cell uses: it leaves, and its id comes back
+// with the rack of another cell, whose owner knows it from before.
+TEST(WorkerEntryTest, AWorkerThatComesBackBelongsToTheCellOfItsRack) {
+  virtual_fleet fleet({.vms = 1, .workers = 4, .cells = 2});
+  fleet.Advance(seconds(3));
+  const auto workers_of = [&fleet](jobs::cell_id cell) {
+    return fleet.Cell(0, cell).Scheduler().Workers();
+  };
+  ASSERT_FALSE(workers_of(0).empty());
+  ASSERT_FALSE(workers_of(1).empty());
+  const std::string worker = workers_of(0).begin()->first;
+  const std::string other_rack = workers_of(1).begin()->second.entry.rack;
+  fleet.CrashWorker(worker);
+  fleet.Advance(seconds(20));
+  ASSERT_FALSE(workers_of(0).contains(worker));
+  fleet.Worker(worker).Start(fleet.Now());
+  fleet.WriteWorkerEntry(
+      worker, absl::StrCat(virtual_fleet::EntryOf(fleet.Worker(worker)),
+                           " rack=", other_rack));
+  fleet.Advance(seconds(2));
+  EXPECT_FALSE(workers_of(0).contains(worker));
+  EXPECT_TRUE(workers_of(1).contains(worker));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
