Count a wait for an unreported worker from one takeover only

Callers saw long-running tasks that did not run again for 12 s and more after the last of several takeovers, when a worker had left shortly after the first.

A successor holds tasks back until each worker of the stored list has reported or its last possible lease has ended: 6 s for the last order of the owner before it and 6.2 s for the lease. Each further owner counted this anew, as nothing said which workers its predecessor had not reached. A worker that left and was not listed any more also stayed in the stored list after the wait.

An owner now stores, 1 s after it began, which workers of earlier owners have not reported to it, with the time until which their leases may run. It extends none of these leases, and as before starts nothing there, until their report is stored; neither does a successor that finds them in the list. So a successor can count on the time. It is counted from the read of the record, which is after its write. After the wait the list is stored without these workers. Workers that report within the first second get their leases extended as before.

RestartTest.ASecondTakeoverDoesNotStartTheWaitForAWorkerAnew fails without the stored time (no run within 8 s of the second death) and passes with it.

--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -230,6 +230,8 @@
   topic_follower follower_;
   jobs::job_registry registry_;
   jobs::leased_workers leased_;
+  /// When leased_ was first read.
+  time_point leased_read_at_;
   /// The workers in leased_.
   absl::flat_hash_set<std::string> leased_ids_;
   jobs::ownership ownership_;
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -98,7 +98,9 @@
                  std::get_if<jobs::ownership_record>(&record)) {
     Apply(*owner, now);
   } else if (auto* const leased = std::get_if<jobs::leased_workers>(&record)) {
-    if (leased->claim_epoch >= leased_.claim_epoch) {
+    // A snapshot may return the known record again, which is older than that.
+    if (leased->claim_epoch >= leased_.claim_epoch && *leased != leased_) {
+      leased_read_at_ = now;
       leased_ = std::move(*leased);
       leased_ids_ = {leased_.workers.begin(), leased_.workers.end()};
     }
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -84,7 +84,8 @@
                              {"epoch", absl::StrCat(ownership_.OwnEpoch())},
                              {"jobs", absl::StrCat(registry_.Jobs().size())},
                              {"leased", absl::StrCat(leased_.workers.size())}});
-  scheduler_.BeginOwnership(ownership_.OwnEpoch(), registry_, leased_.workers,
+  scheduler_.BeginOwnership(ownership_.OwnEpoch(), registry_, leased_,
+                            leased_read_at_,
                             ownership_.PredecessorOrdersUntil(now), now, wall);
   scheduler_.Configure(configuration_);
   worker_list_needed_ = true;
@@ -127,7 +128,7 @@
     batch.push_back(records::Encode(AcceptedRecord(job)));
   }
   if (!batch.empty() || scheduler_.HasRecords()) {
-    for (const jobs::log_record& record : scheduler_.TakeRecords()) {
+    for (const jobs::log_record& record : scheduler_.TakeRecords(now)) {
       batch.push_back(records::Encode(record));
     }
   }
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -34,6 +34,10 @@
   std::chrono::milliseconds lease{5000};
   /// Longest lease that a worker grants, whatever an order requests.
   std::chrono::milliseconds max_lease{6000};
+  /// A new owner stores after this time which workers of earlier owners have
+  /// not reported to it. Most report at once, and those that are stored get no
+  /// longer leases until their report is stored.
+  std::chrono::milliseconds unreported_delay{1000};
   /// How long a worker may delay its answer to a renewal until a run ends.
   std::chrono::milliseconds renewal_wait{1000};
   /// Delay after the first unanswered renewal; grows to five times that.
@@ -111,13 +115,14 @@
 
   /// @brief Starts scheduling when this VM has become the owner of the fleet.
   /// @param registry all jobs; must stay valid until EndOwnership.
-  /// @param leased_workers workers on which an earlier owner may have started
-  /// tasks.
+  /// @param leased workers on which earlier owners may have started tasks.
+  /// @param leased_read_at when the record @p leased was read.
   /// @param earlier_orders_until latest time at which an earlier owner sends
   /// orders.
   void BeginOwnership(epoch owned_epoch,
                       const job_registry& registry,
-                      const std::vector<std::string>& leased_workers,
+                      const leased_workers& leased,
+                      time_point leased_read_at,
                       time_point earlier_orders_until,
                       time_point now,
                       wall_time wall);
@@ -189,7 +194,7 @@
   /// @brief Starts a log write and returns its records, which may be none.
   /// WriteNumber() then returns its number. Call when the previous write is
   /// durable.
-  std::vector<log_record> TakeRecords();
+  std::vector<log_record> TakeRecords(time_point now);
   bool HasRecords() const;
   /// @brief Number of the last log write.
   std::uint64_t WriteNumber() const { return write_number_; }
@@ -265,9 +270,13 @@
                       worker_run& state,
                       time_point now);
   bool IsSuspected(const task_ref& task) const;
-  /// Once each worker of an earlier owner has sent a report or all leases of
-  /// earlier owners have expired, releases the tasks that waited for this.
+  /// Once each worker of an earlier owner has sent a report or its lease has
+  /// expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
+  /// The list of leased workers to store.
+  leased_workers LeasedWorkers(time_point now) const;
+  /// Whether this owner may extend the worker's lease.
+  bool MayExtendLease(const worker_session& session) const;
   bool Usable(const worker_session& session, time_point now) const;
   /// Whether a run on a draining worker has to be stopped: it is long-running,
   /// or it can resume from a checkpoint but would not end before the worker
@@ -559,10 +568,15 @@
   const job_registry* registry_ = nullptr;
   job_table jobs_;
   session_map workers_;
-  /// Workers leased by an earlier owner that have not sent a report yet.
-  std::set<std::string> unreported_workers_;
+  /// Workers leased by an earlier owner that have not sent a report yet, with
+  /// the latest expiry of their leases.
+  std::map<std::string, time_point> unreported_workers_;
+  /// Workers that were stored as leased_workers::unreported.
+  std::set<std::string> stored_unreported_;
+  /// When the unreported workers are stored, unless all have reported.
+  std::optional<time_point> store_unreported_at_;
   /// Latest expiry of a lease from an earlier owner.
-  time_point unreported_until_;
+  time_point earlier_leases_until_;
   bool leased_workers_changed_ = false;
   std::uint64_t write_number_ = 0;
   /// Number of the log write that first lists a worker as leased, by worker.
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -118,12 +118,19 @@
   bool operator==(const ownership_record&) const = default;
 };
 
-/// @brief Workers on which the owner may have started tasks. If a successor
-/// can't reach one of them, it waits until the worker's lease has expired.
+/// @brief Workers on which this owner or an earlier one may have started tasks.
+/// If a successor can't reach one of them, it waits until the worker's lease
+/// has expired.
 struct leased_workers {
   /// Epoch of the owner's claim.
   epoch claim_epoch = 0;
   std::vector<std::string> workers;
+  /// Those among them that have not reported to the owner, with the time until
+  /// which a lease of an earlier owner may run, counted from the write of this
+  /// record. The owner extends their leases only after they have reported and a
+  /// later record no longer contains them here. Empty in records of versions
+  /// that didn't store it.
+  std::map<std::string, std::chrono::milliseconds> unreported;
 
   bool operator==(const leased_workers&) const = default;
 };
--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -264,6 +264,18 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a wait for a worker that left which each takeover starts anew.
+TEST(RestartTest, ASecondTakeoverDoesNotStartTheWaitForAWorkerAnew) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     milliseconds(200));
+  fleet->KillVm(*fleet->Owner());
+  fleet->Advance(seconds(6));
+  ASSERT_FALSE(fleet->Checker().Running(Task(kRestartingJob, 0)));
+  fleet->KillVm(*fleet->Owner());
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), seconds(8)));
+}
+
 // Guards against a successor that waits for a worker of the list that no VM has
 // ever reached, and on which no task can have been started.
 TEST(RestartTest, ATakeoverDoesNotWaitForAWorkerThatNeverReported) {
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -18,19 +18,30 @@
 fleet_scheduler::fleet_scheduler(fleet_scheduler_options options)
     : options_(options), jobs_(options.jobs), permits_(options.permits) {}
 
-void fleet_scheduler::BeginOwnership(
-    epoch owned_epoch,
-    const job_registry& registry,
-    const std::vector<std::string>& leased_workers,
-    time_point earlier_orders_until,
-    time_point now,
-    wall_time wall) {
+void fleet_scheduler::BeginOwnership(epoch owned_epoch,
+                                     const job_registry& registry,
+                                     const leased_workers& leased,
+                                     time_point leased_read_at,
+                                     time_point earlier_orders_until,
+                                     time_point now,
+                                     wall_time wall) {
   EndOwnership();
   active_ = true;
   epoch_ = owned_epoch;
   registry_ = &registry;
-  unreported_workers_ = {leased_workers.begin(), leased_workers.end()};
-  unreported_until_ = LatestLeaseExpiry(earlier_orders_until);
+  earlier_leases_until_ = LatestLeaseExpiry(earlier_orders_until);
+  for (const std::string& worker : leased.workers) {
+    unreported_workers_[worker] = earlier_leases_until_;
+  }
+  for (const auto& [worker, validity] : leased.unreported) {
+    // The owner that stored this, and those since, extended no lease there.
+    unreported_workers_[worker] =
+        std::min(earlier_leases_until_, leased_read_at + validity);
+    stored_unreported_.insert(worker);
+  }
+  if (!unreported_workers_.empty()) {
+    store_unreported_at_ = now + options_.unreported_delay;
+  }
   for (const auto& [id, state] : registry.Jobs()) {
     if (!state.Ended() && registry.RunsHere(state)) {
       jobs_.Add(id, state, !unreported_workers_.empty(), now, wall);
@@ -51,6 +62,8 @@
   jobs_ = job_table(options_.jobs);
   workers_.clear();
   unreported_workers_.clear();
+  stored_unreported_.clear();
+  store_unreported_at_.reset();
   waiting_jobs_since_.clear();
   reserved_workers_.clear();
   permits_.Clear();
@@ -160,30 +173,53 @@
          has_unwritten_ended_runs;
 }
 
-std::vector<log_record> fleet_scheduler::TakeRecords() {
+std::vector<log_record> fleet_scheduler::TakeRecords(time_point now) {
   ++write_number_;
   std::vector<log_record> records;
   for (job_advanced& change : jobs_.TakeChanges()) {
     records.emplace_back(std::move(change));
   }
   if (std::exchange(leased_workers_changed_, false)) {
-    leased_workers leased{.claim_epoch = epoch_};
-    std::set<std::string> workers = unreported_workers_;
+    leased_workers leased = LeasedWorkers(now);
+    for (const auto& [worker, validity] : leased.unreported) {
+      stored_unreported_.insert(worker);
+    }
     for (const auto& [id, session] : workers_) {
-      if (!session.has_reported) {
-        continue;
-      }
-      workers.insert(id);
-      if (!session.registered) {
+      if (session.has_reported && !session.registered) {
         registration_writes_.try_emplace(id, write_number_);
       }
     }
-    leased.workers = {workers.begin(), workers.end()};
     records.emplace_back(std::move(leased));
   }
   return records;
 }
 
+leased_workers fleet_scheduler::LeasedWorkers(time_point now) const {
+  leased_workers leased{.claim_epoch = epoch_};
+  std::set<std::string> workers;
+  for (const auto& [id, session] : workers_) {
+    if (session.has_reported) {
+      workers.insert(id);
+    }
+  }
+  const bool store_unreported =
+      !store_unreported_at_ || now >= *store_unreported_at_;
+  for (const auto& [worker, until] : unreported_workers_) {
+    const bool added = workers.insert(worker).second;
+    if (added && (store_unreported || stored_unreported_.contains(worker))) {
+      leased.unreported[worker] =
+          std::chrono::ceil<std::chrono::milliseconds>(until - now);
+    }
+  }
+  leased.workers = {workers.begin(), workers.end()};
+  return leased;
+}
+
+bool fleet_scheduler::MayExtendLease(const worker_session& session) const {
+  return session.registered ||
+         !stored_unreported_.contains(session.entry.worker);
+}
+
 void fleet_scheduler::RecordsStored(std::uint64_t number, time_point now) {
   for (auto entry = registration_writes_.begin();
        entry != registration_writes_.end();) {
@@ -194,6 +230,7 @@
     if (const auto worker = workers_.find(entry->first);
         worker != workers_.end()) {
       worker->second.registered = true;
+      worker->second.next_renewal = now;
     }
     placement_pending_ = true;
     entry = registration_writes_.erase(entry);
@@ -216,14 +253,19 @@
   if (unreported_workers_.empty()) {
     return;
   }
-  if (now >= unreported_until_) {
-    unreported_workers_.clear();
+  if (store_unreported_at_ && now >= *store_unreported_at_) {
+    store_unreported_at_.reset();
+    leased_workers_changed_ = true;
   }
-  std::erase_if(unreported_workers_, [this](const std::string& worker) {
-    const auto session = workers_.find(worker);
-    return session != workers_.end() && session->second.has_reported;
+  std::erase_if(unreported_workers_, [this, now](const auto& unreported) {
+    const auto session = workers_.find(unreported.first);
+    return now >= unreported.second ||
+           (session != workers_.end() && session->second.has_reported);
   });
   if (unreported_workers_.empty()) {
+    // A successor must not wait for the same workers again.
+    leased_workers_changed_ = true;
+    store_unreported_at_.reset();
     jobs_.AllowUnreportedTasks();
     placement_pending_ = true;
     AddNote(scheduling_event::kUnaccountedReleased, {}, "");
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference_test.cpp
@@ -47,7 +47,7 @@
       driver_.AllowOrders(driver_.now);
       driver_.scheduler.Run(driver_.now, scheduler_driver::kWall);
       if (driver_.scheduler.HasRecords()) {
-        driver_.scheduler.TakeRecords();
+        driver_.scheduler.TakeRecords(driver_.now);
         driver_.scheduler.RecordsStored(driver_.scheduler.WriteNumber(),
                                         driver_.now);
       }
--- a/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_test.cpp
@@ -192,11 +192,54 @@
   driver.AddWorker("silent", 1000);
   driver.AddWorker("w0", 1000);
   driver.RunRounds();
-  EXPECT_EQ(driver.leased, (std::vector<std::string>{"gone", "w0"}));
+  EXPECT_EQ(driver.stored_list.workers,
+            (std::vector<std::string>{"gone", "w0"}));
   driver.silent_worker.clear();
   driver.now += milliseconds(500);
   driver.RunRounds();
-  EXPECT_EQ(driver.leased, (std::vector<std::string>{"gone", "silent", "w0"}));
+  EXPECT_EQ(driver.stored_list.workers,
+            (std::vector<std::string>{"gone", "silent", "w0"}));
+}
+
+// Guards against a wait for a worker that left which each further takeover
+// starts anew.
+TEST(FleetSchedulerTest, StoresHowLongTheLeasesOfUnreportedWorkersRun) {
+  scheduler_driver driver;
+  driver.Begin({"gone", "w0"}, seconds(6));
+  driver.AddWorker("w0", 1000);
+  driver.Pass(milliseconds(2000));
+  const milliseconds left = driver.stored_list.unreported["gone"];
+  EXPECT_GT(left, seconds(10));
+  EXPECT_LT(left, seconds(11));
+  driver.Pass(seconds(11));
+  EXPECT_EQ(driver.stored_list.workers, (std::vector<std::string>{"w0"}));
+  EXPECT_TRUE(driver.stored_list.unreported.empty());
+}
+
+// Guards against a second run of a task: a successor counts on the stored time,
+// so that this owner may not extend the lease of such a worker before its
+// report is stored.
+TEST(FleetSchedulerTest, ExtendsNoLeaseThatWasStoredAsUnreported) {
+  scheduler_driver driver;
+  driver.Begin(
+      {.claim_epoch = 1, .workers = {"w0"}, .unreported = {{"w0", seconds(5)}}},
+      seconds(6));
+  driver.AddWorker("w0", 1000);
+  for (int round = 0; round < 3; ++round) {
+    driver.scheduler.Run(driver.now, kWall);
+    for (const order& sent : driver.scheduler.TakeOrders()) {
+      const auto& renewal = std::get<renew_order>(sent);
+      EXPECT_FALSE(renewal.lease_until);
+      driver.AnswerRenewal(renewal);
+    }
+    driver.now += milliseconds(500);
+    driver.AllowOrders(driver.now);
+  }
+  driver.RunRounds();
+  driver.scheduler.Run(driver.now, kWall);
+  const std::vector<order> orders = driver.scheduler.TakeOrders();
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_TRUE(std::get<renew_order>(orders[0]).lease_until);
 }
 
 // Guards against start orders that a worker rejects: it requires a ticket of
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -20,7 +20,7 @@
     return;
   }
   const auto [position, added] = workers_.try_emplace(
-      entry.worker, std::max(unreported_until_, LatestLeaseExpiry(now)));
+      entry.worker, std::max(earlier_leases_until_, LatestLeaseExpiry(now)));
   worker_session& session = position->second;
   const bool starts_draining =
       entry.draining && (added || !session.entry.draining);
@@ -82,12 +82,13 @@
   // The lease of a worker that does not answer is not extended, so that its
   // tasks can start elsewhere when it expires.
   if (session.lease.IsSynchronised() && !removed_from_list &&
-      session.failed_renewals == 0) {
+      session.failed_renewals == 0 && MayExtendLease(session)) {
     renewal.lease_until = session.lease.EstimateWorkerTime(now, options_.lease);
     session.lease.Extend(LatestLeaseExpiry(now));
   }
   if (session.has_reported && session.lease.IsSynchronised() &&
-      session.failed_renewals == 0 && session.pending_ended_runs.empty()) {
+      session.failed_renewals == 0 && session.pending_ended_runs.empty() &&
+      MayExtendLease(session)) {
     renewal.wait = session.over_target_since ? options_.over_target_renewal_wait
                                              : options_.renewal_wait;
   }
@@ -121,9 +122,10 @@
   session.failed_renewals = 0;
   ApplyReport(session, reply.renewal_number, *reply.report, now);
   session.last_answer = now;
-  session.next_renewal = session.pending_ended_runs.empty()
-                             ? now
-                             : now + options_.unstored_renewal_interval;
+  session.next_renewal =
+      session.pending_ended_runs.empty() && MayExtendLease(session)
+          ? now
+          : now + options_.unstored_renewal_interval;
 }
 
 void fleet_scheduler::ApplyReport(worker_session& session,
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -38,8 +38,13 @@
   /// orders.
   void Begin(const std::vector<std::string>& leased = {},
              std::chrono::milliseconds earlier_owner_time = {}) {
-    scheduler.BeginOwnership(2, registry, leased, now + earlier_owner_time, now,
-                             kWall);
+    Begin({.claim_epoch = 1, .workers = leased}, earlier_owner_time);
+  }
+  /// @param leased the last list of leased workers, read now.
+  void Begin(const leased_workers& leased,
+             std::chrono::milliseconds earlier_owner_time) {
+    scheduler.BeginOwnership(2, registry, leased, now, now + earlier_owner_time,
+                             now, kWall);
     AllowOrders(now);
   }
   void AllowOrders(time_point confirmed) {
@@ -75,9 +80,9 @@
     for (int round = 0; round < 4; ++round) {
       scheduler.Run(now, kWall);
       if (scheduler.HasRecords()) {
-        for (const log_record& record : scheduler.TakeRecords()) {
+        for (const log_record& record : scheduler.TakeRecords(now)) {
           if (const auto* list = std::get_if<leased_workers>(&record)) {
-            leased = list->workers;
+            stored_list = *list;
           }
         }
         scheduler.RecordsStored(scheduler.WriteNumber(), now);
@@ -164,8 +169,8 @@
   std::vector<stop_order> stops;
   std::vector<pace_order> paces;
   std::vector<permit_request> permit_requests;
-  /// The workers in the last list of leased workers that was stored.
-  std::vector<std::string> leased;
+  /// The last list of leased workers that was stored.
+  leased_workers stored_list;
   /// Worker whose renewals get no answer.
   std::string silent_worker;
   /// Further runs that a worker reports.
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -26,6 +26,8 @@
 /// Column of ownership_record::millicores_per_cell, which earlier versions
 /// neither write nor read.
 constexpr std::size_t kMillicoresPerCellColumn = 5;
+/// Column of leased_workers::unreported, under the same rules.
+constexpr std::size_t kUnreportedColumn = 2;
 /// Column of step_progress::crashes, under the same rules.
 constexpr std::size_t kCrashesColumn = 5;
 
@@ -193,8 +195,13 @@
 }
 
 keyed_record ToRecord(const leased_workers& record) {
+  json unreported = json::array();
+  for (const auto& [worker, validity] : record.unreported) {
+    unreported.push_back(json::array({worker, validity.count()}));
+  }
   return {.key = std::string(kLeasedWorkersKey),
-          .value = Pack(json::array({record.claim_epoch, record.workers}))};
+          .value = Pack(json::array(
+              {record.claim_epoch, record.workers, std::move(unreported)}))};
 }
 
 job_accepted ToAccepted(job_id job, const json& value) {
@@ -243,7 +250,13 @@
 }
 
 leased_workers ToLeasedWorkers(const json& value) {
-  return {.claim_epoch = value.at(0), .workers = value.at(1)};
+  leased_workers record{.claim_epoch = value.at(0), .workers = value.at(1)};
+  if (value.size() > kUnreportedColumn) {
+    for (const json& row : value.at(kUnreportedColumn)) {
+      record.unreported[row.at(0)] = std::chrono::milliseconds(row.at(1));
+    }
+  }
+  return record;
 }
 
 /// Decodes a record of a job; @p bytes is null when the key was deleted.
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -167,7 +167,10 @@
       .predecessor_validity = std::chrono::milliseconds(1400),
       .millicores_per_cell = 250};
   EXPECT_EQ(std::get<ownership_record>(*RoundTrip(owner)), owner);
-  const leased_workers leased{.claim_epoch = 7, .workers = {"x", "y"}};
+  const leased_workers leased{
+      .claim_epoch = 7,
+      .workers = {"x", "y"},
+      .unreported = {{"y", std::chrono::milliseconds(5200)}}};
   EXPECT_EQ(std::get<leased_workers>(*RoundTrip(leased)), leased);
 }
 
