Release a long-running task when its last run is reported as ended

Callers saw a failed long-running task that did not run again for 12 s after a takeover, although the worker that had run it reported the end to the new owner: every task waited for a worker that had left.

A reported end alone does not show that no run is left, as the earlier owner may have started the next one on a worker that has not reported. An owner now stores the number of the last ended run of a long-running task before it starts the task again, also for runs that it counts as lost; when it releases tasks after the wait, all runs of earlier epochs count as ended. So a reported end that is not stored yet is that of the last run, and the successor releases the task. This holds for epochs of owners that stored ends, which the list of leased workers says; owners of earlier versions drop that column. Tasks of gangs wait as before.

While the store is down, ended tasks wait for it.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -577,6 +577,8 @@
   std::optional<time_point> store_unreported_at_;
   /// Latest expiry of a lease from an earlier owner.
   time_point earlier_leases_until_;
+  /// As leased_workers::ends_stored_from.
+  epoch ends_stored_from_ = 0;
   bool leased_workers_changed_ = false;
   std::uint64_t write_number_ = 0;
   /// Number of the log write that first lists a worker as leased, by worker.
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -56,6 +56,10 @@
   std::vector<bool> started;
   /// Crashed runs by index of the task.
   std::map<std::uint32_t, crashed_runs> crashes;
+  /// Number of the last run of each task of a long-running step that is known
+  /// to have ended, by index of the task. All earlier runs have ended as well.
+  /// It is stored before the task starts again.
+  std::map<std::uint32_t, run_number> last_ended_runs;
 
   bool operator==(const step_progress&) const = default;
 };
@@ -131,6 +135,9 @@
   /// later record no longer contains them here. Empty in records of versions
   /// that didn't store it.
   std::map<std::string, std::chrono::milliseconds> unreported;
+  /// First epoch from which on each owner has stored
+  /// step_progress::last_ended_runs; 0 in records of versions that didn't.
+  epoch ends_stored_from = 0;
 
   bool operator==(const leased_workers&) const = default;
 };
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -68,6 +68,11 @@
   std::optional<time_point> last_run_ended_at;
   /// Number of crashes of workers that the task is suspected of.
   std::size_t suspected_crashes = 0;
+  /// Of a long-running task: as step_progress::last_ended_runs.
+  run_number last_ended_run = 0;
+  /// Number of the call of TakeChanges whose changes have to be stored before
+  /// the task starts again.
+  std::uint64_t start_after_write = 0;
 };
 
 /// @brief State of the tasks of one occurrence of a step.
@@ -112,6 +117,8 @@
   time_point since;
   /// It is not started before this time.
   time_point not_before;
+  /// The end of its last run is stored; it is not started before.
+  bool end_stored = true;
 };
 
 struct job_table_options {
@@ -151,7 +158,12 @@
 
   /// @brief Allows tasks that no worker has reported to start. Called when
   /// every worker has reported its runs or its lease has expired.
-  void AllowUnreportedTasks();
+  /// @param own_epoch the owner's epoch; no run of an earlier one is left.
+  void AllowUnreportedTasks(epoch own_epoch);
+  /// @brief Sets the first epoch whose runs were all started after the end of
+  /// the run before was stored. The reported end of such a run releases its
+  /// long-running task without AllowUnreportedTasks.
+  void SetEndsStoredFrom(epoch first) { ends_stored_from_ = first; }
 
   /// @brief Returns the number for the next run of a task in the owner's epoch
   /// @p own_epoch.
@@ -204,6 +216,8 @@
 
   /// @brief Returns the progress of each job that changed since the last call.
   std::vector<job_advanced> TakeChanges();
+  /// @brief The changes of the first @p calls calls of TakeChanges are stored.
+  void ChangesStored(std::uint64_t calls) { stored_writes_ = calls; }
   /// @brief Whether there are changes that have to be written at once. Others
   /// wait for the next write.
   bool HasChanges() const { return !changed_.empty() || !finished_.empty(); }
@@ -224,6 +238,12 @@
   /// Records in the progress whether a task of a long-running step has been
   /// started.
   void SetStarted(open_job& job, const task_ref& task, bool started);
+  /// Records that a run of a long-running task and all runs before it have
+  /// ended.
+  void RecordLastEndedRun(open_job& job, const run_ref& run);
+  /// Whether a reported end shows that no run of the task is left, although
+  /// workers of earlier owners have not reported yet.
+  bool EndReleases(const task_state& task, const run_ref& run) const;
   /// Returns whether the task has used up its attempts.
   bool CountFailure(open_job& job,
                     const run_ref& run,
@@ -254,6 +274,10 @@
   std::set<job_id> scheduled_;
   /// Final progress of jobs that have ended and were removed.
   std::vector<job_advanced> finished_;
+  epoch ends_stored_from_ = 0;
+  /// Calls of TakeChanges, and those whose changes are stored.
+  std::uint64_t writes_ = 0;
+  std::uint64_t stored_writes_ = 0;
 };
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -39,6 +39,9 @@
         std::min(earlier_leases_until_, leased_read_at + validity);
     stored_unreported_.insert(worker);
   }
+  jobs_.SetEndsStoredFrom(leased.ends_stored_from);
+  ends_stored_from_ =
+      leased.ends_stored_from > 0 ? leased.ends_stored_from : owned_epoch;
   if (!unreported_workers_.empty()) {
     store_unreported_at_ = now + options_.unreported_delay;
   }
@@ -195,7 +198,8 @@
 }
 
 leased_workers fleet_scheduler::LeasedWorkers(time_point now) const {
-  leased_workers leased{.claim_epoch = epoch_};
+  leased_workers leased{.claim_epoch = epoch_,
+                        .ends_stored_from = ends_stored_from_};
   std::set<std::string> workers;
   for (const auto& [id, session] : workers_) {
     if (session.has_reported) {
@@ -235,6 +239,7 @@
     placement_pending_ = true;
     entry = registration_writes_.erase(entry);
   }
+  jobs_.ChangesStored(number);
   for (auto& [id, session] : workers_) {
     bool acknowledge = false;
     while (!session.pending_ended_runs.empty() &&
@@ -266,7 +271,7 @@
     // A successor must not wait for the same workers again.
     leased_workers_changed_ = true;
     store_unreported_at_.reset();
-    jobs_.AllowUnreportedTasks();
+    jobs_.AllowUnreportedTasks(epoch_);
     placement_pending_ = true;
     AddNote(scheduling_event::kUnaccountedReleased, {}, "");
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -26,9 +26,9 @@
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
   const ready_step ranked{.starving = IsStarving(ref.job, now), .ref = ref};
-  if (now >= restart.not_before &&
-      PlaceOnCandidates(ranked, *step, *queue, {restart.task.index}, candidates,
-                        now)) {
+  const bool may_restart = now >= restart.not_before && restart.end_stored;
+  if (may_restart && PlaceOnCandidates(ranked, *step, *queue,
+                                       {restart.task.index}, candidates, now)) {
     return true;
   }
   std::vector<placement_candidate> permitted;
@@ -42,7 +42,7 @@
       now >= restart.since + options_.preemption_delay) {
     PreemptRuns(restart.task, *reserved_on, now);
   }
-  return now < restart.not_before;
+  return !may_restart;
 }
 
 void fleet_scheduler::ReserveForExpectedRestarts(placement_pass& pass,
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -135,6 +135,10 @@
             failed != progress->failures.end() && !failed->second.empty()) {
           task.last_run = *failed->second.rbegin();
         }
+        if (const auto ended = progress->last_ended_runs.find(index);
+            ended != progress->last_ended_runs.end()) {
+          task.last_ended_run = ended->second;
+        }
         if (const auto crashed = progress->crashes.find(index);
             crashed != progress->crashes.end()) {
           task.suspected_crashes =
@@ -175,7 +179,8 @@
   }
 }
 
-void job_table::AllowUnreportedTasks() {
+void job_table::AllowUnreportedTasks(epoch own_epoch) {
+  const run_number last_earlier_run = (own_epoch - 1) * kRunsPerEpoch;
   for (auto& [id, job] : jobs_) {
     for (auto& [occurrence, steps] : job.due_occurrences) {
       for (std::uint32_t step = 0; step < steps.size(); ++step) {
@@ -186,6 +191,8 @@
             continue;
           }
           task.phase = task_phase::kWaiting;
+          RecordLastEndedRun(job,
+                             {{id, occurrence, step, index}, last_earlier_run});
           if (steps[step].dependencies_done) {
             MakeReady({id, occurrence, step, index}, task);
           }
@@ -251,6 +258,9 @@
 
 void job_table::RecordLoss(const run_ref& run, time_point now) {
   RemovePendingRun(run);
+  if (const auto job = jobs_.find(run.task.job); job != jobs_.end()) {
+    RecordLastEndedRun(job->second, run);
+  }
   if (EndRun(run, now)) {
     MutableTask(run.task)->last_run_ended_at = now;
   }
@@ -378,6 +388,14 @@
   SetStarted(job, run.task, true);
   const time_point not_before =
       outcome == run_end::kFailed ? now + RetryDelay(job, run.task) : now;
+  if (EndReleases(*task, run)) {
+    task->phase = task_phase::kWaiting;
+    task->not_before = not_before;
+    if (Find(StepOf(run.task))->dependencies_done) {
+      MakeReady(run.task, *task);
+    }
+  }
+  RecordLastEndedRun(job, run);
   // The end may be that of a run of an earlier owner, which isn't active here.
   if (EndRun(run, not_before) || !task->last_run_ended_at) {
     task->last_run_ended_at = now;
@@ -385,6 +403,28 @@
   return {};
 }
 
+bool job_table::EndReleases(const task_state& task, const run_ref& run) const {
+  const step_spec& step = *Spec(StepOf(run.task));
+  // Each later run would have been started after the end of this one was
+  // stored.
+  return task.phase == task_phase::kMaybeRunning && step.long_running &&
+         !step.gang && ends_stored_from_ > 0 &&
+         run.run > (ends_stored_from_ - 1) * kRunsPerEpoch &&
+         run.run > task.last_ended_run;
+}
+
+void job_table::RecordLastEndedRun(open_job& job, const run_ref& run) {
+  task_state* task = MutableTask(run.task);
+  if (task == nullptr || !job.spec.steps[run.task.step].long_running ||
+      run.run <= task->last_ended_run) {
+    return;
+  }
+  task->last_ended_run = run.run;
+  task->start_after_write = writes_ + 1;
+  FindOrAddProgress(job, run.task).last_ended_runs[run.task.index] = run.run;
+  changed_.insert(run.task.job);
+}
+
 void job_table::SetStarted(open_job& job, const task_ref& task, bool started) {
   if (!job.spec.steps[task.step].long_running) {
     return;
@@ -478,6 +518,7 @@
 }
 
 std::vector<job_advanced> job_table::TakeChanges() {
+  ++writes_;
   std::vector<job_advanced> changes = std::exchange(finished_, {});
   changed_.merge(std::exchange(deferred_changes_, {}));
   for (const job_id id : changed_) {
@@ -544,7 +585,8 @@
   }
   for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
     const task_state& task = step->tasks[index];
-    if (task.phase == task_phase::kReady && now >= task.not_before) {
+    if (task.phase == task_phase::kReady && now >= task.not_before &&
+        stored_writes_ >= task.start_after_write) {
       ready.push_back(index);
     }
   }
@@ -561,9 +603,11 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       const task_state& task = tasks[index];
       if (task.phase == task_phase::kReady && task.last_run_ended_at) {
-        waiting.push_back({.task = TaskOf(ref, index),
-                           .since = *task.last_run_ended_at,
-                           .not_before = task.not_before});
+        waiting.push_back(
+            {.task = TaskOf(ref, index),
+             .since = *task.last_run_ended_at,
+             .not_before = task.not_before,
+             .end_stored = stored_writes_ >= task.start_after_write});
       }
     }
   }
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -28,8 +28,11 @@
 constexpr std::size_t kMillicoresPerCellColumn = 5;
 /// Column of leased_workers::unreported, under the same rules.
 constexpr std::size_t kUnreportedColumn = 2;
-/// Column of step_progress::crashes, under the same rules.
+constexpr std::size_t kEndsStoredFromColumn = 3;
+/// Columns of step_progress::crashes and step_progress::last_ended_runs, under
+/// the same rules.
 constexpr std::size_t kCrashesColumn = 5;
+constexpr std::size_t kLastEndedRunsColumn = 6;
 
 std::string Key(char kind, job_id job) {
   return absl::StrCat(std::string(1, kind), Format(job));
@@ -144,12 +147,21 @@
   }
   json row = json::array(
       {step.occurrence, step.step, ToDigits(step.done), std::move(failures)});
-  if (!step.started.empty() || !step.crashes.empty()) {
+  const bool has_ended_runs = !step.last_ended_runs.empty();
+  const bool has_crashes = !step.crashes.empty();
+  if (!step.started.empty() || has_crashes || has_ended_runs) {
     row.push_back(ToDigits(step.started));
   }
-  if (!step.crashes.empty()) {
+  if (has_crashes || has_ended_runs) {
     row.push_back(CrashesToJson(step));
   }
+  if (has_ended_runs) {
+    json ended_runs = json::array();
+    for (const auto& [index, run] : step.last_ended_runs) {
+      ended_runs.push_back(json::array({index, run}));
+    }
+    row.push_back(std::move(ended_runs));
+  }
   return row;
 }
 
@@ -168,6 +180,11 @@
       step.crashes[crash_row.at(0)] = ToCrashedRuns(crash_row.at(1));
     }
   }
+  if (row.size() > kLastEndedRunsColumn) {
+    for (const json& run_row : row.at(kLastEndedRunsColumn)) {
+      step.last_ended_runs[run_row.at(0)] = run_row.at(1);
+    }
+  }
   return step;
 }
 
@@ -200,8 +217,9 @@
     unreported.push_back(json::array({worker, validity.count()}));
   }
   return {.key = std::string(kLeasedWorkersKey),
-          .value = Pack(json::array(
-              {record.claim_epoch, record.workers, std::move(unreported)}))};
+          .value = Pack(
+              json::array({record.claim_epoch, record.workers,
+                           std::move(unreported), record.ends_stored_from}))};
 }
 
 job_accepted ToAccepted(job_id job, const json& value) {
@@ -256,6 +274,9 @@
       record.unreported[row.at(0)] = std::chrono::milliseconds(row.at(1));
     }
   }
+  if (value.size() > kEndsStoredFromColumn) {
+    record.ends_stored_from = value.at(kEndsStoredFromColumn);
+  }
   return record;
 }
 
