--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -115,26 +115,35 @@
     });
   }
 
+  /// Returns a completion handler that runs @p next, or fails the request on an
+  /// error. It does nothing once the request has ended, for instance at its
+  /// deadline.
+  template <class Next>
+  auto ThenUnlessEnded(Next next) {
+    return [self = shared_from_this(), generation = generation_, next](
+               const error_code& error, std::size_t /*bytes*/ = 0) {
+      if (generation != self->generation_ || !self->pending_) {
+        return;
+      }
+      if (error) {
+        self->Fail();
+      } else {
+        next();
+      }
+    };
+  }
+
   void Connect() {
     const std::optional<tcp::endpoint> endpoint = ParseEndpoint(address_);
     if (!endpoint) {
       Fail();
       return;
     }
-    socket_.async_connect(
-        *endpoint, [self = shared_from_this(),
-                    generation = generation_](const error_code& error) {
-          if (generation != self->generation_ || !self->pending_) {
-            return;
-          }
-          if (error) {
-            self->Fail();
-            return;
-          }
-          error_code ignored;  // A socket without the option still works.
-          self->socket_.set_option(tcp::no_delay(true), ignored);
-          self->Write();
-        });
+    socket_.async_connect(*endpoint, ThenUnlessEnded([this] {
+      error_code ignored;  // A socket without the option still works.
+      socket_.set_option(tcp::no_delay(true), ignored);
+      Write();
+    }));
   }
 
   void Write() {
@@ -153,36 +162,14 @@
     request_.body() = request.body;
     request_.prepare_payload();
     write_started_ = true;
-    http::async_write(
-        socket_, request_,
-        [self = shared_from_this(), generation = generation_](
-            const error_code& error, std::size_t /*bytes*/) {
-          if (generation != self->generation_ || !self->pending_) {
-            return;
-          }
-          if (error) {
-            self->Fail();
-          } else {
-            self->Read();
-          }
-        });
+    http::async_write(socket_, request_, ThenUnlessEnded([this] { Read(); }));
   }
 
   void Read() {
     parser_.emplace();
     parser_->body_limit(owner_->options_.max_body_bytes);
     http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this(), generation = generation_](
-                         const error_code& error, std::size_t /*bytes*/) {
-                       if (generation != self->generation_ || !self->pending_) {
-                         return;
-                       }
-                       if (error) {
-                         self->Fail();
-                       } else {
-                         self->Finish();
-                       }
-                     });
+                     ThenUnlessEnded([this] { Finish(); }));
   }
 
   void Finish() {
