--- a/src/skylarkbridge/scheduling/batch_core.hpp
+++ b/src/skylarkbridge/scheduling/batch_core.hpp
@@ -40,6 +40,10 @@
   void Submit(const task_submitted& event, time_point now);
   void CancelTask(task_id id, time_point now);
   void Started(const task_started& event, time_point now);
+  /// The task whose current attempt, on its current worker, the event is about.
+  /// Counts any other event as stale and returns kNone.
+  template <class Event>
+  task_index FindAttempt(const Event& event);
   void Finished(const task_finished& event, time_point now);
   void Checkpointed(const task_checkpointed& event, time_point now);
   void Update(const worker_state& state, time_point now);
--- a/src/skylarkbridge/scheduling/batch_core_events.hpp
+++ b/src/skylarkbridge/scheduling/batch_core_events.hpp
@@ -185,13 +185,23 @@
 }
 
 template <slowdown_estimator Estimator>
-void batch_core<Estimator>::Finished(const task_finished& event,
-                                     time_point now) {
+template <class Event>
+task_index batch_core<Estimator>::FindAttempt(const Event& event) {
   const task_index task = tasks_.Find(event.task);
   if (task == kNone || tasks_[task].phase == task_phase::kWaiting ||
       tasks_[task].attempt != event.attempt ||
       workers_[tasks_[task].worker].state.worker != event.worker) {
     ++counters_.stale_events;
+    return kNone;
+  }
+  return task;
+}
+
+template <slowdown_estimator Estimator>
+void batch_core<Estimator>::Finished(const task_finished& event,
+                                     time_point now) {
+  const task_index task = FindAttempt(event);
+  if (task == kNone) {
     return;
   }
   task_entry& entry = tasks_[task];
@@ -241,11 +251,8 @@
 template <slowdown_estimator Estimator>
 void batch_core<Estimator>::Checkpointed(const task_checkpointed& event,
                                          time_point now) {
-  const task_index task = tasks_.Find(event.task);
-  if (task == kNone || tasks_[task].phase == task_phase::kWaiting ||
-      tasks_[task].attempt != event.attempt ||
-      workers_[tasks_[task].worker].state.worker != event.worker) {
-    ++counters_.stale_events;
+  const task_index task = FindAttempt(event);
+  if (task == kNone) {
     return;
   }
   tasks_[task].checkpoint = event.checkpoint;
