Bound the depth of records in MessagePack before they are decoded

Any key of the log of jobs and the map of the fleet was enough, also that of a cancellation, whose value is not used.

All records are now parsed by encoding::ParseMessagePack.

RejectsLengthsBeyondTheRecord passed before: the library allocates nothing for a stated length.

--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -10,7 +10,7 @@
 import sys
 
 LADDER = [
-    "base", "telemetry", "supervisor", "declaration", "jobs", "records", "transport", "control",
+    "base", "encoding", "telemetry", "supervisor", "declaration", "jobs", "records", "transport", "control",
     "scheduling", "coordination", "wire", "gateway", "standin", "scenario", "entry", "daemon",
     "service", "cli",
 ]
--- a/src/skylarkbridge/records/fleet_map_codec.cpp
+++ b/src/skylarkbridge/records/fleet_map_codec.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "skylarkbridge/base/failure.hpp"
+#include "skylarkbridge/encoding/bounded_parse.hpp"
 
 namespace skylarkbridge::records {
 namespace {
@@ -26,7 +27,7 @@
 
 boost::leaf::result<jobs::fleet_map> DecodeFleetMap(std::string_view value) {
   try {
-    const json decoded = json::from_msgpack(value);
+    const json decoded = encoding::ParseMessagePack(value);
     jobs::fleet_map map{
         .cells = decoded.at(0),
         .racks = decoded.at(1).get<std::map<std::string, jobs::cell_id>>()};
@@ -41,7 +42,8 @@
     }
     return map;
   } catch (const json::exception& error) {
-    return boost::leaf::new_error(failure{"fleet map", error.what()});
+    return boost::leaf::new_error(
+        failure{"fleet map", encoding::Message(error)});
   }
 }
 
--- a/src/skylarkbridge/records/fleet_map_codec_test.cpp
+++ b/src/skylarkbridge/records/fleet_map_codec_test.cpp
@@ -42,5 +42,12 @@
   EXPECT_FALSE(TryDecode(ToMessagePack(json::array({"two", json::object()}))));
 }
 
+// Guards against a map that ends every process that reads it, again at each
+// start: the parser recurses.
+TEST(FleetMapCodecTest, RejectsADeeplyNestedMap) {
+  constexpr std::size_t kDepth = 200'000;
+  EXPECT_FALSE(TryDecode(std::string(kDepth, '\x91')));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::records
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/base/failure.hpp"
+#include "skylarkbridge/encoding/bounded_parse.hpp"
 
 namespace skylarkbridge::records {
 namespace {
@@ -254,7 +255,7 @@
     return kind == kAcceptedKind ? std::optional<log_record>(job_dropped{job})
                                  : std::nullopt;
   }
-  const json value = json::from_msgpack(*bytes);
+  const json value = encoding::ParseMessagePack(*bytes);
   switch (kind) {
     case kAcceptedKind:
       return ToAccepted(job, value);
@@ -293,12 +294,12 @@
   try {
     if (key == kOwnerKey) {
       return value ? std::optional<log_record>(
-                         ToOwnership(json::from_msgpack(*value)))
+                         ToOwnership(encoding::ParseMessagePack(*value)))
                    : std::nullopt;
     }
     if (key == kLeasedWorkersKey) {
       return value ? std::optional<log_record>(
-                         ToLeasedWorkers(json::from_msgpack(*value)))
+                         ToLeasedWorkers(encoding::ParseMessagePack(*value)))
                    : std::nullopt;
     }
     const std::optional<job_id> job =
@@ -308,7 +309,8 @@
     }
     return DecodeJobRecord(key.front(), *job, value ? &*value : nullptr);
   } catch (const json::exception& error) {
-    return boost::leaf::new_error(failure{record_name, error.what()});
+    return boost::leaf::new_error(
+        failure{record_name, encoding::Message(error)});
   }
 }
 
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -171,6 +171,31 @@
   EXPECT_EQ(std::get<leased_workers>(*RoundTrip(leased)), leased);
 }
 
+// Guards against a record that ends every process that reads it, again at each
+// start: the parser recurses, and 60 KB of nested arrays overflow its stack.
+TEST(JobRecordCodecTest, RejectsDeeplyNestedRecords) {
+  constexpr std::size_t kDepth = 200'000;
+  const std::string job = Format(job_id{1});
+  for (const std::string& key : {"j" + job, "c" + job, "p" + job,
+                                 std::string("owner"), std::string("leased")}) {
+    EXPECT_FALSE(
+        DecodeOrNothing({.key = key, .value = std::string(kDepth, '\x91')}))
+        << key;
+  }
+}
+
+// Guards against a length prefix that is far larger than the record and makes
+// the reader allocate memory for it.
+TEST(JobRecordCodecTest, RejectsLengthsBeyondTheRecord) {
+  const std::string job = Format(job_id{1});
+  for (const char* const value :
+       {"\xDD\xFF\xFF\xFF\xFF", "\xDF\xFF\xFF\xFF\xFF", "\xDB\xFF\xFF\xFF\xFF",
+        "\xC6\xFF\xFF\xFF\xFF", "\xC9\xFF\xFF\xFF\xFF"}) {
+    EXPECT_FALSE(DecodeOrNothing({.key = "j" + job, .value = value}));
+    EXPECT_FALSE(DecodeOrNothing({.key = "owner", .value = value}));
+  }
+}
+
 // Guards against damaged records that are accepted; other programs may write to
 // the topic.
 TEST(JobRecordCodecTest, RejectsDamagedRecords) {
