--- a/src/skylarkbridge/jobs/topic_reader_test.cpp
+++ b/src/skylarkbridge/jobs/topic_reader_test.cpp
@@ -98,6 +98,26 @@
   EXPECT_TRUE(tail && tail->tail);
 }
 
+// Guards against a reader that stays on the page of a record without a value
+// that can be used.
+TEST(TopicReaderTest, ContinuesAfterARecordThatNamesNothing) {
+  topic_reader reader({});
+  auto call = reader.Next(kNow);
+  ASSERT_TRUE(call && call->snapshot);
+  const topic_record odd{.offset = 0, .key = "a\xFF", .value = ""};
+  const reader_update first = reader.Received(
+      call->number, snapshot_page{.records = {odd}, .more = true, .end = 5},
+      kNow);
+  EXPECT_EQ(first.records.size(), 1U);
+  call = reader.Next(kNow);
+  ASSERT_TRUE(call && call->snapshot);
+  EXPECT_EQ(call->snapshot->after, "a\xFF");
+  const reader_update last = reader.Received(
+      call->number, snapshot_page{.records = {Record(2, "b")}, .end = 5}, kNow);
+  EXPECT_TRUE(last.snapshot_complete);
+  EXPECT_EQ(last.snapshot_keys, (std::set<std::string>{"a\xFF", "b"}));
+}
+
 // Guards against a failed read that is repeated without a delay or not at all.
 TEST(TopicReaderTest, RepeatsAFailedReadAfterADelay) {
   topic_reader reader({.retry = milliseconds(150)});
