--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -26,9 +26,9 @@
       entry.draining && (added || !session.entry.draining);
   session.entry = entry;
   session.unlisted_since.reset();
+  session.entry_rejected = false;
   if (added) {
     session.next_renewal = now;
-    leased_workers_changed_ = true;
   }
   if (entry.start_time && session.start_time &&
       *entry.start_time > *session.start_time) {
@@ -41,6 +41,12 @@
   placement_pending_ = true;
 }
 
+void fleet_scheduler::WorkerEntryRejected(const std::string& worker) {
+  if (const auto session = workers_.find(worker); session != workers_.end()) {
+    session->second.entry_rejected = true;
+  }
+}
+
 void fleet_scheduler::WorkerUnlisted(const std::string& worker,
                                      time_point now) {
   if (const auto session = workers_.find(worker);
@@ -52,8 +58,8 @@
 bool fleet_scheduler::Usable(const worker_session& session,
                              time_point now) const {
   return session.has_reported && session.registered &&
-         !session.entry.draining && !session.unlisted_since &&
-         now >= session.excluded_until &&
+         !session.entry.draining && !session.entry_rejected &&
+         !session.unlisted_since && now >= session.excluded_until &&
          now < session.last_answer + options_.max_silence;
 }
 
@@ -144,6 +150,8 @@
   AdjustPaces(session, now);
   if (!session.has_reported) {
     session.has_reported = true;
+    // No task is started on the worker before this is stored.
+    leased_workers_changed_ = true;
     // From now on the worker refuses the orders of earlier owners.
     session.lease.LimitTo(LatestLeaseExpiry(now));
     placement_pending_ = true;
@@ -360,9 +368,9 @@
         session.unlisted_since &&
         now > *session.unlisted_since + kUnlistedGrace;
     if (removed_from_list && !session.renewal_under_way) {
+      leased_workers_changed_ |= session.has_reported;
       registration_writes_.erase(position->first);
       position = workers_.erase(position);
-      leased_workers_changed_ = true;
     } else {
       ++position;
     }
