Say what a restart waited for, and what a takeover waits for

A long-running task that starts again after a long wait left no line that says why it started then: two such starts in one placement pass could come from a cancelled job, a worker that joined or was reached again, or the end of a takeover's wait for the workers of an earlier owner. Takeovers said nothing between ownership_taken and unaccounted_released, and no metric told whether a cell had room in one piece.

- start_ordered of a restart has waited_ms, waited_for (what the last pass that did not place it lacked) and released_by (what changed on the chosen worker since); restart_delayed has waited_for, the most room once batch runs are stopped, and the total room. skylarkbridge_restarts_total counts the causes: at most 48 series.
- takeover_delayed says each second how many workers of earlier owners have sent no report, and names one; unaccounted_released names one that never did.
Two gauges hold the number and the wait.
- skylarkbridge_cell_largest_room_millicores and _total_room_millicores: free room of each owned cell, now and once batch work is stopped.

No decision of the scheduler changes.

--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -6,6 +6,8 @@
 
 #include "skylarkbridge/control/ports.hpp"
 #include "skylarkbridge/control/text_format.hpp"
+#include "skylarkbridge/jobs/cell_room.hpp"
+#include "skylarkbridge/jobs/fleet_map.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/telemetry/metrics.hpp"
 
@@ -48,6 +50,12 @@
         workers_usable(
             registry.Gauge("skylarkbridge_workers_usable",
                            "Workers that the owner gives new tasks to")),
+        workers_unreported(registry.Gauge(
+            "skylarkbridge_workers_unreported",
+            "Workers of earlier owners that have not sent a report")),
+        takeover_wait_ms(
+            registry.Gauge("skylarkbridge_takeover_wait_milliseconds",
+                           "Longest wait of tasks for such workers so far")),
         intake_waiting(registry.Gauge("skylarkbridge_intake_waiting",
                                       "Requests that wait for the store")),
         registry_(registry) {}
@@ -67,6 +75,20 @@
               {{"event", std::string(Name(event))}})
         .Add();
   }
+  /// @brief Counts the start of a long-running task that has run before.
+  void Count(const jobs::restart_cause& cause) {
+    FindOrAdd(restarts_, "skylarkbridge_restarts_total",
+              "Restarts of long-running tasks by what they waited for",
+              {{"waited_for", std::string(Name(cause.obstacle))},
+               {"released_by", std::string(Name(cause.release))}})
+        .Add();
+  }
+  /// @brief Sets the gauges of a cell's free room.
+  void SetRoom(jobs::cell_id cell, const jobs::cell_room& room) {
+    SetRoom(cell, "free", room.largest, room.total);
+    SetRoom(cell, "preemptible", room.largest_preemptible,
+            room.total_preemptible);
+  }
   /// @brief Counts a finished call to the store.
   void Count(topic_kind kind, std::string_view call, store_result result) {
     FindOrAdd(calls_, "skylarkbridge_store_calls_total",
@@ -93,6 +115,8 @@
   telemetry::gauge& restarts_waiting;
   telemetry::gauge& longest_restart_wait_ms;
   telemetry::gauge& workers_usable;
+  telemetry::gauge& workers_unreported;
+  telemetry::gauge& takeover_wait_ms;
   telemetry::gauge& intake_waiting;
 
  private:
@@ -103,6 +127,24 @@
                           {{"topic", topic}});
   }
 
+  /// @param kind what counts as room: what no run holds, or also what runs hold
+  /// that can be preempted.
+  void SetRoom(jobs::cell_id cell,
+               const std::string& kind,
+               std::int64_t largest,
+               std::int64_t total) {
+    const telemetry::metric_labels labels = {{"cell", std::to_string(cell)},
+                                             {"room", kind}};
+    registry_
+        .Gauge("skylarkbridge_cell_largest_room_millicores",
+               "Most free room on a worker of an owned cell", labels)
+        .Set(largest);
+    registry_
+        .Gauge("skylarkbridge_cell_total_room_millicores",
+               "Free room on all workers of an owned cell", labels)
+        .Set(total);
+  }
+
   /// The counters of one metric, created when their labels are first used.
   using counters = std::map<telemetry::metric_labels, telemetry::counter*>;
 
@@ -120,6 +162,7 @@
   telemetry::metrics_registry& registry_;
   counters answers_;
   counters events_;
+  counters restarts_;
   counters calls_;
 };
 
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -220,6 +221,9 @@
                          const failure& error);
   void SendCalls(time_point now);
   void UpdateGauges(time_point now);
+  /// Updates the gauges of the free room in the cells that this VM owns. Those
+  /// of a cell that it has lost are set to zero once.
+  void UpdateRoomGauges(time_point now);
 
   const control_options options_;
   Platform& platform_;
@@ -244,6 +248,7 @@
   std::map<jobs::job_id, unconfirmed_submission> unconfirmed_submissions_;
   std::deque<lookup> lookups_;
   time_point next_gauge_update_;
+  std::set<jobs::cell_id> cells_with_room_gauges_;
   bool stopping_ = false;
 };
 
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -356,6 +356,8 @@
   std::size_t restarts_waiting = 0;
   std::chrono::milliseconds longest_restart_wait{};
   std::size_t workers_usable = 0;
+  std::size_t workers_unreported = 0;
+  std::chrono::milliseconds takeover_wait{};
   std::size_t requests_waiting = 0;
   std::chrono::milliseconds log_age{};
   for (const auto& each_cell : cells_) {
@@ -367,6 +369,9 @@
     longest_restart_wait = std::max(
         longest_restart_wait, each_cell->Scheduler().LongestRestartWait(now));
     workers_usable += each_cell->Scheduler().UsableWorkers(now);
+    workers_unreported += each_cell->Scheduler().UnreportedWorkers();
+    takeover_wait =
+        std::max(takeover_wait, each_cell->Scheduler().TakeoverWait(now));
     requests_waiting += each_cell->WaitingRequests();
   }
   metrics_.log_age_ms.Set(log_age.count());
@@ -387,7 +392,24 @@
   metrics_.restarts_waiting.Set(static_cast<std::int64_t>(restarts_waiting));
   metrics_.longest_restart_wait_ms.Set(longest_restart_wait.count());
   metrics_.workers_usable.Set(static_cast<std::int64_t>(workers_usable));
+  metrics_.workers_unreported.Set(
+      static_cast<std::int64_t>(workers_unreported));
+  metrics_.takeover_wait_ms.Set(takeover_wait.count());
   metrics_.intake_waiting.Set(static_cast<std::int64_t>(requests_waiting));
+  UpdateRoomGauges(now);
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::UpdateRoomGauges(time_point now) {
+  for (jobs::cell_id number = 0; number < cells_.size(); ++number) {
+    const cell& each_cell = *cells_[number];
+    if (each_cell.Active()) {
+      metrics_.SetRoom(number, each_cell.Scheduler().FreeRoom(now));
+      cells_with_room_gauges_.insert(number);
+    } else if (cells_with_room_gauges_.erase(number) > 0) {
+      metrics_.SetRoom(number, {});
+    }
+  }
 }
 
 template <fleet_platform Platform, caller_port Callers>
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -185,13 +185,19 @@
 void fleet_cell<Platform>::LogSchedulingNotes() {
   for (const jobs::scheduling_note& note : scheduler_.TakeNotes()) {
     metrics_.Count(note.event);
+    std::string detail = note.detail;
     if (note.restart_wait) {
       metrics_.restart_seconds.Record(*note.restart_wait);
+      metrics_.Count(*note.restart_cause);
+      absl::StrAppend(&detail, " waited_ms ", note.restart_wait->count());
+    }
+    if (note.restart_cause) {
+      absl::StrAppend(&detail, " ", Format(*note.restart_cause));
     }
     LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
                            {"run", Format(note.run)},
                            {"worker", note.worker},
-                           {"detail", note.detail},
+                           {"detail", std::move(detail)},
                            {"cell", FormatCell()},
                            {"epoch", absl::StrCat(ownership_.OwnEpoch())}});
   }
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -17,11 +17,16 @@
 std::string_view Name(store_result result);
 std::string_view Name(topic_kind kind);
 std::string_view Name(jobs::claim_reason reason);
+std::string_view Name(jobs::restart_obstacle obstacle);
+std::string_view Name(jobs::restart_release release);
 /// @brief "jobs.CELL" for the jobs of a cell, else the name of the kind.
 std::string Format(const topic& source);
 
 /// @brief "JOB.OCCURRENCE.STEP.INDEX/RUN"; empty when the run number is zero.
 std::string Format(const jobs::run_ref& run);
+/// @brief "waited_for OBSTACLE", with "released_by RELEASE" where it applies,
+/// and the run that left the worker.
+std::string Format(const jobs::restart_cause& cause);
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/cell_room.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
@@ -23,6 +24,7 @@
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
+#include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
 
@@ -87,6 +89,9 @@
   std::chrono::milliseconds restart_report_interval{1000};
   /// Tasks that are reported at once, those that have waited longest.
   std::size_t max_restart_reports = 5;
+  /// Interval of the reports on tasks that wait for the workers of an earlier
+  /// owner.
+  std::chrono::milliseconds takeover_report_interval{1000};
   /// A run of a cancelled job that is on its worker for longer is reported.
   std::chrono::milliseconds cancel_report_delay{1000};
   /// Interval of these reports.
@@ -199,6 +204,12 @@
   std::size_t WaitingRestarts() const;
   /// @brief How long the one that waits longest has waited; zero without one.
   std::chrono::milliseconds LongestRestartWait(time_point now) const;
+  /// @brief Number of workers of an earlier owner that have not sent a report.
+  std::size_t UnreportedWorkers() const { return unreported_workers_.size(); }
+  /// @brief How long tasks have waited for these; zero without one.
+  std::chrono::milliseconds TakeoverWait(time_point now) const;
+  /// @brief The free room of the workers that can get new tasks.
+  cell_room FreeRoom(time_point now) const;
   const job_table& Jobs() const { return jobs_; }
   const std::map<std::string, worker_session>& Workers() const {
     return workers_;
@@ -265,6 +276,10 @@
   /// Once each worker of an earlier owner has sent a report or all leases of
   /// earlier owners have expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
+  /// Adds a note while tasks wait for the workers of an earlier owner.
+  void ReportDelayedTakeover(time_point now);
+  /// A worker of an earlier owner that has not sent a report; empty for none.
+  std::string FirstUnreportedWorker() const;
   bool Usable(const worker_session& session, time_point now) const;
   /// Whether a run on a draining worker has to be stopped: it is long-running,
   /// or it can resume from a checkpoint but would not end before the worker
@@ -356,6 +371,12 @@
   };
   using interference_views =
       absl::flat_hash_map<const worker_session*, interference_view>;
+  /// Why a placement pass did not start a restart.
+  struct blocked_restart {
+    restart_obstacle obstacle = restart_obstacle::kNone;
+    /// Number of the pass.
+    std::uint64_t pass = 0;
+  };
   /// State of one placement pass, shared by its steps.
   struct placement_pass {
     /// Candidates by service, image and whether the step is best-effort.
@@ -368,6 +389,8 @@
     absl::flat_hash_map<std::string, resources> reserved_room;
     /// Worker on which room is reserved, by task.
     std::map<task_ref, std::string> reserved_workers;
+    /// The restarts that were not placed.
+    std::map<task_ref, blocked_restart> blocked_restarts;
     /// Room by worker that first starts of long-running tasks leave for the
     /// restarts to come. Other tasks may use it, as they can be stopped.
     absl::flat_hash_map<std::string, resources> expected_restart_room;
@@ -485,6 +508,17 @@
   bool PlaceRestart(const waiting_restart& restart,
                     placement_pass& pass,
                     time_point now);
+  /// Why a restart that may start now was not placed.
+  restart_obstacle ObstacleOf(
+      const step_spec& step,
+      const queue_configuration& queue,
+      const std::vector<placement_candidate>& candidates,
+      const std::vector<placement_candidate>& permitted) const;
+  /// Why a restart that is placed on the worker was not placed earlier.
+  restart_cause CauseOfRestart(const task_ref& task,
+                               const worker_session& session) const;
+  restart_release ReleaseOf(const worker_session& session,
+                            std::uint64_t blocked_pass) const;
   /// Leaves room for the long-running tasks on workers that are silent or
   /// draining, which have to restart elsewhere unless the worker comes back.
   void ReserveForExpectedRestarts(placement_pass& pass, time_point now) const;
@@ -560,6 +594,8 @@
   std::set<std::string> unreported_workers_;
   /// Latest expiry of a lease from an earlier owner.
   time_point unreported_until_;
+  time_point ownership_begun_at_;
+  time_point next_takeover_report_;
   bool leased_workers_changed_ = false;
   std::uint64_t write_number_ = 0;
   /// Number of the log write that first lists a worker as leased, by worker.
@@ -569,9 +605,14 @@
   std::map<job_id, time_point> waiting_jobs_since_;
   bool placement_pending_ = false;
   time_point next_pass_;
+  /// Number of the last placement pass.
+  std::uint64_t last_pass_ = 0;
   /// Worker on which the last pass reserved room, by task. The next pass
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
+  /// The restarts that the last pass did not place, and those that waited for
+  /// the workers of an earlier owner until after it.
+  std::map<task_ref, blocked_restart> blocked_restarts_;
   time_point next_restart_report_;
   time_point next_cancel_report_;
   permit_cache permits_;
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "skylarkbridge/jobs/ids.hpp"
+#include "skylarkbridge/jobs/restart_cause.hpp"
 
 namespace skylarkbridge::jobs {
 
@@ -28,6 +29,9 @@
   kWorkerQuiet,
   kWorkerQuarantined,
   kLeaseExpired,
+  /// Tasks have waited for the reports of an earlier owner's workers for over
+  /// fleet_scheduler_options::takeover_report_interval.
+  kTakeoverDelayed,
   /// No task waits for the workers of an earlier owner any more.
   kUnaccountedReleased,
   /// A long-running task has waited for its restart for over
@@ -54,6 +58,8 @@
   /// For the start of a long-running task that has run before: the time since
   /// its last run ended.
   std::optional<std::chrono::milliseconds> restart_wait;
+  /// For the same, and for a restart that is delayed.
+  std::optional<jobs::restart_cause> restart_cause;
   /// For the reported end of a run of a cancelled job: the time since this VM
   /// read the cancellation.
   std::optional<std::chrono::milliseconds> cancel_wait;
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -13,6 +13,7 @@
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
+#include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/worker_lease.hpp"
 #include "skylarkbridge/jobs/worker_report.hpp"
 
@@ -144,6 +145,7 @@
   std::optional<time_point> over_target_since;
   /// No task is evicted for interference before this time.
   time_point earliest_eviction;
+  room_events changes;
   /// Failed runs since the last successful one, over all jobs.
   int consecutive_failures = 0;
 
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -1,6 +1,7 @@
 #include "skylarkbridge/control/text_format.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "skylarkbridge/base/string_view.hpp"
 
 namespace skylarkbridge::control {
 
@@ -35,6 +36,8 @@
       return "worker_quarantined";
     case scheduling_event::kLeaseExpired:
       return "lease_expired";
+    case scheduling_event::kTakeoverDelayed:
+      return "takeover_delayed";
     case scheduling_event::kUnaccountedReleased:
       return "unaccounted_released";
     case scheduling_event::kRestartDelayed:
@@ -62,6 +65,48 @@
   return "unknown";
 }
 
+std::string_view Name(jobs::restart_obstacle obstacle) {
+  using jobs::restart_obstacle;
+  switch (obstacle) {
+    case restart_obstacle::kNone:
+      return "nothing";
+    case restart_obstacle::kRetryDelay:
+      return "retry_delay";
+    case restart_obstacle::kUnreportedWorkers:
+      return "unreported_workers";
+    case restart_obstacle::kNoUsableWorker:
+      return "usable_worker";
+    case restart_obstacle::kNoEligibleWorker:
+      return "eligible_worker";
+    case restart_obstacle::kPlacementPolicy:
+      return "placement_policy";
+    case restart_obstacle::kRoom:
+      return "room";
+    case restart_obstacle::kIsolation:
+      return "isolation";
+  }
+  return "unknown";
+}
+
+std::string_view Name(jobs::restart_release release) {
+  using jobs::restart_release;
+  switch (release) {
+    case restart_release::kNone:
+      return "";
+    case restart_release::kNewWorker:
+      return "new_worker";
+    case restart_release::kReturnedWorker:
+      return "returned_worker";
+    case restart_release::kCancelledRun:
+      return "cancelled_run";
+    case restart_release::kEndedRun:
+      return "ended_run";
+    case restart_release::kOther:
+      return "other";
+  }
+  return "unknown";
+}
+
 std::string_view Name(answer_kind kind) {
   switch (kind) {
     case answer_kind::kAccepted:
@@ -147,4 +192,15 @@
                       : absl::StrCat(jobs::Format(run.task), "/", run.run);
 }
 
+std::string Format(const jobs::restart_cause& cause) {
+  std::string text = absl::StrCat("waited_for ", ToAbsl(Name(cause.obstacle)));
+  if (cause.release != jobs::restart_release::kNone) {
+    absl::StrAppend(&text, " released_by ", ToAbsl(Name(cause.release)));
+  }
+  if (cause.removed_run.run != 0) {
+    absl::StrAppend(&text, " ", Format(cause.removed_run));
+  }
+  return text;
+}
+
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -31,6 +31,8 @@
   registry_ = &registry;
   unreported_workers_ = {leased_workers.begin(), leased_workers.end()};
   unreported_until_ = LatestLeaseExpiry(earlier_orders_until);
+  ownership_begun_at_ = now;
+  next_takeover_report_ = now + options_.takeover_report_interval;
   for (const auto& [id, state] : registry.Jobs()) {
     if (!state.Ended() && registry.RunsHere(state)) {
       jobs_.Add(id, state, !unreported_workers_.empty(), now, wall);
@@ -53,6 +55,7 @@
   unreported_workers_.clear();
   waiting_jobs_since_.clear();
   reserved_workers_.clear();
+  blocked_restarts_.clear();
   permits_.Clear();
   registration_writes_.clear();
   leased_workers_changed_ = false;
@@ -116,6 +119,7 @@
   jobs_.StartDue(wall);
   ExpireLeases(now);
   ReleaseTasksOfEarlierOwners(now);
+  ReportDelayedTakeover(now);
   for (auto& [id, session] : workers_) {
     SendStops(session, now);
     if (!session.renewal_under_way && now >= session.next_renewal) {
@@ -194,6 +198,7 @@
     if (const auto worker = workers_.find(entry->first);
         worker != workers_.end()) {
       worker->second.registered = true;
+      worker->second.changes.joined = last_pass_;
     }
     placement_pending_ = true;
     entry = registration_writes_.erase(entry);
@@ -216,18 +221,25 @@
   if (unreported_workers_.empty()) {
     return;
   }
-  if (now >= unreported_until_) {
-    unreported_workers_.clear();
-  }
   std::erase_if(unreported_workers_, [this](const std::string& worker) {
     const auto session = workers_.find(worker);
     return session != workers_.end() && session->second.has_reported;
   });
-  if (unreported_workers_.empty()) {
-    jobs_.AllowUnreportedTasks();
-    placement_pending_ = true;
-    AddNote(scheduling_event::kUnaccountedReleased, {}, "");
+  if (!unreported_workers_.empty() && now < unreported_until_) {
+    return;
   }
+  const std::vector<task_ref> released = jobs_.UnreportedLongRunningTasks();
+  for (const task_ref& task : released) {
+    blocked_restarts_[task] = {.obstacle = restart_obstacle::kUnreportedWorkers,
+                               .pass = last_pass_};
+  }
+  AddNote(
+      scheduling_event::kUnaccountedReleased, {}, FirstUnreportedWorker(),
+      absl::StrCat("waited_ms ", TakeoverWait(now).count(), " unreported ",
+                   unreported_workers_.size(), " restarts ", released.size()));
+  unreported_workers_.clear();
+  jobs_.AllowUnreportedTasks();
+  placement_pending_ = true;
 }
 
 const queue_configuration* fleet_scheduler::Queue(job_id id) const {
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -174,6 +174,7 @@
     return;
   }
   placement_pending_ = false;
+  ++last_pass_;
   UpdateWaitingJobs(now);
   permits_.DropClosedSteps(jobs_);
   placement_pass pass;
@@ -186,6 +187,7 @@
     }
   }
   reserved_workers_ = std::move(pass.reserved_workers);
+  blocked_restarts_ = std::move(pass.blocked_restarts);
   // While steps are ready, each call of Run starts a pass. After a pass that
   // left steps or restarts unplaced, the next one waits for pass_interval,
   // which limits the cost of a long backlog.
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -26,15 +26,25 @@
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
   const ready_step ranked{.starving = IsStarving(ref.job, now), .ref = ref};
+  blocked_restart blocked{.obstacle = restart_obstacle::kRetryDelay,
+                          .pass = last_pass_};
   if (now >= restart.not_before &&
       PlaceOnCandidates(ranked, *step, *queue, {restart.task.index}, candidates,
                         now)) {
+    if (jobs_.Find(restart.task)->phase == task_phase::kReady) {
+      blocked.obstacle = restart_obstacle::kIsolation;
+      pass.blocked_restarts[restart.task] = blocked;
+    }
     return true;
   }
   std::vector<placement_candidate> permitted;
   if (queue->HasPlacementPolicy()) {
     permitted = Permitted(ref, candidates, now);
   }
+  if (now >= restart.not_before) {
+    blocked.obstacle = ObstacleOf(*step, *queue, candidates, permitted);
+  }
+  pass.blocked_restarts[restart.task] = blocked;
   const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
   const placement_candidate* reserved_on = ReserveRoom(
       restart.task, *step, permitted.empty() ? candidates : permitted, pass);
@@ -178,6 +188,13 @@
         return left.Room().millicores < right.Room().millicores;
       });
   const auto reserved = reserved_workers_.find(restart.task);
+  std::int64_t most_preemptible = 0;
+  std::int64_t total_room = 0;
+  for (const placement_candidate& candidate : candidates) {
+    most_preemptible = std::max(
+        most_preemptible, candidate.session->PreemptibleRoom().millicores);
+    total_room += candidate.Room().millicores;
+  }
   std::string detail = absl::StrCat(
       "waited_ms ",
       std::chrono::floor<std::chrono::milliseconds>(now - restart.since)
@@ -190,12 +207,17 @@
         &detail, " most_room ", session.Room().millicores, " on ",
         session.entry.worker, " view_age_ms ",
         std::chrono::floor<std::chrono::milliseconds>(now - session.last_answer)
-            .count());
+            .count(),
+        " most_preemptible ", most_preemptible, " total_room ", total_room);
   }
   AddNote(scheduling_event::kRestartDelayed,
           {restart.task, jobs_.Find(restart.task)->last_run},
           reserved == reserved_workers_.end() ? "" : reserved->second,
           std::move(detail));
+  const auto blocked = blocked_restarts_.find(restart.task);
+  if (blocked != blocked_restarts_.end()) {
+    notes_.back().restart_cause = {.obstacle = blocked->second.obstacle};
+  }
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -62,6 +62,10 @@
   if (state.serving) {
     session.serving_millicores -= state.reserved.millicores;
   }
+  if (state.best_effort_millicores == 0) {
+    session.changes.run_removed = last_pass_;
+    session.changes.removed_run = run;
+  }
   session.runs.erase(found);
 }
 
@@ -92,11 +96,13 @@
   }
   session.lease.Extend(LatestLeaseExpiry(now));
   std::optional<std::chrono::milliseconds> restart_wait;
+  std::optional<restart_cause> cause;
   if (const task_state* task = jobs_.Find(run.task); task != nullptr) {
     state.checkpoint = task->checkpoint;
     if (step.long_running && task->last_run_ended_at) {
       restart_wait = std::chrono::floor<std::chrono::milliseconds>(
           now - *task->last_run_ended_at);
+      cause = CauseOfRestart(run.task, session);
     }
   }
   IsolateSuspect(session, run, state, now);
@@ -106,6 +112,7 @@
           absl::StrCat("room ", session.Room().millicores, " need ",
                        step.need.millicores));
   notes_.back().restart_wait = restart_wait;
+  notes_.back().restart_cause = cause;
 }
 
 void fleet_scheduler::SendStart(worker_session& session,
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -25,6 +25,9 @@
   const bool starts_draining =
       entry.draining && (added || !session.entry.draining);
   session.entry = entry;
+  if (session.unlisted_since) {
+    session.changes.returned = last_pass_;
+  }
   session.unlisted_since.reset();
   if (added) {
     session.next_renewal = now;
@@ -114,6 +117,9 @@
   }
   session.failed_renewals = 0;
   ApplyReport(session, reply.renewal_number, *reply.report, now);
+  if (now >= session.last_answer + options_.max_silence) {
+    session.changes.returned = last_pass_;
+  }
   session.last_answer = now;
   session.next_renewal = session.pending_ended_runs.empty()
                              ? now
@@ -144,6 +150,7 @@
   AdjustPaces(session, now);
   if (!session.has_reported) {
     session.has_reported = true;
+    session.changes.joined = last_pass_;
     // From now on the worker refuses the orders of earlier owners.
     session.lease.LimitTo(LatestLeaseExpiry(now));
     placement_pending_ = true;
