--- a/include/skylarkbridge/encoding/bounded_parse.hpp
+++ b/include/skylarkbridge/encoding/bounded_parse.hpp
@@ -27,7 +27,7 @@
 [[noreturn]] void ThrowInvalid(const std::string& reason);
 
 /// @brief Returns the text of an exception, which may quote the document: with
-/// bounded length.
+/// bounded length, and "?" for every byte that is not printable ASCII.
 std::string Message(const nlohmann::json::exception& error);
 
 /// @brief Parses JSON text. Throws nlohmann::json::exception when it is
--- a/src/skylarkbridge/encoding/bounded_parse.cpp
+++ b/src/skylarkbridge/encoding/bounded_parse.cpp
@@ -1,5 +1,6 @@
 #include "skylarkbridge/encoding/bounded_parse.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <limits>
@@ -203,6 +204,9 @@
   if (text.size() > kMaxMessageBytes) {
     text.resize(kMaxMessageBytes);
   }
+  std::replace_if(
+      text.begin(), text.end(),
+      [](char letter) { return letter < ' ' || letter > '~'; }, '?');
   return text;
 }
 
--- a/src/skylarkbridge/encoding/bounded_parse_test.cpp
+++ b/src/skylarkbridge/encoding/bounded_parse_test.cpp
@@ -101,7 +101,8 @@
   }
 }
 
-// Guards against an exception that quotes a whole document in a log line.
+// Guards against an exception that quotes a document, as a whole or with bytes
+// that no answer can contain.
 TEST(BoundedParseTest, BoundsTheTextOfExceptions) {
   try {
     ParseJson("[\"" + std::string(100'000, 'a'));
@@ -110,6 +111,12 @@
     EXPECT_GT(std::string(error.what()).size(), 1000U);
     EXPECT_LT(Message(error).size(), 1000U);
   }
+  try {
+    ParseJson("[\"a\xFF");
+    FAIL();
+  } catch (const json::exception& error) {
+    EXPECT_NE(Message(error).find("a?"), std::string::npos) << Message(error);
+  }
 }
 
 }  // namespace
