Refuse records with numbers out of their range

Every number in a record was converted by the JSON library, which wraps or saturates what doesn't fit. A record whose step depends on a step that doesn't exist made the scheduler read beyond the steps of its job; one with 4 billion tasks or occurrences, or a map of the fleet with 4 billion cells, made it allocate until the process ended; estimates, due times and epochs overflowed. A record stays in its topic, so each restart met it again.

The codecs check each number against its type or a stated range. A map has at most 64 cells, as the division makes them.

--- a/include/skylarkbridge/encoding/bounded_parse.hpp
+++ b/include/skylarkbridge/encoding/bounded_parse.hpp
@@ -26,6 +26,10 @@
 /// @brief Throws nlohmann::json::exception with @p reason.
 [[noreturn]] void ThrowInvalid(const std::string& reason);
 
+/// @brief Returns @p value. Throws nlohmann::json::exception when it is not an
+/// array; a loop over another value would visit the value itself.
+const nlohmann::json& RequireArray(const nlohmann::json& value);
+
 /// @brief Returns the text of an exception, which may quote the document: with
 /// bounded length, and "?" for every byte that is not printable ASCII.
 std::string Message(const nlohmann::json::exception& error);
--- a/include/skylarkbridge/jobs/fleet_map.hpp
+++ b/include/skylarkbridge/jobs/fleet_map.hpp
@@ -31,11 +31,13 @@
   bool operator==(const fleet_map&) const = default;
 };
 
+/// @brief Each cell needs a topic of its own, and the store allows 100 topics.
+inline constexpr cell_id kMaxCells = 64;
+
 struct division_options {
   /// An owner with half a core can schedule about this many workers.
   std::size_t workers_per_cell = 123;
-  /// Each cell needs a topic of its own, and the store allows 100 topics.
-  cell_id max_cells = 64;
+  cell_id max_cells = kMaxCells;
 };
 
 /// @brief Divides the fleet into cells with about the same number of workers.
--- a/src/skylarkbridge/encoding/bounded_parse.cpp
+++ b/src/skylarkbridge/encoding/bounded_parse.cpp
@@ -199,6 +199,13 @@
   throw json::other_error::create(kOtherErrorId, reason, nullptr);
 }
 
+const json& RequireArray(const json& value) {
+  if (!value.is_array()) {
+    ThrowInvalid("not an array");
+  }
+  return value;
+}
+
 std::string Message(const json::exception& error) {
   std::string text = error.what();
   if (text.size() > kMaxMessageBytes) {
--- a/src/skylarkbridge/records/fleet_map_codec.cpp
+++ b/src/skylarkbridge/records/fleet_map_codec.cpp
@@ -5,6 +5,7 @@
 
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/encoding/bounded_parse.hpp"
+#include "skylarkbridge/encoding/numbers.hpp"
 
 namespace skylarkbridge::records {
 namespace {
@@ -28,17 +29,15 @@
 boost::leaf::result<jobs::fleet_map> DecodeFleetMap(std::string_view value) {
   try {
     const json decoded = encoding::ParseMessagePack(value);
-    jobs::fleet_map map{
-        .cells = decoded.at(0),
-        .racks = decoded.at(1).get<std::map<std::string, jobs::cell_id>>()};
-    if (map.cells == 0) {
-      return boost::leaf::new_error(failure{"fleet map", "has no cells"});
+    jobs::fleet_map map{.cells = encoding::ToInteger<jobs::cell_id>(
+                            decoded.at(0), {1, jobs::kMaxCells})};
+    const json& racks = decoded.at(1);
+    if (!racks.is_object()) {
+      encoding::ThrowInvalid("the racks are not a map");
     }
-    for (const auto& [rack, cell] : map.racks) {
-      if (cell >= map.cells) {
-        return boost::leaf::new_error(
-            failure{"fleet map", "rack " + rack + " is in an unknown cell"});
-      }
+    for (const auto& [rack, cell] : racks.items()) {
+      map.racks[rack] =
+          encoding::ToInteger<jobs::cell_id>(cell, {0, map.cells - 1});
     }
     return map;
   } catch (const json::exception& error) {
--- a/src/skylarkbridge/records/fleet_map_codec_test.cpp
+++ b/src/skylarkbridge/records/fleet_map_codec_test.cpp
@@ -40,6 +40,13 @@
   EXPECT_FALSE(TryDecode(ToMessagePack(json::array({0, json::object()}))));
   EXPECT_FALSE(TryDecode(ToMessagePack(json::array({2, {{"r1", 2}}}))));
   EXPECT_FALSE(TryDecode(ToMessagePack(json::array({"two", json::object()}))));
+  EXPECT_FALSE(
+      TryDecode(ToMessagePack(json::array({4'000'000'000, json::object()}))));
+  EXPECT_FALSE(TryDecode(ToMessagePack(json::array({-1, json::object()}))));
+  EXPECT_FALSE(TryDecode(ToMessagePack(json::array({2, 0}))));
+  EXPECT_FALSE(
+      TryDecode(ToMessagePack(json::array({4'294'967'297, json::object()}))));
+  EXPECT_FALSE(TryDecode(ToMessagePack(json::array({2, {{"r1", 0.5}}}))));
 }
 
 // Guards against a map that ends every process that reads it, again at each
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -5,10 +5,15 @@
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/encoding/bounded_parse.hpp"
+#include "skylarkbridge/encoding/numbers.hpp"
+#include "skylarkbridge/jobs/job_limits.hpp"
 
 namespace skylarkbridge::records {
 namespace {
 
+using encoding::RequireArray;
+using encoding::ToInteger;
+using encoding::ToMilliseconds;
 using nlohmann::json;
 using namespace jobs;
 
@@ -46,9 +51,9 @@
 }
 
 resources ToResources(const json& value) {
-  return {.millicores = value.at(0),
-          .memory_mb = value.at(1),
-          .accelerators = value.at(2)};
+  return {.millicores = ToInteger<std::int64_t>(value.at(0)),
+          .memory_mb = ToInteger<std::int64_t>(value.at(1)),
+          .accelerators = ToInteger<std::int64_t>(value.at(2))};
 }
 
 json ToJson(const step_spec& step) {
@@ -60,23 +65,31 @@
                       step.disruption_budget});
 }
 
+std::vector<std::uint32_t> ToDependencies(const json& value) {
+  std::vector<std::uint32_t> steps;
+  for (const json& step : RequireArray(value)) {
+    steps.push_back(ToInteger<std::uint32_t>(step));
+  }
+  return steps;
+}
+
 step_spec ToStep(const json& value) {
-  return {.count = value.at(0),
+  return {.count = ToInteger<std::uint32_t>(value.at(0)),
           .need = ToResources(value.at(1)),
-          .estimate = std::chrono::milliseconds(value.at(2)),
-          .depends_on = value.at(3),
+          .estimate = ToMilliseconds(value.at(2)),
+          .depends_on = ToDependencies(value.at(3)),
           .checkpoints = value.at(4),
           .gang = value.at(5),
           .rack_local = value.at(6),
           .required_label = value.at(7),
           .data_rack = value.at(8),
-          .max_per_worker = value.at(9),
+          .max_per_worker = ToInteger<std::uint32_t>(value.at(9)),
           .speculative = value.at(10),
           .long_running = value.at(11),
           .image = value.at(12),
-          .latency_target = std::chrono::milliseconds(value.at(13)),
+          .latency_target = ToMilliseconds(value.at(13)),
           .best_effort = value.at(14),
-          .disruption_budget = value.at(15)};
+          .disruption_budget = ToInteger<std::int32_t>(value.at(15))};
 }
 
 keyed_record ToRecord(const job_accepted& record) {
@@ -124,14 +137,24 @@
   return rows;
 }
 
+run_number ToRunNumber(const json& value) {
+  return ToInteger<run_number>(value, {0, kMaxRunNumber});
+}
+
+failed_runs ToFailedRuns(const json& value) {
+  failed_runs runs;
+  for (const json& run : RequireArray(value)) {
+    runs.insert(ToRunNumber(run));
+  }
+  return runs;
+}
+
 crashed_runs ToCrashedRuns(const json& rows) {
   crashed_runs crashes;
-  for (const json& row : rows) {
-    const int evidence = row.at(1);
-    if (evidence < 0 || evidence > static_cast<int>(crash_evidence::kBlamed)) {
-      throw json::other_error::create(501, "unknown evidence", &row);
-    }
-    crashes[row.at(0)] = static_cast<crash_evidence>(evidence);
+  for (const json& row : RequireArray(rows)) {
+    crashes[ToRunNumber(row.at(0))] =
+        static_cast<crash_evidence>(ToInteger<int>(
+            row.at(1), {0, static_cast<int>(crash_evidence::kBlamed)}));
   }
   return crashes;
 }
@@ -153,18 +176,20 @@
 }
 
 step_progress ToStepProgress(const json& row) {
-  step_progress step{.occurrence = row.at(0),
-                     .step = row.at(1),
+  step_progress step{.occurrence = ToInteger<std::uint32_t>(row.at(0)),
+                     .step = ToInteger<std::uint32_t>(row.at(1)),
                      .done = ToFlags(row.at(2).get<std::string>())};
-  for (const json& failure_row : row.at(3)) {
-    step.failures[failure_row.at(0)] = failure_row.at(1).get<failed_runs>();
+  for (const json& failure_row : RequireArray(row.at(3))) {
+    step.failures[ToInteger<std::uint32_t>(failure_row.at(0))] =
+        ToFailedRuns(failure_row.at(1));
   }
   if (row.size() > kStartedColumn) {
     step.started = ToFlags(row.at(kStartedColumn).get<std::string>());
   }
   if (row.size() > kCrashesColumn) {
-    for (const json& crash_row : row.at(kCrashesColumn)) {
-      step.crashes[crash_row.at(0)] = ToCrashedRuns(crash_row.at(1));
+    for (const json& crash_row : RequireArray(row.at(kCrashesColumn))) {
+      step.crashes[ToInteger<std::uint32_t>(crash_row.at(0))] =
+          ToCrashedRuns(crash_row.at(1));
     }
   }
   return step;
@@ -198,53 +223,64 @@
           .value = Pack(json::array({record.claim_epoch, record.workers}))};
 }
 
+/// Returns a time from 1970 to kMaxDueTime.
+wall_time ToWallTime(const json& value) {
+  const wall_time::duration latest = kMaxDueTime;
+  return wall_time(
+      wall_time::duration(ToInteger<std::int64_t>(value, {0, latest.count()})));
+}
+
 job_accepted ToAccepted(job_id job, const json& value) {
   job_accepted record{
       .job = job,
       .queue = value.at(0),
-      .accepted_at =
-          wall_time(wall_time::duration(value.at(1).get<std::int64_t>())),
+      .accepted_at = ToWallTime(value.at(1)),
       .spec = {.payload = value.at(2),
-               .repeat_count = value.at(4),
-               .first_due = wall_time(
-                   wall_time::duration(value.at(5).get<std::int64_t>())),
-               .interval = std::chrono::milliseconds(value.at(6))},
-      .cell = value.at(7)};
-  for (const json& step : value.at(3)) {
+               .repeat_count = ToInteger<std::uint32_t>(value.at(4)),
+               .first_due = ToWallTime(value.at(5)),
+               .interval = ToMilliseconds(value.at(6))},
+      .cell = ToInteger<cell_id>(value.at(7))};
+  for (const json& step : RequireArray(value.at(3))) {
     record.spec.steps.push_back(ToStep(step));
   }
+  if (const auto fault = FindFault(record.spec)) {
+    encoding::ThrowInvalid(std::string(*fault));
+  }
   return record;
 }
 
 job_advanced ToAdvanced(job_id job, const json& value) {
-  const int status = value.at(1);
-  if (status < 0 || status > static_cast<int>(job_status::kFailed)) {
-    throw json::other_error::create(501, "unknown status", &value);
-  }
-  job_advanced record{.job = job,
-                      .progress = {.started = value.at(0),
-                                   .status = static_cast<job_status>(status)}};
-  for (const json& row : value.at(2)) {
+  job_advanced record{
+      .job = job,
+      .progress = {
+          .started = value.at(0),
+          .status = static_cast<job_status>(ToInteger<int>(
+              value.at(1), {0, static_cast<int>(job_status::kFailed)}))}};
+  for (const json& row : RequireArray(value.at(2))) {
     record.progress.steps.push_back(ToStepProgress(row));
   }
   return record;
 }
 
+epoch ToEpoch(const json& value) {
+  return ToInteger<epoch>(value, {0, kMaxEpoch});
+}
+
 ownership_record ToOwnership(const json& value) {
-  ownership_record record{
-      .claim_epoch = value.at(0),
-      .vm = value.at(1),
-      .incarnation = value.at(2),
-      .released = value.at(3),
-      .predecessor_validity = std::chrono::milliseconds(value.at(4))};
+  ownership_record record{.claim_epoch = ToEpoch(value.at(0)),
+                          .vm = value.at(1),
+                          .incarnation = ToInteger<std::uint64_t>(value.at(2)),
+                          .released = value.at(3),
+                          .predecessor_validity = ToMilliseconds(value.at(4))};
   if (value.size() > kMillicoresPerCellColumn) {
-    record.millicores_per_cell = value.at(kMillicoresPerCellColumn);
+    record.millicores_per_cell = ToInteger<std::int64_t>(
+        value.at(kMillicoresPerCellColumn), {0, kMaxAmount});
   }
   return record;
 }
 
 leased_workers ToLeasedWorkers(const json& value) {
-  return {.claim_epoch = value.at(0), .workers = value.at(1)};
+  return {.claim_epoch = ToEpoch(value.at(0)), .workers = value.at(1)};
 }
 
 /// Decodes a record of a job; @p bytes is null when the key was deleted.
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -196,6 +196,95 @@
   }
 }
 
+std::string ToMessagePack(const nlohmann::json& value) {
+  std::string bytes;
+  nlohmann::json::to_msgpack(value, bytes);
+  return bytes;
+}
+
+/// The record of an accepted job with one step, as JSON.
+nlohmann::json AcceptedJob() {
+  return nlohmann::json::from_msgpack(
+      *Encode(job_accepted{.job = job_id{1},
+                           .queue = "q",
+                           .spec = {.payload = "p", .steps = {{.count = 2}}}})
+           .value);
+}
+
+bool Accepts(char kind, const nlohmann::json& value) {
+  return DecodeOrNothing({.key = std::string(1, kind) + Format(job_id{1}),
+                          .value = ToMessagePack(value)})
+      .has_value();
+}
+
+// Guards against records with numbers that the JSON library converts to others:
+// 4 billion tasks were created, and a step that doesn't exist was read.
+TEST(JobRecordCodecTest, RejectsJobsWithNumbersOutOfRange) {
+  EXPECT_TRUE(Accepts('j', AcceptedJob()));
+  const auto accepts_step = [](std::size_t column,
+                               const nlohmann::json& value) {
+    nlohmann::json record = AcceptedJob();
+    record[3][0][column] = value;
+    return Accepts('j', record);
+  };
+  for (const nlohmann::json& count :
+       {nlohmann::json(4'000'000'000), nlohmann::json(-1), nlohmann::json(1e30),
+        nlohmann::json(4'294'967'298), nlohmann::json(0.5),
+        nlohmann::json(true)}) {
+    EXPECT_FALSE(accepts_step(0, count)) << count;
+  }
+  EXPECT_FALSE(accepts_step(1, {-1, 0, 0}));
+  EXPECT_FALSE(accepts_step(1, {1e18, 0, 0}));
+  EXPECT_FALSE(accepts_step(2, 9e18));
+  EXPECT_FALSE(accepts_step(3, {0}));
+  EXPECT_FALSE(accepts_step(3, {4'000'000'000}));
+  EXPECT_FALSE(accepts_step(13, -1));
+  const auto accepts_job = [](std::size_t column, const nlohmann::json& value) {
+    nlohmann::json record = AcceptedJob();
+    record[column] = value;
+    return Accepts('j', record);
+  };
+  EXPECT_FALSE(accepts_job(1, 1e30));
+  EXPECT_FALSE(accepts_job(3, nullptr));
+  EXPECT_FALSE(accepts_job(4, 4'000'000'000));
+  EXPECT_FALSE(accepts_job(5, 18'446'744'073'709'551'615U));
+  EXPECT_FALSE(accepts_job(7, -1));
+}
+
+// As above, for progress, ownership and leased workers.
+TEST(JobRecordCodecTest, RejectsOtherRecordsWithNumbersOutOfRange) {
+  const auto progress = [](const nlohmann::json& step) {
+    return Accepts(
+        'p', nlohmann::json::array({true, 0, nlohmann::json::array({step})}));
+  };
+  using nlohmann::json;
+  EXPECT_TRUE(progress(json::parse(R"([0,0,"1",[[0,[1]]]])")));
+  for (const char* const step :
+       {R"([-1,0,"1",[]])", R"([0,4294967296,"1",[]])",
+        R"([0,0,"1",[[-1,[1]]]])", R"([0,0,"1",[[0,[-1]]]])",
+        R"([0,0,"1",[[0,[1e30]]]])", R"([0,0,"1",[[0,1]]])",
+        R"([0,0,"1",null])", R"([0,0,"1",[],"",[[0,[[1,9]]]]])",
+        R"([0,0,"1",[],"",[[0,[[-1,1]]]]])"}) {
+    EXPECT_FALSE(progress(json::parse(step))) << step;
+  }
+  const auto owner = [](const char* value) {
+    return DecodeOrNothing(
+               {.key = "owner", .value = ToMessagePack(json::parse(value))})
+        .has_value();
+  };
+  EXPECT_TRUE(owner(R"([7,"a",9,true,1400,250])"));
+  EXPECT_TRUE(owner(R"([7,"a",18446744073709551615,true,1400])"));
+  for (const char* const value :
+       {R"([-7,"a",9,true,1400])", R"([18446744073709551615,"a",9,true,1400])",
+        R"([7,"a",9,true,-1])", R"([7,"a",9,true,9e18])",
+        R"([7,"a",9,true,1400,-5])", R"([7,"a",9,true,1400,1e18])"}) {
+    EXPECT_FALSE(owner(value)) << value;
+  }
+  EXPECT_FALSE(DecodeOrNothing(
+      {.key = "leased",
+       .value = ToMessagePack(json::parse(R"([18446744073709551615,[]])"))}));
+}
+
 // Guards against damaged records that are accepted; other programs may write to
 // the topic.
 TEST(JobRecordCodecTest, RejectsDamagedRecords) {
