--- a/src/skylarkbridge/encoding/bounded_parse.cpp
+++ b/src/skylarkbridge/encoding/bounded_parse.cpp
@@ -1,5 +1,6 @@
 #include "skylarkbridge/encoding/bounded_parse.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <limits>
@@ -198,11 +199,21 @@
   throw json::other_error::create(kOtherErrorId, reason, nullptr);
 }
 
+const json& RequireArray(const json& value) {
+  if (!value.is_array()) {
+    ThrowInvalid("not an array");
+  }
+  return value;
+}
+
 std::string Message(const json::exception& error) {
   std::string text = error.what();
   if (text.size() > kMaxMessageBytes) {
     text.resize(kMaxMessageBytes);
   }
+  std::replace_if(
+      text.begin(), text.end(),
+      [](char letter) { return letter < ' ' || letter > '~'; }, '?');
   return text;
 }
 
