Stop tasks on draining workers only once room is held elsewhere

Callers saw long-running tasks without a run for seconds after a scale-in, although the workers that were taken away went on for 3 s and longer. The cause: the owner ordered all of their long-running runs to stop when it saw the worker drain, whether the cell had room for them or not.

A run now goes on until a placement pass has found room for its task on another worker. The room is reserved, the run is stopped, and the task starts there once its end has been reported, so that it never has two runs. A run that finds no room is stopped when the worker's announced time less the stop timeout and a margin has passed, so that its end is reported before the worker leaves; otherwise it would be known only when the lease has expired, 6 s later. After the preemption delay batch runs are stopped on the worker where the task has its reservation, as for a restart. Waiting restarts come first; the tasks of leaving workers follow, the largest first. A worker that already drains when an owner first sees it is evacuated at once, also after a takeover, as the age of its entry is not known. Gangs are stopped at once as before.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -266,15 +266,6 @@
   /// earlier owners have expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
   bool Usable(const worker_session& session, time_point now) const;
-  /// Whether a run on a draining worker has to be stopped: it is long-running,
-  /// or it can resume from a checkpoint but would not end before the worker
-  /// leaves.
-  bool MustLeave(const worker_session& session,
-                 const run_ref& run,
-                 const worker_run& state,
-                 time_point now) const;
-  /// Stops the runs of a draining worker that must leave it.
-  void Evacuate(worker_session& session, time_point now);
 
   // Runs.
   worker_run& AddRun(worker_session& session,
@@ -411,6 +402,11 @@
       const step_spec& step,
       std::vector<placement_candidate>& candidates,
       placement_pass& pass) const;
+  /// Reserves room on the candidate.
+  static void ReserveRoomOn(placement_candidate& candidate,
+                            const task_ref& task,
+                            const step_spec& step,
+                            placement_pass& pass);
   /// Places the tasks, with the permits that the queue requires. Returns false
   /// when some found no room.
   bool PlaceOnCandidates(const ready_step& ranked,
@@ -485,8 +481,8 @@
   bool PlaceRestart(const waiting_restart& restart,
                     placement_pass& pass,
                     time_point now);
-  /// Leaves room for the long-running tasks on workers that are silent or
-  /// draining, which have to restart elsewhere unless the worker comes back.
+  /// Leaves room for the long-running tasks on silent workers, which have to
+  /// restart elsewhere unless the worker comes back.
   void ReserveForExpectedRestarts(placement_pass& pass, time_point now) const;
   void ReserveForExpectedRestart(const task_ref& task,
                                  placement_pass& pass,
@@ -503,6 +499,48 @@
   void ReportDelayedRestarts(time_point now);
   void ReportDelayedRestart(const waiting_restart& restart, time_point now);
 
+  // Evacuation of draining workers.
+  /// A long-running run on a draining worker.
+  struct leaving_run {
+    run_ref run;
+    worker_session* session = nullptr;
+    worker_run* state = nullptr;
+  };
+  /// Updates evacuation_state of a worker that was listed.
+  /// @param added whether it was not known before.
+  void UpdateEvacuation(worker_session& session,
+                        bool added,
+                        time_point now) const;
+  /// Whether a run on a draining worker has to be stopped now. A long-running
+  /// run goes on until PlaceLeavingRuns has found room for its task, or until
+  /// evacuation::stop_by. Another one is stopped if it can resume from a
+  /// checkpoint but would not end before the worker leaves.
+  bool MustLeave(const worker_session& session,
+                 const run_ref& run,
+                 const worker_run& state,
+                 time_point now) const;
+  /// Stops the runs of a draining worker that must leave it.
+  void Evacuate(worker_session& session, time_point now);
+  /// Stops the long-running runs of a worker that is about to leave.
+  static void StopOverdueRuns(worker_session& session, time_point now);
+  /// The long-running runs on draining workers whose tasks are placed one by
+  /// one, largest first, as large pieces of room are the rarest.
+  std::vector<leaving_run> LeavingRuns();
+  /// Keeps the room of those that are being stopped because their tasks have
+  /// found room.
+  void KeepRoomOfLeavingRuns(const std::vector<leaving_run>& leaving,
+                             placement_pass& pass,
+                             time_point now) const;
+  /// Reserves room for the tasks of the others, and stops those that have found
+  /// room. Returns false when some have not.
+  bool PlaceLeavingRuns(const std::vector<leaving_run>& leaving,
+                        placement_pass& pass,
+                        time_point now);
+  /// Returns false when the task of the run has found no room.
+  bool PlaceLeavingRun(const leaving_run& leaving,
+                       placement_pass& pass,
+                       time_point now);
+
   // Runs of cancelled jobs.
   /// Adds notes on the runs that should have been stopped.
   void ReportDelayedCancels(time_point now);
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -90,6 +90,15 @@
   std::optional<time_point> under_target_since;
 };
 
+/// @brief Times of a draining worker.
+struct evacuation {
+  /// When this owner first saw the worker drain.
+  time_point since;
+  /// Latest time for the stop of a long-running run, so that its end is
+  /// reported before the worker leaves.
+  time_point stop_by;
+};
+
 /// @brief State that the owner keeps for a worker.
 struct worker_session {
   explicit worker_session(time_point latest_possible_expiry)
@@ -99,6 +108,8 @@
   /// When the worker disappeared from the platform's list; empty while listed.
   std::optional<time_point> unlisted_since;
   std::optional<worker_start_time> start_time;
+  /// Empty while the worker does not drain.
+  std::optional<evacuation> evacuation_state;
   worker_lease lease;
   /// The worker has seen this owner's epoch and has sent a report since.
   bool has_reported = false;
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -117,6 +117,7 @@
   ExpireLeases(now);
   ReleaseTasksOfEarlierOwners(now);
   for (auto& [id, session] : workers_) {
+    StopOverdueRuns(session, now);
     SendStops(session, now);
     if (!session.renewal_under_way && now >= session.next_renewal) {
       Renew(session, now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -177,7 +177,10 @@
   UpdateWaitingJobs(now);
   permits_.DropClosedSteps(jobs_);
   placement_pass pass;
-  const bool restarts_placed = PlaceRestarts(pass, now);
+  const std::vector<leaving_run> leaving = LeavingRuns();
+  KeepRoomOfLeavingRuns(leaving, pass, now);
+  bool restarts_placed = PlaceRestarts(pass, now);
+  restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
@@ -192,7 +195,7 @@
   next_pass_ = unplaced_steps == 0 && restarts_placed
                    ? now
                    : now + options_.pass_interval;
-  placement_pending_ = !jobs_.ReadySteps().empty();
+  placement_pending_ = !jobs_.ReadySteps().empty() || !leaving.empty();
 }
 
 double fleet_scheduler::CompetingDemand(
@@ -351,13 +354,19 @@
   if (!chosen) {
     return nullptr;
   }
-  placement_candidate& candidate = candidates[*chosen];
+  ReserveRoomOn(candidates[*chosen], task, step, pass);
+  return &candidates[*chosen];
+}
+
+void fleet_scheduler::ReserveRoomOn(placement_candidate& candidate,
+                                    const task_ref& task,
+                                    const step_spec& step,
+                                    placement_pass& pass) {
   const resources need = ReservedResources(step);
   candidate.reserved += need;
   pass.reserved_room[candidate.session->entry.worker] += need;
   pass.reserved_workers[task] = candidate.session->entry.worker;
   ++candidate.siblings;
-  return &candidate;
 }
 
 resources fleet_scheduler::placement_pass::ReservedRoom(
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -53,12 +53,13 @@
     }
   }
   for (const auto& [id, session] : workers_) {
-    const bool is_silent = now >= session.last_answer + options_.max_silence;
-    if (!is_silent && !session.entry.draining) {
+    if (now < session.last_answer + options_.max_silence) {
       continue;
     }
     for (const auto& [run, state] : session.runs) {
-      if (state.long_running && !state.detached) {
+      // PlaceLeavingRuns reserves room for the runs on draining workers.
+      if (state.long_running && !state.detached &&
+          !pass.reserved_workers.contains(run.task)) {
         ReserveForExpectedRestart(run.task, pass, now);
       }
     }
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -10,8 +10,6 @@
 /// A worker that is missing from the list for longer is considered removed;
 /// shorter gaps can be errors of the platform's store.
 constexpr std::chrono::milliseconds kUnlistedGrace{2500};
-/// A stop has to be complete this long before a draining worker leaves.
-constexpr std::chrono::milliseconds kEvacuationMargin{500};
 
 }  // namespace
 
@@ -26,6 +24,7 @@
       entry.draining && (added || !session.entry.draining);
   session.entry = entry;
   session.unlisted_since.reset();
+  UpdateEvacuation(session, added, now);
   if (added) {
     session.next_renewal = now;
     leased_workers_changed_ = true;
@@ -298,6 +297,7 @@
     AddNote(scheduling_event::kRunAdopted, task.run, session.entry.worker);
     run.stop_wanted =
         session.entry.draining && MustLeave(session, task.run, run, now);
+    placement_pending_ |= session.entry.draining;
     return;
   }
   run.detached = true;
@@ -369,33 +369,4 @@
   }
 }
 
-bool fleet_scheduler::MustLeave(const worker_session& session,
-                                const run_ref& run,
-                                const worker_run& state,
-                                time_point now) const {
-  const step_spec* step = jobs_.Spec(StepOf(run.task));
-  if (step == nullptr) {
-    return false;
-  }
-  if (step->long_running) {
-    return true;
-  }
-  const std::chrono::milliseconds time_left = session.entry.minimum_time_left -
-                                              options_.stop_timeout -
-                                              kEvacuationMargin;
-  const auto elapsed = now - state.ordered_at;
-  const bool ends_in_time =
-      state.progress_percent > 0 &&
-      elapsed * (100 - state.progress_percent) / state.progress_percent <
-          time_left;
-  return step->checkpoints && !ends_in_time;
-}
-
-void fleet_scheduler::Evacuate(worker_session& session, time_point now) {
-  for (auto& [run, state] : session.runs) {
-    state.stop_wanted |= MustLeave(session, run, state, now);
-  }
-  SendStops(session, now);
-}
-
 }  // namespace skylarkbridge::jobs
