--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -475,6 +475,8 @@
     return vms_[vm].processor.get();
   }
   const job_invariant_checker& Checker() const { return checker_; }
+  /// @brief The metrics that all VMs share.
+  telemetry::metrics_registry& Metrics() { return metrics_; }
   time_point Now() const { return now_; }
   std::mt19937_64& Random() { return random_; }
 
