--- a/src/skylarkbridge/jobs/fleet_scheduler_reports.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_reports.cpp
@@ -72,7 +72,7 @@
 
 std::string fleet_scheduler::FirstUnreportedWorker() const {
   return unreported_workers_.empty() ? std::string()
-                                     : *unreported_workers_.begin();
+                                     : unreported_workers_.begin()->first;
 }
 
 void fleet_scheduler::ReportDelayedTakeover(time_point now) {
@@ -84,7 +84,7 @@
           absl::StrCat("waited_ms ", TakeoverWait(now).count(), " unreported ",
                        unreported_workers_.size(), " at_most_ms ",
                        std::chrono::ceil<std::chrono::milliseconds>(
-                           unreported_until_ - now)
+                           earlier_leases_until_ - now)
                            .count()));
 }
 
