Bound the JSON of workers, the log and the VM list in wire

A reply of a worker with 200,000 nested arrays ended the process: ParseDocument copied the document, and copies of the JSON library recurse. A kind that isn't UTF-8, which a peer's frame may hold, made the encoder throw.

Documents of wire and of submitted requests are parsed with the bound of the module encoding, numbers are checked against their type, durations are at most 100 years and amounts of the VM list at most 10^12. Encoders and answers replace bytes that are not UTF-8. The frames of peers were checked already.

Before: JsonBoundsTest.RejectsDeepDocuments ended with a segmentation fault, and the other three tests of JsonBoundsTest failed. After: all 11 tests of wire_test pass.

--- a/src/skylarkbridge/entry/answer_json.cpp
+++ b/src/skylarkbridge/entry/answer_json.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "skylarkbridge/encoding/print_json.hpp"
 #include "skylarkbridge/wire/error_body.hpp"
 
 namespace skylarkbridge::entry {
@@ -29,7 +30,7 @@
 }
 
 void SetJson(const json& body, httplib::Response& response) {
-  response.set_content(body.dump() + "\n", kJsonType);
+  response.set_content(encoding::PrintJson(body) + "\n", kJsonType);
 }
 
 void SetError(int status,
--- a/src/skylarkbridge/entry/submit_request.cpp
+++ b/src/skylarkbridge/entry/submit_request.cpp
@@ -2,11 +2,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "skylarkbridge/encoding/bounded_parse.hpp"
+
 namespace skylarkbridge::entry {
 
 std::optional<std::string> ReadSubmitRequest(std::string_view body,
                                              findings& found) {
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json document = encoding::ParseJsonOrDiscard(body);
   if (!document.is_object()) {
     found.Add("body", "is not a JSON object");
     return std::nullopt;
--- a/src/skylarkbridge/wire/json_fields.hpp
+++ b/src/skylarkbridge/wire/json_fields.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_WIRE_JSON_FIELDS_HPP
 #define SKYLARKBRIDGE_WIRE_JSON_FIELDS_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -12,6 +13,8 @@
 #include "skylarkbridge/base/findings.hpp"
 #include "skylarkbridge/base/resources.hpp"
 #include "skylarkbridge/coordination/ballot.hpp"
+#include "skylarkbridge/encoding/bounded_parse.hpp"
+#include "skylarkbridge/encoding/numbers.hpp"
 
 namespace skylarkbridge::wire {
 
@@ -34,7 +37,24 @@
       Fault(key, "is not a non-negative integer");
       return {};
     }
-    return field->get<T>();
+    const auto number = field->get<std::uint64_t>();
+    if (!std::in_range<T>(number)) {
+      Fault(key, "is too large");
+      return {};
+    }
+    return static_cast<T>(number);
+  }
+
+  /// @brief A number of @p Unit, which is at most encoding::kMaxDuration.
+  template <class Unit>
+  Unit Duration(const char* key) {
+    const auto count = Number<std::int64_t>(key);
+    if (count >
+        std::chrono::duration_cast<Unit>(encoding::kMaxDuration).count()) {
+      Fault(key, "is too long");
+      return {};
+    }
+    return Unit(count);
   }
 
   std::string Text(const char* key) {
@@ -104,9 +124,10 @@
   findings& found_;
 };
 
-/// @brief Parses a JSON document; null when it is malformed.
+/// @brief Parses a JSON document; null when it is malformed or nested too
+/// deeply.
 inline json ParseDocument(std::string_view text) {
-  json document = json::parse(text, nullptr, false);
+  json document = encoding::ParseJsonOrDiscard<json>(text);
   return document.is_discarded() ? json() : document;
 }
 
--- a/src/skylarkbridge/wire/log_protocol.cpp
+++ b/src/skylarkbridge/wire/log_protocol.cpp
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
+#include "skylarkbridge/encoding/print_json.hpp"
 #include "skylarkbridge/wire/json_fields.hpp"
 
 namespace skylarkbridge::wire {
@@ -199,7 +200,7 @@
   object["written_at_ns"] = record.written_at.time_since_epoch().count();
   object["body"] =
       std::visit([](const auto& body) { return Body(body); }, record.body);
-  return object.dump();
+  return encoding::PrintJson(object);
 }
 
 std::optional<log_record> DecodeRecord(std::string_view text, findings& found) {
@@ -219,7 +220,7 @@
   for (const log_record& record : records) {
     texts.push_back(EncodeRecord(record));
   }
-  return json{{"records", std::move(texts)}}.dump();
+  return encoding::PrintJson(json{{"records", std::move(texts)}});
 }
 
 std::optional<std::vector<std::string>> DecodeAppend(std::string_view text,
@@ -247,9 +248,9 @@
   for (const auto& [offset, data] : page.records) {
     records.push_back({{"offset", offset}, {"data", data}});
   }
-  return json{
-      {"first", page.first}, {"end", page.end}, {"records", std::move(records)}}
-      .dump();
+  return encoding::PrintJson(json{{"first", page.first},
+                                  {"end", page.end},
+                                  {"records", std::move(records)}});
 }
 
 std::optional<coordination::read_page> DecodePage(std::string_view text,
--- a/src/skylarkbridge/wire/vm_list.cpp
+++ b/src/skylarkbridge/wire/vm_list.cpp
@@ -4,12 +4,17 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "skylarkbridge/encoding/bounded_parse.hpp"
+#include "skylarkbridge/encoding/print_json.hpp"
 
 namespace skylarkbridge::wire {
 namespace {
 
 using json = nlohmann::ordered_json;
 
+/// Sums of such amounts over a whole list don't overflow.
+constexpr std::int64_t kMaxAmount = 1'000'000'000'000;
+
 std::string_view StatusName(vm_status status) {
   return status == vm_status::kLive ? "live" : "leaving";
 }
@@ -22,13 +27,23 @@
 
   std::int64_t Number(const char* key) {
     const auto field = object_.find(key);
-    if (field == object_.end() || !field->is_number_integer() || *field < 0) {
+    if (field == object_.end() || !field->is_number_unsigned() ||
+        !std::in_range<std::int64_t>(field->get<std::uint64_t>())) {
       Fault(key, "is not a non-negative integer");
       return 0;
     }
     return field->get<std::int64_t>();
   }
 
+  std::int64_t Amount(const char* key) {
+    const std::int64_t amount = Number(key);
+    if (amount > kMaxAmount) {
+      Fault(key, "is too large");
+      return 0;
+    }
+    return amount;
+  }
+
   ip_address Address(const char* key) {
     const auto field = object_.find(key);
     if (field == object_.end() || !field->is_string()) {
@@ -67,11 +82,11 @@
   worker.data_centre.value = reader.Number("data_centre");
   worker.rack.value = reader.Number("rack");
   worker.status = reader.Status();
-  worker.slots = reader.Number("slots");
-  worker.connections = reader.Number("connections");
-  worker.capacity = {.millicores = reader.Number("millicores"),
-                     .memory_mib = reader.Number("memory_mib"),
-                     .accelerators = reader.Number("accelerators")};
+  worker.slots = reader.Amount("slots");
+  worker.connections = reader.Amount("connections");
+  worker.capacity = {.millicores = reader.Amount("millicores"),
+                     .memory_mib = reader.Amount("memory_mib"),
+                     .accelerators = reader.Amount("accelerators")};
   return worker;
 }
 
@@ -133,11 +148,12 @@
                          {"data_centre", vm.data_centre.value},
                          {"status", StatusName(vm.status)}});
   }
-  return json{{"workers", workers}, {"entry_vms", entry_vms}}.dump();
+  return encoding::PrintJson(
+      json{{"workers", workers}, {"entry_vms", entry_vms}});
 }
 
 std::optional<vm_list> ParseVmList(std::string_view text, findings& found) {
-  const json document = json::parse(text, nullptr, false);
+  const json document = encoding::ParseJsonOrDiscard<json>(text);
   if (!document.is_object()) {
     found.Add("VM list", "is not a JSON object");
     return std::nullopt;
--- a/src/skylarkbridge/wire/worker_protocol.cpp
+++ b/src/skylarkbridge/wire/worker_protocol.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "skylarkbridge/encoding/print_json.hpp"
 #include "skylarkbridge/wire/json_fields.hpp"
 
 namespace skylarkbridge::wire {
@@ -61,7 +62,7 @@
 
 worker_permission ReadPermission(json_fields& fields) {
   return {.lease = ReadBallot(fields.Object("lease")),
-          .up_for = nanoseconds(fields.Number<std::int64_t>("up_for_ns"))};
+          .up_for = fields.Duration<nanoseconds>("up_for_ns")};
 }
 
 template <class Command>
@@ -127,12 +128,11 @@
 }
 
 worker_command ReadRenew(json_fields& fields) {
-  return renew_lease{
-      .worker = {fields.Number("worker")},
-      .lease = ReadBallot(fields.Object("lease")),
-      .granted = nanoseconds(fields.Number<std::int64_t>("granted_ns")),
-      .up_for = nanoseconds(fields.Number<std::int64_t>("up_for_ns")),
-      .worker_set = fields.Number("worker_set")};
+  return renew_lease{.worker = {fields.Number("worker")},
+                     .lease = ReadBallot(fields.Object("lease")),
+                     .granted = fields.Duration<nanoseconds>("granted_ns"),
+                     .up_for = fields.Duration<nanoseconds>("up_for_ns"),
+                     .worker_set = fields.Number("worker_set")};
 }
 
 worker_command ReadStart(json_fields& fields) {
@@ -213,14 +213,13 @@
 }
 
 worker_reply ReadReply(const fence_worker& command, json_fields& fields) {
-  fence_reply reply{
-      .fence = command.fence,
-      .sent = command.sent,
-      .obeyed = ReadBallot(fields.Object("obeyed")),
-      .displaced = ReadBallot(fields.Object("displaced")),
-      .up_for = nanoseconds(fields.Number<std::int64_t>("up_for_ns")),
-      .worker_set = fields.Number("worker_set"),
-      .inventory = {.worker = command.worker}};
+  fence_reply reply{.fence = command.fence,
+                    .sent = command.sent,
+                    .obeyed = ReadBallot(fields.Object("obeyed")),
+                    .displaced = ReadBallot(fields.Object("displaced")),
+                    .up_for = fields.Duration<nanoseconds>("up_for_ns"),
+                    .worker_set = fields.Number("worker_set"),
+                    .inventory = {.worker = command.worker}};
   fields.ForEach("running", kMaxAttempts, [&](json_fields& item) {
     reply.inventory.running.push_back(
         {.task = {item.Number("task")},
@@ -231,16 +230,16 @@
 }
 
 worker_reply ReadReply(const renew_lease& command, json_fields& fields) {
-  return renew_answer{.renewal = {.worker = command.worker,
-                                  .lease = command.lease,
-                                  .sent = command.sent,
-                                  .granted = command.granted,
-                                  .accepted = fields.Flag("accepted"),
-                                  .obeyed = ReadBallot(fields.Object("obeyed")),
-                                  .up_for = nanoseconds(
-                                      fields.Number<std::int64_t>("up_for_ns")),
-                                  .worker_set = fields.Number("worker_set")},
-                      .ended = ReadEndedArray(fields)};
+  return renew_answer{
+      .renewal = {.worker = command.worker,
+                  .lease = command.lease,
+                  .sent = command.sent,
+                  .granted = command.granted,
+                  .accepted = fields.Flag("accepted"),
+                  .obeyed = ReadBallot(fields.Object("obeyed")),
+                  .up_for = fields.Duration<nanoseconds>("up_for_ns"),
+                  .worker_set = fields.Number("worker_set")},
+      .ended = ReadEndedArray(fields)};
 }
 
 template <class Command>
@@ -259,8 +258,8 @@
   report_answer reply;
   fields.ForEach("windows", kMaxWindows, [&](json_fields& item) {
     usage_window window{
-        .begin_ago = milliseconds(item.Number<std::int64_t>("begin_ago_ms")),
-        .end_ago = milliseconds(item.Number<std::int64_t>("end_ago_ms"))};
+        .begin_ago = item.Duration<milliseconds>("begin_ago_ms"),
+        .end_ago = item.Duration<milliseconds>("end_ago_ms")};
     item.ForEach("tasks", kMaxAttempts, [&](json_fields& usage) {
       window.tasks.push_back({.task = {usage.Number("task")},
                               .used = ReadResources(usage.Object("used"))});
@@ -269,8 +268,7 @@
       window.services.push_back(
           {.service = latency.Text("service"),
            .requests = latency.Number<std::int64_t>("requests"),
-           .p99 = std::chrono::microseconds(
-               latency.Number<std::int64_t>("p99_us"))});
+           .p99 = latency.Duration<std::chrono::microseconds>("p99_us")});
     });
     reply.windows.push_back(std::move(window));
   });
@@ -292,8 +290,9 @@
 }
 
 std::string EncodeCommand(const worker_command& command) {
-  return std::visit([](const auto& one) { return Encode(one).dump(); },
-                    command);
+  return std::visit(
+      [](const auto& one) { return encoding::PrintJson(Encode(one)); },
+      command);
 }
 
 std::optional<worker_command> DecodeCommand(std::string_view name,
@@ -327,7 +326,8 @@
 }
 
 std::string EncodeReply(const worker_reply& reply) {
-  return std::visit([](const auto& one) { return Encode(one).dump(); }, reply);
+  return std::visit(
+      [](const auto& one) { return encoding::PrintJson(Encode(one)); }, reply);
 }
 
 std::optional<worker_reply> DecodeReply(const worker_command& command,
