--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -286,9 +286,11 @@
     blocked_restarts_[task] = {.obstacle = restart_obstacle::kUnreportedWorkers,
                                .pass = last_pass_};
   }
+  const auto waited =
+      std::chrono::floor<std::chrono::milliseconds>(now - ownership_begun_at_);
   AddNote(scheduling_event::kUnaccountedReleased, {},
           never_reported_.empty() ? "" : *never_reported_.begin(),
-          absl::StrCat("waited_ms ", TakeoverWait(now).count(), " unreported ",
+          absl::StrCat("waited_ms ", waited.count(), " unreported ",
                        never_reported_.size(), " restarts ", released.size()));
   jobs_.AllowUnreportedTasks();
   placement_pending_ = true;
