--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/cell_room.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
@@ -23,6 +24,7 @@
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
+#include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
 
@@ -91,6 +93,9 @@
   std::chrono::milliseconds restart_report_interval{1000};
   /// Tasks that are reported at once, those that have waited longest.
   std::size_t max_restart_reports = 5;
+  /// Interval of the reports on tasks that wait for the workers of an earlier
+  /// owner.
+  std::chrono::milliseconds takeover_report_interval{1000};
   /// A run of a cancelled job that is on its worker for longer is reported.
   std::chrono::milliseconds cancel_report_delay{1000};
   /// Interval of these reports.
@@ -207,6 +212,12 @@
   std::size_t WaitingRestarts() const;
   /// @brief How long the one that waits longest has waited; zero without one.
   std::chrono::milliseconds LongestRestartWait(time_point now) const;
+  /// @brief Number of workers of an earlier owner that have not sent a report.
+  std::size_t UnreportedWorkers() const { return unreported_workers_.size(); }
+  /// @brief How long tasks have waited for these; zero without one.
+  std::chrono::milliseconds TakeoverWait(time_point now) const;
+  /// @brief The free room of the workers that can get new tasks.
+  cell_room FreeRoom(time_point now) const;
   const job_table& Jobs() const { return jobs_; }
   const std::map<std::string, worker_session>& Workers() const {
     return workers_;
@@ -273,20 +284,15 @@
   /// Once each worker of an earlier owner has sent a report or its lease has
   /// expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
+  /// Adds a note while tasks wait for the workers of an earlier owner.
+  void ReportDelayedTakeover(time_point now);
+  /// A worker of an earlier owner that has not sent a report; empty for none.
+  std::string FirstUnreportedWorker() const;
   /// The list of leased workers to store.
   leased_workers LeasedWorkers(time_point now) const;
   /// Whether this owner may extend the worker's lease.
   bool MayExtendLease(const worker_session& session) const;
   bool Usable(const worker_session& session, time_point now) const;
-  /// Whether a run on a draining worker has to be stopped: it is long-running,
-  /// or it can resume from a checkpoint but would not end before the worker
-  /// leaves.
-  bool MustLeave(const worker_session& session,
-                 const run_ref& run,
-                 const worker_run& state,
-                 time_point now) const;
-  /// Stops the runs of a draining worker that must leave it.
-  void Evacuate(worker_session& session, time_point now);
 
   // Runs.
   worker_run& AddRun(worker_session& session,
@@ -368,6 +374,12 @@
   };
   using interference_views =
       absl::flat_hash_map<const worker_session*, interference_view>;
+  /// Why a placement pass did not start a restart.
+  struct blocked_restart {
+    restart_obstacle obstacle = restart_obstacle::kNone;
+    /// Number of the pass.
+    std::uint64_t pass = 0;
+  };
   /// State of one placement pass, shared by its steps.
   struct placement_pass {
     /// Candidates by service, image and whether the step is best-effort.
@@ -380,6 +392,8 @@
     absl::flat_hash_map<std::string, resources> reserved_room;
     /// Worker on which room is reserved, by task.
     std::map<task_ref, std::string> reserved_workers;
+    /// The restarts that were not placed.
+    std::map<task_ref, blocked_restart> blocked_restarts;
     /// Room by worker that first starts of long-running tasks leave for the
     /// restarts to come. Other tasks may use it, as they can be stopped.
     absl::flat_hash_map<std::string, resources> expected_restart_room;
@@ -423,6 +437,11 @@
       const step_spec& step,
       std::vector<placement_candidate>& candidates,
       placement_pass& pass) const;
+  /// Reserves room on the candidate.
+  static void ReserveRoomOn(placement_candidate& candidate,
+                            const task_ref& task,
+                            const step_spec& step,
+                            placement_pass& pass);
   /// Places the tasks, with the permits that the queue requires. Returns false
   /// when some found no room.
   bool PlaceOnCandidates(const ready_step& ranked,
@@ -497,8 +516,19 @@
   bool PlaceRestart(const waiting_restart& restart,
                     placement_pass& pass,
                     time_point now);
-  /// Leaves room for the long-running tasks on workers that are silent or
-  /// draining, which have to restart elsewhere unless the worker comes back.
+  /// Why a restart that may start now was not placed.
+  restart_obstacle ObstacleOf(
+      const step_spec& step,
+      const queue_configuration& queue,
+      const std::vector<placement_candidate>& candidates,
+      const std::vector<placement_candidate>& permitted) const;
+  /// Why a restart that is placed on the worker was not placed earlier.
+  restart_cause CauseOfRestart(const task_ref& task,
+                               const worker_session& session) const;
+  restart_release ReleaseOf(const worker_session& session,
+                            std::uint64_t blocked_pass) const;
+  /// Leaves room for the long-running tasks on silent workers, which have to
+  /// restart elsewhere unless the worker comes back.
   void ReserveForExpectedRestarts(placement_pass& pass, time_point now) const;
   void ReserveForExpectedRestart(const task_ref& task,
                                  placement_pass& pass,
@@ -515,6 +545,48 @@
   void ReportDelayedRestarts(time_point now);
   void ReportDelayedRestart(const waiting_restart& restart, time_point now);
 
+  // Evacuation of draining workers.
+  /// A long-running run on a draining worker.
+  struct leaving_run {
+    run_ref run;
+    worker_session* session = nullptr;
+    worker_run* state = nullptr;
+  };
+  /// Updates evacuation_state of a worker that was listed.
+  /// @param added whether it was not known before.
+  void UpdateEvacuation(worker_session& session,
+                        bool added,
+                        time_point now) const;
+  /// Whether a run on a draining worker has to be stopped now. A long-running
+  /// run goes on until PlaceLeavingRuns has found room for its task, or until
+  /// evacuation::stop_by. Another one is stopped if it can resume from a
+  /// checkpoint but would not end before the worker leaves.
+  bool MustLeave(const worker_session& session,
+                 const run_ref& run,
+                 const worker_run& state,
+                 time_point now) const;
+  /// Stops the runs of a draining worker that must leave it.
+  void Evacuate(worker_session& session, time_point now);
+  /// Stops the long-running runs of a worker that is about to leave.
+  static void StopOverdueRuns(worker_session& session, time_point now);
+  /// The long-running runs on draining workers whose tasks are placed one by
+  /// one, largest first, as large pieces of room are the rarest.
+  std::vector<leaving_run> LeavingRuns();
+  /// Keeps the room of those that are being stopped because their tasks have
+  /// found room.
+  void KeepRoomOfLeavingRuns(const std::vector<leaving_run>& leaving,
+                             placement_pass& pass,
+                             time_point now) const;
+  /// Reserves room for the tasks of the others, and stops those that have found
+  /// room. Returns false when some have not.
+  bool PlaceLeavingRuns(const std::vector<leaving_run>& leaving,
+                        placement_pass& pass,
+                        time_point now);
+  /// Returns false when the task of the run has found no room.
+  bool PlaceLeavingRun(const leaving_run& leaving,
+                       placement_pass& pass,
+                       time_point now);
+
   // Runs of cancelled jobs.
   /// Adds notes on the runs that should have been stopped.
   void ReportDelayedCancels(time_point now);
@@ -579,6 +651,10 @@
   time_point earlier_leases_until_;
   /// As leased_workers::ends_stored_from.
   epoch ends_stored_from_ = 0;
+  /// Workers of earlier owners that sent no report until their leases expired.
+  std::set<std::string> never_reported_;
+  time_point ownership_begun_at_;
+  time_point next_takeover_report_;
   bool leased_workers_changed_ = false;
   std::uint64_t write_number_ = 0;
   /// Number of the log write that first lists a worker as leased, by worker.
@@ -588,9 +664,14 @@
   std::map<job_id, time_point> waiting_jobs_since_;
   bool placement_pending_ = false;
   time_point next_pass_;
+  /// Number of the last placement pass.
+  std::uint64_t last_pass_ = 0;
   /// Worker on which the last pass reserved room, by task. The next pass
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
+  /// The restarts that the last pass did not place, and those that waited for
+  /// the workers of an earlier owner until after it.
+  std::map<task_ref, blocked_restart> blocked_restarts_;
   time_point next_restart_report_;
   time_point next_cancel_report_;
   permit_cache permits_;
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -13,6 +13,7 @@
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
+#include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/worker_lease.hpp"
 #include "skylarkbridge/jobs/worker_report.hpp"
 
@@ -90,6 +91,15 @@
   std::optional<time_point> under_target_since;
 };
 
+/// @brief Times of a draining worker.
+struct evacuation {
+  /// When this owner first saw the worker drain.
+  time_point since;
+  /// Latest time for the stop of a long-running run, so that its end is
+  /// reported before the worker leaves.
+  time_point stop_by;
+};
+
 /// @brief State that the owner keeps for a worker.
 struct worker_session {
   explicit worker_session(time_point latest_possible_expiry)
@@ -102,6 +112,8 @@
   /// no new tasks until it writes one that can; `entry` is the last of these.
   bool entry_rejected = false;
   std::optional<worker_start_time> start_time;
+  /// Empty while the worker does not drain.
+  std::optional<evacuation> evacuation_state;
   worker_lease lease;
   /// The worker has seen this owner's epoch and has sent a report since.
   bool has_reported = false;
@@ -147,6 +159,7 @@
   std::optional<time_point> over_target_since;
   /// No task is evicted for interference before this time.
   time_point earliest_eviction;
+  room_events changes;
   /// Failed runs since the last successful one, over all jobs.
   int consecutive_failures = 0;
 
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -29,6 +29,8 @@
   active_ = true;
   epoch_ = owned_epoch;
   registry_ = &registry;
+  ownership_begun_at_ = now;
+  next_takeover_report_ = now + options_.takeover_report_interval;
   earlier_leases_until_ = LatestLeaseExpiry(earlier_orders_until);
   for (const std::string& worker : leased.workers) {
     unreported_workers_[worker] = earlier_leases_until_;
@@ -67,8 +69,10 @@
   unreported_workers_.clear();
   stored_unreported_.clear();
   store_unreported_at_.reset();
+  never_reported_.clear();
   waiting_jobs_since_.clear();
   reserved_workers_.clear();
+  blocked_restarts_.clear();
   permits_.Clear();
   registration_writes_.clear();
   leased_workers_changed_ = false;
@@ -132,7 +136,9 @@
   jobs_.StartDue(wall);
   ExpireLeases(now);
   ReleaseTasksOfEarlierOwners(now);
+  ReportDelayedTakeover(now);
   for (auto& [id, session] : workers_) {
+    StopOverdueRuns(session, now);
     SendStops(session, now);
     if (!session.renewal_under_way && now >= session.next_renewal) {
       Renew(session, now);
@@ -234,6 +240,7 @@
     if (const auto worker = workers_.find(entry->first);
         worker != workers_.end()) {
       worker->second.registered = true;
+      worker->second.changes.joined = last_pass_;
       worker->second.next_renewal = now;
     }
     placement_pending_ = true;
@@ -264,17 +271,34 @@
   }
   std::erase_if(unreported_workers_, [this, now](const auto& unreported) {
     const auto session = workers_.find(unreported.first);
-    return now >= unreported.second ||
-           (session != workers_.end() && session->second.has_reported);
+    if (session != workers_.end() && session->second.has_reported) {
+      return true;
+    }
+    const bool expired = now >= unreported.second;
+    if (expired) {
+      never_reported_.insert(unreported.first);
+    }
+    return expired;
   });
-  if (unreported_workers_.empty()) {
-    // A successor must not wait for the same workers again.
-    leased_workers_changed_ = true;
-    store_unreported_at_.reset();
-    jobs_.AllowUnreportedTasks(epoch_);
-    placement_pending_ = true;
-    AddNote(scheduling_event::kUnaccountedReleased, {}, "");
+  if (!unreported_workers_.empty()) {
+    return;
   }
+  // A successor must not wait for the same workers again.
+  leased_workers_changed_ = true;
+  store_unreported_at_.reset();
+  const std::vector<task_ref> released = jobs_.UnreportedLongRunningTasks();
+  for (const task_ref& task : released) {
+    blocked_restarts_[task] = {.obstacle = restart_obstacle::kUnreportedWorkers,
+                               .pass = last_pass_};
+  }
+  const auto waited =
+      std::chrono::floor<std::chrono::milliseconds>(now - ownership_begun_at_);
+  AddNote(scheduling_event::kUnaccountedReleased, {},
+          never_reported_.empty() ? "" : *never_reported_.begin(),
+          absl::StrCat("waited_ms ", waited.count(), " unreported ",
+                       never_reported_.size(), " restarts ", released.size()));
+  jobs_.AllowUnreportedTasks(epoch_);
+  placement_pending_ = true;
 }
 
 const queue_configuration* fleet_scheduler::Queue(job_id id) const {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -26,15 +26,33 @@
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
   const ready_step ranked{.starving = IsStarving(ref.job, now), .ref = ref};
+  blocked_restart blocked{.obstacle = restart_obstacle::kRetryDelay,
+                          .pass = last_pass_};
   const bool may_restart = now >= restart.not_before && restart.end_stored;
   if (may_restart && PlaceOnCandidates(ranked, *step, *queue,
                                        {restart.task.index}, candidates, now)) {
+    if (jobs_.Find(restart.task)->phase == task_phase::kReady) {
+      blocked.obstacle = restart_obstacle::kIsolation;
+      pass.blocked_restarts[restart.task] = blocked;
+    }
     return true;
   }
   std::vector<placement_candidate> permitted;
   if (queue->HasPlacementPolicy()) {
     permitted = Permitted(ref, candidates, now);
   }
+  if (may_restart) {
+    blocked.obstacle = ObstacleOf(*step, *queue, candidates, permitted);
+  } else if (now >= restart.not_before) {
+    // After a takeover, the wait for the workers was the longer one.
+    const auto earlier = blocked_restarts_.find(restart.task);
+    const bool waited_for_workers =
+        earlier != blocked_restarts_.end() &&
+        earlier->second.obstacle == restart_obstacle::kUnreportedWorkers;
+    blocked.obstacle = waited_for_workers ? restart_obstacle::kUnreportedWorkers
+                                          : restart_obstacle::kUnstoredEnd;
+  }
+  pass.blocked_restarts[restart.task] = blocked;
   const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
   const placement_candidate* reserved_on = ReserveRoom(
       restart.task, *step, permitted.empty() ? candidates : permitted, pass);
@@ -53,12 +71,13 @@
     }
   }
   for (const auto& [id, session] : workers_) {
-    const bool is_silent = now >= session.last_answer + options_.max_silence;
-    if (!is_silent && !session.entry.draining) {
+    if (now < session.last_answer + options_.max_silence) {
       continue;
     }
     for (const auto& [run, state] : session.runs) {
-      if (state.long_running && !state.detached) {
+      // PlaceLeavingRuns reserves room for the runs on draining workers.
+      if (state.long_running && !state.detached &&
+          !pass.reserved_workers.contains(run.task)) {
         ReserveForExpectedRestart(run.task, pass, now);
       }
     }
@@ -178,6 +197,13 @@
         return left.Room().millicores < right.Room().millicores;
       });
   const auto reserved = reserved_workers_.find(restart.task);
+  std::int64_t most_preemptible = 0;
+  std::int64_t total_room = 0;
+  for (const placement_candidate& candidate : candidates) {
+    most_preemptible = std::max(
+        most_preemptible, candidate.session->PreemptibleRoom().millicores);
+    total_room += candidate.Room().millicores;
+  }
   std::string detail = absl::StrCat(
       "waited_ms ",
       std::chrono::floor<std::chrono::milliseconds>(now - restart.since)
@@ -190,12 +216,17 @@
         &detail, " most_room ", session.Room().millicores, " on ",
         session.entry.worker, " view_age_ms ",
         std::chrono::floor<std::chrono::milliseconds>(now - session.last_answer)
-            .count());
+            .count(),
+        " most_preemptible ", most_preemptible, " total_room ", total_room);
   }
   AddNote(scheduling_event::kRestartDelayed,
           {restart.task, jobs_.Find(restart.task)->last_run},
           reserved == reserved_workers_.end() ? "" : reserved->second,
           std::move(detail));
+  const auto blocked = blocked_restarts_.find(restart.task);
+  if (blocked != blocked_restarts_.end()) {
+    notes_.back().restart_cause = {.obstacle = blocked->second.obstacle};
+  }
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -10,8 +10,6 @@
 /// A worker that is missing from the list for longer is considered removed;
 /// shorter gaps can be errors of the platform's store.
 constexpr std::chrono::milliseconds kUnlistedGrace{2500};
-/// A stop has to be complete this long before a draining worker leaves.
-constexpr std::chrono::milliseconds kEvacuationMargin{500};
 
 }  // namespace
 
@@ -25,8 +23,12 @@
   const bool starts_draining =
       entry.draining && (added || !session.entry.draining);
   session.entry = entry;
+  if (session.unlisted_since) {
+    session.changes.returned = last_pass_;
+  }
   session.unlisted_since.reset();
   session.entry_rejected = false;
+  UpdateEvacuation(session, added, now);
   if (added) {
     session.next_renewal = now;
   }
@@ -121,6 +123,9 @@
   }
   session.failed_renewals = 0;
   ApplyReport(session, reply.renewal_number, *reply.report, now);
+  if (now >= session.last_answer + options_.max_silence) {
+    session.changes.returned = last_pass_;
+  }
   session.last_answer = now;
   session.next_renewal =
       session.pending_ended_runs.empty() && MayExtendLease(session)
@@ -152,6 +157,7 @@
   AdjustPaces(session, now);
   if (!session.has_reported) {
     session.has_reported = true;
+    session.changes.joined = last_pass_;
     // No task is started on the worker before this is stored.
     leased_workers_changed_ = true;
     // From now on the worker refuses the orders of earlier owners.
@@ -308,6 +314,7 @@
     AddNote(scheduling_event::kRunAdopted, task.run, session.entry.worker);
     run.stop_wanted =
         session.entry.draining && MustLeave(session, task.run, run, now);
+    placement_pending_ |= session.entry.draining;
     return;
   }
   run.detached = true;
@@ -379,33 +386,4 @@
   }
 }
 
-bool fleet_scheduler::MustLeave(const worker_session& session,
-                                const run_ref& run,
-                                const worker_run& state,
-                                time_point now) const {
-  const step_spec* step = jobs_.Spec(StepOf(run.task));
-  if (step == nullptr) {
-    return false;
-  }
-  if (step->long_running) {
-    return true;
-  }
-  const std::chrono::milliseconds time_left = session.entry.minimum_time_left -
-                                              options_.stop_timeout -
-                                              kEvacuationMargin;
-  const auto elapsed = now - state.ordered_at;
-  const bool ends_in_time =
-      state.progress_percent > 0 &&
-      elapsed * (100 - state.progress_percent) / state.progress_percent <
-          time_left;
-  return step->checkpoints && !ends_in_time;
-}
-
-void fleet_scheduler::Evacuate(worker_session& session, time_point now) {
-  for (auto& [run, state] : session.runs) {
-    state.stop_wanted |= MustLeave(session, run, state, now);
-  }
-  SendStops(session, now);
-}
-
 }  // namespace skylarkbridge::jobs
