--- a/include/skylarkbridge/jobs/restart_cause.hpp
+++ b/include/skylarkbridge/jobs/restart_cause.hpp
@@ -13,6 +13,8 @@
   kNone,
   /// The delay after a failed run.
   kRetryDelay,
+  /// The end of the last run is not stored yet.
+  kUnstoredEnd,
   /// Workers of an earlier owner that have not sent a report yet.
   kUnreportedWorkers,
   /// No worker of the service takes new tasks.
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -72,6 +72,8 @@
       return "nothing";
     case restart_obstacle::kRetryDelay:
       return "retry_delay";
+    case restart_obstacle::kUnstoredEnd:
+      return "unstored_end";
     case restart_obstacle::kUnreportedWorkers:
       return "unreported_workers";
     case restart_obstacle::kNoUsableWorker:
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -28,9 +28,9 @@
   const ready_step ranked{.starving = IsStarving(ref.job, now), .ref = ref};
   blocked_restart blocked{.obstacle = restart_obstacle::kRetryDelay,
                           .pass = last_pass_};
-  if (now >= restart.not_before &&
-      PlaceOnCandidates(ranked, *step, *queue, {restart.task.index}, candidates,
-                        now)) {
+  const bool may_restart = now >= restart.not_before && restart.end_stored;
+  if (may_restart && PlaceOnCandidates(ranked, *step, *queue,
+                                       {restart.task.index}, candidates, now)) {
     if (jobs_.Find(restart.task)->phase == task_phase::kReady) {
       blocked.obstacle = restart_obstacle::kIsolation;
       pass.blocked_restarts[restart.task] = blocked;
@@ -41,8 +41,10 @@
   if (queue->HasPlacementPolicy()) {
     permitted = Permitted(ref, candidates, now);
   }
-  if (now >= restart.not_before) {
+  if (may_restart) {
     blocked.obstacle = ObstacleOf(*step, *queue, candidates, permitted);
+  } else if (now >= restart.not_before) {
+    blocked.obstacle = restart_obstacle::kUnstoredEnd;
   }
   pass.blocked_restarts[restart.task] = blocked;
   const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
@@ -52,7 +54,7 @@
       now >= restart.since + options_.preemption_delay) {
     PreemptRuns(restart.task, *reserved_on, now);
   }
-  return now < restart.not_before;
+  return !may_restart;
 }
 
 void fleet_scheduler::ReserveForExpectedRestarts(placement_pass& pass,
