Allow for the age of a draining worker's entry

A run on a draining worker that finds no room elsewhere is stopped shortly before the worker leaves. The time left was counted from the moment at which the owner read the entry. An entry that is half a second old, as after a slow read of the list, left no margin: the run was still there when the worker left, and its task had to wait until the worker's lease expired.

The time is now shorter by half a second. Permits for such tasks are requested as for restarts, also while a permitted worker is full.

--- a/src/skylarkbridge/jobs/fleet_scheduler_evacuation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_evacuation.cpp
@@ -9,6 +9,9 @@
 
 /// A stop has to be complete this long before a draining worker leaves.
 constexpr std::chrono::milliseconds kEvacuationMargin{500};
+/// Age that the entry of a worker may have when it is read from the list. Reads
+/// are up to 150 ms apart, and slow ones take several hundred milliseconds.
+constexpr std::chrono::milliseconds kMaxEntryAge{500};
 
 }  // namespace
 
@@ -20,7 +23,8 @@
     return;
   }
   const time_point stop_by = now + session.entry.minimum_time_left -
-                             options_.stop_timeout - kEvacuationMargin;
+                             options_.stop_timeout - kEvacuationMargin -
+                             kMaxEntryAge;
   if (session.evacuation_state) {
     time_point& earliest = session.evacuation_state->stop_by;
     earliest = std::min(earliest, stop_by);
@@ -134,9 +138,6 @@
   std::vector<placement_candidate> permitted;
   if (queue->HasPlacementPolicy()) {
     permitted = Permitted(ref, candidates, now);
-    if (permitted.empty()) {
-      RequestPermits(ref, queue->policy, candidates, now);
-    }
   }
   std::vector<placement_candidate>& usable =
       permitted.empty() ? candidates : permitted;
@@ -149,6 +150,9 @@
     SendStops(*leaving.session, now);
     return true;
   }
+  if (queue->HasPlacementPolicy()) {
+    RequestPermits(ref, queue->policy, candidates, now);
+  }
   const placement_candidate* reserved_on =
       ReserveRoom(task, *step, usable, pass);
   if (reserved_on != nullptr && may_start &&
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -313,6 +313,37 @@
   EXPECT_EQ(driver.stops[0].run, run);
 }
 
+// Guards against runs that are stopped too late when the entry of their worker
+// was half a second old when it was read: the worker left before they had
+// ended, and its lease had to expire before their tasks could run again.
+TEST(FleetSchedulerTest, StopsRunsInTimeWhenADrainingWorkerIsListedLate) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 4000);
+  driver.RunRounds();
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  // What is left of the 3 s that the entry states.
+  const milliseconds time_left = milliseconds(3000) - milliseconds(500);
+  driver.scheduler.WorkerListed({.worker = "w0",
+                                 .service = "service",
+                                 .address = "w0",
+                                 .draining = true,
+                                 .minimum_time_left = seconds(3),
+                                 .capacity = {.millicores = 4000}},
+                                driver.now);
+  const time_point leaves_at = driver.now + time_left;
+  driver.RunRounds();
+  EXPECT_TRUE(driver.stops.empty());
+  const milliseconds stop_timeout = fleet_scheduler_options{}.stop_timeout;
+  while (driver.stops.empty() && driver.now < leaves_at) {
+    driver.Pass(milliseconds(20));
+  }
+  EXPECT_LE(driver.now + stop_timeout + milliseconds(400), leaves_at);
+}
+
 // Guards against tasks that have never run and take the room that the tasks of
 // a silent worker need once its lease has expired: up to 126 cores were given
 // away in the 6 s before, and up to 18 tasks waited 11 s and longer.
