Record delegated tasks and the room of a cell in the log

A job never leaves its cell, so that a long-running task waits without a bound in a full cell while another one has whole workers free. Another cell can take the task only if both owners learn from the log whose it is.

The progress of a job holds the tasks that are delegated: the cell and the lowest run number there. The record of an owner holds the largest room of a worker of its cell, by service. Both are columns behind those that earlier versions read. A registry also keeps the jobs of which tasks are delegated to its cell; it removes no records of them, as its log has none.

--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -42,8 +42,19 @@
 /// run, so that no crash counts twice.
 using crashed_runs = std::map<run_number, crash_evidence>;
 
-/// @brief Completed and started tasks, and failed and crashed runs, of one
-/// occurrence of a step.
+/// @brief A task that the cell which runs its job has given to another cell for
+/// the rest of the job, because its own workers have no room for it.
+struct delegated_task {
+  cell_id cell = 0;
+  /// Lowest number of a run that the other cell starts: all runs that the first
+  /// cell started have lower numbers.
+  run_number first_run = 1;
+
+  bool operator==(const delegated_task&) const = default;
+};
+
+/// @brief Completed, started and delegated tasks, and failed and crashed runs,
+/// of one occurrence of a step.
 struct step_progress {
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
@@ -56,6 +67,8 @@
   std::vector<bool> started;
   /// Crashed runs by index of the task.
   std::map<std::uint32_t, crashed_runs> crashes;
+  /// Tasks that run in another cell, by index.
+  std::map<std::uint32_t, delegated_task> delegations;
 
   bool operator==(const step_progress&) const = default;
 };
@@ -71,6 +84,9 @@
   bool operator==(const job_progress&) const = default;
 };
 
+/// @brief The cells to which tasks of a job are delegated.
+std::set<cell_id> DelegatedCells(const job_progress& progress);
+
 /// @brief A job was accepted.
 struct job_accepted {
   job_id job;
@@ -114,6 +130,9 @@
   /// Processor time that the VM has for each of the cells that it owns, in
   /// thousandths of a core. 0 in records of versions that didn't store it.
   std::int64_t millicores_per_cell = 0;
+  /// Largest room that one worker of the cell has for a long-running task of
+  /// another cell, by service. Empty while the owner takes none.
+  std::map<std::string, resources> room;
 
   bool operator==(const ownership_record&) const = default;
 };
--- a/include/skylarkbridge/jobs/job_registry.hpp
+++ b/include/skylarkbridge/jobs/job_registry.hpp
@@ -25,6 +25,10 @@
   cell_id cell = 0;
   job_progress progress;
   bool cancelled = false;
+  /// The cell is neither the job's home nor the cell that runs the job: it only
+  /// runs tasks that are delegated to it. The cell's log has no records of the
+  /// job.
+  bool is_guest = false;
   /// When this process first read the job's record.
   time_point seen_at;
   /// When this process learned that the job has ended; nullopt while open.
@@ -44,7 +48,8 @@
   kCancelled,
 };
 
-/// @brief The jobs of one cell: those whose home it is and those that it runs.
+/// @brief The jobs of one cell: those whose home it is, those that it runs, and
+/// those of which tasks are delegated to it.
 /// Built by applying the records of the logs in order.
 ///
 /// Every entry VM keeps a registry of each cell, so that it can answer callers
@@ -56,6 +61,9 @@
   /// @brief Adds a job unless it is known: of several records of a job the
   /// first one holds. Returns whether it was added.
   bool Apply(job_accepted record, time_point now);
+  /// @brief Adds or updates a job of which tasks are delegated to this cell.
+  /// @param running the job's state according to the cell that runs it.
+  void ApplyDelegated(job_id job, const job_state& running, time_point now);
   /// @brief Cancels a job. Returns whether it was known and open.
   bool Apply(const job_cancelled& record, time_point now);
   /// @brief Replaces the progress of a job.
@@ -70,6 +78,9 @@
 
   /// @brief Whether this cell runs the job, and is not only its home.
   bool RunsHere(const job_state& state) const { return state.cell == cell_; }
+  /// @brief Whether this cell runs the job or tasks that are delegated to it.
+  bool HasTasksHere(const job_state& state) const;
+  cell_id Cell() const { return cell_; }
   /// @brief Returns the processor time, in millicores, that the long-running
   /// steps of the open jobs of this cell request.
   std::int64_t LongRunningMillicores() const {
--- a/src/skylarkbridge/jobs/job_registry.cpp
+++ b/src/skylarkbridge/jobs/job_registry.cpp
@@ -5,6 +5,20 @@
 
 namespace skylarkbridge::jobs {
 
+std::set<cell_id> DelegatedCells(const job_progress& progress) {
+  std::set<cell_id> cells;
+  for (const step_progress& step : progress.steps) {
+    for (const auto& [index, delegation] : step.delegations) {
+      cells.insert(delegation.cell);
+    }
+  }
+  return cells;
+}
+
+bool job_registry::HasTasksHere(const job_state& state) const {
+  return RunsHere(state) || DelegatedCells(state.progress).contains(cell_);
+}
+
 bool job_registry::Apply(job_accepted record, time_point now) {
   auto [entry, added] = jobs_.try_emplace(record.job);
   job_state& state = entry->second;
@@ -34,6 +48,24 @@
   return true;
 }
 
+void job_registry::ApplyDelegated(job_id job,
+                                  const job_state& running,
+                                  time_point now) {
+  const auto [entry, added] = jobs_.try_emplace(job);
+  job_state& state = entry->second;
+  if (added) {
+    state = running;
+    state.is_guest = true;
+    state.seen_at = now;
+    state.ended_at.reset();
+    early_records_.erase(job);
+  } else {
+    state.progress = running.progress;
+    state.cancelled |= running.cancelled;
+  }
+  RecordEnd(job, state, now);
+}
+
 bool job_registry::Apply(const job_cancelled& record, time_point now) {
   const auto entry = jobs_.find(record.job);
   if (entry == jobs_.end()) {
@@ -80,7 +112,9 @@
   if (state.Ended() && !state.ended_at) {
     state.ended_at = now;
     long_running_millicores_ -= LongRunningMillicoresOf(state);
-    ended_.emplace_back(now, job);
+    if (!state.is_guest) {
+      ended_.emplace_back(now, job);
+    }
   }
 }
 
--- a/src/skylarkbridge/jobs/job_registry_test.cpp
+++ b/src/skylarkbridge/jobs/job_registry_test.cpp
@@ -45,5 +45,34 @@
   EXPECT_EQ(registry.ReportedState(kJob), reported_state::kCancelled);
 }
 
+/// Progress with the first task delegated to cell 2.
+job_progress DelegatedProgress() {
+  return {.started = true,
+          .steps = {{.delegations = {{0, {.cell = 2, .first_run = 7}}}}}};
+}
+
+// Guards against a cell that does not know of the tasks delegated to it, or
+// that removes the records of their job, which its log does not have.
+TEST(JobRegistryTest, KnowsJobsOfDelegatedTasksAndDropsNone) {
+  job_registry running(1);
+  running.Apply(job_advanced{kJob, DelegatedProgress()}, kNow);
+  ASSERT_TRUE(running.Apply(job_accepted{.job = kJob, .cell = 1}, kNow));
+  const job_state& state = *running.Find(kJob);
+  job_registry other(2);
+  other.ApplyDelegated(kJob, state, kNow);
+  ASSERT_NE(other.Find(kJob), nullptr);
+  EXPECT_FALSE(other.RunsHere(*other.Find(kJob)));
+  EXPECT_TRUE(other.HasTasksHere(*other.Find(kJob)));
+  job_registry third(3);
+  third.ApplyDelegated(kJob, state, kNow);
+  EXPECT_FALSE(third.HasTasksHere(*third.Find(kJob)));
+
+  running.Apply(job_cancelled{kJob}, kNow);
+  other.ApplyDelegated(kJob, *running.Find(kJob), kNow);
+  EXPECT_TRUE(other.Find(kJob)->Ended());
+  EXPECT_TRUE(other.Find(kJob)->ended_at);
+  EXPECT_TRUE(other.EndedBefore(kNow + seconds(2), kMaxCount).empty());
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -28,6 +28,11 @@
 constexpr std::size_t kMillicoresPerCellColumn = 5;
 /// Column of step_progress::crashes, under the same rules.
 constexpr std::size_t kCrashesColumn = 5;
+/// Column of step_progress::delegations, under the same rules.
+constexpr std::size_t kDelegationsColumn = 6;
+/// Column of ownership_record::room, which earlier versions neither write nor
+/// read.
+constexpr std::size_t kRoomColumn = 6;
 
 std::string Key(char kind, job_id job) {
   return absl::StrCat(std::string(1, kind), Format(job));
@@ -123,6 +128,22 @@
   return rows;
 }
 
+json DelegationsToJson(const step_progress& step) {
+  json rows = json::array();
+  for (const auto& [index, delegation] : step.delegations) {
+    rows.push_back(json::array({index, delegation.cell, delegation.first_run}));
+  }
+  return rows;
+}
+
+json RoomToJson(const std::map<std::string, resources>& room) {
+  json rows = json::array();
+  for (const auto& [service, amounts] : room) {
+    rows.push_back(json::array({service, ToJson(amounts)}));
+  }
+  return rows;
+}
+
 crashed_runs ToCrashedRuns(const json& rows) {
   crashed_runs crashes;
   for (const json& row : rows) {
@@ -142,12 +163,18 @@
   }
   json row = json::array(
       {step.occurrence, step.step, ToDigits(step.done), std::move(failures)});
-  if (!step.started.empty() || !step.crashes.empty()) {
+  // A column is written when it or a later one is not empty.
+  const bool has_delegations = !step.delegations.empty();
+  const bool has_crashes = !step.crashes.empty() || has_delegations;
+  if (!step.started.empty() || has_crashes) {
     row.push_back(ToDigits(step.started));
   }
-  if (!step.crashes.empty()) {
+  if (has_crashes) {
     row.push_back(CrashesToJson(step));
   }
+  if (has_delegations) {
+    row.push_back(DelegationsToJson(step));
+  }
   return row;
 }
 
@@ -166,6 +193,12 @@
       step.crashes[crash_row.at(0)] = ToCrashedRuns(crash_row.at(1));
     }
   }
+  if (row.size() > kDelegationsColumn) {
+    for (const json& delegation_row : row.at(kDelegationsColumn)) {
+      step.delegations[delegation_row.at(0)] = {
+          .cell = delegation_row.at(1), .first_run = delegation_row.at(2)};
+    }
+  }
   return step;
 }
 
@@ -185,11 +218,13 @@
 }
 
 keyed_record ToRecord(const ownership_record& record) {
-  return {
-      .key = std::string(kOwnerKey),
-      .value = Pack(json::array(
-          {record.claim_epoch, record.vm, record.incarnation, record.released,
-           record.predecessor_validity.count(), record.millicores_per_cell}))};
+  json row = json::array({record.claim_epoch, record.vm, record.incarnation,
+                          record.released, record.predecessor_validity.count(),
+                          record.millicores_per_cell});
+  if (!record.room.empty()) {
+    row.push_back(RoomToJson(record.room));
+  }
+  return {.key = std::string(kOwnerKey), .value = Pack(row)};
 }
 
 keyed_record ToRecord(const leased_workers& record) {
@@ -239,6 +274,11 @@
   if (value.size() > kMillicoresPerCellColumn) {
     record.millicores_per_cell = value.at(kMillicoresPerCellColumn);
   }
+  if (value.size() > kRoomColumn) {
+    for (const json& row : value.at(kRoomColumn)) {
+      record.room[row.at(0)] = ToResources(row.at(1));
+    }
+  }
   return record;
 }
 
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -120,6 +120,21 @@
   EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
 }
 
+// Guards against a task that two cells run: its delegation has to be kept, also
+// without the columns before it.
+TEST(JobRecordCodecTest, KeepsTheDelegations) {
+  const job_advanced advanced{
+      .job = job_id{1},
+      .progress = {
+          .started = true,
+          .steps = {{.step = 1,
+                     .delegations = {{4, {.cell = 3, .first_run = 20'006}},
+                                     {5, {.cell = 1, .first_run = 20'001}}}}}}};
+  const auto decoded = RoundTrip(advanced);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
+}
+
 // Guards against losing the progress of jobs at an update: earlier versions
 // wrote no started tasks.
 TEST(JobRecordCodecTest, ReadsTheProgressThatEarlierVersionsWrote) {
@@ -165,7 +180,8 @@
       .incarnation = 9,
       .released = true,
       .predecessor_validity = std::chrono::milliseconds(1400),
-      .millicores_per_cell = 250};
+      .millicores_per_cell = 250,
+      .room = {{"service", {.millicores = 4000, .memory_mb = 5}}}};
   EXPECT_EQ(std::get<ownership_record>(*RoundTrip(owner)), owner);
   const leased_workers leased{.claim_epoch = 7, .workers = {"x", "y"}};
   EXPECT_EQ(std::get<leased_workers>(*RoundTrip(leased)), leased);
