Keep the delegated tasks of a job apart in the job table

In the cell that runs the job, a delegated task is elsewhere: it is never started again and no run of it is adopted, also after a takeover. In the other cell the table has the job with the delegated tasks only. They wait for their restart, with run numbers above all of the first cell and apart for each epoch, and no progress of the job is written.

delegation_targets chooses the cell with the most room of those that stated it within a bound, and subtracts what was delegated shortly before, which the statements do not count yet.

--- /dev/null
+++ b/include/skylarkbridge/jobs/delegation_targets.hpp
@@ -0,0 +1,66 @@
+#ifndef SKYLARKBRIDGE_JOBS_DELEGATION_TARGETS_HPP
+#define SKYLARKBRIDGE_JOBS_DELEGATION_TARGETS_HPP
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/ids.hpp"
+#include "skylarkbridge/jobs/job_spec.hpp"
+
+namespace skylarkbridge::jobs {
+
+/// @brief The room that the owner of a cell has stated for long-running tasks
+/// of other cells.
+struct cell_room {
+  cell_id cell = 0;
+  /// Largest room on one worker, by service.
+  std::map<std::string, resources> largest;
+  /// Until when the statement may be used.
+  time_point valid_until;
+};
+
+/// @brief Chooses the cell to which a long-running task without room in its own
+/// cell is delegated.
+class delegation_targets {
+ public:
+  /// @brief Replaces the statements of the other cells.
+  void SetRooms(std::vector<cell_room> rooms) { rooms_ = std::move(rooms); }
+  /// @brief Returns the cell with the most room for a task of the service;
+  /// nullopt when none has enough.
+  std::optional<cell_id> Choose(const std::string& service,
+                                const resources& need,
+                                time_point now) const;
+  /// @brief Subtracts a delegated task from the room of its cell until the
+  /// statements of the cell's owner are certain to count it.
+  void Count(cell_id cell,
+             const std::string& service,
+             const resources& need,
+             time_point now);
+  /// @brief Discards the statements and the counted tasks.
+  void Clear();
+
+ private:
+  struct counted_task {
+    cell_id cell = 0;
+    std::string service;
+    resources need;
+    time_point counted_until;
+  };
+
+  /// Room that is left of the statement; nullopt without a valid one.
+  std::optional<resources> Room(const cell_room& stated,
+                                const std::string& service,
+                                time_point now) const;
+
+  std::vector<cell_room> rooms_;
+  std::vector<counted_task> counted_;
+};
+
+}  // namespace skylarkbridge::jobs
+
+#endif  // SKYLARKBRIDGE_JOBS_DELEGATION_TARGETS_HPP
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -47,6 +47,8 @@
   /// At least one run of it is on a worker.
   kActive,
   kDone,
+  /// Another cell runs it.
+  kElsewhere,
 };
 
 /// @brief A run that a worker was ordered to start and that has not ended.
@@ -59,6 +61,8 @@
   task_phase phase = task_phase::kWaiting;
   std::vector<active_run> active_runs;
   run_number last_run = 0;
+  /// Lowest number of a run of the task in this cell.
+  run_number first_run = 1;
   std::string checkpoint;
   /// The task is not started before this time, after a failed or lost run.
   time_point not_before;
@@ -84,6 +88,9 @@
   std::string queue;
   job_spec spec;
   wall_time accepted_at{};
+  /// Another cell runs the job and records its progress. This cell runs the
+  /// tasks that are delegated to it.
+  bool is_delegated = false;
   /// When the job was added to the table, on this process's clock.
   time_point added_at;
   job_progress progress;
@@ -131,7 +138,8 @@
 /// jobs, and which tasks are ready to start.
 class job_table {
  public:
-  explicit job_table(job_table_options options) : options_(options) {}
+  explicit job_table(job_table_options options, cell_id cell = 0)
+      : options_(options), cell_(cell) {}
 
   /// @brief Adds an open job.
   /// @param maybe_running an earlier owner may have started tasks of the job,
@@ -141,6 +149,19 @@
            bool maybe_running,
            time_point now,
            wall_time wall_now);
+  /// @brief Takes over the tasks of a job that another cell has delegated to
+  /// this one. Those that were delegated before are not changed.
+  /// @param maybe_running see Add.
+  void AddDelegatedTasks(job_id job,
+                         const job_state& state,
+                         bool maybe_running,
+                         time_point now);
+  /// @brief Whether a waiting restart can be delegated to another cell: this
+  /// cell runs its job, and nothing known of the task would be lost.
+  bool CanDelegate(const task_ref& task) const;
+  /// @brief Delegates a task for which CanDelegate holds. This cell never
+  /// starts it again; the other one does once it has read the progress.
+  void Delegate(const task_ref& task, cell_id to, epoch own_epoch);
   /// @brief Removes a job. Returns its active runs, which must be stopped.
   std::vector<run_to_stop> Remove(job_id job);
 
@@ -217,6 +238,8 @@
                        open_job& job,
                        std::uint32_t occurrence,
                        bool maybe_running);
+  /// Starts the only occurrence of a job that another cell runs.
+  void StartDelegatedOccurrence(open_job& job);
   void ReleaseSteps(job_id id, open_job& job, std::uint32_t occurrence);
   void MakeReady(const task_ref& ref, task_state& task);
   void RemoveIfNoneReady(const step_ref& step);
@@ -230,6 +253,9 @@
                     std::uint32_t max_attempts);
   /// Whether the task has to be given up after these crashes.
   bool ExceedsCrashLimit(const crashed_runs& crashes) const;
+  /// Whether a task that another cell delegated has crashed too many workers.
+  /// It is not started again, as only the other cell can fail the job.
+  bool MustStayStopped(const task_ref& task) const;
   /// Records a run of a task that is suspected of crashing its workers.
   void AddPendingRun(open_job& job, const run_ref& run, task_state& task);
   /// Removes the run if it is pending: it ended without a crash.
@@ -243,6 +269,7 @@
                                        const task_ref& task) const;
 
   job_table_options options_;
+  cell_id cell_;
   std::map<job_id, open_job> jobs_;
   std::set<step_ref> ready_;
   /// Jobs whose progress has changed.
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -12,6 +12,10 @@
 /// that no worker has reported to it.
 constexpr run_number kRunsPerEpoch = 10'000;
 
+/// A task that is suspected of more crashes stays in its cell: other cells do
+/// not record the crashes of its next runs.
+constexpr std::size_t kMaxCrashesToDelegate = 1;
+
 const step_progress* FindProgress(const job_progress& progress,
                                   std::uint32_t occurrence,
                                   std::uint32_t step) {
@@ -33,6 +37,10 @@
          progress->started[index];
 }
 
+bool IsDelegated(const step_progress* progress, std::uint32_t index) {
+  return progress != nullptr && progress->delegations.contains(index);
+}
+
 std::size_t CountCrashes(const crashed_runs& crashes, crash_evidence at_least) {
   return static_cast<std::size_t>(std::count_if(
       crashes.begin(), crashes.end(),
@@ -62,6 +70,13 @@
   job.accepted_at = state.accepted_at;
   job.added_at = now;
   job.progress = state.progress;
+  if (state.cell != cell_) {
+    job.is_delegated = true;
+    job.next_occurrence = job.OccurrenceCount();
+    StartDelegatedOccurrence(job);
+    AddDelegatedTasks(id, state, maybe_running, now);
+    return;
+  }
   if (job.spec.repeat_count == 0) {
     job.next_occurrence = 1;
     StartOccurrence(id, job, 0, maybe_running);
@@ -77,6 +92,75 @@
   }
 }
 
+void job_table::StartDelegatedOccurrence(open_job& job) {
+  std::vector<step_state>& steps = job.due_occurrences[0];
+  steps.resize(job.spec.steps.size());
+  for (std::size_t step = 0; step < steps.size(); ++step) {
+    // A delegated task has run, so the steps before its own are done.
+    steps[step].dependencies_done = true;
+    steps[step].tasks.resize(job.spec.steps[step].count);
+    for (task_state& task : steps[step].tasks) {
+      task.phase = task_phase::kElsewhere;
+    }
+  }
+}
+
+void job_table::AddDelegatedTasks(job_id id,
+                                  const job_state& state,
+                                  bool maybe_running,
+                                  time_point now) {
+  const auto entry = jobs_.find(id);
+  if (entry == jobs_.end() || !entry->second.is_delegated) {
+    return;
+  }
+  for (const step_progress& step : state.progress.steps) {
+    for (const auto& [index, delegation] : step.delegations) {
+      const task_ref ref{id, step.occurrence, step.step, index};
+      task_state* task = MutableTask(ref);
+      if (delegation.cell != cell_ || task == nullptr ||
+          task->phase != task_phase::kElsewhere) {
+        continue;
+      }
+      task->first_run = delegation.first_run;
+      if (const auto crashed = step.crashes.find(index);
+          crashed != step.crashes.end()) {
+        FindOrAddProgress(entry->second, ref).crashes[index] = crashed->second;
+        task->suspected_crashes =
+            CountCrashes(crashed->second, crash_evidence::kSuspected);
+      }
+      task->last_run_ended_at = now;
+      if (maybe_running) {
+        task->phase = task_phase::kMaybeRunning;
+      } else {
+        MakeReady(ref, *task);
+      }
+    }
+  }
+}
+
+bool job_table::CanDelegate(const task_ref& ref) const {
+  const open_job* job = Find(ref.job);
+  const task_state* task = Find(ref);
+  if (job == nullptr || task == nullptr || job->is_delegated ||
+      job->spec.repeat_count > 0) {
+    return false;
+  }
+  const step_spec& step = job->spec.steps[ref.step];
+  return step.long_running && !step.gang && step.required_label.empty() &&
+         task->phase == task_phase::kReady && task->last_run_ended_at &&
+         task->suspected_crashes <= kMaxCrashesToDelegate &&
+         task->checkpoint.empty();
+}
+
+void job_table::Delegate(const task_ref& ref, cell_id to, epoch own_epoch) {
+  const run_number first_run = NextRun(ref, own_epoch);
+  MutableTask(ref)->phase = task_phase::kElsewhere;
+  RemoveIfNoneReady(StepOf(ref));
+  FindOrAddProgress(jobs_.find(ref.job)->second, ref).delegations[ref.index] = {
+      .cell = to, .first_run = first_run};
+  changed_.insert(ref.job);
+}
+
 void job_table::StartDue(wall_time wall_now) {
   for (auto next = scheduled_.begin(); next != scheduled_.end();) {
     const job_id id = *next;
@@ -124,6 +208,8 @@
       if (IsDone(progress, index)) {
         task.phase = task_phase::kDone;
         ++steps[step].done;
+      } else if (IsDelegated(progress, index)) {
+        task.phase = task_phase::kElsewhere;
       } else if (maybe_running) {
         task.phase = task_phase::kMaybeRunning;
       }
@@ -215,12 +301,14 @@
 run_number job_table::NextRun(const task_ref& ref, epoch own_epoch) const {
   const task_state* task = Find(ref);
   const run_number last = task == nullptr ? 0 : task->last_run;
-  return std::max(last + 1, (own_epoch - 1) * kRunsPerEpoch + 1);
+  const run_number first = task == nullptr ? 1 : task->first_run;
+  return std::max(last + 1, (own_epoch - 1) * kRunsPerEpoch + first);
 }
 
 void job_table::RecordStart(const run_ref& run, const std::string& worker) {
   task_state* task = MutableTask(run.task);
-  if (task == nullptr || task->phase == task_phase::kDone) {
+  if (task == nullptr || task->phase == task_phase::kDone ||
+      task->phase == task_phase::kElsewhere) {
     return;
   }
   task->phase = task_phase::kActive;
@@ -241,7 +329,7 @@
 bool job_table::CanAdopt(const run_ref& run) const {
   const task_state* task = Find(run.task);
   return task != nullptr && task->phase != task_phase::kDone &&
-         task->active_runs.empty();
+         task->phase != task_phase::kElsewhere && task->active_runs.empty();
 }
 
 void job_table::RemoveActiveRun(task_state& task, run_number run) {
@@ -272,8 +360,10 @@
   known = evidence;
   changed_.insert(run.task.job);
   task->suspected_crashes = CountCrashes(crashes, crash_evidence::kSuspected);
-  return ExceedsCrashLimit(crashes) ? Finish(run.task.job, job_status::kFailed)
-                                    : std::vector<run_to_stop>();
+  // Only the cell that runs the job records its end.
+  return !job.is_delegated && ExceedsCrashLimit(crashes)
+             ? Finish(run.task.job, job_status::kFailed)
+             : std::vector<run_to_stop>();
 }
 
 bool job_table::ExceedsCrashLimit(const crashed_runs& crashes) const {
@@ -321,6 +411,18 @@
   }
 }
 
+bool job_table::MustStayStopped(const task_ref& ref) const {
+  const open_job* job = Find(ref.job);
+  const step_progress* progress =
+      FindProgress(job->progress, ref.occurrence, ref.step);
+  if (!job->is_delegated || progress == nullptr) {
+    return false;
+  }
+  const auto crashes = progress->crashes.find(ref.index);
+  return crashes != progress->crashes.end() &&
+         ExceedsCrashLimit(crashes->second);
+}
+
 bool job_table::EndRun(const run_ref& run, time_point not_before) {
   task_state* task = MutableTask(run.task);
   if (task == nullptr || task->phase != task_phase::kActive) {
@@ -330,7 +432,7 @@
   if (!task->active_runs.empty()) {
     return false;
   }
-  task->not_before = not_before;
+  task->not_before = MustStayStopped(run.task) ? time_point::max() : not_before;
   MakeReady(run.task, *task);
   return true;
 }
@@ -481,7 +583,8 @@
   std::vector<job_advanced> changes = std::exchange(finished_, {});
   changed_.merge(std::exchange(deferred_changes_, {}));
   for (const job_id id : changed_) {
-    if (const auto entry = jobs_.find(id); entry != jobs_.end()) {
+    if (const auto entry = jobs_.find(id);
+        entry != jobs_.end() && !entry->second.is_delegated) {
       changes.push_back({id, entry->second.progress});
     }
   }
@@ -560,7 +663,8 @@
     const std::vector<task_state>& tasks = Find(ref)->tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       const task_state& task = tasks[index];
-      if (task.phase == task_phase::kReady && task.last_run_ended_at) {
+      if (task.phase == task_phase::kReady && task.last_run_ended_at &&
+          task.not_before != time_point::max()) {
         waiting.push_back({.task = TaskOf(ref, index),
                            .since = *task.last_run_ended_at,
                            .not_before = task.not_before});
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -206,5 +206,100 @@
   EXPECT_EQ(table.Find(FirstRun(0).task)->suspected_crashes, 1U);
 }
 
+/// The table of the first owner, which has lost a run of the first task and
+/// delegated the task to cell 1 in its epoch 3.
+job_table DelegatingOwner() {
+  job_table table = FirstOwner();
+  const run_ref lost{.task = FirstRun(0).task, .run = 20'005};
+  table.RecordStart(lost, "w");
+  table.RecordLoss(lost, kNow);
+  EXPECT_TRUE(table.CanDelegate(lost.task));
+  table.Delegate(lost.task, 1, 3);
+  return table;
+}
+
+// Guards against a task that two cells run: its first cell must neither start
+// it again nor adopt a run of it, and neither must a successor.
+TEST(JobTableTest, ADelegatedTaskIsNotStartedHereAgain) {
+  const task_ref task = FirstRun(0).task;
+  job_table table = DelegatingOwner();
+  EXPECT_TRUE(table.WaitingRestarts().empty());
+  EXPECT_EQ(table.ReadyTasks(StepOf(task), kNow),
+            (std::vector<std::uint32_t>{1, 2}));
+  EXPECT_FALSE(table.CanAdopt({task, 20'005}));
+  table.RecordEnd({task, 20'005}, run_end::kFailed, "", kMaxAttempts, kNow);
+  EXPECT_TRUE(table.WaitingRestarts().empty());
+  EXPECT_TRUE(table.HasChanges());
+  job_table successor = Successor(*TakeProgress(table));
+  successor.AllowUnreportedTasks();
+  EXPECT_EQ(successor.ReadyTasks(StepOf(task), kTakeover),
+            (std::vector<std::uint32_t>{1, 2}));
+  EXPECT_FALSE(successor.CanAdopt({task, 20'005}));
+}
+
+/// The state of the job of DelegatingOwner, as read from the log.
+job_state DelegatedJob() {
+  job_table table = DelegatingOwner();
+  return Job(true, *TakeProgress(table));
+}
+
+// Guards against run numbers that two owners use: those of the other cell are
+// above all of the first cell, and apart for each epoch of the other cell.
+TEST(JobTableTest, ADelegatedTaskHasHigherRunNumbers) {
+  const task_ref task = FirstRun(0).task;
+  job_table table({}, 1);
+  table.Add(kJob, DelegatedJob(), false, kNow, kWall);
+  EXPECT_EQ(table.NextRun(task, 1), 20'006U);
+  EXPECT_EQ(table.NextRun(task, 2), 30'006U);
+  table.RecordStart({task, 30'006}, "w");
+  EXPECT_EQ(table.NextRun(task, 2), 30'007U);
+  EXPECT_EQ(table.NextRun(task, 3), 40'006U);
+}
+
+// Guards against a cell that runs more than the tasks delegated to it, or that
+// overwrites the progress which another cell records.
+TEST(JobTableTest, TheOtherCellRunsOnlyTheDelegatedTask) {
+  const task_ref task = FirstRun(0).task;
+  job_table table({}, 1);
+  table.Add(kJob, DelegatedJob(), false, kNow, kWall);
+  ASSERT_EQ(table.WaitingRestarts().size(), 1U);
+  EXPECT_EQ(table.WaitingRestarts()[0].task, task);
+  EXPECT_EQ(table.ReadyTasks(StepOf(task), kNow),
+            std::vector<std::uint32_t>{0});
+  EXPECT_FALSE(table.CanDelegate(task));
+  table.RecordStart({task, 20'006}, "w");
+  table.RecordLoss({task, 20'006}, kNow);
+  EXPECT_EQ(table.WaitingRestarts().size(), 1U);
+  EXPECT_TRUE(table.TakeChanges().empty());
+  job_table third({}, 2);
+  third.Add(kJob, DelegatedJob(), false, kNow, kWall);
+  EXPECT_TRUE(third.WaitingRestarts().empty());
+}
+
+// Guards against a successor in the other cell that starts the task before the
+// workers of its predecessor have reported.
+TEST(JobTableTest, ADelegatedTaskWaitsForReportsAfterATakeover) {
+  job_table table({}, 1);
+  table.Add(kJob, DelegatedJob(), true, kNow, kWall);
+  EXPECT_TRUE(table.WaitingRestarts().empty());
+  EXPECT_TRUE(table.CanAdopt({FirstRun(0).task, 20'006}));
+  table.AllowUnreportedTasks();
+  EXPECT_EQ(table.WaitingRestarts().size(), 1U);
+}
+
+// Guards against a task that crashes the workers of the other cell without end:
+// only the first cell can fail its job.
+TEST(JobTableTest, ADelegatedTaskThatCrashesWorkersStaysStopped) {
+  job_table table({}, 1);
+  table.Add(kJob, DelegatedJob(), false, kNow, kWall);
+  for (run_number run = 20'006; run <= 20'008; ++run) {
+    EXPECT_EQ(table.WaitingRestarts().size(), 1U);
+    EXPECT_FALSE(CrashRun(table, run, crash_evidence::kBlamed));
+  }
+  EXPECT_TRUE(table.WaitingRestarts().empty());
+  EXPECT_TRUE(table.ReadyTasks(StepOf(FirstRun(0).task), kNow).empty());
+  EXPECT_TRUE(table.TakeChanges().empty());
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
