Delegate restarts without room to a cell that has it

A restart that has waited 0.5 s and for which no worker can have room, or 2 s although room is reserved, is delegated to the cell whose owner states the most room. From that decision on the owner never starts it; a successor finds in the log whose the task is. The other owner starts it once it has read the record. Cancels, ends and drops of the job reach the other cell from the state of the cell that runs it, in whatever order a VM reads the logs.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -210,6 +210,15 @@
   jobs::cell_id ChooseCell(jobs::job_id job, const jobs::job_spec& spec) const;
   /// Passes on the records in the log of @p from that also concern other cells.
   void ForwardToOtherCells(cell& from, time_point now, wall_time wall);
+  /// Passes on the jobs of which one cell has delegated tasks to another.
+  void ForwardDelegatedJobs(time_point now, wall_time wall);
+  void ForwardDelegatedJob(const cell& from,
+                           jobs::job_id job,
+                           time_point now,
+                           wall_time wall);
+  /// Tells each cell that this VM owns what room the owners of the others have
+  /// stated.
+  void ForwardStatedRooms();
   /// Whether this VM schedules the tasks of a cell.
   bool AnyCellActive() const;
   /// Whether this VM reads the list of workers: to schedule tasks or to divide
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -37,6 +37,7 @@
     if (source.cell < cells_.size()) {
       cells_[source.cell]->Handle(std::move(reply), now, wall);
       ForwardToOtherCells(*cells_[source.cell], now, wall);
+      ForwardDelegatedJobs(now, wall);
     }
   } else if (source.kind == topic_kind::kConfiguration) {
     if (const auto update = configuration_follower_.HandleReply(
@@ -89,6 +90,54 @@
   }
 }
 
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::ForwardDelegatedJobs(time_point now,
+                                                            wall_time wall) {
+  for (const auto& each_cell : cells_) {
+    for (const jobs::job_id job : each_cell->TakeChangedDelegatingJobs()) {
+      ForwardDelegatedJob(*each_cell, job, now, wall);
+    }
+  }
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::ForwardDelegatedJob(const cell& from,
+                                                           jobs::job_id job,
+                                                           time_point now,
+                                                           wall_time wall) {
+  const jobs::job_state* const state = from.Registry().Find(job);
+  if (state == nullptr) {
+    for (const auto& each_cell : cells_) {
+      each_cell->DropDelegatedJob(job, now);
+    }
+    return;
+  }
+  for (const jobs::cell_id to : jobs::DelegatedCells(state->progress)) {
+    if (to < cells_.size() && to != state->cell) {
+      cells_[to]->ApplyDelegatedJob(job, *state, now, wall);
+    }
+  }
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::ForwardStatedRooms() {
+  if (cells_.size() < 2 || !AnyCellActive()) {
+    return;
+  }
+  for (const auto& to : cells_) {
+    if (!to->Active()) {
+      continue;
+    }
+    std::vector<jobs::cell_room> rooms;
+    for (const auto& from : cells_) {
+      if (auto room = from->StatedRoom(); room && from != to) {
+        rooms.push_back(std::move(*room));
+      }
+    }
+    to->SetRoomInOtherCells(std::move(rooms));
+  }
+}
+
 template <fleet_platform Platform, caller_port Callers>
 auto control_state<Platform, Callers>::RunningCellOf(jobs::job_id job)
     -> cell& {
@@ -302,6 +351,7 @@
   // Empty, and so less than any time, while one has not been read to its end.
   const std::optional<time_point> all_read_until = std::min(
       AllLogsReadAt(), configuration_follower_.Reader().CompleteUntil());
+  ForwardStatedRooms();
   for (const auto& each_cell : cells_) {
     // The number of cells that this VM owns or claims.
     const auto held = static_cast<std::size_t>(std::count_if(
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -80,6 +80,26 @@
   void ApplyCrossCellRecord(jobs::log_record record,
                             time_point now,
                             wall_time wall);
+  /// @brief Returns and clears the jobs that this cell runs, whose state has
+  /// changed, and of which tasks are delegated to other cells. Those that were
+  /// dropped are included.
+  std::set<jobs::job_id> TakeChangedDelegatingJobs() {
+    return std::exchange(changed_delegating_jobs_, {});
+  }
+  /// @brief Applies the state of a job of which tasks are delegated to this
+  /// cell.
+  void ApplyDelegatedJob(jobs::job_id job,
+                         const jobs::job_state& running,
+                         time_point now,
+                         wall_time wall);
+  /// @brief Drops a job of which this cell only runs delegated tasks.
+  void DropDelegatedJob(jobs::job_id job, time_point now);
+  /// @brief What the cell's owner has stated about room for tasks of other
+  /// cells; nullopt without a statement.
+  std::optional<jobs::cell_room> StatedRoom() const;
+  void SetRoomInOtherCells(std::vector<jobs::cell_room> rooms) {
+    scheduler_.SetRoomInOtherCells(std::move(rooms));
+  }
   /// @brief Passes the reply to an order on to the scheduler.
   template <class OrderReply>
   void Handle(const OrderReply& reply, time_point now) {
@@ -172,6 +192,9 @@
   /// How long the store may hold a read at the end of the log until there is a
   /// new record.
   static constexpr std::chrono::milliseconds kTailWait{800};
+  /// Age at which a statement of room is not used any more. An owner confirms
+  /// it every 400 ms.
+  static constexpr std::chrono::milliseconds kMaxRoomAge{2000};
 
   // Following the log.
   void ApplyRecords(const jobs::reader_update& update,
@@ -194,6 +217,9 @@
   /// The record with which a known job was accepted.
   jobs::job_accepted AcceptedRecord(jobs::job_id job) const;
   void DropMissingJobs(const std::set<std::string>& keys);
+  /// Records that the state of a job changes, if this cell runs the job and has
+  /// delegated tasks of it.
+  void NoteDelegatingJob(jobs::job_id job);
 
   // Ownership.
   void MaintainOwnership(std::size_t other_owned_cells,
@@ -225,6 +251,7 @@
   request_writer request_writer_;
   owner_writer writer_;
   std::vector<jobs::log_record> cross_cell_records_;
+  std::set<jobs::job_id> changed_delegating_jobs_;
   bool refresh_requested_ = false;
   /// The snapshot of this cell waits for that of another cell.
   bool snapshot_deferred_ = false;
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -120,6 +120,7 @@
     const jobs::job_state& state = *registry_.Find(job);
     if (registry_.RunsHere(state)) {
       scheduler_.JobAccepted(job, state, false, now, wall);
+      NoteDelegatingJob(job);
       return;
     }
     cross_cell_records_.emplace_back(AcceptedRecord(job));
@@ -149,6 +150,7 @@
                          {"state", "cancelled"},
                          {"offset", absl::StrCat(offset)}});
     scheduler_.JobCancelled(record.job, now);
+    NoteDelegatingJob(record.job);
     if (!registry_.RunsHere(*registry_.Find(record.job))) {
       cross_cell_records_.emplace_back(record);
     }
@@ -157,6 +159,7 @@
 
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Apply(const jobs::job_dropped& record) {
+  NoteDelegatingJob(record.job);
   if (const jobs::job_state* const state = registry_.Find(record.job);
       state != nullptr && !registry_.RunsHere(*state)) {
     cross_cell_records_.emplace_back(record);
@@ -172,20 +175,70 @@
     const jobs::job_id job = accepted->job;
     if (registry_.Apply(std::move(*accepted), now)) {
       scheduler_.JobAccepted(job, *registry_.Find(job), true, now, wall);
+      NoteDelegatingJob(job);
     }
   } else if (const auto* const cancelled =
                  std::get_if<jobs::job_cancelled>(&record)) {
     if (registry_.Apply(*cancelled, now)) {
       scheduler_.JobCancelled(cancelled->job, now);
+      NoteDelegatingJob(cancelled->job);
     }
   } else if (auto* const advanced = std::get_if<jobs::job_advanced>(&record)) {
     registry_.Apply(std::move(*advanced), now);
   } else if (const auto* const dropped =
                  std::get_if<jobs::job_dropped>(&record)) {
+    NoteDelegatingJob(dropped->job);
     registry_.Apply(*dropped);
   }
 }
 
+template <fleet_platform Platform>
+void fleet_cell<Platform>::NoteDelegatingJob(jobs::job_id job) {
+  if (const jobs::job_state* const state = registry_.Find(job);
+      state != nullptr && registry_.RunsHere(*state) &&
+      !jobs::DelegatedCells(state->progress).empty()) {
+    changed_delegating_jobs_.insert(job);
+  }
+}
+
+template <fleet_platform Platform>
+void fleet_cell<Platform>::ApplyDelegatedJob(jobs::job_id job,
+                                             const jobs::job_state& running,
+                                             time_point now,
+                                             wall_time wall) {
+  registry_.ApplyDelegated(job, running, now);
+  const jobs::job_state& state = *registry_.Find(job);
+  if (state.Ended()) {
+    scheduler_.JobCancelled(job, now);
+  } else {
+    scheduler_.TasksDelegated(job, state, now, wall);
+  }
+}
+
+template <fleet_platform Platform>
+void fleet_cell<Platform>::DropDelegatedJob(jobs::job_id job, time_point now) {
+  if (const jobs::job_state* const state = registry_.Find(job);
+      state != nullptr && state->is_guest) {
+    registry_.Apply(jobs::job_dropped{job});
+    scheduler_.JobCancelled(job, now);
+  }
+}
+
+template <fleet_platform Platform>
+std::optional<jobs::cell_room> fleet_cell<Platform>::StatedRoom() const {
+  const jobs::ownership_record& newest = ownership_.NewestRecord();
+  const std::optional<time_point> observed = ownership_.LastObserved();
+  const std::optional<time_point> read_until =
+      follower_.Reader().CompleteUntil();
+  if (newest.released || newest.room.empty() || !observed || !read_until) {
+    return std::nullopt;
+  }
+  return jobs::cell_room{
+      .cell = cell_,
+      .largest = newest.room,
+      .valid_until = std::min(*observed, *read_until) + kMaxRoomAge};
+}
+
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Apply(jobs::job_advanced record,
                                  std::uint64_t offset,
@@ -196,6 +249,7 @@
     cross_cell_records_.emplace_back(record);
   }
   registry_.Apply(std::move(record), now);
+  NoteDelegatingJob(job);
   if (ended) {
     const auto state =
         registry_.ReportedState(job).value_or(jobs::reported_state::kFailed);
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -112,8 +112,10 @@
     return;
   }
   std::vector<records::keyed_record> batch;
-  if (const auto confirmation =
-          ownership_.NextConfirmation(now, other_owned_cells)) {
+  if (auto confirmation = ownership_.NextConfirmation(now, other_owned_cells)) {
+    if (map_.cells > 1) {
+      confirmation->room = scheduler_.RoomForOtherCells(now);
+    }
     batch.push_back(records::Encode(*confirmation));
     for (const jobs::job_id job :
          registry_.EndedBefore(now - options_.ended_job_retention,
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/delegation_targets.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
@@ -81,6 +82,13 @@
   /// For a restart of a long-running task that waits longer for room, other
   /// runs are stopped on the worker on which room is reserved for it.
   std::chrono::milliseconds preemption_delay{1000};
+  /// A restart of a long-running task is delegated to another cell when it has
+  /// waited this long and no worker can have room for it. Long enough for a
+  /// worker that restarts at once to come back.
+  std::chrono::milliseconds delegation_delay{500};
+  /// The same when room is reserved for it on a worker. Longer than
+  /// preemption_delay and the stop of a task together.
+  std::chrono::milliseconds max_reserved_wait{2000};
   /// A long-running task that waits longer for its restart is reported.
   std::chrono::milliseconds restart_report_delay{1000};
   /// Interval of these reports.
@@ -149,6 +157,20 @@
                    bool may_have_run,
                    time_point now,
                    wall_time wall);
+  /// @brief Takes over the tasks of a job that another cell has delegated to
+  /// this one. Has no effect on those that were taken over before.
+  void TasksDelegated(job_id job,
+                      const job_state& state,
+                      time_point now,
+                      wall_time wall);
+  /// @brief Replaces what the owners of other cells have stated about their
+  /// room.
+  void SetRoomInOtherCells(std::vector<cell_room> rooms) {
+    delegation_targets_.SetRooms(std::move(rooms));
+  }
+  /// @brief Returns the largest room that a worker has, or can have once batch
+  /// work is stopped, for a long-running task of another cell, by service.
+  std::map<std::string, resources> RoomForOtherCells(time_point now) const;
   /// @brief Removes a job and stops its runs.
   void JobCancelled(job_id job, time_point now);
 
@@ -485,6 +507,14 @@
   bool PlaceRestart(const waiting_restart& restart,
                     placement_pass& pass,
                     time_point now);
+  /// Delegates the task to another cell that has room for it. Returns false
+  /// when the task stays here.
+  bool DelegateRestart(const waiting_restart& restart,
+                       const step_spec& step,
+                       const queue_configuration& queue,
+                       time_point now);
+  /// Adopts the runs of a job that workers reported before it was known.
+  void AdoptRunsKnownLate(job_id job);
   /// Leaves room for the long-running tasks on workers that are silent or
   /// draining, which have to restart elsewhere unless the worker comes back.
   void ReserveForExpectedRestarts(placement_pass& pass, time_point now) const;
@@ -572,6 +602,9 @@
   /// Worker on which the last pass reserved room, by task. The next pass
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
+  /// Room that the last pass reserved for restarts, by worker.
+  absl::flat_hash_map<std::string, resources> restart_room_;
+  delegation_targets delegation_targets_;
   time_point next_restart_report_;
   time_point next_cancel_report_;
   permit_cache permits_;
--- a/include/skylarkbridge/jobs/ownership.hpp
+++ b/include/skylarkbridge/jobs/ownership.hpp
@@ -119,6 +119,8 @@
   /// @brief Epoch of the newest claim that this VM knows of.
   epoch NewestEpoch() const { return newest_.claim_epoch; }
   const ownership_record& NewestRecord() const { return newest_; }
+  /// @brief When the newest record was read; nullopt before the log was read.
+  std::optional<time_point> LastObserved() const { return last_observed_; }
   /// @brief Epoch of this VM's last claim; valid while it is the owner.
   epoch OwnEpoch() const { return own_epoch_; }
   /// @brief Returns the time until which earlier owners may give orders, at
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -33,6 +33,9 @@
   /// A long-running task has waited for its restart for over
   /// fleet_scheduler_options::restart_report_delay.
   kRestartDelayed,
+  /// A long-running task that waited for its restart was delegated to another
+  /// cell.
+  kTaskDelegated,
   /// A run of a cancelled job has been on its worker for over
   /// fleet_scheduler_options::cancel_report_delay since the cancellation was
   /// read.
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -39,6 +39,8 @@
       return "unaccounted_released";
     case scheduling_event::kRestartDelayed:
       return "restart_delayed";
+    case scheduling_event::kTaskDelegated:
+      return "task_delegated";
     case scheduling_event::kCancelDelayed:
       return "cancel_delayed";
     case scheduling_event::kCrashSuspected:
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -29,10 +29,11 @@
   active_ = true;
   epoch_ = owned_epoch;
   registry_ = &registry;
+  jobs_ = job_table(options_.jobs, registry.Cell());
   unreported_workers_ = {leased_workers.begin(), leased_workers.end()};
   unreported_until_ = LatestLeaseExpiry(earlier_orders_until);
   for (const auto& [id, state] : registry.Jobs()) {
-    if (!state.Ended() && registry.RunsHere(state)) {
+    if (!state.Ended() && registry.HasTasksHere(state)) {
       jobs_.Add(id, state, !unreported_workers_.empty(), now, wall);
     }
   }
@@ -53,6 +54,8 @@
   unreported_workers_.clear();
   waiting_jobs_since_.clear();
   reserved_workers_.clear();
+  restart_room_.clear();
+  delegation_targets_.Clear();
   permits_.Clear();
   registration_writes_.clear();
   leased_workers_changed_ = false;
@@ -77,17 +80,38 @@
   jobs_.Add(job, state, may_have_run && !unreported_workers_.empty(), now,
             wall);
   if (may_have_run) {
-    for (auto& [id, session] : workers_) {
-      for (auto& [run, run_state] : session.runs) {
-        if (run.task.job == job && jobs_.CanAdopt(run)) {
-          jobs_.RecordStart(run, id);
-          run_state.detached = false;
-          AddNote(scheduling_event::kRunAdopted, run, id, "known late");
-        }
+    AdoptRunsKnownLate(job);
+  }
+  placement_pending_ = true;
+}
+
+void fleet_scheduler::TasksDelegated(job_id job,
+                                     const job_state& state,
+                                     time_point now,
+                                     wall_time wall) {
+  if (!active_ || state.Ended()) {
+    return;
+  }
+  const bool may_have_run = !unreported_workers_.empty();
+  if (jobs_.Find(job) == nullptr) {
+    jobs_.Add(job, state, may_have_run, now, wall);
+  } else {
+    jobs_.AddDelegatedTasks(job, state, may_have_run, now);
+  }
+  AdoptRunsKnownLate(job);
+  placement_pending_ = true;
+}
+
+void fleet_scheduler::AdoptRunsKnownLate(job_id job) {
+  for (auto& [id, session] : workers_) {
+    for (auto& [run, run_state] : session.runs) {
+      if (run.task.job == job && jobs_.CanAdopt(run)) {
+        jobs_.RecordStart(run, id);
+        run_state.detached = false;
+        AddNote(scheduling_event::kRunAdopted, run, id, "known late");
       }
     }
   }
-  placement_pending_ = true;
 }
 
 void fleet_scheduler::JobCancelled(job_id job, time_point now) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -178,6 +178,7 @@
   permits_.DropClosedSteps(jobs_);
   placement_pass pass;
   const bool restarts_placed = PlaceRestarts(pass, now);
+  restart_room_ = pass.reserved_room;
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -38,6 +38,13 @@
   const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
   const placement_candidate* reserved_on = ReserveRoom(
       restart.task, *step, permitted.empty() ? candidates : permitted, pass);
+  const std::chrono::milliseconds delegation_delay =
+      reserved_on == nullptr ? options_.delegation_delay
+                             : options_.max_reserved_wait;
+  if (now >= restart.not_before && now >= restart.since + delegation_delay &&
+      DelegateRestart(restart, *step, *queue, now)) {
+    return true;
+  }
   if (reserved_on != nullptr && may_start &&
       now >= restart.since + options_.preemption_delay) {
     PreemptRuns(restart.task, *reserved_on, now);
@@ -45,6 +52,55 @@
   return now < restart.not_before;
 }
 
+bool fleet_scheduler::DelegateRestart(const waiting_restart& restart,
+                                      const step_spec& step,
+                                      const queue_configuration& queue,
+                                      time_point now) {
+  // The other cell would first have to get a permit.
+  if (queue.HasPlacementPolicy() || !jobs_.CanDelegate(restart.task)) {
+    return false;
+  }
+  const resources need = ReservedResources(step);
+  const std::optional<cell_id> to =
+      delegation_targets_.Choose(queue.service, need, now);
+  if (!to) {
+    return false;
+  }
+  delegation_targets_.Count(*to, queue.service, need, now);
+  jobs_.Delegate(restart.task, *to, epoch_);
+  AddNote(scheduling_event::kTaskDelegated,
+          {restart.task, jobs_.Find(restart.task)->last_run}, "",
+          absl::StrCat(
+              "cell ", *to, " waited_ms ",
+              std::chrono::floor<std::chrono::milliseconds>(now - restart.since)
+                  .count(),
+              " need ", need.millicores));
+  return true;
+}
+
+std::map<std::string, resources> fleet_scheduler::RoomForOtherCells(
+    time_point now) const {
+  if (!active_ || !unreported_workers_.empty() || now >= orders_until_) {
+    return {};
+  }
+  placement_pass pass;
+  pass.reserved_room = restart_room_;
+  ReserveForExpectedRestarts(pass, now);
+  std::map<std::string, resources> largest;
+  for (const auto& [id, session] : workers_) {
+    if (!Usable(session, now)) {
+      continue;
+    }
+    resources room = session.PreemptibleRoom();
+    room -= pass.ReservedRoom(id, true);
+    resources& most = largest[session.entry.service];
+    if (room.millicores > most.millicores) {
+      most = room;
+    }
+  }
+  return largest;
+}
+
 void fleet_scheduler::ReserveForExpectedRestarts(placement_pass& pass,
                                                  time_point now) const {
   if (!unreported_workers_.empty()) {
