--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,6 +24,7 @@
 #include "skylarkbridge/control/events.hpp"
 #include "skylarkbridge/control/fleet_cell.hpp"
 #include "skylarkbridge/control/ports.hpp"
+#include "skylarkbridge/control/rejected_entries.hpp"
 #include "skylarkbridge/control/text_format.hpp"
 #include "skylarkbridge/control/topic_follower.hpp"
 #include "skylarkbridge/jobs/fleet_bootstrap.hpp"
@@ -196,10 +198,20 @@
   void ApplyFleetMap(const jobs::reader_update& update, time_point now);
   void ApplyWorkerList(const jobs::reader_update& update, time_point now);
   void ApplyWorkerEntry(const jobs::topic_record& record, time_point now);
+  /// Takes a worker out of use whose entry could not be decoded.
+  void RejectWorkerEntry(const jobs::topic_record& record,
+                         const failure& error,
+                         time_point now);
   void CreateCells(jobs::fleet_map map);
   /// Writes a fleet map if the store has none, once the list of workers is
   /// complete or the time limit of bootstrap_ has passed.
   void WriteFleetMap(time_point now);
+  /// The cell whose owner may have started tasks on the worker, by the log of
+  /// the cell.
+  std::optional<jobs::cell_id> CellThatHolds(const std::string& worker) const;
+  /// The cell of a listed worker: the one that holds it, so that two owners
+  /// never order one worker, or else that of its rack.
+  jobs::cell_id CellFor(const jobs::worker_entry& entry) const;
   /// The cell of a listed worker; null for an unknown one.
   cell* CellOfWorker(const std::string& worker);
   cell& HomeOf(jobs::job_id job) { return *cells_[map_->HomeOf(job)]; }
@@ -229,6 +241,9 @@
                          const failure& error);
   void SendCalls(time_point now);
   void UpdateGauges(time_point now);
+  /// Updates the gauges of the free room in the cells that this VM owns. Those
+  /// of a cell that it has lost are set to zero once.
+  void UpdateRoomGauges(time_point now);
 
   const control_options options_;
   Platform& platform_;
@@ -242,8 +257,9 @@
   std::optional<jobs::fleet_map> map_;
   /// The cells keep a reference to map_.
   std::vector<std::unique_ptr<cell>> cells_;
-  /// The cell of each worker that was ever listed.
+  /// The cell to which the last entry of each worker was passed on.
   absl::flat_hash_map<std::string, jobs::cell_id> worker_cells_;
+  rejected_entries rejected_entries_;
   /// A long-running job that was submitted here and has not been read from a
   /// log yet. ChooseCell counts it as load of its cell.
   struct unconfirmed_submission {
@@ -253,6 +269,7 @@
   std::map<jobs::job_id, unconfirmed_submission> unconfirmed_submissions_;
   std::deque<lookup> lookups_;
   time_point next_gauge_update_;
+  std::set<jobs::cell_id> cells_with_room_gauges_;
   bool stopping_ = false;
 };
 
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -128,7 +128,7 @@
     if (!to->Active()) {
       continue;
     }
-    std::vector<jobs::cell_room> rooms;
+    std::vector<jobs::stated_room> rooms;
     for (const auto& from : cells_) {
       if (auto room = from->StatedRoom(); room && from != to) {
         rooms.push_back(std::move(*room));
@@ -274,6 +274,32 @@
   return known == worker_cells_.end() ? nullptr : cells_[known->second].get();
 }
 
+template <fleet_platform Platform, caller_port Callers>
+std::optional<jobs::cell_id> control_state<Platform, Callers>::CellThatHolds(
+    const std::string& worker) const {
+  for (jobs::cell_id number = 0; number < cells_.size(); ++number) {
+    if (cells_[number]->MayRunTasksOn(worker)) {
+      return number;
+    }
+  }
+  return std::nullopt;
+}
+
+template <fleet_platform Platform, caller_port Callers>
+jobs::cell_id control_state<Platform, Callers>::CellFor(
+    const jobs::worker_entry& entry) const {
+  if (const auto holder = CellThatHolds(entry.worker)) {
+    return *holder;
+  }
+  // A worker that has not reported yet is in no list of leased workers.
+  if (const auto known = worker_cells_.find(entry.worker);
+      known != worker_cells_.end() &&
+      cells_[known->second]->Scheduler().Workers().contains(entry.worker)) {
+    return known->second;
+  }
+  return map_->CellOfRack(entry.rack);
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::ApplyWorkerList(
     const jobs::reader_update& update,
@@ -281,8 +307,10 @@
   for (const jobs::topic_record& record : update.records) {
     if (record.value) {
       ApplyWorkerEntry(record, now);
-    } else if (cell* const worker_cell = CellOfWorker(record.key)) {
-      worker_cell->WorkerUnlisted(record.key, now);
+      continue;
+    }
+    for (const auto& each_cell : cells_) {
+      each_cell->WorkerUnlisted(record.key, now);
     }
   }
   if (update.snapshot_complete) {
@@ -296,8 +324,8 @@
 void control_state<Platform, Callers>::ApplyWorkerEntry(
     const jobs::topic_record& record,
     time_point now) {
-  if (const cell* const worker_cell = CellOfWorker(record.key);
-      worker_cell != nullptr && !worker_cell->Active()) {
+  if (const auto holder = CellThatHolds(record.key);
+      holder && !cells_[*holder]->Active()) {
     return;
   }
   boost::leaf::try_handle_all(
@@ -308,20 +336,38 @@
           bootstrap_.Observe(entry, now);
           return {};
         }
-        // A worker's rack never changes, so its cell doesn't either.
-        const jobs::cell_id number =
-            worker_cells_
-                .try_emplace(entry.worker, map_->CellOfRack(entry.rack))
-                .first->second;
+        const jobs::cell_id number = CellFor(entry);
+        worker_cells_[entry.worker] = number;
         cells_[number]->WorkerListed(entry, now);
         return {};
       },
-      [&](const failure& error) {
-        LogRejectedRecord(topic_kind::kWorkers, record.offset, error);
-      },
+      [&](const failure& error) { RejectWorkerEntry(record, error, now); },
       [] {});
 }
 
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::RejectWorkerEntry(
+    const jobs::topic_record& record,
+    const failure& error,
+    time_point now) {
+  // Both may contain text of any length from the entry.
+  constexpr std::size_t kMaxKeyBytes = 100;
+  constexpr std::size_t kMaxErrorBytes = 300;
+  if (cell* const worker_cell = CellOfWorker(record.key)) {
+    worker_cell->WorkerEntryRejected(record.key);
+  }
+  if (!rejected_entries_.Add(record.key, record.offset)) {
+    return;
+  }
+  metrics_.worker_entries_rejected.Add();
+  if (rejected_entries_.TakeLine(record.key, now)) {
+    LogEvent(kWorkerEntryRejected,
+             {{"worker", record.key.substr(0, kMaxKeyBytes)},
+              {"offset", absl::StrCat(record.offset)},
+              {"error", Format(error).substr(0, kMaxErrorBytes)}});
+  }
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::SetSchedulerOptions(
     const jobs::fleet_scheduler_options& options) {
@@ -406,6 +452,8 @@
   std::size_t restarts_waiting = 0;
   std::chrono::milliseconds longest_restart_wait{};
   std::size_t workers_usable = 0;
+  std::size_t workers_unreported = 0;
+  std::chrono::milliseconds takeover_wait{};
   std::size_t requests_waiting = 0;
   std::chrono::milliseconds log_age{};
   for (const auto& each_cell : cells_) {
@@ -417,6 +465,9 @@
     longest_restart_wait = std::max(
         longest_restart_wait, each_cell->Scheduler().LongestRestartWait(now));
     workers_usable += each_cell->Scheduler().UsableWorkers(now);
+    workers_unreported += each_cell->Scheduler().UnreportedWorkers();
+    takeover_wait =
+        std::max(takeover_wait, each_cell->Scheduler().TakeoverWait(now));
     requests_waiting += each_cell->WaitingRequests();
   }
   metrics_.log_age_ms.Set(log_age.count());
@@ -437,7 +488,24 @@
   metrics_.restarts_waiting.Set(static_cast<std::int64_t>(restarts_waiting));
   metrics_.longest_restart_wait_ms.Set(longest_restart_wait.count());
   metrics_.workers_usable.Set(static_cast<std::int64_t>(workers_usable));
+  metrics_.workers_unreported.Set(
+      static_cast<std::int64_t>(workers_unreported));
+  metrics_.takeover_wait_ms.Set(takeover_wait.count());
   metrics_.intake_waiting.Set(static_cast<std::int64_t>(requests_waiting));
+  UpdateRoomGauges(now);
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::UpdateRoomGauges(time_point now) {
+  for (jobs::cell_id number = 0; number < cells_.size(); ++number) {
+    const cell& each_cell = *cells_[number];
+    if (each_cell.Active()) {
+      metrics_.SetRoom(number, each_cell.Scheduler().FreeRoom(now));
+      cells_with_room_gauges_.insert(number);
+    } else if (cells_with_room_gauges_.erase(number) > 0) {
+      metrics_.SetRoom(number, {});
+    }
+  }
 }
 
 template <fleet_platform Platform, caller_port Callers>
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/base/string_view.hpp"
@@ -96,8 +97,8 @@
   void DropDelegatedJob(jobs::job_id job, time_point now);
   /// @brief What the cell's owner has stated about room for tasks of other
   /// cells; nullopt without a statement.
-  std::optional<jobs::cell_room> StatedRoom() const;
-  void SetRoomInOtherCells(std::vector<jobs::cell_room> rooms) {
+  std::optional<jobs::stated_room> StatedRoom() const;
+  void SetRoomInOtherCells(std::vector<jobs::stated_room> rooms) {
     scheduler_.SetRoomInOtherCells(std::move(rooms));
   }
   /// @brief Passes the reply to an order on to the scheduler.
@@ -114,6 +115,10 @@
     scheduler_.SetOptions(options);
   }
   void WorkerListed(const jobs::worker_entry& entry, time_point now);
+  /// @brief The worker's newest entry in the list could not be decoded.
+  void WorkerEntryRejected(const std::string& worker) {
+    scheduler_.WorkerEntryRejected(worker);
+  }
   void WorkerUnlisted(const std::string& worker, time_point now);
   /// @brief Marks the known workers that are missing from @p listed, a complete
   /// list, as unlisted.
@@ -171,6 +176,11 @@
   bool IsOwnerOrClaiming() const { return claiming_ || ownership_.IsOwner(); }
   /// @brief Whether the cell's scheduler runs on this VM.
   bool Active() const { return scheduler_.Active(); }
+  /// @brief Whether an owner of the cell may have started tasks on the worker,
+  /// by the cell's log.
+  bool MayRunTasksOn(const std::string& worker) const {
+    return leased_ids_.contains(worker);
+  }
   jobs::epoch NewestEpoch() const { return ownership_.NewestEpoch(); }
   /// @brief Whether no request of a caller is left to write, and the release,
   /// if any, has been written.
@@ -246,6 +256,10 @@
   topic_follower follower_;
   jobs::job_registry registry_;
   jobs::leased_workers leased_;
+  /// When leased_ was first read.
+  time_point leased_read_at_;
+  /// The workers in leased_.
+  absl::flat_hash_set<std::string> leased_ids_;
   jobs::ownership ownership_;
   jobs::fleet_scheduler scheduler_;
   request_writer request_writer_;
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -98,8 +98,11 @@
                  std::get_if<jobs::ownership_record>(&record)) {
     Apply(*owner, now);
   } else if (auto* const leased = std::get_if<jobs::leased_workers>(&record)) {
-    if (leased->claim_epoch >= leased_.claim_epoch) {
+    // A snapshot may return the known record again, which is older than that.
+    if (leased->claim_epoch >= leased_.claim_epoch && *leased != leased_) {
+      leased_read_at_ = now;
       leased_ = std::move(*leased);
+      leased_ids_ = {leased_.workers.begin(), leased_.workers.end()};
     }
   }
 }
@@ -225,7 +228,7 @@
 }
 
 template <fleet_platform Platform>
-std::optional<jobs::cell_room> fleet_cell<Platform>::StatedRoom() const {
+std::optional<jobs::stated_room> fleet_cell<Platform>::StatedRoom() const {
   const jobs::ownership_record& newest = ownership_.NewestRecord();
   const std::optional<time_point> observed = ownership_.LastObserved();
   const std::optional<time_point> read_until =
@@ -233,7 +236,7 @@
   if (newest.released || newest.room.empty() || !observed || !read_until) {
     return std::nullopt;
   }
-  return jobs::cell_room{
+  return jobs::stated_room{
       .cell = cell_,
       .largest = newest.room,
       .valid_until = std::min(*observed, *read_until) + kMaxRoomAge};
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -84,7 +84,8 @@
                              {"epoch", absl::StrCat(ownership_.OwnEpoch())},
                              {"jobs", absl::StrCat(registry_.Jobs().size())},
                              {"leased", absl::StrCat(leased_.workers.size())}});
-  scheduler_.BeginOwnership(ownership_.OwnEpoch(), registry_, leased_.workers,
+  scheduler_.BeginOwnership(ownership_.OwnEpoch(), registry_, leased_,
+                            leased_read_at_,
                             ownership_.PredecessorOrdersUntil(now), now, wall);
   scheduler_.Configure(configuration_);
   worker_list_needed_ = true;
@@ -129,7 +130,7 @@
     batch.push_back(records::Encode(AcceptedRecord(job)));
   }
   if (!batch.empty() || scheduler_.HasRecords()) {
-    for (const jobs::log_record& record : scheduler_.TakeRecords()) {
+    for (const jobs::log_record& record : scheduler_.TakeRecords(now)) {
       batch.push_back(records::Encode(record));
     }
   }
@@ -187,13 +188,19 @@
 void fleet_cell<Platform>::LogSchedulingNotes() {
   for (const jobs::scheduling_note& note : scheduler_.TakeNotes()) {
     metrics_.Count(note.event);
+    std::string detail = note.detail;
     if (note.restart_wait) {
       metrics_.restart_seconds.Record(*note.restart_wait);
+      metrics_.Count(*note.restart_cause);
+      absl::StrAppend(&detail, " waited_ms ", note.restart_wait->count());
+    }
+    if (note.restart_cause) {
+      absl::StrAppend(&detail, " ", Format(*note.restart_cause));
     }
     LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
                            {"run", Format(note.run)},
                            {"worker", note.worker},
-                           {"detail", note.detail},
+                           {"detail", std::move(detail)},
                            {"cell", FormatCell()},
                            {"epoch", absl::StrCat(ownership_.OwnEpoch())}});
   }
--- a/include/skylarkbridge/jobs/delegation_targets.hpp
+++ b/include/skylarkbridge/jobs/delegation_targets.hpp
@@ -16,7 +16,7 @@
 
 /// @brief The room that the owner of a cell has stated for long-running tasks
 /// of other cells.
-struct cell_room {
+struct stated_room {
   cell_id cell = 0;
   /// Largest room on one worker, by service.
   std::map<std::string, resources> largest;
@@ -29,7 +29,7 @@
 class delegation_targets {
  public:
   /// @brief Replaces the statements of the other cells.
-  void SetRooms(std::vector<cell_room> rooms) { rooms_ = std::move(rooms); }
+  void SetRooms(std::vector<stated_room> rooms) { rooms_ = std::move(rooms); }
   /// @brief Returns the cell with the most room for a task of the service;
   /// nullopt when none has enough.
   std::optional<cell_id> Choose(const std::string& service,
@@ -53,11 +53,11 @@
   };
 
   /// Room that is left of the statement; nullopt without a valid one.
-  std::optional<resources> Room(const cell_room& stated,
+  std::optional<resources> Room(const stated_room& stated,
                                 const std::string& service,
                                 time_point now) const;
 
-  std::vector<cell_room> rooms_;
+  std::vector<stated_room> rooms_;
   std::vector<counted_task> counted_;
 };
 
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/cell_room.hpp"
 #include "skylarkbridge/jobs/delegation_targets.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/interference_model.hpp"
@@ -24,6 +25,7 @@
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
+#include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
 
@@ -35,6 +37,10 @@
   std::chrono::milliseconds lease{5000};
   /// Longest lease that a worker grants, whatever an order requests.
   std::chrono::milliseconds max_lease{6000};
+  /// A new owner stores after this time which workers of earlier owners have
+  /// not reported to it. Most report at once, and those that are stored get no
+  /// longer leases until their report is stored.
+  std::chrono::milliseconds unreported_delay{1000};
   /// How long a worker may delay its answer to a renewal until a run ends.
   std::chrono::milliseconds renewal_wait{1000};
   /// Delay after the first unanswered renewal; grows to five times that.
@@ -95,6 +101,9 @@
   std::chrono::milliseconds restart_report_interval{1000};
   /// Tasks that are reported at once, those that have waited longest.
   std::size_t max_restart_reports = 5;
+  /// Interval of the reports on tasks that wait for the workers of an earlier
+  /// owner.
+  std::chrono::milliseconds takeover_report_interval{1000};
   /// A run of a cancelled job that is on its worker for longer is reported.
   std::chrono::milliseconds cancel_report_delay{1000};
   /// Interval of these reports.
@@ -119,13 +128,14 @@
 
   /// @brief Starts scheduling when this VM has become the owner of the fleet.
   /// @param registry all jobs; must stay valid until EndOwnership.
-  /// @param leased_workers workers on which an earlier owner may have started
-  /// tasks.
+  /// @param leased workers on which earlier owners may have started tasks.
+  /// @param leased_read_at when the record @p leased was read.
   /// @param earlier_orders_until latest time at which an earlier owner sends
   /// orders.
   void BeginOwnership(epoch owned_epoch,
                       const job_registry& registry,
-                      const std::vector<std::string>& leased_workers,
+                      const leased_workers& leased,
+                      time_point leased_read_at,
                       time_point earlier_orders_until,
                       time_point now,
                       wall_time wall);
@@ -165,7 +175,7 @@
                       wall_time wall);
   /// @brief Replaces what the owners of other cells have stated about their
   /// room.
-  void SetRoomInOtherCells(std::vector<cell_room> rooms) {
+  void SetRoomInOtherCells(std::vector<stated_room> rooms) {
     delegation_targets_.SetRooms(std::move(rooms));
   }
   /// @brief Returns the largest room that a worker has, or can have once batch
@@ -176,6 +186,9 @@
 
   /// @brief Adds or updates a worker in the platform's list.
   void WorkerListed(const worker_entry& entry, time_point now);
+  /// @brief Records that the worker's newest entry could not be decoded. Its
+  /// runs go on. Does nothing for an unknown worker.
+  void WorkerEntryRejected(const std::string& worker);
   /// @brief Records that the platform's list no longer contains the worker.
   void WorkerUnlisted(const std::string& worker, time_point now);
 
@@ -208,7 +221,7 @@
   /// @brief Starts a log write and returns its records, which may be none.
   /// WriteNumber() then returns its number. Call when the previous write is
   /// durable.
-  std::vector<log_record> TakeRecords();
+  std::vector<log_record> TakeRecords(time_point now);
   bool HasRecords() const;
   /// @brief Number of the last log write.
   std::uint64_t WriteNumber() const { return write_number_; }
@@ -221,6 +234,12 @@
   std::size_t WaitingRestarts() const;
   /// @brief How long the one that waits longest has waited; zero without one.
   std::chrono::milliseconds LongestRestartWait(time_point now) const;
+  /// @brief Number of workers of an earlier owner that have not sent a report.
+  std::size_t UnreportedWorkers() const { return unreported_workers_.size(); }
+  /// @brief How long tasks have waited for these; zero without one.
+  std::chrono::milliseconds TakeoverWait(time_point now) const;
+  /// @brief The free room of the workers that can get new tasks.
+  cell_room FreeRoom(time_point now) const;
   const job_table& Jobs() const { return jobs_; }
   const std::map<std::string, worker_session>& Workers() const {
     return workers_;
@@ -284,19 +303,18 @@
                       worker_run& state,
                       time_point now);
   bool IsSuspected(const task_ref& task) const;
-  /// Once each worker of an earlier owner has sent a report or all leases of
-  /// earlier owners have expired, releases the tasks that waited for this.
+  /// Once each worker of an earlier owner has sent a report or its lease has
+  /// expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
+  /// Adds a note while tasks wait for the workers of an earlier owner.
+  void ReportDelayedTakeover(time_point now);
+  /// A worker of an earlier owner that has not sent a report; empty for none.
+  std::string FirstUnreportedWorker() const;
+  /// The list of leased workers to store.
+  leased_workers LeasedWorkers(time_point now) const;
+  /// Whether this owner may extend the worker's lease.
+  bool MayExtendLease(const worker_session& session) const;
   bool Usable(const worker_session& session, time_point now) const;
-  /// Whether a run on a draining worker has to be stopped: it is long-running,
-  /// or it can resume from a checkpoint but would not end before the worker
-  /// leaves.
-  bool MustLeave(const worker_session& session,
-                 const run_ref& run,
-                 const worker_run& state,
-                 time_point now) const;
-  /// Stops the runs of a draining worker that must leave it.
-  void Evacuate(worker_session& session, time_point now);
 
   // Runs.
   worker_run& AddRun(worker_session& session,
@@ -378,6 +396,12 @@
   };
   using interference_views =
       absl::flat_hash_map<const worker_session*, interference_view>;
+  /// Why a placement pass did not start a restart.
+  struct blocked_restart {
+    restart_obstacle obstacle = restart_obstacle::kNone;
+    /// Number of the pass.
+    std::uint64_t pass = 0;
+  };
   /// State of one placement pass, shared by its steps.
   struct placement_pass {
     /// Candidates by service, image and whether the step is best-effort.
@@ -390,6 +414,8 @@
     absl::flat_hash_map<std::string, resources> reserved_room;
     /// Worker on which room is reserved, by task.
     std::map<task_ref, std::string> reserved_workers;
+    /// The restarts that were not placed.
+    std::map<task_ref, blocked_restart> blocked_restarts;
     /// Room by worker that first starts of long-running tasks leave for the
     /// restarts to come. Other tasks may use it, as they can be stopped.
     absl::flat_hash_map<std::string, resources> expected_restart_room;
@@ -433,6 +459,11 @@
       const step_spec& step,
       std::vector<placement_candidate>& candidates,
       placement_pass& pass) const;
+  /// Reserves room on the candidate.
+  static void ReserveRoomOn(placement_candidate& candidate,
+                            const task_ref& task,
+                            const step_spec& step,
+                            placement_pass& pass);
   /// Places the tasks, with the permits that the queue requires. Returns false
   /// when some found no room.
   bool PlaceOnCandidates(const ready_step& ranked,
@@ -515,8 +546,19 @@
                        time_point now);
   /// Adopts the runs of a job that workers reported before it was known.
   void AdoptRunsKnownLate(job_id job);
-  /// Leaves room for the long-running tasks on workers that are silent or
-  /// draining, which have to restart elsewhere unless the worker comes back.
+  /// Why a restart that may start now was not placed.
+  restart_obstacle ObstacleOf(
+      const step_spec& step,
+      const queue_configuration& queue,
+      const std::vector<placement_candidate>& candidates,
+      const std::vector<placement_candidate>& permitted) const;
+  /// Why a restart that is placed on the worker was not placed earlier.
+  restart_cause CauseOfRestart(const task_ref& task,
+                               const worker_session& session) const;
+  restart_release ReleaseOf(const worker_session& session,
+                            std::uint64_t blocked_pass) const;
+  /// Leaves room for the long-running tasks on silent workers, which have to
+  /// restart elsewhere unless the worker comes back.
   void ReserveForExpectedRestarts(placement_pass& pass, time_point now) const;
   void ReserveForExpectedRestart(const task_ref& task,
                                  placement_pass& pass,
@@ -533,6 +575,48 @@
   void ReportDelayedRestarts(time_point now);
   void ReportDelayedRestart(const waiting_restart& restart, time_point now);
 
+  // Evacuation of draining workers.
+  /// A long-running run on a draining worker.
+  struct leaving_run {
+    run_ref run;
+    worker_session* session = nullptr;
+    worker_run* state = nullptr;
+  };
+  /// Updates evacuation_state of a worker that was listed.
+  /// @param added whether it was not known before.
+  void UpdateEvacuation(worker_session& session,
+                        bool added,
+                        time_point now) const;
+  /// Whether a run on a draining worker has to be stopped now. A long-running
+  /// run goes on until PlaceLeavingRuns has found room for its task, or until
+  /// evacuation::stop_by. Another one is stopped if it can resume from a
+  /// checkpoint but would not end before the worker leaves.
+  bool MustLeave(const worker_session& session,
+                 const run_ref& run,
+                 const worker_run& state,
+                 time_point now) const;
+  /// Stops the runs of a draining worker that must leave it.
+  void Evacuate(worker_session& session, time_point now);
+  /// Stops the long-running runs of a worker that is about to leave.
+  static void StopOverdueRuns(worker_session& session, time_point now);
+  /// The long-running runs on draining workers whose tasks are placed one by
+  /// one, largest first, as large pieces of room are the rarest.
+  std::vector<leaving_run> LeavingRuns();
+  /// Keeps the room of those that are being stopped because their tasks have
+  /// found room.
+  void KeepRoomOfLeavingRuns(const std::vector<leaving_run>& leaving,
+                             placement_pass& pass,
+                             time_point now) const;
+  /// Reserves room for the tasks of the others, and stops those that have found
+  /// room. Returns false when some have not.
+  bool PlaceLeavingRuns(const std::vector<leaving_run>& leaving,
+                        placement_pass& pass,
+                        time_point now);
+  /// Returns false when the task of the run has found no room.
+  bool PlaceLeavingRun(const leaving_run& leaving,
+                       placement_pass& pass,
+                       time_point now);
+
   // Runs of cancelled jobs.
   /// Adds notes on the runs that should have been stopped.
   void ReportDelayedCancels(time_point now);
@@ -586,10 +670,19 @@
   const job_registry* registry_ = nullptr;
   job_table jobs_;
   session_map workers_;
-  /// Workers leased by an earlier owner that have not sent a report yet.
-  std::set<std::string> unreported_workers_;
+  /// Workers leased by an earlier owner that have not sent a report yet, with
+  /// the latest expiry of their leases.
+  std::map<std::string, time_point> unreported_workers_;
+  /// Workers that were stored as leased_workers::unreported.
+  std::set<std::string> stored_unreported_;
+  /// When the unreported workers are stored, unless all have reported.
+  std::optional<time_point> store_unreported_at_;
   /// Latest expiry of a lease from an earlier owner.
-  time_point unreported_until_;
+  time_point earlier_leases_until_;
+  /// Workers of earlier owners that sent no report until their leases expired.
+  std::set<std::string> never_reported_;
+  time_point ownership_begun_at_;
+  time_point next_takeover_report_;
   bool leased_workers_changed_ = false;
   std::uint64_t write_number_ = 0;
   /// Number of the log write that first lists a worker as leased, by worker.
@@ -599,12 +692,17 @@
   std::map<job_id, time_point> waiting_jobs_since_;
   bool placement_pending_ = false;
   time_point next_pass_;
+  /// Number of the last placement pass.
+  std::uint64_t last_pass_ = 0;
   /// Worker on which the last pass reserved room, by task. The next pass
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
   /// Room that the last pass reserved for restarts, by worker.
   absl::flat_hash_map<std::string, resources> restart_room_;
   delegation_targets delegation_targets_;
+  /// The restarts that the last pass did not place, and those that waited for
+  /// the workers of an earlier owner until after it.
+  std::map<task_ref, blocked_restart> blocked_restarts_;
   time_point next_restart_report_;
   time_point next_cancel_report_;
   permit_cache permits_;
--- a/src/skylarkbridge/jobs/delegation_targets.cpp
+++ b/src/skylarkbridge/jobs/delegation_targets.cpp
@@ -9,7 +9,7 @@
 
 }  // namespace
 
-std::optional<resources> delegation_targets::Room(const cell_room& stated,
+std::optional<resources> delegation_targets::Room(const stated_room& stated,
                                                   const std::string& service,
                                                   time_point now) const {
   const auto largest = stated.largest.find(service);
@@ -31,7 +31,7 @@
                                                   time_point now) const {
   std::optional<cell_id> chosen;
   resources most;
-  for (const cell_room& stated : rooms_) {
+  for (const stated_room& stated : rooms_) {
     const std::optional<resources> room = Room(stated, service, now);
     if (room && Fits(need, *room) &&
         (!chosen || room->millicores > most.millicores)) {
--- a/src/skylarkbridge/jobs/delegation_targets_test.cpp
+++ b/src/skylarkbridge/jobs/delegation_targets_test.cpp
@@ -12,7 +12,7 @@
 
 constexpr time_point kNow{seconds(100)};
 
-cell_room Room(cell_id cell, std::int64_t millicores) {
+stated_room Room(cell_id cell, std::int64_t millicores) {
   return {.cell = cell,
           .largest = {{"service", {.millicores = millicores}}},
           .valid_until = kNow + seconds(2)};
@@ -38,7 +38,7 @@
   targets.Count(1, "service", need, kNow);
   targets.SetRooms({Room(1, 5000)});
   EXPECT_EQ(targets.Choose("service", need, kNow), std::nullopt);
-  cell_room later = Room(1, 5000);
+  stated_room later = Room(1, 5000);
   later.valid_until = kNow + seconds(4);
   targets.SetRooms({later});
   EXPECT_EQ(targets.Choose("service", need, kNow + seconds(2)), 1U);
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -174,10 +174,14 @@
     return;
   }
   placement_pending_ = false;
+  ++last_pass_;
   UpdateWaitingJobs(now);
   permits_.DropClosedSteps(jobs_);
   placement_pass pass;
-  const bool restarts_placed = PlaceRestarts(pass, now);
+  const std::vector<leaving_run> leaving = LeavingRuns();
+  KeepRoomOfLeavingRuns(leaving, pass, now);
+  bool restarts_placed = PlaceRestarts(pass, now);
+  restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
   restart_room_ = pass.reserved_room;
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
@@ -187,13 +191,14 @@
     }
   }
   reserved_workers_ = std::move(pass.reserved_workers);
+  blocked_restarts_ = std::move(pass.blocked_restarts);
   // While steps are ready, each call of Run starts a pass. After a pass that
   // left steps or restarts unplaced, the next one waits for pass_interval,
   // which limits the cost of a long backlog.
   next_pass_ = unplaced_steps == 0 && restarts_placed
                    ? now
                    : now + options_.pass_interval;
-  placement_pending_ = !jobs_.ReadySteps().empty();
+  placement_pending_ = !jobs_.ReadySteps().empty() || !leaving.empty();
 }
 
 double fleet_scheduler::CompetingDemand(
@@ -352,13 +357,19 @@
   if (!chosen) {
     return nullptr;
   }
-  placement_candidate& candidate = candidates[*chosen];
+  ReserveRoomOn(candidates[*chosen], task, step, pass);
+  return &candidates[*chosen];
+}
+
+void fleet_scheduler::ReserveRoomOn(placement_candidate& candidate,
+                                    const task_ref& task,
+                                    const step_spec& step,
+                                    placement_pass& pass) {
   const resources need = ReservedResources(step);
   candidate.reserved += need;
   pass.reserved_room[candidate.session->entry.worker] += need;
   pass.reserved_workers[task] = candidate.session->entry.worker;
   ++candidate.siblings;
-  return &candidate;
 }
 
 resources fleet_scheduler::placement_pass::ReservedRoom(
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -10,8 +10,6 @@
 /// A worker that is missing from the list for longer is considered removed;
 /// shorter gaps can be errors of the platform's store.
 constexpr std::chrono::milliseconds kUnlistedGrace{2500};
-/// A stop has to be complete this long before a draining worker leaves.
-constexpr std::chrono::milliseconds kEvacuationMargin{500};
 
 }  // namespace
 
@@ -20,15 +18,19 @@
     return;
   }
   const auto [position, added] = workers_.try_emplace(
-      entry.worker, std::max(unreported_until_, LatestLeaseExpiry(now)));
+      entry.worker, std::max(earlier_leases_until_, LatestLeaseExpiry(now)));
   worker_session& session = position->second;
   const bool starts_draining =
       entry.draining && (added || !session.entry.draining);
   session.entry = entry;
+  if (session.unlisted_since) {
+    session.changes.returned = last_pass_;
+  }
   session.unlisted_since.reset();
+  session.entry_rejected = false;
+  UpdateEvacuation(session, added, now);
   if (added) {
     session.next_renewal = now;
-    leased_workers_changed_ = true;
   }
   if (entry.start_time && session.start_time &&
       *entry.start_time > *session.start_time) {
@@ -41,6 +43,12 @@
   placement_pending_ = true;
 }
 
+void fleet_scheduler::WorkerEntryRejected(const std::string& worker) {
+  if (const auto session = workers_.find(worker); session != workers_.end()) {
+    session->second.entry_rejected = true;
+  }
+}
+
 void fleet_scheduler::WorkerUnlisted(const std::string& worker,
                                      time_point now) {
   if (const auto session = workers_.find(worker);
@@ -52,8 +60,8 @@
 bool fleet_scheduler::Usable(const worker_session& session,
                              time_point now) const {
   return session.has_reported && session.registered &&
-         !session.entry.draining && !session.unlisted_since &&
-         now >= session.excluded_until &&
+         !session.entry.draining && !session.entry_rejected &&
+         !session.unlisted_since && now >= session.excluded_until &&
          now < session.last_answer + options_.max_silence;
 }
 
@@ -76,12 +84,13 @@
   // The lease of a worker that does not answer is not extended, so that its
   // tasks can start elsewhere when it expires.
   if (session.lease.IsSynchronised() && !removed_from_list &&
-      session.failed_renewals == 0) {
+      session.failed_renewals == 0 && MayExtendLease(session)) {
     renewal.lease_until = session.lease.EstimateWorkerTime(now, options_.lease);
     session.lease.Extend(LatestLeaseExpiry(now));
   }
   if (session.has_reported && session.lease.IsSynchronised() &&
-      session.failed_renewals == 0 && session.pending_ended_runs.empty()) {
+      session.failed_renewals == 0 && session.pending_ended_runs.empty() &&
+      MayExtendLease(session)) {
     renewal.wait = session.over_target_since ? options_.over_target_renewal_wait
                                              : options_.renewal_wait;
   }
@@ -114,10 +123,14 @@
   }
   session.failed_renewals = 0;
   ApplyReport(session, reply.renewal_number, *reply.report, now);
+  if (now >= session.last_answer + options_.max_silence) {
+    session.changes.returned = last_pass_;
+  }
   session.last_answer = now;
-  session.next_renewal = session.pending_ended_runs.empty()
-                             ? now
-                             : now + options_.unstored_renewal_interval;
+  session.next_renewal =
+      session.pending_ended_runs.empty() && MayExtendLease(session)
+          ? now
+          : now + options_.unstored_renewal_interval;
 }
 
 void fleet_scheduler::ApplyReport(worker_session& session,
@@ -144,6 +157,9 @@
   AdjustPaces(session, now);
   if (!session.has_reported) {
     session.has_reported = true;
+    session.changes.joined = last_pass_;
+    // No task is started on the worker before this is stored.
+    leased_workers_changed_ = true;
     // From now on the worker refuses the orders of earlier owners.
     session.lease.LimitTo(LatestLeaseExpiry(now));
     placement_pending_ = true;
@@ -298,6 +314,7 @@
     AddNote(scheduling_event::kRunAdopted, task.run, session.entry.worker);
     run.stop_wanted =
         session.entry.draining && MustLeave(session, task.run, run, now);
+    placement_pending_ |= session.entry.draining;
     return;
   }
   run.detached = true;
@@ -360,42 +377,13 @@
         session.unlisted_since &&
         now > *session.unlisted_since + kUnlistedGrace;
     if (removed_from_list && !session.renewal_under_way) {
+      leased_workers_changed_ |= session.has_reported;
       registration_writes_.erase(position->first);
       position = workers_.erase(position);
-      leased_workers_changed_ = true;
     } else {
       ++position;
     }
   }
 }
 
-bool fleet_scheduler::MustLeave(const worker_session& session,
-                                const run_ref& run,
-                                const worker_run& state,
-                                time_point now) const {
-  const step_spec* step = jobs_.Spec(StepOf(run.task));
-  if (step == nullptr) {
-    return false;
-  }
-  if (step->long_running) {
-    return true;
-  }
-  const std::chrono::milliseconds time_left = session.entry.minimum_time_left -
-                                              options_.stop_timeout -
-                                              kEvacuationMargin;
-  const auto elapsed = now - state.ordered_at;
-  const bool ends_in_time =
-      state.progress_percent > 0 &&
-      elapsed * (100 - state.progress_percent) / state.progress_percent <
-          time_left;
-  return step->checkpoints && !ends_in_time;
-}
-
-void fleet_scheduler::Evacuate(worker_session& session, time_point now) {
-  for (auto& [run, state] : session.runs) {
-    state.stop_wanted |= MustLeave(session, run, state, now);
-  }
-  SendStops(session, now);
-}
-
 }  // namespace skylarkbridge::jobs
