--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -182,6 +182,7 @@
   KeepRoomOfLeavingRuns(leaving, pass, now);
   bool restarts_placed = PlaceRestarts(pass, now);
   restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
+  restart_room_ = pass.reserved_room;
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -39,6 +39,11 @@
 /// the same rules.
 constexpr std::size_t kCrashesColumn = 5;
 constexpr std::size_t kLastEndedRunsColumn = 6;
+/// Column of step_progress::delegations, under the same rules.
+constexpr std::size_t kDelegationsColumn = 7;
+/// Column of ownership_record::room, which earlier versions neither write nor
+/// read.
+constexpr std::size_t kRoomColumn = 6;
 
 std::string Key(char kind, job_id job) {
   return absl::StrCat(std::string(1, kind), Format(job));
@@ -142,6 +147,30 @@
   return rows;
 }
 
+json EndedRunsToJson(const step_progress& step) {
+  json rows = json::array();
+  for (const auto& [index, run] : step.last_ended_runs) {
+    rows.push_back(json::array({index, run}));
+  }
+  return rows;
+}
+
+json DelegationsToJson(const step_progress& step) {
+  json rows = json::array();
+  for (const auto& [index, delegation] : step.delegations) {
+    rows.push_back(json::array({index, delegation.cell, delegation.first_run}));
+  }
+  return rows;
+}
+
+json RoomToJson(const std::map<std::string, resources>& room) {
+  json rows = json::array();
+  for (const auto& [service, amounts] : room) {
+    rows.push_back(json::array({service, ToJson(amounts)}));
+  }
+  return rows;
+}
+
 run_number ToRunNumber(const json& value) {
   return ToInteger<run_number>(value, {0, kMaxRunNumber});
 }
@@ -171,20 +200,21 @@
   }
   json row = json::array(
       {step.occurrence, step.step, ToDigits(step.done), std::move(failures)});
-  const bool has_ended_runs = !step.last_ended_runs.empty();
-  const bool has_crashes = !step.crashes.empty();
-  if (!step.started.empty() || has_crashes || has_ended_runs) {
+  // A column is written when it or a later one is not empty.
+  const bool has_delegations = !step.delegations.empty();
+  const bool has_ended_runs = !step.last_ended_runs.empty() || has_delegations;
+  const bool has_crashes = !step.crashes.empty() || has_ended_runs;
+  if (!step.started.empty() || has_crashes) {
     row.push_back(ToDigits(step.started));
   }
-  if (has_crashes || has_ended_runs) {
+  if (has_crashes) {
     row.push_back(CrashesToJson(step));
   }
   if (has_ended_runs) {
-    json ended_runs = json::array();
-    for (const auto& [index, run] : step.last_ended_runs) {
-      ended_runs.push_back(json::array({index, run}));
-    }
-    row.push_back(std::move(ended_runs));
+    row.push_back(EndedRunsToJson(step));
+  }
+  if (has_delegations) {
+    row.push_back(DelegationsToJson(step));
   }
   return row;
 }
@@ -207,8 +237,18 @@
     }
   }
   if (row.size() > kLastEndedRunsColumn) {
-    for (const json& run_row : row.at(kLastEndedRunsColumn)) {
-      step.last_ended_runs[run_row.at(0)] = run_row.at(1);
+    for (const json& run_row : RequireArray(row.at(kLastEndedRunsColumn))) {
+      step.last_ended_runs[ToInteger<std::uint32_t>(run_row.at(0))] =
+          ToRunNumber(run_row.at(1));
+    }
+  }
+  if (row.size() > kDelegationsColumn) {
+    for (const json& delegation_row :
+         RequireArray(row.at(kDelegationsColumn))) {
+      step.delegations[ToInteger<std::uint32_t>(delegation_row.at(0))] = {
+          .cell = ToInteger<cell_id>(delegation_row.at(1)),
+          .first_run =
+              ToInteger<run_number>(delegation_row.at(2), {1, kMaxRunNumber})};
     }
   }
   return step;
@@ -230,11 +270,13 @@
 }
 
 keyed_record ToRecord(const ownership_record& record) {
-  return {
-      .key = std::string(kOwnerKey),
-      .value = Pack(json::array(
-          {record.claim_epoch, record.vm, record.incarnation, record.released,
-           record.predecessor_validity.count(), record.millicores_per_cell}))};
+  json row = json::array({record.claim_epoch, record.vm, record.incarnation,
+                          record.released, record.predecessor_validity.count(),
+                          record.millicores_per_cell});
+  if (!record.room.empty()) {
+    row.push_back(RoomToJson(record.room));
+  }
+  return {.key = std::string(kOwnerKey), .value = Pack(row)};
 }
 
 keyed_record ToRecord(const leased_workers& record) {
@@ -301,6 +343,11 @@
     record.millicores_per_cell = ToInteger<std::int64_t>(
         value.at(kMillicoresPerCellColumn), {0, kMaxAmount});
   }
+  if (value.size() > kRoomColumn) {
+    for (const json& row : RequireArray(value.at(kRoomColumn))) {
+      record.room[row.at(0).get<std::string>()] = ToResources(row.at(1));
+    }
+  }
   return record;
 }
 
@@ -313,7 +360,7 @@
     }
   }
   if (value.size() > kEndsStoredFromColumn) {
-    record.ends_stored_from = value.at(kEndsStoredFromColumn);
+    record.ends_stored_from = ToEpoch(value.at(kEndsStoredFromColumn));
   }
   return record;
 }
