Test that the end of a delegated run releases no task

Its ends are not stored, so a successor may not conclude from one that no later run exists. The tests of delegation also state the epoch and store the changes of a takeover, as the job table asks for since ends are stored.

--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -294,7 +294,9 @@
   EXPECT_TRUE(table.WaitingRestarts().empty());
   EXPECT_TRUE(table.HasChanges());
   job_table successor = Successor(*TakeProgress(table));
-  successor.AllowUnreportedTasks();
+  successor.AllowUnreportedTasks(4);
+  successor.TakeChanges();
+  successor.ChangesStored(1);
   EXPECT_EQ(successor.ReadyTasks(StepOf(task), kTakeover),
             (std::vector<std::uint32_t>{1, 2}));
   EXPECT_FALSE(successor.CanAdopt({task, 20'005}));
@@ -346,10 +348,24 @@
   table.Add(kJob, DelegatedJob(), true, kNow, kWall);
   EXPECT_TRUE(table.WaitingRestarts().empty());
   EXPECT_TRUE(table.CanAdopt({FirstRun(0).task, 20'006}));
-  table.AllowUnreportedTasks();
+  table.AllowUnreportedTasks(2);
   EXPECT_EQ(table.WaitingRestarts().size(), 1U);
 }
 
+// Guards against a second run of a delegated task: its ends are not stored, so
+// the reported end of one run does not show that no later run was started.
+TEST(JobTableTest, AReportedEndDoesNotReleaseADelegatedTask) {
+  job_table table({}, 1);
+  table.SetEndsStoredFrom(1);
+  table.Add(kJob, DelegatedJob(), true, kNow, kWall);
+  table.RecordEnd({FirstRun(0).task, 20'006}, run_end::kFailed, "",
+                  kMaxAttempts, kNow);
+  EXPECT_TRUE(table.WaitingRestarts().empty());
+  table.AllowUnreportedTasks(2);
+  ASSERT_EQ(table.WaitingRestarts().size(), 1U);
+  EXPECT_TRUE(table.WaitingRestarts().front().end_stored);
+}
+
 // Guards against a task that crashes the workers of the other cell without end:
 // only the first cell can fail its job.
 TEST(JobTableTest, ADelegatedTaskThatCrashesWorkersStaysStopped) {
