Build the benchmark of the scheduler again

TakeRecords takes the time since the waits of takeovers are stored; the benchmark still called it without.

--- a/bench/fleet_cost_bench.cpp
+++ b/bench/fleet_cost_bench.cpp
@@ -95,7 +95,7 @@
     scheduler.AllowOrders(now, now + std::chrono::seconds(60));
     scheduler.Run(now, kWall);
     if (scheduler.HasRecords()) {
-      scheduler.TakeRecords();
+      scheduler.TakeRecords(now);
       scheduler.RecordsStored(scheduler.WriteNumber(), now);
     }
     for (const order& sent : scheduler.TakeOrders()) {
