--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -197,6 +197,10 @@
   bool CanAdopt(const run_ref& run) const;
   /// @brief Records that a run was lost without a reported end.
   void RecordLoss(const run_ref& run, time_point now);
+  /// @brief Records that a run was lost in a restart of its worker. The worker
+  /// will never report the end, so the task may start again before the loss is
+  /// stored.
+  void RecordLossInRestart(const run_ref& run, time_point now);
   /// @brief Records that the worker of a run crashed shortly after the start;
   /// the run still has to be recorded as lost. When the task has to be given
   /// up, its job fails; returns the runs of the job, which must be stopped.
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -192,7 +192,7 @@
   }
   for (const run_ref& run : lost) {
     RemoveRun(session, run);
-    jobs_.RecordLoss(run, now);
+    jobs_.RecordLossInRestart(run, now);
   }
   for (const auto& [run, until] : session.unanswered_starts) {
     if (now >= until || session.runs.contains(run)) {
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -345,10 +345,14 @@
 }
 
 void job_table::RecordLoss(const run_ref& run, time_point now) {
-  RemovePendingRun(run);
   if (const auto job = jobs_.find(run.task.job); job != jobs_.end()) {
     RecordLastEndedRun(job->second, run);
   }
+  RecordLossInRestart(run, now);
+}
+
+void job_table::RecordLossInRestart(const run_ref& run, time_point now) {
+  RemovePendingRun(run);
   if (EndRun(run, now)) {
     MutableTask(run.task)->last_run_ended_at = now;
   }
