Count a lease of an earlier owner as expired after a read of the log only

Found by review, not shown by a test: an owner that can't read the log could release tasks at the stored time although a newer owner has extended the lease.

--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -298,7 +298,9 @@
     if (session != workers_.end() && session->second.has_reported) {
       return true;
     }
-    const bool expired = now >= unreported.second;
+    // A new owner may have extended the lease, as in ExpireLeases.
+    const bool expired = now >= unreported.second &&
+                         ownership_confirmed_ >= unreported.second;
     if (expired) {
       never_reported_.insert(unreported.first);
     }
