Bound the orders of earlier owners by the options, not by the record

An owner record may be written by any program and states how long earlier owners may still give orders, up to 100 years. Each takeover then waited that long for workers that had left, and stored the time for the owners after it. No owner gives orders for longer than order_validity, which now bounds the value.

OwnershipTest.NoRecordExtendsTheOrdersOfEarlierOwners fails without the bound and passes with it.

--- a/src/skylarkbridge/jobs/ownership.cpp
+++ b/src/skylarkbridge/jobs/ownership.cpp
@@ -32,7 +32,9 @@
     hand_over_at_.reset();
   }
   // An upper bound, as the record was written before it was read.
-  const time_point predecessor_orders_until = now + record.predecessor_validity;
+  // No owner gives orders for longer, whatever a record states.
+  const time_point predecessor_orders_until =
+      now + std::min(record.predecessor_validity, options_.order_validity);
   newest_predecessor_orders_until_ =
       record.claim_epoch > newest_.claim_epoch
           ? predecessor_orders_until
--- a/src/skylarkbridge/jobs/ownership_test.cpp
+++ b/src/skylarkbridge/jobs/ownership_test.cpp
@@ -27,6 +27,23 @@
   EXPECT_EQ(claim->claim_epoch, 2U);
 }
 
+// Guards against a record, which any program may have written, that makes each
+// takeover wait for orders that no owner gives any more.
+TEST(OwnershipTest, NoRecordExtendsTheOrdersOfEarlierOwners) {
+  ownership state = OwnershipOf("b");
+  state.Observe({.claim_epoch = 1,
+                 .vm = "a",
+                 .incarnation = 5,
+                 .predecessor_validity = std::chrono::hours(1)},
+                kNow);
+  const time_point claimed = kNow + seconds(3);
+  state.LogReadToEnd(claimed, claimed);
+  ASSERT_TRUE(state.NextClaim(claimed));
+  state.ClaimAccepted(claimed);
+  EXPECT_LE(state.PredecessorOrdersUntil(claimed),
+            kNow + ownership_options().order_validity);
+}
+
 // Guards against an owner that gives orders for longer than `order_validity`
 // after its last accepted write.
 TEST(OwnershipTest, ConfirmationsExtendTheTimeForOrders) {
