Call the scheduler in its benchmark as it is now

BeginOwnership takes the time at which the list of leased workers was read, and TakeRecords the time of the write. The formatter asked for another line break.

--- a/bench/fleet_cost_bench.cpp
+++ b/bench/fleet_cost_bench.cpp
@@ -40,7 +40,7 @@
                                      .priority = 2,
                                      .max_attempts = 2});
     scheduler.Configure(configuration);
-    scheduler.BeginOwnership(2, registry, {}, now, now, kWall);
+    scheduler.BeginOwnership(2, registry, {}, now, now, now, kWall);
     for (int worker = 0; worker < kWorkers; ++worker) {
       scheduler.WorkerListed(
           {.worker = absl::StrCat("i-", absl::Hex(0x32ce03c0 + 977 * worker)),
@@ -222,7 +222,7 @@
     }
     driver.scheduler.TakeNotes();
     if (driver.scheduler.HasRecords()) {
-      driver.scheduler.TakeRecords();
+      driver.scheduler.TakeRecords(driver.now);
       driver.scheduler.RecordsStored(driver.scheduler.WriteNumber(),
                                      driver.now);
     }
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -299,8 +299,8 @@
       return true;
     }
     // A new owner may have extended the lease, as in ExpireLeases.
-    const bool expired = now >= unreported.second &&
-                         ownership_confirmed_ >= unreported.second;
+    const bool expired =
+        now >= unreported.second && ownership_confirmed_ >= unreported.second;
     if (expired) {
       never_reported_.insert(unreported.first);
     }
