Settle what came of an unanswered order with a raised fencing token

Cause: an order without an answer may be carried out up to 15 s later by whatever life of the worker it reaches. A start was sent a second time with the same run number, so that two lives could carry out one copy each. A worker stayed usable for 1.7 s after a failed renewal. The acknowledgement of a late renewal could delete ends of the next life.

Change: the fencing token has a sequence below the epoch. It rises when a start or a renewal got no answer, and when the list shows a restart; the worker gets no start, longer lease or acknowledgement until a renewal with the new token is answered. That report settles the orders before it. A start is sent once; its task and room stay taken until then, or until 15 s and one lease have passed. The list alone ends no run. A refusal of a token that was raised meanwhile does not end the ownership.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -199,8 +199,9 @@
   void Handle(const pace_reply& reply, time_point now);
   void Handle(const permit_reply& reply, time_point now);
 
-  /// @brief Whether a worker refused an order because it has seen a higher
-  /// epoch.
+  /// @brief Whether a worker has refused an order because it has seen the
+  /// fencing token of a later owner, or this owner has no further token. Either
+  /// ends the ownership.
   bool Fenced() const { return fenced_; }
 
   /// @brief Renews leases, retries stop orders, drops runs whose lease has
@@ -279,16 +280,37 @@
   void DropMissingRun(worker_session& session,
                       const run_ref& run,
                       time_point now);
-  /// Drops the runs that ended with the restart of a worker, and stops those
-  /// that may still start there.
-  void HandleRestart(worker_session& session, time_point now);
+  /// Drops the runs that ended with the restart of a worker. Those that the
+  /// first report after it lists, and those that may still start, stay.
+  void HandleRestart(worker_session& session,
+                     std::uint64_t renewal_number,
+                     const worker_report& report,
+                     time_point now);
   void ExpireLeases(time_point now);
+  /// Whether the run may be on the worker although the lease of the worker has
+  /// expired: its start order may be carried out by a later life.
+  bool MayStillStart(const worker_session& session,
+                     const worker_run& run,
+                     time_point now) const;
+  /// Raises the fencing token of the orders to the worker, and sends a renewal
+  /// with it at once. Once that is answered, the worker refuses all orders that
+  /// were sent before.
+  void RaiseFence(worker_session& session, time_point now);
+  /// The token after the last one that this owner has used.
+  fencing_token NextFence();
+  /// Notes that a worker refused an order. That ends the ownership, unless the
+  /// token has been raised since the order was sent.
+  void HandleFenced(const worker_session& session, const fencing_token& fence);
   /// Records a crash of the worker for the tasks that were started there
   /// shortly before, and gives up those that crash their workers. The runs stay
   /// in the session.
-  void RecordCrash(const worker_session& session);
+  /// @param surviving runs that a later life of the worker has started.
+  void RecordCrash(const worker_session& session,
+                   const absl::flat_hash_set<run_ref>& surviving);
   /// The runs that were started shortly before the worker crashed.
-  std::vector<run_ref> CrashSuspects(const worker_session& session) const;
+  std::vector<run_ref> CrashSuspects(
+      const worker_session& session,
+      const absl::flat_hash_set<run_ref>& surviving) const;
   /// The run among @p suspects to blame for a crash, with the other members of
   /// its gang; none while several may have caused it.
   std::vector<run_ref> CrashCulprits(
@@ -330,8 +352,10 @@
   void SendStops(worker_session& session, time_point now);
   void SendStart(worker_session& session,
                  const run_ref& run,
-                 worker_run& state,
-                 time_point now);
+                 const worker_run& state);
+  void HandleUnansweredStart(worker_session& session,
+                             const run_ref& run,
+                             time_point now);
   worker_target Target(const worker_session& session) const;
   /// Latest expiry of a lease that a worker grants at @p now, by the local
   /// clock and with a margin.
@@ -664,6 +688,7 @@
   bool active_ = false;
   bool fenced_ = false;
   epoch epoch_ = 0;
+  fencing_token last_fence_;
   time_point orders_until_;
   time_point ownership_confirmed_;
   std::shared_ptr<const fleet_configuration> configuration_;
--- a/include/skylarkbridge/jobs/orders.hpp
+++ b/include/skylarkbridge/jobs/orders.hpp
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "skylarkbridge/jobs/fencing_token.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_record.hpp"
 #include "skylarkbridge/jobs/worker_report.hpp"
@@ -19,8 +20,7 @@
 struct worker_target {
   std::string worker;
   std::string address;
-  /// Fencing token: the worker refuses orders below the highest epoch it saw.
-  epoch fence = 0;
+  fencing_token fence;
 };
 
 /// @brief Renews the lease of a worker, acknowledges ended runs and requests a
@@ -77,7 +77,7 @@
 /// @brief Outcome of an order, as far as the sender knows.
 enum class order_result {
   kDone,
-  /// The worker has seen a higher epoch.
+  /// The worker has seen a higher fencing token.
   kFenced,
   /// A run of the same task with this or a higher number was stopped or has
   /// ended on the worker.
@@ -106,6 +106,8 @@
   std::string worker;
   std::uint64_t renewal_number = 0;
   order_result result = order_result::kNoAnswer;
+  /// Token of the order that was answered.
+  fencing_token fence;
   /// Present when the order was carried out.
   std::optional<worker_report> report;
 };
@@ -114,12 +116,14 @@
   std::string worker;
   run_ref run;
   order_result result = order_result::kNoAnswer;
+  fencing_token fence;
 };
 
 struct stop_reply {
   std::string worker;
   run_ref run;
   order_result result = order_result::kNoAnswer;
+  fencing_token fence;
 };
 
 struct pace_reply {
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_JOBS_WORKER_SESSION_HPP
 #define SKYLARKBRIDGE_JOBS_WORKER_SESSION_HPP
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/fencing_token.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
@@ -24,7 +26,8 @@
   /// The start order was sent; its answer is pending.
   kStarting,
   kRunning,
-  /// The start order was not answered: it may still be carried out.
+  /// The start order was not answered: it may still be carried out, also by a
+  /// later life of the worker.
   kUncertain,
   /// The stop order was carried out; the run has not been reported as ended.
   kStopping,
@@ -63,7 +66,6 @@
   /// Stop orders that were sent, and the result of the last one with a reply.
   int stop_attempts = 0;
   std::optional<order_result> last_stop_result;
-  int start_attempts = 0;
   worker_time start_by;
   std::string checkpoint;
   std::string ticket;
@@ -91,6 +93,10 @@
   std::optional<time_point> under_target_since;
 };
 
+/// A worker that is missing from the list for longer is considered removed;
+/// shorter gaps can be errors of the platform's store.
+inline constexpr std::chrono::milliseconds kUnlistedGrace{2500};
+
 /// @brief Times of a draining worker.
 struct evacuation {
   /// When this owner first saw the worker drain.
@@ -120,6 +126,14 @@
   /// The log record that lists the worker as leased is durable.
   bool registered = false;
 
+  /// Token of the orders that are sent now.
+  fencing_token fence;
+  /// Token of the last renewal that was answered. The worker refuses all orders
+  /// with a lower one.
+  fencing_token confirmed_fence;
+  /// Number of the first renewal with the token `fence`.
+  std::uint64_t first_renewal_of_fence = 1;
+
   /// Number of the last renewal.
   std::uint64_t last_renewal = 0;
   bool renewal_under_way = false;
@@ -142,9 +156,6 @@
   std::deque<std::pair<std::uint64_t, std::uint64_t>> pending_ended_runs;
 
   std::map<run_ref, worker_run> runs;
-  /// Unanswered start orders, with the time until which the worker may carry
-  /// them out. After a restart of the worker each has to be stopped first.
-  std::map<run_ref, time_point> unanswered_starts;
   /// Sum of `reserved` over the runs.
   resources used;
   /// Sum of `reserved` over the long-running runs.
@@ -163,6 +174,21 @@
   /// Failed runs since the last successful one, over all jobs.
   int consecutive_failures = 0;
 
+  /// @brief Whether the worker has been missing from the list for longer than
+  /// kUnlistedGrace.
+  bool RemovedFromList(time_point now) const {
+    return unlisted_since && now > *unlisted_since + kUnlistedGrace;
+  }
+  /// @brief Whether no order that was sent before the last answered renewal can
+  /// still be carried out, and no renewal has failed since.
+  bool RefusesLateOrders() const {
+    return failed_renewals == 0 && confirmed_fence == fence;
+  }
+  /// @brief Whether `entry` was written by the life of the worker that sent the
+  /// last report. The capacity may differ from one life to the next.
+  bool EntryIsOfThisLife() const {
+    return !entry.start_time || !start_time || *entry.start_time == *start_time;
+  }
   /// @brief Capacity that is not reserved.
   resources Room() const {
     resources room = entry.capacity;
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -28,6 +28,7 @@
   EndOwnership();
   active_ = true;
   epoch_ = owned_epoch;
+  last_fence_ = {.owner_epoch = owned_epoch};
   registry_ = &registry;
   jobs_ = job_table(options_.jobs, registry.Cell());
   ownership_begun_at_ = now;
@@ -337,7 +338,7 @@
 worker_target fleet_scheduler::Target(const worker_session& session) const {
   return {.worker = session.entry.worker,
           .address = session.entry.address,
-          .fence = epoch_};
+          .fence = session.fence};
 }
 
 void fleet_scheduler::AddNote(scheduling_event event,
--- a/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
@@ -17,8 +17,10 @@
   return state != nullptr && state->suspected_crashes > 0;
 }
 
-void fleet_scheduler::RecordCrash(const worker_session& session) {
-  const std::vector<run_ref> suspects = CrashSuspects(session);
+void fleet_scheduler::RecordCrash(
+    const worker_session& session,
+    const absl::flat_hash_set<run_ref>& surviving) {
+  const std::vector<run_ref> suspects = CrashSuspects(session, surviving);
   const std::vector<run_ref> culprits = CrashCulprits(session, suspects);
   for (const run_ref& run : suspects) {
     if (jobs_.Find(run.task.job) == nullptr) {
@@ -38,10 +40,11 @@
 }
 
 std::vector<run_ref> fleet_scheduler::CrashSuspects(
-    const worker_session& session) const {
+    const worker_session& session,
+    const absl::flat_hash_set<run_ref>& surviving) const {
   std::vector<run_ref> suspects;
   for (const auto& [run, state] : session.runs) {
-    if (!state.detached &&
+    if (!state.detached && !surviving.contains(run) &&
         state.ordered_at + options_.crash_window >= session.last_answer) {
       suspects.push_back(run);
     }
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -6,8 +6,10 @@
 namespace skylarkbridge::jobs {
 namespace {
 
-/// How often a start order is sent without an answer before the run is stopped.
-constexpr int kMaxStartAttempts = 2;
+/// Whether the order was certainly not carried out and never will be.
+bool NotExecuted(order_result result) {
+  return result == order_result::kNotSent || Rejected(result);
+}
 
 }  // namespace
 
@@ -107,7 +109,7 @@
   }
   IsolateSuspect(session, run, state, now);
   jobs_.RecordStart(run, session.entry.worker);
-  SendStart(session, run, state, now);
+  SendStart(session, run, state);
   AddNote(scheduling_event::kStartOrdered, run, session.entry.worker,
           absl::StrCat("room ", session.Room().millicores, " need ",
                        step.need.millicores));
@@ -117,9 +119,7 @@
 
 void fleet_scheduler::SendStart(worker_session& session,
                                 const run_ref& run,
-                                worker_run& state,
-                                time_point /*now*/) {
-  ++state.start_attempts;
+                                const worker_run& state) {
   const open_job* job = jobs_.Find(run.task.job);
   orders_.emplace_back(
       start_order{.target = Target(session),
@@ -137,7 +137,11 @@
   }
   worker_session& session = worker->second;
   if (reply.result == order_result::kFenced) {
-    fenced_ = true;
+    HandleFenced(session, reply.fence);
+  }
+  if (reply.result == order_result::kNoAnswer) {
+    HandleUnansweredStart(session, reply.run, now);
+    return;
   }
   const auto found = session.runs.find(reply.run);
   if (found == session.runs.end()) {
@@ -146,18 +150,14 @@
   worker_run& run = found->second;
   if (reply.result == order_result::kDone) {
     run.confirmed = true;
-    if (run.phase == run_phase::kStarting ||
-        run.phase == run_phase::kUncertain) {
+    if (run.phase == run_phase::kStarting) {
       run.phase = run_phase::kRunning;
     }
     run.first_conclusive_renewal = session.last_renewal + 1;
     SendStops(session, now);
     return;
   }
-  if (reply.result == order_result::kNoAnswer) {
-    session.unanswered_starts[reply.run] = now + options_.max_order_delay;
-  }
-  if (run.phase != run_phase::kStarting) {
+  if (run.phase != run_phase::kStarting || !NotExecuted(reply.result)) {
     return;
   }
   session.excluded_until =
@@ -165,27 +165,28 @@
   if (reply.result == order_result::kNoPermit) {
     permits_.Refused(StepOf(reply.run.task), reply.worker);
   }
-  const bool not_executed =
-      reply.result == order_result::kNotSent || Rejected(reply.result);
-  if (run.start_attempts == 1 && not_executed) {
-    AddNote(scheduling_event::kStartRefused, reply.run, reply.worker,
-            absl::StrCat(static_cast<int>(reply.result)));
-    RemoveRun(session, reply.run);
-    jobs_.RecordRejectedStart(reply.run, now);
-    placement_pending_ = true;
-    return;
-  }
-  if (reply.result == order_result::kNoAnswer &&
-      run.start_attempts < kMaxStartAttempts && !run.stop_wanted &&
-      session.lease.IsSynchronised() &&
-      session.lease.EstimateWorkerTime(now, {}) < run.start_by) {
-    SendStart(session, reply.run, run, now);
+  AddNote(scheduling_event::kStartRefused, reply.run, reply.worker,
+          absl::StrCat(static_cast<int>(reply.result)));
+  RemoveRun(session, reply.run);
+  jobs_.RecordRejectedStart(reply.run, now);
+  placement_pending_ = true;
+}
+
+void fleet_scheduler::HandleUnansweredStart(worker_session& session,
+                                            const run_ref& run,
+                                            time_point now) {
+  RaiseFence(session, now);
+  session.excluded_until =
+      std::max(session.excluded_until, now + options_.fault_backoff);
+  const auto found = session.runs.find(run);
+  if (found == session.runs.end() ||
+      found->second.phase != run_phase::kStarting) {
     return;
   }
-  AddNote(scheduling_event::kStartUncertain, reply.run, reply.worker,
-          absl::StrCat(static_cast<int>(reply.result)));
-  run.phase = run_phase::kUncertain;
-  run.stop_wanted = true;
+  AddNote(scheduling_event::kStartUncertain, run, session.entry.worker,
+          "no answer");
+  found->second.phase = run_phase::kUncertain;
+  found->second.first_conclusive_renewal = session.first_renewal_of_fence;
   SendStops(session, now);
 }
 
@@ -240,7 +241,7 @@
   }
   worker_session& session = worker->second;
   if (reply.result == order_result::kFenced) {
-    fenced_ = true;
+    HandleFenced(session, reply.fence);
   }
   const auto found = session.runs.find(reply.run);
   if (found == session.runs.end()) {
--- /dev/null
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
@@ -0,0 +1,130 @@
+#include <algorithm>
+#include <limits>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "skylarkbridge/jobs/fleet_scheduler.hpp"
+
+namespace skylarkbridge::jobs {
+namespace {
+
+absl::flat_hash_set<run_ref> ListedRuns(const worker_report& report) {
+  absl::flat_hash_set<run_ref> listed;
+  for (const running_task& task : report.running) {
+    listed.insert(task.run);
+  }
+  for (const ended_task& end : report.ended) {
+    listed.insert(end.run);
+  }
+  return listed;
+}
+
+}  // namespace
+
+fencing_token fleet_scheduler::NextFence() {
+  if (last_fence_.sequence ==
+      std::numeric_limits<decltype(last_fence_.sequence)>::max()) {
+    fenced_ = true;
+    return last_fence_;
+  }
+  ++last_fence_.sequence;
+  return last_fence_;
+}
+
+void fleet_scheduler::RaiseFence(worker_session& session, time_point now) {
+  // While a token is not confirmed, no start is sent with it, and the renewals
+  // with it neither extend the lease nor acknowledge ends.
+  if (session.confirmed_fence == session.fence) {
+    session.fence = NextFence();
+    session.first_renewal_of_fence = session.last_renewal + 1;
+    // A renewal that is under way may wait for the end of a run.
+    session.renewal_under_way = false;
+    session.next_renewal = now;
+  }
+}
+
+void fleet_scheduler::HandleFenced(const worker_session& session,
+                                   const fencing_token& fence) {
+  fenced_ |= fence >= session.fence;
+}
+
+void fleet_scheduler::HandleRestart(worker_session& session,
+                                    std::uint64_t renewal_number,
+                                    const worker_report& report,
+                                    time_point now) {
+  AddNote(scheduling_event::kWorkerRestarted, {}, session.entry.worker,
+          absl::StrCat("runs ", session.runs.size()));
+  const absl::flat_hash_set<run_ref> listed = ListedRuns(report);
+  if (!session.entry.draining) {
+    RecordCrash(session, listed);
+  }
+  std::vector<run_ref> lost;
+  for (const auto& [run, state] : session.runs) {
+    const bool start_answered = state.phase == run_phase::kRunning ||
+                                state.phase == run_phase::kStopping;
+    // A start that was answered while the renewal was under way may have been
+    // carried out by the new life after its report.
+    const bool conclusive = renewal_number >= state.first_conclusive_renewal;
+    if (start_answered && conclusive && !listed.contains(run)) {
+      lost.push_back(run);
+    }
+  }
+  for (const run_ref& run : lost) {
+    RemoveRun(session, run);
+    jobs_.RecordLossInRestart(run, now);
+  }
+  session.lease.Reset(LatestLeaseExpiry(now));
+  permits_.WorkerRestarted(session.entry.worker);
+  session.last_applied_ended_run = 0;
+  session.last_durable_ended_run = 0;
+  session.pending_ended_runs.clear();
+  placement_pending_ = true;
+}
+
+bool fleet_scheduler::MayStillStart(const worker_session& session,
+                                    const worker_run& run,
+                                    time_point now) const {
+  return run.phase == run_phase::kUncertain && !session.RemovedFromList(now) &&
+         now < LatestLeaseExpiry(run.ordered_at + options_.max_order_delay);
+}
+
+void fleet_scheduler::ExpireLeases(time_point now) {
+  for (auto position = workers_.begin(); position != workers_.end();) {
+    worker_session& session = position->second;
+    // A new owner may have renewed the lease of a worker that this VM cannot
+    // reach. Only a log read after the expiry rules that out.
+    if (now < session.lease.ExpiresAt() ||
+        ownership_confirmed_ < session.lease.ExpiresAt()) {
+      ++position;
+      continue;
+    }
+    std::vector<run_ref> lost;
+    for (const auto& [run, state] : session.runs) {
+      if (!MayStillStart(session, state, now)) {
+        lost.push_back(run);
+      }
+    }
+    if (!lost.empty()) {
+      AddNote(scheduling_event::kLeaseExpired, {}, session.entry.worker,
+              absl::StrCat("runs ", lost.size()));
+      // A worker that is only cut off from this VM stays in the list.
+      if (session.unlisted_since && !session.entry.draining) {
+        RecordCrash(session, {});
+      }
+      for (const run_ref& run : lost) {
+        RemoveRun(session, run);
+        jobs_.RecordLoss(run, now);
+      }
+      placement_pending_ = true;
+    }
+    if (session.RemovedFromList(now) && !session.renewal_under_way) {
+      leased_workers_changed_ |= session.has_reported;
+      registration_writes_.erase(position->first);
+      position = workers_.erase(position);
+    } else {
+      ++position;
+    }
+  }
+}
+
+}  // namespace skylarkbridge::jobs
--- /dev/null
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
@@ -0,0 +1,321 @@
+// Tests of what an owner assumes of a worker that starts again under its id,
+// and of the orders that such a worker may still carry out.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "skylarkbridge/jobs/scheduler_driver_fake.hpp"
+
+namespace skylarkbridge::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr job_id kJob{1};
+constexpr worker_start_time kFirstLife{seconds(1)};
+constexpr worker_start_time kSecondLife{seconds(2)};
+
+/// Orders of one call of Run, by kind.
+struct sent_orders {
+  std::vector<renew_order> renewals;
+  std::vector<start_order> starts;
+  std::vector<stop_order> stops;
+};
+
+/// Workers that state their start time, and orders whose answers a test gives
+/// by itself.
+struct lives_driver : scheduler_driver {
+  lives_driver() { Begin(); }
+
+  void List(const std::string& id,
+            worker_start_time born,
+            std::int64_t millicores) {
+    scheduler.WorkerListed(
+        {.worker = id,
+         .service = "service",
+         .address = id,
+         .capacity = {.millicores = millicores, .memory_mb = 1000},
+         .start_time = born},
+        now);
+  }
+  /// Lists a worker, which reports.
+  void Join(const std::string& id, std::int64_t millicores) {
+    List(id, kFirstLife, millicores);
+    start_times[id] = kFirstLife;
+    RunRounds();
+  }
+  /// Runs the scheduler and answers nothing.
+  sent_orders RunUnanswered() {
+    AllowOrders(now);
+    scheduler.Run(now, kWall);
+    sent_orders sent;
+    for (const order& any : scheduler.TakeOrders()) {
+      if (const auto* renewal = std::get_if<renew_order>(&any)) {
+        sent.renewals.push_back(*renewal);
+      } else if (const auto* start = std::get_if<start_order>(&any)) {
+        sent.starts.push_back(*start);
+      } else if (const auto* stop = std::get_if<stop_order>(&any)) {
+        sent.stops.push_back(*stop);
+      }
+    }
+    return sent;
+  }
+  void Answer(const start_order& start, order_result result) {
+    scheduler.Handle(start_reply{.worker = start.target.worker,
+                                 .run = start.run,
+                                 .result = result,
+                                 .fence = start.target.fence},
+                     now);
+    if (result == order_result::kDone) {
+      starts.push_back(start);
+    }
+  }
+  /// Leaves a renewal without an answer.
+  void Fail(const renew_order& renewal) {
+    scheduler.Handle(renew_reply{.worker = renewal.target.worker,
+                                 .renewal_number = renewal.renewal_number,
+                                 .fence = renewal.target.fence},
+                     now);
+  }
+  std::size_t RunsOn(const std::string& id) const {
+    return scheduler.Workers().at(id).runs.size();
+  }
+};
+
+step_spec Tasks(std::uint32_t count, std::int64_t millicores) {
+  return {.count = count, .need = {.millicores = millicores}};
+}
+
+// Guards against two runs of one task and against room that is given twice: a
+// start that the new life of a worker had answered counted as lost with the
+// old life once the list showed the later start time.
+TEST(WorkerLivesTest, AStartAnsweredByTheNewLifeIsNotLostWithTheOld) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  const sent_orders first = driver.RunUnanswered();
+  ASSERT_EQ(first.starts.size(), 1U);
+  // The worker has restarted. Its new life carries out the order.
+  driver.start_times["w0"] = kSecondLife;
+  driver.Answer(first.starts[0], order_result::kDone);
+  driver.List("w0", kSecondLife, 1000);
+  EXPECT_EQ(driver.RunsOn("w0"), 1U);
+  driver.Pass(milliseconds(100));
+  driver.Pass(milliseconds(1000));
+  EXPECT_EQ(driver.starts.size(), 1U);
+  EXPECT_EQ(driver.RunsOn("w0"), 1U);
+}
+
+// Guards against a task that stays lost with the old life of its worker.
+TEST(WorkerLivesTest, ARunOfTheOldLifeStartsAgainOnceTheNewLifeReports) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  driver.Pass(milliseconds(100));
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.starts[0].target.worker = "over";
+  driver.start_times["w0"] = kSecondLife;
+  driver.List("w0", kSecondLife, 1000);
+  driver.Pass(milliseconds(100));
+  driver.Pass(milliseconds(100));
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts[1].run.run, driver.starts[0].run.run + 1);
+}
+
+// Guards against a start order that two lives of a worker carry out: it was
+// sent a second time, with the same run number, when it got no answer.
+TEST(WorkerLivesTest, AStartWithoutAnAnswerIsNotSentAgain) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  const sent_orders first = driver.RunUnanswered();
+  ASSERT_EQ(first.starts.size(), 1U);
+  driver.Answer(first.starts[0], order_result::kNoAnswer);
+  for (int pass = 0; pass < 10; ++pass) {
+    driver.now += milliseconds(100);
+    EXPECT_TRUE(driver.RunUnanswered().starts.empty());
+  }
+}
+
+// Guards against a second run of a task while an unanswered start order for the
+// first may still be carried out. Only a report with a higher fencing token
+// than that of the order shows that it will not be.
+TEST(WorkerLivesTest, ATaskWaitsForAReportThatRulesItsStartOut) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Join("w1", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  const sent_orders first = driver.RunUnanswered();
+  ASSERT_EQ(first.starts.size(), 1U);
+  const start_order unanswered = first.starts[0];
+  // These were sent before, so their reports rule nothing out.
+  for (const renew_order& renewal : first.renewals) {
+    driver.AnswerRenewal(renewal);
+  }
+  driver.Answer(unanswered, order_result::kNoAnswer);
+  const sent_orders second = driver.RunUnanswered();
+  EXPECT_TRUE(second.starts.empty());
+  EXPECT_TRUE(second.stops.empty());
+  const auto renewal =
+      std::find_if(second.renewals.begin(), second.renewals.end(),
+                   [&unanswered](const renew_order& candidate) {
+                     return candidate.target.worker == unanswered.target.worker;
+                   });
+  ASSERT_NE(renewal, second.renewals.end());
+  EXPECT_GT(renewal->target.fence, unanswered.target.fence);
+  EXPECT_EQ(renewal->acknowledged, 0U);
+  EXPECT_FALSE(renewal->lease_until);
+  driver.AnswerRenewal(*renewal);
+  const sent_orders third = driver.RunUnanswered();
+  ASSERT_EQ(third.starts.size(), 1U);
+  EXPECT_EQ(third.starts[0].run.run, unanswered.run.run + 1);
+}
+
+// Guards against stopping, or starting again, a run whose start order was
+// carried out although its answer was lost.
+TEST(WorkerLivesTest, ARunThatIsReportedAfterALostAnswerGoesOn) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  const sent_orders first = driver.RunUnanswered();
+  ASSERT_EQ(first.starts.size(), 1U);
+  driver.Answer(first.starts[0], order_result::kNoAnswer);
+  driver.starts.push_back(first.starts[0]);
+  driver.Pass(milliseconds(100));
+  driver.Pass(milliseconds(1000));
+  EXPECT_EQ(driver.starts.size(), 1U);
+  EXPECT_TRUE(driver.stops.empty());
+  EXPECT_EQ(driver.scheduler.Workers().at("w0").runs.begin()->second.phase,
+            run_phase::kRunning);
+}
+
+// Guards against a task that starts elsewhere while a worker that no longer
+// answers, but stays listed, may start again and carry out its order.
+TEST(WorkerLivesTest, ATaskWaitsForTheEndOfItsOrderWhileTheWorkerIsListed) {
+  const fleet_scheduler_options options;
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  const sent_orders first = driver.RunUnanswered();
+  ASSERT_EQ(first.starts.size(), 1U);
+  driver.silent_worker = "w0";
+  driver.Answer(first.starts[0], order_result::kNoAnswer);
+  driver.Join("w1", 1000);
+  const time_point sent_at = driver.now;
+  while (driver.now < sent_at + options.max_order_delay) {
+    driver.Pass(milliseconds(500));
+    ASSERT_TRUE(driver.starts.empty());
+  }
+  for (int pass = 0; pass < 20; ++pass) {
+    driver.Pass(milliseconds(500));
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  EXPECT_EQ(driver.starts[0].target.worker, "w1");
+}
+
+// Guards against starts on a worker that may have restarted since its last
+// answer: its room is then not known.
+TEST(WorkerLivesTest, NothingStartsOnAWorkerAfterAFailedRenewal) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  const sent_orders first = driver.RunUnanswered();
+  ASSERT_EQ(first.renewals.size(), 1U);
+  driver.Fail(first.renewals[0]);
+  driver.Submit(kJob, Tasks(1, 600));
+  driver.now += milliseconds(150);
+  const sent_orders second = driver.RunUnanswered();
+  EXPECT_TRUE(second.starts.empty());
+  ASSERT_EQ(second.renewals.size(), 1U);
+  EXPECT_GT(second.renewals[0].target.fence, first.renewals[0].target.fence);
+  driver.AnswerRenewal(second.renewals[0]);
+  driver.now += fleet_scheduler_options{}.pass_interval;
+  EXPECT_EQ(driver.RunUnanswered().starts.size(), 1U);
+}
+
+// Guards against a second run of a task that is done. A renewal without an
+// answer may reach the worker after a restart, which keeps the worker's id and
+// numbers its ended runs from 1 again. If the worker accepted it, its
+// acknowledgement would delete ends that are not durable yet.
+TEST(WorkerLivesTest, ALateAcknowledgementDeletesNoEndsOfARestartedWorker) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  driver.Pass(milliseconds(100));
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.EndRun(driver.starts[0].run, run_end::kDone);
+  driver.Pass(milliseconds(100));
+  driver.now += milliseconds(100);
+  const sent_orders unanswered = driver.RunUnanswered();
+  ASSERT_EQ(unanswered.renewals.size(), 1U);
+  ASSERT_GT(unanswered.renewals[0].acknowledged, 0U);
+  driver.Fail(unanswered.renewals[0]);
+
+  driver.reported_ends.clear();
+  driver.start_times["w0"] = kSecondLife;
+  driver.List("w0", kSecondLife, 1000);
+  driver.Submit(job_id{2}, Tasks(1, 600));
+  // What the worker accepts before the start cannot delete its end, and what
+  // comes after has to carry the token of the start.
+  for (int pass = 0; pass < 20 && driver.starts.size() == 1; ++pass) {
+    driver.now += milliseconds(100);
+    const sent_orders sent = driver.RunUnanswered();
+    for (const renew_order& renewal : sent.renewals) {
+      EXPECT_EQ(renewal.acknowledged, 0U);
+      driver.AnswerRenewal(renewal);
+    }
+    for (const start_order& start : sent.starts) {
+      EXPECT_GT(start.target.fence, unanswered.renewals[0].target.fence);
+      driver.Answer(start, order_result::kDone);
+    }
+  }
+  EXPECT_EQ(driver.starts.size(), 2U);
+}
+
+// Guards against an owner that steps down because a worker refused an order
+// that it had itself overtaken, and against one that stays after a later owner.
+TEST(WorkerLivesTest, OnlyTheTokenOfALaterOwnerEndsTheOwnership) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(2, 400));
+  const sent_orders sent = driver.RunUnanswered();
+  ASSERT_EQ(sent.starts.size(), 2U);
+  driver.Answer(sent.starts[0], order_result::kNoAnswer);
+  driver.Answer(sent.starts[1], order_result::kFenced);
+  EXPECT_FALSE(driver.scheduler.Fenced());
+  EXPECT_EQ(driver.RunsOn("w0"), 1U);
+  const sent_orders next = driver.RunUnanswered();
+  ASSERT_EQ(next.renewals.size(), 1U);
+  driver.scheduler.Handle(
+      renew_reply{.worker = "w0",
+                  .renewal_number = next.renewals[0].renewal_number,
+                  .result = order_result::kFenced,
+                  .fence = next.renewals[0].target.fence},
+      driver.now);
+  EXPECT_TRUE(driver.scheduler.Fenced());
+}
+
+// Guards against late orders to a worker that was removed and comes back under
+// its id: it has to refuse those that were sent before.
+TEST(WorkerLivesTest, AWorkerThatIsListedAgainGetsAHigherToken) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  const fencing_token before = driver.scheduler.Workers().at("w0").fence;
+  driver.silent_worker = "w0";
+  driver.scheduler.WorkerUnlisted("w0", driver.now);
+  for (int pass = 0; pass < 20; ++pass) {
+    driver.Pass(milliseconds(500));
+  }
+  ASSERT_TRUE(driver.scheduler.Workers().empty());
+  driver.silent_worker.clear();
+  driver.Join("w0", 1000);
+  EXPECT_GT(driver.scheduler.Workers().at("w0").fence, before);
+}
+
+}  // namespace
+}  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -5,14 +5,6 @@
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
-namespace {
-
-/// A worker that is missing from the list for longer is considered removed;
-/// shorter gaps can be errors of the platform's store.
-constexpr std::chrono::milliseconds kUnlistedGrace{2500};
-
-}  // namespace
-
 void fleet_scheduler::WorkerListed(const worker_entry& entry, time_point now) {
   if (!active_) {
     return;
@@ -30,12 +22,12 @@
   session.entry_rejected = false;
   UpdateEvacuation(session, added, now);
   if (added) {
+    session.fence = NextFence();
     session.next_renewal = now;
   }
-  if (entry.start_time && session.start_time &&
-      *entry.start_time > *session.start_time) {
-    HandleRestart(session, now);
-    session.start_time = entry.start_time;
+  if (!session.EntryIsOfThisLife() && *entry.start_time > *session.start_time) {
+    // Only the report of the new life shows which runs ended with the old one.
+    RaiseFence(session, now);
   }
   if (starts_draining) {
     Evacuate(session, now);
@@ -61,7 +53,8 @@
                              time_point now) const {
   return session.has_reported && session.registered &&
          !session.entry.draining && !session.entry_rejected &&
-         !session.unlisted_since && now >= session.excluded_until &&
+         !session.unlisted_since && session.RefusesLateOrders() &&
+         now >= session.excluded_until &&
          now < session.last_answer + options_.max_silence;
 }
 
@@ -72,24 +65,23 @@
 }
 
 void fleet_scheduler::Renew(worker_session& session, time_point now) {
-  const bool removed_from_list =
-      session.unlisted_since && now > *session.unlisted_since + kUnlistedGrace;
+  const bool removed_from_list = session.RemovedFromList(now);
   renew_order renewal{.target = Target(session),
                       .renewal_number = ++session.last_renewal,
-                      // After an unanswered renewal the worker may have
-                      // restarted and number its ended runs from 1 again.
-                      .acknowledged = session.failed_renewals == 0
+                      // A worker that has restarted numbers its ended runs from
+                      // 1 again.
+                      .acknowledged = session.RefusesLateOrders()
                                           ? session.last_durable_ended_run
                                           : 0};
   // The lease of a worker that does not answer is not extended, so that its
   // tasks can start elsewhere when it expires.
   if (session.lease.IsSynchronised() && !removed_from_list &&
-      session.failed_renewals == 0 && MayExtendLease(session)) {
+      session.RefusesLateOrders() && MayExtendLease(session)) {
     renewal.lease_until = session.lease.EstimateWorkerTime(now, options_.lease);
     session.lease.Extend(LatestLeaseExpiry(now));
   }
   if (session.has_reported && session.lease.IsSynchronised() &&
-      session.failed_renewals == 0 && session.pending_ended_runs.empty() &&
+      session.RefusesLateOrders() && session.pending_ended_runs.empty() &&
       MayExtendLease(session)) {
     renewal.wait = session.over_target_since ? options_.over_target_renewal_wait
                                              : options_.renewal_wait;
@@ -108,10 +100,13 @@
   worker_session& session = found->second;
   session.renewal_under_way = false;
   if (reply.result == order_result::kFenced) {
-    fenced_ = true;
+    HandleFenced(session, reply.fence);
     return;
   }
   if (reply.result != order_result::kDone || !reply.report) {
+    if (!Rejected(reply.result)) {
+      RaiseFence(session, now);
+    }
     ++session.failed_renewals;
     session.next_renewal = now + options_.renewal_retry_delay *
                                      std::min(session.failed_renewals, 5);
@@ -121,10 +116,15 @@
     }
     return;
   }
+  const bool returns = session.has_reported &&
+                       (!session.RefusesLateOrders() ||
+                        now >= session.last_answer + options_.max_silence);
   session.failed_renewals = 0;
+  session.confirmed_fence = session.fence;
   ApplyReport(session, reply.renewal_number, *reply.report, now);
-  if (now >= session.last_answer + options_.max_silence) {
+  if (returns) {
     session.changes.returned = last_pass_;
+    placement_pending_ = true;
   }
   session.last_answer = now;
   session.next_renewal =
@@ -139,15 +139,12 @@
                                   time_point now) {
   if (report.start_time && session.start_time &&
       *report.start_time != *session.start_time) {
-    HandleRestart(session, now);
+    HandleRestart(session, renewal_number, report, now);
   }
   if (report.start_time) {
     session.start_time = report.start_time;
   }
   session.lease.Synchronise(report.clock, now);
-  std::erase_if(session.unanswered_starts, [now](const auto& unanswered_start) {
-    return now >= unanswered_start.second;
-  });
   ApplyEndedRuns(session, report, now);
   for (const running_task& task : report.running) {
     ApplyRunning(session, task, renewal_number, now);
@@ -169,49 +166,6 @@
   }
 }
 
-void fleet_scheduler::HandleRestart(worker_session& session, time_point now) {
-  AddNote(scheduling_event::kWorkerRestarted, {}, session.entry.worker,
-          absl::StrCat("runs ", session.runs.size()));
-  if (!session.entry.draining) {
-    RecordCrash(session);
-  }
-  std::vector<run_ref> lost;
-  for (auto& [run, state] : session.runs) {
-    const bool may_still_start = state.phase == run_phase::kStarting ||
-                                 state.phase == run_phase::kUncertain ||
-                                 session.unanswered_starts.contains(run);
-    if (!may_still_start) {
-      lost.push_back(run);
-      continue;
-    }
-    // The restarted worker may still carry out the order, so the run has to be
-    // stopped there before the task can run elsewhere.
-    state.phase = run_phase::kUncertain;
-    state.stop_wanted = true;
-    state.first_conclusive_renewal = 0;
-  }
-  for (const run_ref& run : lost) {
-    RemoveRun(session, run);
-    jobs_.RecordLossInRestart(run, now);
-  }
-  for (const auto& [run, until] : session.unanswered_starts) {
-    if (now >= until || session.runs.contains(run)) {
-      continue;
-    }
-    worker_run& state = AddRun(session, run, SpecOf(run, session));
-    state.phase = run_phase::kUncertain;
-    state.stop_wanted = true;
-    state.detached = true;
-  }
-  session.lease.Reset(LatestLeaseExpiry(now));
-  permits_.WorkerRestarted(session.entry.worker);
-  session.last_applied_ended_run = 0;
-  session.last_durable_ended_run = 0;
-  session.pending_ended_runs.clear();
-  session.next_renewal = now;
-  placement_pending_ = true;
-}
-
 void fleet_scheduler::ApplyEndedRuns(worker_session& session,
                                      const worker_report& report,
                                      time_point now) {
@@ -346,44 +300,4 @@
   }
 }
 
-void fleet_scheduler::ExpireLeases(time_point now) {
-  for (auto position = workers_.begin(); position != workers_.end();) {
-    worker_session& session = position->second;
-    // A new owner may have renewed the lease of a worker that this VM cannot
-    // reach. Only a log read after the expiry rules that out.
-    if (now < session.lease.ExpiresAt() ||
-        ownership_confirmed_ < session.lease.ExpiresAt()) {
-      ++position;
-      continue;
-    }
-    if (!session.runs.empty()) {
-      AddNote(scheduling_event::kLeaseExpired, {}, session.entry.worker,
-              absl::StrCat("runs ", session.runs.size()));
-      // A worker that is only cut off from this VM stays in the list.
-      if (session.unlisted_since && !session.entry.draining) {
-        RecordCrash(session);
-      }
-      std::vector<run_ref> lost;
-      for (const auto& [run, state] : session.runs) {
-        lost.push_back(run);
-      }
-      for (const run_ref& run : lost) {
-        RemoveRun(session, run);
-        jobs_.RecordLoss(run, now);
-      }
-      placement_pending_ = true;
-    }
-    const bool removed_from_list =
-        session.unlisted_since &&
-        now > *session.unlisted_since + kUnlistedGrace;
-    if (removed_from_list && !session.renewal_under_way) {
-      leased_workers_changed_ |= session.has_reported;
-      registration_writes_.erase(position->first);
-      position = workers_.erase(position);
-    } else {
-      ++position;
-    }
-  }
-}
-
 }  // namespace skylarkbridge::jobs
