Start nothing on a worker before its new life has stated its capacity

Cause: a new life of a worker may be of another kind. Its report reaches the owner before its entry in the list does, and starts kept to the capacity of the life before.

Change: a worker gets no starts while the start time in its report differs from the one in its entry.

--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
@@ -238,6 +238,21 @@
   EXPECT_EQ(driver.RunUnanswered().starts.size(), 1U);
 }
 
+// Guards against more work than the worker has room for: the life that reports
+// may have another capacity than the one that wrote the listed entry.
+TEST(WorkerLivesTest, NothingStartsBeforeTheNewLifeHasStatedItsCapacity) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.start_times["w0"] = kSecondLife;
+  driver.Pass(milliseconds(100));
+  driver.Submit(kJob, Tasks(2, 600));
+  driver.Pass(milliseconds(1000));
+  EXPECT_TRUE(driver.starts.empty());
+  driver.List("w0", kSecondLife, 700);
+  driver.Pass(milliseconds(100));
+  EXPECT_EQ(driver.starts.size(), 1U);
+}
+
 // Guards against a second run of a task that is done. A renewal without an
 // answer may reach the worker after a restart, which keeps the worker's id and
 // numbers its ended runs from 1 again. If the worker accepted it, its
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -54,7 +54,7 @@
   return session.has_reported && session.registered &&
          !session.entry.draining && !session.entry_rejected &&
          !session.unlisted_since && session.RefusesLateOrders() &&
-         now >= session.excluded_until &&
+         session.EntryIsOfThisLife() && now >= session.excluded_until &&
          now < session.last_answer + options_.max_silence;
 }
 
