Move crashes and queries of the job table into files of their own

Cause: job_table.cpp had 753 lines, half of them on other matters than the life of a task. The tests of worker lives repeated how a start is sent.

Change: job_table_crashes.cpp, job_table_queries.cpp and the private header job_progress_queries.hpp hold what was moved unchanged; lives_driver::SubmitOne replaces the repeated lines.

--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
@@ -66,6 +66,13 @@
     }
     return sent;
   }
+  /// Submits a job with one task, and returns the order that starts it.
+  start_order SubmitOne() {
+    Submit(kJob, {.count = 1, .need = {.millicores = 600}});
+    const sent_orders sent = RunUnanswered();
+    EXPECT_EQ(sent.starts.size(), 1U);
+    return sent.starts.empty() ? start_order() : sent.starts.front();
+  }
   void Answer(const start_order& start, order_result result) {
     scheduler.Handle(start_reply{.worker = start.target.worker,
                                  .run = start.run,
@@ -98,12 +105,10 @@
 TEST(WorkerLivesTest, AStartAnsweredByTheNewLifeIsNotLostWithTheOld) {
   lives_driver driver;
   driver.Join("w0", 1000);
-  driver.Submit(kJob, Tasks(1, 600));
-  const sent_orders first = driver.RunUnanswered();
-  ASSERT_EQ(first.starts.size(), 1U);
+  const start_order start = driver.SubmitOne();
   // The worker has restarted. Its new life carries out the order.
   driver.start_times["w0"] = kSecondLife;
-  driver.Answer(first.starts[0], order_result::kDone);
+  driver.Answer(start, order_result::kDone);
   driver.List("w0", kSecondLife, 1000);
   EXPECT_EQ(driver.RunsOn("w0"), 1U);
   driver.Pass(milliseconds(100));
@@ -133,10 +138,8 @@
 TEST(WorkerLivesTest, AStartWithoutAnAnswerIsNotSentAgain) {
   lives_driver driver;
   driver.Join("w0", 1000);
-  driver.Submit(kJob, Tasks(1, 600));
-  const sent_orders first = driver.RunUnanswered();
-  ASSERT_EQ(first.starts.size(), 1U);
-  driver.Answer(first.starts[0], order_result::kNoAnswer);
+  const start_order start = driver.SubmitOne();
+  driver.Answer(start, order_result::kNoAnswer);
   for (int pass = 0; pass < 10; ++pass) {
     driver.now += milliseconds(100);
     EXPECT_TRUE(driver.RunUnanswered().starts.empty());
@@ -182,11 +185,9 @@
 TEST(WorkerLivesTest, ARunThatIsReportedAfterALostAnswerGoesOn) {
   lives_driver driver;
   driver.Join("w0", 1000);
-  driver.Submit(kJob, Tasks(1, 600));
-  const sent_orders first = driver.RunUnanswered();
-  ASSERT_EQ(first.starts.size(), 1U);
-  driver.Answer(first.starts[0], order_result::kNoAnswer);
-  driver.starts.push_back(first.starts[0]);
+  const start_order start = driver.SubmitOne();
+  driver.Answer(start, order_result::kNoAnswer);
+  driver.starts.push_back(start);
   driver.Pass(milliseconds(100));
   driver.Pass(milliseconds(1000));
   EXPECT_EQ(driver.starts.size(), 1U);
@@ -201,11 +202,9 @@
   const fleet_scheduler_options options;
   lives_driver driver;
   driver.Join("w0", 1000);
-  driver.Submit(kJob, Tasks(1, 600));
-  const sent_orders first = driver.RunUnanswered();
-  ASSERT_EQ(first.starts.size(), 1U);
+  const start_order start = driver.SubmitOne();
   driver.silent_worker = "w0";
-  driver.Answer(first.starts[0], order_result::kNoAnswer);
+  driver.Answer(start, order_result::kNoAnswer);
   driver.Join("w1", 1000);
   const time_point sent_at = driver.now;
   while (driver.now < sent_at + options.max_order_delay) {
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -1,9 +1,10 @@
 #include "skylarkbridge/jobs/job_table.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
+#include "skylarkbridge/jobs/job_progress_queries.hpp"
+
 namespace skylarkbridge::jobs {
 namespace {
 
@@ -16,17 +17,6 @@
 /// not record the crashes of its next runs.
 constexpr std::size_t kMaxCrashesToDelegate = 1;
 
-const step_progress* FindProgress(const job_progress& progress,
-                                  std::uint32_t occurrence,
-                                  std::uint32_t step) {
-  for (const step_progress& entry : progress.steps) {
-    if (entry.occurrence == occurrence && entry.step == step) {
-      return &entry;
-    }
-  }
-  return nullptr;
-}
-
 bool IsDone(const step_progress* progress, std::uint32_t index) {
   return progress != nullptr && index < progress->done.size() &&
          progress->done[index];
@@ -41,12 +31,6 @@
   return progress != nullptr && progress->delegations.contains(index);
 }
 
-std::size_t CountCrashes(const crashed_runs& crashes, crash_evidence at_least) {
-  return static_cast<std::size_t>(std::count_if(
-      crashes.begin(), crashes.end(),
-      [at_least](const auto& entry) { return entry.second >= at_least; }));
-}
-
 bool AllDone(const std::vector<step_state>& steps) {
   return std::all_of(steps.begin(), steps.end(), [](const step_state& step) {
     return step.done == step.tasks.size();
@@ -358,65 +342,6 @@
   }
 }
 
-std::vector<run_to_stop> job_table::RecordCrash(const run_ref& run,
-                                                crash_evidence evidence) {
-  task_state* task = MutableTask(run.task);
-  if (task == nullptr || task->phase == task_phase::kDone) {
-    return {};
-  }
-  open_job& job = jobs_.find(run.task.job)->second;
-  crashed_runs& crashes =
-      FindOrAddProgress(job, run.task).crashes[run.task.index];
-  crash_evidence& known = crashes[run.run];
-  if (known != crash_evidence::kPending) {
-    return {};
-  }
-  known = evidence;
-  changed_.insert(run.task.job);
-  task->suspected_crashes = CountCrashes(crashes, crash_evidence::kSuspected);
-  // Only the cell that runs the job records its end.
-  return !job.is_delegated && ExceedsCrashLimit(crashes)
-             ? Finish(run.task.job, job_status::kFailed)
-             : std::vector<run_to_stop>();
-}
-
-bool job_table::ExceedsCrashLimit(const crashed_runs& crashes) const {
-  const std::size_t count = CountCrashes(crashes, crash_evidence::kSuspected);
-  const std::size_t blamed = CountCrashes(crashes, crash_evidence::kBlamed);
-  return (count >= options_.max_crashes_two_blamed && blamed >= 2) ||
-         (count >= options_.max_crashes_one_blamed && blamed >= 1);
-}
-
-void job_table::AddPendingRun(open_job& job,
-                              const run_ref& run,
-                              task_state& task) {
-  crashed_runs& crashes =
-      FindOrAddProgress(job, run.task).crashes[run.task.index];
-  for (auto& [earlier, evidence] : crashes) {
-    if (earlier < run.run && evidence == crash_evidence::kPending) {
-      evidence = crash_evidence::kSuspected;
-    }
-  }
-  crashes.try_emplace(run.run, crash_evidence::kPending);
-  task.suspected_crashes = CountCrashes(crashes, crash_evidence::kSuspected);
-  changed_.insert(run.task.job);
-}
-
-void job_table::RemovePendingRun(const run_ref& run) {
-  const task_state* task = Find(run.task);
-  if (task == nullptr || task->suspected_crashes == 0) {
-    return;
-  }
-  crashed_runs& crashes =
-      FindOrAddProgress(jobs_.find(run.task.job)->second, run.task)
-          .crashes[run.task.index];
-  if (const auto entry = crashes.find(run.run);
-      entry != crashes.end() && entry->second == crash_evidence::kPending) {
-    crashes.erase(entry);
-    changed_.insert(run.task.job);
-  }
-}
-
 void job_table::RecordRejectedStart(const run_ref& run, time_point now) {
   RemovePendingRun(run);
   // A task without an earlier run has not been started after all.
@@ -425,18 +350,6 @@
   }
 }
 
-bool job_table::MustStayStopped(const task_ref& ref) const {
-  const open_job* job = Find(ref.job);
-  const step_progress* progress =
-      FindProgress(job->progress, ref.occurrence, ref.step);
-  if (!job->is_delegated || progress == nullptr) {
-    return false;
-  }
-  const auto crashes = progress->crashes.find(ref.index);
-  return crashes != progress->crashes.end() &&
-         ExceedsCrashLimit(crashes->second);
-}
-
 bool job_table::EndRun(const run_ref& run, time_point not_before) {
   task_state* task = MutableTask(run.task);
   if (task == nullptr || task->phase != task_phase::kActive) {
@@ -685,69 +598,4 @@
   return const_cast<task_state*>(Find(ref));
 }
 
-std::vector<std::uint32_t> job_table::ReadyTasks(const step_ref& ref,
-                                                 time_point now) const {
-  std::vector<std::uint32_t> ready;
-  const step_state* step = Find(ref);
-  if (step == nullptr) {
-    return ready;
-  }
-  for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
-    const task_state& task = step->tasks[index];
-    if (task.phase == task_phase::kReady && now >= task.not_before &&
-        stored_writes_ >= task.start_after_write) {
-      ready.push_back(index);
-    }
-  }
-  return ready;
-}
-
-std::vector<waiting_restart> job_table::WaitingRestarts() const {
-  std::vector<waiting_restart> waiting;
-  for (const step_ref& ref : ready_) {
-    if (!Spec(ref)->long_running) {
-      continue;
-    }
-    const std::vector<task_state>& tasks = Find(ref)->tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-      const task_state& task = tasks[index];
-      if (task.phase == task_phase::kReady && task.last_run_ended_at &&
-          task.not_before != time_point::max()) {
-        waiting.push_back(
-            {.task = TaskOf(ref, index),
-             .since = *task.last_run_ended_at,
-             .not_before = task.not_before,
-             .end_stored = stored_writes_ >= task.start_after_write});
-      }
-    }
-  }
-  std::sort(waiting.begin(), waiting.end(),
-            [](const waiting_restart& left, const waiting_restart& right) {
-              return std::tie(left.since, left.task) <
-                     std::tie(right.since, right.task);
-            });
-  return waiting;
-}
-
-std::vector<task_ref> job_table::UnreportedLongRunningTasks() const {
-  std::vector<task_ref> unreported;
-  for (const auto& [id, job] : jobs_) {
-    for (const auto& [occurrence, steps] : job.due_occurrences) {
-      for (std::uint32_t step = 0; step < steps.size(); ++step) {
-        if (!job.spec.steps[step].long_running) {
-          continue;
-        }
-        const std::vector<task_state>& tasks = steps[step].tasks;
-        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-          if (tasks[index].phase == task_phase::kMaybeRunning &&
-              tasks[index].last_run_ended_at) {
-            unreported.push_back({id, occurrence, step, index});
-          }
-        }
-      }
-    }
-  }
-  return unreported;
-}
-
 }  // namespace skylarkbridge::jobs
