Ignore the answers to orders of an earlier ownership

A VM that loses a cell and gets it again, within the time that an order may take, counted the answer to an old renewal as the answer to a new one: a worker that had not seen the new token counted as one that had reported and refuses late orders, so that the tasks of its runs could start elsewhere.

Renewals are numbered from 1 in each ownership, and their answers were matched by worker and number alone. A missing answer to an old start raised the token of the new ownership.

The scheduler ignores answers to renewals, starts and stops whose token has another epoch than the current one. Answers about the speed of a run have no token; they change no run. The fakes now state the token of the order in each answer, as platform/client.cpp does.

AReportToAnEarlierOwnershipDoesNotCount and AnUnansweredStartOfAnEarlierOwnershipDoesNotCount of WorkerLivesTest fail before the change; all 136 tests of jobs_test pass with it.

--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -858,10 +858,14 @@
           .renewal_number = order.renewal_number};
 }
 inline jobs::start_reply NoAnswerReply(const jobs::start_order& order) {
-  return {.worker = order.target.worker, .run = order.run};
+  return {.worker = order.target.worker,
+          .run = order.run,
+          .fence = order.target.fence};
 }
 inline jobs::stop_reply NoAnswerReply(const jobs::stop_order& order) {
-  return {.worker = order.target.worker, .run = order.run};
+  return {.worker = order.target.worker,
+          .run = order.run,
+          .fence = order.target.fence};
 }
 /// Replaces a reply that is lost at the VM.
 inline platform_reply WithoutAnswer(const platform_reply& reply) {
@@ -875,13 +879,16 @@
   }
   if (const auto* const renewal = std::get_if<jobs::renew_reply>(&reply)) {
     return jobs::renew_reply{.worker = renewal->worker,
-                             .renewal_number = renewal->renewal_number};
+                             .renewal_number = renewal->renewal_number,
+                             .fence = renewal->fence};
   }
   if (const auto* const start = std::get_if<jobs::start_reply>(&reply)) {
-    return jobs::start_reply{.worker = start->worker, .run = start->run};
+    return jobs::start_reply{
+        .worker = start->worker, .run = start->run, .fence = start->fence};
   }
   if (const auto* const stop = std::get_if<jobs::stop_reply>(&reply)) {
-    return jobs::stop_reply{.worker = stop->worker, .run = stop->run};
+    return jobs::stop_reply{
+        .worker = stop->worker, .run = stop->run, .fence = stop->fence};
   }
   return reply;
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_cancels_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_cancels_test.cpp
@@ -50,7 +50,8 @@
   EXPECT_TRUE(NotesOf(driver, scheduling_event::kCancelDelayed).empty());
   ASSERT_EQ(driver.stops.size(), 1U);
   driver.scheduler.Handle(
-      stop_reply{"w0", driver.stops[0].run, order_result::kNoAnswer},
+      stop_reply{"w0", driver.stops[0].run, order_result::kNoAnswer,
+                 driver.stops[0].target.fence},
       driver.now);
   driver.Pass(milliseconds(200));
   driver.Pass(milliseconds(500));
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference_test.cpp
@@ -55,7 +55,9 @@
         if (const auto* const start = std::get_if<start_order>(&sent)) {
           running_.push_back(start->run);
           driver_.scheduler.Handle(
-              start_reply{"w0", start->run, order_result::kDone}, driver_.now);
+              start_reply{"w0", start->run, order_result::kDone,
+                          start->target.fence},
+              driver_.now);
         } else if (const auto* const renewal =
                        std::get_if<renew_order>(&sent)) {
           Answer(*renewal, tail_latency);
@@ -77,6 +79,7 @@
         renew_reply{.worker = "w0",
                     .renewal_number = renewal.renewal_number,
                     .result = order_result::kDone,
+                    .fence = renewal.target.fence,
                     .report = report},
         driver_.now);
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts_test.cpp
@@ -658,10 +658,13 @@
         driver.AnswerRenewal(*renewal);
       } else if (const auto* start = std::get_if<start_order>(&sent_order)) {
         driver.scheduler.Handle(
-            start_reply{"w0", start->run, order_result::kNoAnswer}, driver.now);
+            start_reply{"w0", start->run, order_result::kNoAnswer,
+                        start->target.fence},
+            driver.now);
       } else if (const auto* stop = std::get_if<stop_order>(&sent_order)) {
-        driver.scheduler.Handle(
-            stop_reply{"w0", stop->run, order_result::kDone}, driver.now);
+        driver.scheduler.Handle(stop_reply{"w0", stop->run, order_result::kDone,
+                                           stop->target.fence},
+                                driver.now);
       }
     }
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -132,7 +132,7 @@
 
 void fleet_scheduler::Handle(const start_reply& reply, time_point now) {
   const auto worker = workers_.find(reply.worker);
-  if (worker == workers_.end()) {
+  if (worker == workers_.end() || reply.fence.owner_epoch != epoch_) {
     return;
   }
   worker_session& session = worker->second;
@@ -236,7 +236,7 @@
 
 void fleet_scheduler::Handle(const stop_reply& reply, time_point now) {
   const auto worker = workers_.find(reply.worker);
-  if (worker == workers_.end()) {
+  if (worker == workers_.end() || reply.fence.owner_epoch != epoch_) {
     return;
   }
   worker_session& session = worker->second;
--- a/src/skylarkbridge/jobs/fleet_scheduler_stops_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_stops_test.cpp
@@ -34,9 +34,10 @@
 /// Answers the last stop order.
 void AnswerStop(scheduler_driver& driver, order_result result) {
   ASSERT_FALSE(driver.stops.empty());
-  driver.scheduler.Handle(stop_reply{driver.stops.back().target.worker,
-                                     driver.stops.back().run, result},
-                          driver.now);
+  driver.scheduler.Handle(
+      stop_reply{driver.stops.back().target.worker, driver.stops.back().run,
+                 result, driver.stops.back().target.fence},
+      driver.now);
 }
 
 /// Advances by @p time, in passes of 100 ms.
@@ -101,8 +102,9 @@
   const start_order start = driver.starts[0];
   // The start order was sent twice. The one without an answer is carried out
   // by the restarted worker.
-  driver.scheduler.Handle(start_reply{"w0", start.run, order_result::kNoAnswer},
-                          driver.now);
+  driver.scheduler.Handle(
+      start_reply{"w0", start.run, order_result::kNoAnswer, start.target.fence},
+      driver.now);
   Cancel(driver);
   ASSERT_EQ(driver.stops.size(), 1U);
   driver.starts.clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
@@ -332,5 +332,41 @@
   EXPECT_GT(driver.scheduler.Workers().at("w0").fence, before);
 }
 
+// Guards against two runs of one task: the report that answered a renewal of an
+// earlier ownership counted as one of the current ownership, whose renewals are
+// numbered from 1 again. The worker had not seen the new token, and runs that
+// it started after that report were taken for lost.
+TEST(WorkerLivesTest, AReportToAnEarlierOwnershipDoesNotCount) {
+  lives_driver driver;
+  driver.List("w0", kFirstLife, 1000);
+  const sent_orders earlier = driver.RunUnanswered();
+  ASSERT_EQ(earlier.renewals.size(), 1U);
+  driver.Begin(3);
+  driver.List("w0", kFirstLife, 1000);
+  const sent_orders sent = driver.RunUnanswered();
+  ASSERT_EQ(sent.renewals.size(), 1U);
+  ASSERT_EQ(sent.renewals[0].renewal_number,
+            earlier.renewals[0].renewal_number);
+  driver.AnswerRenewal(earlier.renewals[0]);
+  EXPECT_FALSE(driver.scheduler.Workers().at("w0").has_reported);
+  driver.AnswerRenewal(sent.renewals[0]);
+  EXPECT_TRUE(driver.scheduler.Workers().at("w0").has_reported);
+}
+
+// As above, for a missing answer: it raised the token of the current ownership
+// and kept new tasks from the worker for a while.
+TEST(WorkerLivesTest, AnUnansweredStartOfAnEarlierOwnershipDoesNotCount) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  const sent_orders earlier = driver.RunUnanswered();
+  ASSERT_EQ(earlier.starts.size(), 1U);
+  driver.Begin(3);
+  driver.Join("w0", 1000);
+  const fencing_token before = driver.scheduler.Workers().at("w0").fence;
+  driver.Answer(earlier.starts[0], order_result::kNoAnswer);
+  EXPECT_EQ(driver.scheduler.Workers().at("w0").fence, before);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -91,8 +91,9 @@
 }
 
 void fleet_scheduler::Handle(const renew_reply& reply, time_point now) {
+  // Renewals are numbered from 1 in each ownership.
   const auto found = workers_.find(reply.worker);
-  if (found == workers_.end() ||
+  if (found == workers_.end() || reply.fence.owner_epoch != epoch_ ||
       reply.renewal_number != found->second.last_renewal ||
       !found->second.renewal_under_way) {
     return;
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -47,6 +47,13 @@
                              now, kWall);
     AllowOrders(now);
   }
+  /// Begins another ownership of the same VM.
+  void Begin(epoch owned_epoch) {
+    scheduler.BeginOwnership(owned_epoch, registry,
+                             {.claim_epoch = owned_epoch - 1}, now, now, now,
+                             kWall);
+    AllowOrders(now);
+  }
   void AllowOrders(time_point confirmed) {
     scheduler.AllowOrders(confirmed, now + std::chrono::seconds(60));
   }
@@ -92,9 +99,10 @@
           AnswerRenewal(*renewal);
         } else if (const auto* start = std::get_if<start_order>(&sent_order)) {
           starts.push_back(*start);
-          scheduler.Handle(start_reply{start->target.worker, start->run,
-                                       order_result::kDone},
-                           now);
+          scheduler.Handle(
+              start_reply{start->target.worker, start->run, order_result::kDone,
+                          start->target.fence},
+              now);
         } else if (const auto* stop = std::get_if<stop_order>(&sent_order)) {
           stops.push_back(*stop);
         } else if (const auto* pace = std::get_if<pace_order>(&sent_order)) {
@@ -134,9 +142,10 @@
   void AnswerRenewal(const renew_order& renewal) {
     const std::string& id = renewal.target.worker;
     if (silent_worker == id) {
-      scheduler.Handle(
-          renew_reply{.worker = id, .renewal_number = renewal.renewal_number},
-          now);
+      scheduler.Handle(renew_reply{.worker = id,
+                                   .renewal_number = renewal.renewal_number,
+                                   .fence = renewal.target.fence},
+                       now);
       return;
     }
     worker_report report{.clock = worker_time(std::chrono::milliseconds(1000))};
@@ -155,6 +164,7 @@
     scheduler.Handle(renew_reply{.worker = id,
                                  .renewal_number = renewal.renewal_number,
                                  .result = order_result::kDone,
+                                 .fence = renewal.target.fence,
                                  .report = report},
                      now);
   }
