Send no request after its deadline

A VM that was suspended for longer than its order time sent the orders that were queued in its traffic thread when it resumed. Workers that its successor had reached refused them by their token, but a worker that had started again under its id and had not been reached yet could carry out a start, as its clock says nothing about the start time of an order for the life before.

The client checked the deadline only for requests that waited for a free connection. A request that was still to be dispatched, or whose connection was established after the deadline, was written before the expired timer ran.

The client now ends both with kNotSent, and goes on with the requests that wait behind them.

HttpTest.DoesNotSendAQueuedRequestAfterItsDeadline fails before the change: the server receives the late request.

--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -140,6 +140,10 @@
       return;
     }
     socket_.async_connect(*endpoint, ThenUnlessEnded([this] {
+      if (pending_->request.deadline <= boot_clock::now()) {
+        Fail();
+        return;
+      }
       error_code ignored;  // A socket without the option still works.
       socket_.set_option(tcp::no_delay(true), ignored);
       Write();
@@ -223,6 +227,12 @@
 
 void http_client::connection_pool::Dispatch(pending_request pending) {
   const std::string address = pending.request.address;
+  if (pending.request.deadline <= boot_clock::now()) {
+    // The process may have been suspended since the request was queued.
+    pending.callback(http_failure::kNotSent);
+    DispatchWaiting(address);
+    return;
+  }
   address_connections& connections = by_address_[address];
   if (!connections.idle.empty()) {
     std::shared_ptr<connection> chosen = std::move(connections.idle.back());
--- a/src/skylarkbridge/transport/http_test.cpp
+++ b/src/skylarkbridge/transport/http_test.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "skylarkbridge/base/mailbox.hpp"
 #include "skylarkbridge/base/posix_thread.hpp"
@@ -117,6 +118,42 @@
             http_failure::kNotSent);
 }
 
+// Guards against orders that a suspended VM sends after it resumes: a request
+// whose deadline had passed while it was queued was written to a connection
+// that was still open.
+TEST(HttpTest, DoesNotSendAQueuedRequestAfterItsDeadline) {
+  http_loopback loopback;
+  boost::asio::io_context context(1);
+  http_client client(context, {});
+  std::vector<http_outcome> outcomes;
+  const auto send = [&](std::string body, milliseconds timeout) {
+    client.Send(
+        {.address = loopback.Address(),
+         .method = "POST",
+         .target = "/",
+         .body = std::move(body),
+         .deadline = boot_clock::now() + timeout},
+        [&](http_outcome outcome) { outcomes.push_back(std::move(outcome)); });
+  };
+  send("in time", seconds(20));
+  context.run_for(milliseconds(200));
+  loopback.Server().Respond(loopback.ReceiveRequest().token, {.status = 200});
+  while (outcomes.empty() && context.run_one_for(seconds(20)) > 0) {
+  }
+  ASSERT_EQ(outcomes.size(), 1U);
+  ASSERT_TRUE(std::holds_alternative<http_response>(outcomes[0]));
+
+  send("late", milliseconds(20));
+  // The thread of the context does not run meanwhile.
+  std::this_thread::sleep_for(milliseconds(50));
+  context.restart();
+  context.run_for(milliseconds(200));
+  ASSERT_EQ(outcomes.size(), 2U);
+  EXPECT_EQ(std::get<http_failure>(outcomes[1]), http_failure::kNotSent);
+  loopback.Send("next", seconds(20));
+  EXPECT_EQ(loopback.ReceiveRequest().body, "next");
+}
+
 // Guards against a client that reads a large response in many small pieces.
 // Each piece waits for the other handlers of the context, so that a busy thread
 // did not finish a page of a log within its timeout, and the next page was
