--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -276,6 +276,8 @@
 }  // namespace skylarkbridge::control
 
 #include "skylarkbridge/control/control_state_callers.hpp"
+#include "skylarkbridge/control/control_state_fleet_map.hpp"
+#include "skylarkbridge/control/control_state_gauges.hpp"
 #include "skylarkbridge/control/control_state_store.hpp"
 
 #endif  // SKYLARKBRIDGE_CONTROL_CONTROL_STATE_HPP
