--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -37,8 +37,9 @@
     time_point now,
     wall_time wall) {
   if (scheduler_.Active() && (scheduler_.Fenced() || !ownership_.IsOwner())) {
-    LoseOwnership(scheduler_.Fenced() ? "a worker has seen a higher epoch"
-                                      : "another VM has claimed it");
+    LoseOwnership(scheduler_.Fenced()
+                      ? "a worker has seen a higher fencing token"
+                      : "another VM has claimed it");
   }
   if (std::exchange(own_claim_read_, false)) {
     BeginOwnership(now, wall);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -251,6 +251,9 @@
 
   // Workers and their reports.
   void Renew(worker_session& session, time_point now);
+  /// The number up to which the next renewal acknowledges ended runs; zero for
+  /// none.
+  static std::uint64_t EndsToAcknowledge(const worker_session& session);
   void ApplyReport(worker_session& session,
                    std::uint64_t renewal_number,
                    const worker_report& report,
@@ -288,12 +291,14 @@
                      time_point now);
   void ExpireLeases(time_point now);
   /// Whether the run may be on the worker although the lease of the worker has
-  /// expired: its start order may be carried out by a later life.
+  /// expired: its start got no answer and may be carried out by a later life.
   bool MayStillStart(const worker_session& session,
                      const worker_run& run,
                      time_point now) const;
+  /// The runs that a report lists as running or ended.
+  static absl::flat_hash_set<run_ref> ReportedRuns(const worker_report& report);
   /// Raises the fencing token of the orders to the worker, and sends a renewal
-  /// with it at once. Once that is answered, the worker refuses all orders that
+  /// with it at once. The incarnation that answers it refuses all orders that
   /// were sent before.
   void RaiseFence(worker_session& session, time_point now);
   /// The token after the last one that this owner has used.
@@ -304,7 +309,7 @@
   /// Records a crash of the worker for the tasks that were started there
   /// shortly before, and gives up those that crash their workers. The runs stay
   /// in the session.
-  /// @param surviving runs that a later life of the worker has started.
+  /// @param surviving runs that may be on a later life of the worker.
   void RecordCrash(const worker_session& session,
                    const absl::flat_hash_set<run_ref>& surviving);
   /// The runs that were started shortly before the worker crashed.
@@ -354,7 +359,7 @@
                  const run_ref& run,
                  const worker_run& state);
   void HandleUnansweredStart(worker_session& session,
-                             const run_ref& run,
+                             const start_reply& reply,
                              time_point now);
   worker_target Target(const worker_session& session) const;
   /// Latest expiry of a lease that a worker grants at @p now, by the local
--- a/include/skylarkbridge/jobs/worker_report.hpp
+++ b/include/skylarkbridge/jobs/worker_report.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKBRIDGE_JOBS_WORKER_REPORT_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -81,10 +82,16 @@
 
 /// @brief The running and the ended tasks of a worker at one time.
 struct worker_report {
+  /// A worker reports at most this many of the ends that are not acknowledged.
+  static constexpr std::size_t kMaxEnds = 500;
+
   std::optional<worker_start_time> start_time;
   worker_time clock;
   std::vector<running_task> running;
   std::vector<ended_task> ended;
+
+  /// @brief Whether the worker may have ends that the report does not list.
+  bool MayOmitEnds() const { return ended.size() >= kMaxEnds; }
 };
 
 }  // namespace skylarkbridge::jobs
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -133,6 +133,8 @@
   fencing_token confirmed_fence;
   /// Number of the first renewal with the token `fence`.
   std::uint64_t first_renewal_of_fence = 1;
+  /// When the last token before `fence` was given up.
+  time_point fence_raised_at;
 
   /// Number of the last renewal.
   std::uint64_t last_renewal = 0;
@@ -151,6 +153,10 @@
   std::uint64_t last_applied_ended_run = 0;
   /// Number of the last ended run that is durable in the log.
   std::uint64_t last_durable_ended_run = 0;
+  /// Number of the last ended run that an answered renewal has acknowledged.
+  std::uint64_t last_acknowledged_ended_run = 0;
+  /// As above, for the renewal that is under way; zero for none.
+  std::uint64_t ended_run_under_way = 0;
   /// For each log write that is not durable yet and covers ended runs: the
   /// number of the last of these runs, and the number of the write.
   std::deque<std::pair<std::uint64_t, std::uint64_t>> pending_ended_runs;
@@ -179,8 +185,9 @@
   bool RemovedFromList(time_point now) const {
     return unlisted_since && now > *unlisted_since + kUnlistedGrace;
   }
-  /// @brief Whether no order that was sent before the last answered renewal can
-  /// still be carried out, and no renewal has failed since.
+  /// @brief Whether the incarnation of the worker that answered last refuses
+  /// all orders with lower tokens than `fence`, and no renewal has failed
+  /// since.
   bool RefusesLateOrders() const {
     return failed_renewals == 0 && confirmed_fence == fence;
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -4,14 +4,6 @@
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
-namespace {
-
-/// Whether the order was certainly not carried out and never will be.
-bool NotExecuted(order_result result) {
-  return result == order_result::kNotSent || Rejected(result);
-}
-
-}  // namespace
 
 step_spec fleet_scheduler::SpecOf(const run_ref& run,
                                   const worker_session& session) const {
@@ -140,7 +132,7 @@
     HandleFenced(session, reply.fence);
   }
   if (reply.result == order_result::kNoAnswer) {
-    HandleUnansweredStart(session, reply.run, now);
+    HandleUnansweredStart(session, reply, now);
     return;
   }
   const auto found = session.runs.find(reply.run);
@@ -154,10 +146,13 @@
       run.phase = run_phase::kRunning;
     }
     run.first_conclusive_renewal = session.last_renewal + 1;
+    // The worker counts the lease from the time at which it carried out the
+    // order.
+    session.lease.Extend(LatestLeaseExpiry(now));
     SendStops(session, now);
     return;
   }
-  if (run.phase != run_phase::kStarting || !NotExecuted(reply.result)) {
+  if (run.phase != run_phase::kStarting) {
     return;
   }
   session.excluded_until =
@@ -173,17 +168,19 @@
 }
 
 void fleet_scheduler::HandleUnansweredStart(worker_session& session,
-                                            const run_ref& run,
+                                            const start_reply& reply,
                                             time_point now) {
-  RaiseFence(session, now);
+  if (reply.fence == session.fence) {
+    RaiseFence(session, now);
+  }
   session.excluded_until =
       std::max(session.excluded_until, now + options_.fault_backoff);
-  const auto found = session.runs.find(run);
+  const auto found = session.runs.find(reply.run);
   if (found == session.runs.end() ||
       found->second.phase != run_phase::kStarting) {
     return;
   }
-  AddNote(scheduling_event::kStartUncertain, run, session.entry.worker,
+  AddNote(scheduling_event::kStartUncertain, reply.run, reply.worker,
           "no answer");
   found->second.phase = run_phase::kUncertain;
   found->second.first_conclusive_renewal = session.first_renewal_of_fence;
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
@@ -6,21 +6,19 @@
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
-namespace {
 
-absl::flat_hash_set<run_ref> ListedRuns(const worker_report& report) {
-  absl::flat_hash_set<run_ref> listed;
+absl::flat_hash_set<run_ref> fleet_scheduler::ReportedRuns(
+    const worker_report& report) {
+  absl::flat_hash_set<run_ref> reported;
   for (const running_task& task : report.running) {
-    listed.insert(task.run);
+    reported.insert(task.run);
   }
   for (const ended_task& end : report.ended) {
-    listed.insert(end.run);
+    reported.insert(end.run);
   }
-  return listed;
+  return reported;
 }
 
-}  // namespace
-
 fencing_token fleet_scheduler::NextFence() {
   if (last_fence_.sequence ==
       std::numeric_limits<decltype(last_fence_.sequence)>::max()) {
@@ -37,6 +35,7 @@
   if (session.confirmed_fence == session.fence) {
     session.fence = NextFence();
     session.first_renewal_of_fence = session.last_renewal + 1;
+    session.fence_raised_at = now;
     // A renewal that is under way may wait for the end of a run.
     session.renewal_under_way = false;
     session.next_renewal = now;
@@ -54,21 +53,24 @@
                                     time_point now) {
   AddNote(scheduling_event::kWorkerRestarted, {}, session.entry.worker,
           absl::StrCat("runs ", session.runs.size()));
-  const absl::flat_hash_set<run_ref> listed = ListedRuns(report);
-  if (!session.entry.draining) {
-    RecordCrash(session, listed);
-  }
+  absl::flat_hash_set<run_ref> surviving = ReportedRuns(report);
   std::vector<run_ref> lost;
   for (const auto& [run, state] : session.runs) {
-    const bool start_answered = state.phase == run_phase::kRunning ||
-                                state.phase == run_phase::kStopping;
+    if (!state.confirmed || surviving.contains(run)) {
+      continue;
+    }
     // A start that was answered while the renewal was under way may have been
     // carried out by the new life after its report.
-    const bool conclusive = renewal_number >= state.first_conclusive_renewal;
-    if (start_answered && conclusive && !listed.contains(run)) {
+    if (renewal_number >= state.first_conclusive_renewal &&
+        !report.MayOmitEnds()) {
       lost.push_back(run);
+    } else {
+      surviving.insert(run);
     }
   }
+  if (!session.entry.draining) {
+    RecordCrash(session, surviving);
+  }
   for (const run_ref& run : lost) {
     RemoveRun(session, run);
     jobs_.RecordLossInRestart(run, now);
@@ -77,6 +79,7 @@
   permits_.WorkerRestarted(session.entry.worker);
   session.last_applied_ended_run = 0;
   session.last_durable_ended_run = 0;
+  session.last_acknowledged_ended_run = 0;
   session.pending_ended_runs.clear();
   placement_pending_ = true;
 }
@@ -84,8 +87,11 @@
 bool fleet_scheduler::MayStillStart(const worker_session& session,
                                     const worker_run& run,
                                     time_point now) const {
-  return run.phase == run_phase::kUncertain && !session.RemovedFromList(now) &&
-         now < LatestLeaseExpiry(run.ordered_at + options_.max_order_delay);
+  const time_point last_order =
+      std::max(run.ordered_at, session.fence_raised_at);
+  return !run.confirmed && run.phase != run_phase::kStarting &&
+         !session.RemovedFromList(now) &&
+         now < LatestLeaseExpiry(last_order + options_.max_order_delay);
 }
 
 void fleet_scheduler::ExpireLeases(time_point now) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -64,15 +64,21 @@
       [&](const auto& entry) { return Usable(entry.second, now); }));
 }
 
+std::uint64_t fleet_scheduler::EndsToAcknowledge(
+    const worker_session& session) {
+  // A worker that has restarted numbers its ended runs from 1 again, so ends
+  // are acknowledged only once.
+  const bool acknowledge =
+      session.RefusesLateOrders() &&
+      session.last_durable_ended_run > session.last_acknowledged_ended_run;
+  return acknowledge ? session.last_durable_ended_run : 0;
+}
+
 void fleet_scheduler::Renew(worker_session& session, time_point now) {
   const bool removed_from_list = session.RemovedFromList(now);
   renew_order renewal{.target = Target(session),
                       .renewal_number = ++session.last_renewal,
-                      // A worker that has restarted numbers its ended runs from
-                      // 1 again.
-                      .acknowledged = session.RefusesLateOrders()
-                                          ? session.last_durable_ended_run
-                                          : 0};
+                      .acknowledged = EndsToAcknowledge(session)};
   // The lease of a worker that does not answer is not extended, so that its
   // tasks can start elsewhere when it expires.
   if (session.lease.IsSynchronised() && !removed_from_list &&
@@ -87,13 +93,14 @@
                                              : options_.renewal_wait;
   }
   session.renewal_under_way = true;
+  session.ended_run_under_way = renewal.acknowledged;
   orders_.emplace_back(std::move(renewal));
 }
 
 void fleet_scheduler::Handle(const renew_reply& reply, time_point now) {
-  // Renewals are numbered from 1 in each ownership.
+  // Renewals are numbered from 1 in each ownership and for each session.
   const auto found = workers_.find(reply.worker);
-  if (found == workers_.end() || reply.fence.owner_epoch != epoch_ ||
+  if (found == workers_.end() || reply.fence != found->second.fence ||
       reply.renewal_number != found->second.last_renewal ||
       !found->second.renewal_under_way) {
     return;
@@ -122,6 +129,8 @@
                         now >= session.last_answer + options_.max_silence);
   session.failed_renewals = 0;
   session.confirmed_fence = session.fence;
+  session.last_acknowledged_ended_run = std::max(
+      session.last_acknowledged_ended_run, session.ended_run_under_way);
   ApplyReport(session, reply.renewal_number, *reply.report, now);
   if (returns) {
     session.changes.returned = last_pass_;
@@ -281,10 +290,10 @@
                                       std::uint64_t renewal_number,
                                       const worker_report& report,
                                       time_point now) {
-  absl::flat_hash_set<run_ref> listed;
-  for (const running_task& task : report.running) {
-    listed.insert(task.run);
+  if (report.MayOmitEnds()) {
+    return;
   }
+  const absl::flat_hash_set<run_ref> listed = ReportedRuns(report);
   std::vector<run_ref> missing;
   for (const auto& [run, state] : session.runs) {
     if (state.first_conclusive_renewal != 0 &&
