--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -855,7 +855,8 @@
 /// or when the worker has crashed.
 inline jobs::renew_reply NoAnswerReply(const jobs::renew_order& order) {
   return {.worker = order.target.worker,
-          .renewal_number = order.renewal_number};
+          .renewal_number = order.renewal_number,
+          .fence = order.target.fence};
 }
 inline jobs::start_reply NoAnswerReply(const jobs::start_order& order) {
   return {.worker = order.target.worker,
