Play late orders beside restarted workers in virtual time

The random schedules delay an order without an answer by 2.5 s, and each life of a worker starts its clock at zero.

Violations that no owner can prevent are counted apart and printed: a start that an earlier life would have refused, one that was sent to a larger life, and an end that a late acknowledgement deletes.

--- a/src/skylarkbridge/control/job_invariant_checker_test.cpp
+++ b/src/skylarkbridge/control/job_invariant_checker_test.cpp
@@ -40,5 +40,48 @@
   EXPECT_TRUE(StartRun(checker).empty());
 }
 
+/// A checker of a fleet whose caller submitted one task of 600 millicores.
+job_invariant_checker CheckerOfOneTask() {
+  job_invariant_checker checker(3);
+  checker.JobSubmitted(kRun.task.job,
+                       {.steps = {{.count = 1, .need = {.millicores = 600}}}});
+  return checker;
+}
+constexpr jobs::resources kRoom{.millicores = 1000};
+constexpr jobs::resources kLittleRoom{.millicores = 400};
+constexpr time_point kNow{std::chrono::seconds(100)};
+constexpr jobs::run_ref kSecondRun{kRun.task, 2};
+
+// Guards against counting the one known kind of second runs as another, and
+// against counting it as none.
+TEST(JobInvariantCheckerTest, CountsRunsOfUnknownLivesApart) {
+  job_invariant_checker checker = CheckerOfOneTask();
+  checker.ExpectRunOfUnknownLife("w1", kRun);
+  checker.RunStarted("w1", kRun, kLittleRoom, kNow);
+  checker.RunStarted("w2", kSecondRun, kRoom, kNow);
+  EXPECT_TRUE(checker.Violations().empty());
+  EXPECT_EQ(checker.ViolationsOfUnknownLives(),
+            (std::vector<std::string>{
+                "LIMIT: 0000000000000001.0.0.0/1 no room on w1",
+                "TWICE: 0000000000000001.0.0.0/2 already runs on w1"}));
+}
+
+// Guards against a second run that is excused by a run of an unknown life that
+// has ended, or that was refused.
+TEST(JobInvariantCheckerTest, ReportsASecondRunAfterOneOfAnUnknownLife) {
+  job_invariant_checker checker = CheckerOfOneTask();
+  checker.ExpectRunOfUnknownLife("w2", kSecondRun);
+  checker.LateStartRefused("w2", kSecondRun);
+  checker.ExpectRunOfUnknownLife("w1", kRun);
+  checker.RunStarted("w1", kRun, kRoom, kNow);
+  checker.RunEnded("w1", kRun, end_cause::kStopped, kNow);
+  checker.RunStarted("w2", kSecondRun, kRoom, kNow);
+  checker.RunStarted("w3", {kRun.task, 3}, kRoom, kNow);
+  EXPECT_EQ(checker.Violations(),
+            std::vector<std::string>{
+                "TWICE: 0000000000000001.0.0.0/3 already runs on w2"});
+  EXPECT_TRUE(checker.ViolationsOfUnknownLives().empty());
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/worker_fake.hpp
+++ b/src/skylarkbridge/control/worker_fake.hpp
@@ -48,15 +48,36 @@
   /// @brief Number of starts so far.
   int Incarnation() const { return incarnation_; }
 
+  /// @brief The highest fencing token that this life has seen.
+  const jobs::fencing_token& Fence() const { return fence_; }
+
+  /// @brief The highest one that the lives before it have seen.
+  const jobs::fencing_token& FenceOfEarlierLives() const {
+    return fence_of_earlier_lives_;
+  }
+
+  /// @brief Whether this life has less capacity than an earlier one had at its
+  /// start.
+  bool HasShrunkSince(int incarnation) const {
+    const auto earlier = capacities_of_lives_.find(incarnation);
+    return incarnation != incarnation_ &&
+           earlier != capacities_of_lives_.end() &&
+           capacity_.millicores < earlier->second.millicores;
+  }
+
   /// @brief Starts or restarts the worker without its earlier state.
-  void Start(time_point now) {
+  /// @param clock where the clock of the new life starts.
+  void Start(time_point now, jobs::worker_time clock = {}) {
     up_ = true;
     ++incarnation_;
     started_ = now;
+    clock_at_start_ = clock;
+    fence_of_earlier_lives_ = std::max(fence_of_earlier_lives_, fence_);
     fence_ = {};
     last_end_number_ = 0;
     lease_until_ = {};
     earlier_capacities_.clear();
+    capacities_of_lives_[incarnation_] = capacity_;
   }
   void Crash(time_point now) {
     up_ = false;
@@ -127,6 +148,16 @@
     }
     return reply;
   }
+  /// @brief The runs of the unacknowledged ends with numbers up to @p number.
+  std::vector<jobs::run_ref> EndsUpTo(std::uint64_t number) const {
+    std::vector<jobs::run_ref> runs;
+    for (const jobs::ended_task& end : ended_) {
+      if (end.number <= number) {
+        runs.push_back(end.run);
+      }
+    }
+    return runs;
+  }
   /// @brief Whether there are ends that @p order does not acknowledge, so that
   /// a waiting renewal is answered.
   bool HasUnacknowledgedEnds(const jobs::renew_order& order) const {
@@ -206,8 +237,8 @@
   };
 
   jobs::worker_time Clock(time_point now) const {
-    return jobs::worker_time(
-        std::chrono::floor<std::chrono::milliseconds>(now - started_));
+    return clock_at_start_ +
+           std::chrono::floor<std::chrono::milliseconds>(now - started_);
   }
 
   /// Returns false when @p fence is lower than the highest one seen.
@@ -320,12 +351,16 @@
   jobs::resources capacity_;
   /// Capacities that starts may still keep to, with the time until which.
   std::deque<std::pair<time_point, jobs::resources>> earlier_capacities_;
+  /// Capacity with which each incarnation started.
+  std::map<int, jobs::resources> capacities_of_lives_;
   job_invariant_checker& checker_;
   bool up_ = false;
   int incarnation_ = 0;
   bool fail_all_runs_ = false;
   time_point started_;
+  jobs::worker_time clock_at_start_;
   jobs::fencing_token fence_;
+  jobs::fencing_token fence_of_earlier_lives_;
   jobs::worker_time lease_until_;
   std::uint64_t last_end_number_ = 0;
   std::map<jobs::run_ref, run_state> runs_;
