State the room of several workers to other cells

A cell stated its largest piece of room only, and the delegating cell subtracts what it delegated in the last 2 s, so that about two tasks every 2 s got there.

An owner now states the room of up to 16 workers for each service. The delegating cell subtracts each task from the largest piece that is left. Cells that delegate to one cell have a share of its pieces each and use another's only after a wait of 2 s. The row of a service in the owner's record holds further pieces after the first one, which earlier versions write and read. Pieces out of range are left out, and a malformed statement counts as none instead of hiding the owner, as a stated room had no range.

--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -124,13 +124,15 @@
   if (cells_.size() < 2 || !AnyCellActive()) {
     return;
   }
-  for (const auto& to : cells_) {
+  for (jobs::cell_id number = 0; number < cells_.size(); ++number) {
+    const auto& to = cells_[number];
     if (!to->Active()) {
       continue;
     }
     std::vector<jobs::stated_room> rooms;
     for (const auto& from : cells_) {
       if (auto room = from->StatedRoom(); room && from != to) {
+        room->share = jobs::ShareOf(number, room->cell, cells_.size());
         rooms.push_back(std::move(*room));
       }
     }
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -238,7 +238,7 @@
   }
   return jobs::stated_room{
       .cell = cell_,
-      .largest = newest.room,
+      .pieces = newest.room,
       .valid_until = std::min(*observed, *read_until) + kMaxRoomAge};
 }
 
--- a/include/skylarkbridge/jobs/delegation_targets.hpp
+++ b/include/skylarkbridge/jobs/delegation_targets.hpp
@@ -2,7 +2,6 @@
 #define SKYLARKBRIDGE_JOBS_DELEGATION_TARGETS_HPP
 
 #include <chrono>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -11,29 +10,23 @@
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
+#include "skylarkbridge/jobs/stated_room.hpp"
 
 namespace skylarkbridge::jobs {
 
-/// @brief The room that the owner of a cell has stated for long-running tasks
-/// of other cells.
-struct stated_room {
-  cell_id cell = 0;
-  /// Largest room on one worker, by service.
-  std::map<std::string, resources> largest;
-  /// Until when the statement may be used.
-  time_point valid_until;
-};
-
 /// @brief Chooses the cell to which a long-running task without room in its own
 /// cell is delegated.
 class delegation_targets {
  public:
   /// @brief Replaces the statements of the other cells.
   void SetRooms(std::vector<stated_room> rooms) { rooms_ = std::move(rooms); }
-  /// @brief Returns the cell with the most room for a task of the service;
-  /// nullopt when none has enough.
+  /// @brief Returns the cell with the largest piece of room for a task of the
+  /// service; nullopt when none has a piece that is large enough.
+  /// @param waited how long the task has waited. Pieces in the share of another
+  /// delegating cell are used only after a delay.
   std::optional<cell_id> Choose(const std::string& service,
                                 const resources& need,
+                                std::chrono::milliseconds waited,
                                 time_point now) const;
   /// @brief Subtracts a delegated task from the room of its cell until the
   /// statements of the cell's owner are certain to count it.
@@ -52,10 +45,10 @@
     time_point counted_until;
   };
 
-  /// Room that is left of the statement; nullopt without a valid one.
-  std::optional<resources> Room(const stated_room& stated,
-                                const std::string& service,
-                                time_point now) const;
+  /// What is left of the stated pieces; empty without a valid statement.
+  std::vector<resources> RoomLeft(const stated_room& stated,
+                                  const std::string& service,
+                                  time_point now) const;
 
   std::vector<stated_room> rooms_;
   std::vector<counted_task> counted_;
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -27,6 +27,7 @@
 #include "skylarkbridge/jobs/preemption.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
+#include "skylarkbridge/jobs/stated_room.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
 
 namespace skylarkbridge::jobs {
@@ -178,9 +179,9 @@
   void SetRoomInOtherCells(std::vector<stated_room> rooms) {
     delegation_targets_.SetRooms(std::move(rooms));
   }
-  /// @brief Returns the largest room that a worker has, or can have once batch
-  /// work is stopped, for a long-running task of another cell, by service.
-  std::map<std::string, resources> RoomForOtherCells(time_point now) const;
+  /// @brief Returns the largest pieces of room that the workers have, or can
+  /// have once batch work is stopped, for long-running tasks of other cells.
+  room_pieces RoomForOtherCells(time_point now) const;
   /// @brief Removes a job and stops its runs.
   void JobCancelled(job_id job, time_point now);
 
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -12,6 +12,7 @@
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
+#include "skylarkbridge/jobs/stated_room.hpp"
 
 namespace skylarkbridge::jobs {
 
@@ -134,9 +135,9 @@
   /// Processor time that the VM has for each of the cells that it owns, in
   /// thousandths of a core. 0 in records of versions that didn't store it.
   std::int64_t millicores_per_cell = 0;
-  /// Largest room that one worker of the cell has for a long-running task of
-  /// another cell, by service. Empty while the owner takes none.
-  std::map<std::string, resources> room;
+  /// Room of the cell for long-running tasks of other cells. Empty while the
+  /// owner takes none.
+  room_pieces room;
 
   bool operator==(const ownership_record&) const = default;
 };
--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -387,6 +389,61 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+/// A fleet of two cells with eight workers each. The first ten tasks of
+/// kRestartingJob, which fills its cell, run on five workers; the other cell is
+/// empty.
+std::unique_ptr<virtual_fleet> FleetWithOneLargeFullCell() {
+  auto fleet = StartedFleet({.workers = 16, .cells = 2});
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 16");
+  EXPECT_EQ(CountRunning(*fleet, kRestartingJob, 16), 16U);
+  return fleet;
+}
+
+/// The workers of the first tasks of kRestartingJob.
+std::set<std::string> FirstWorkers(const virtual_fleet& fleet,
+                                   std::size_t count) {
+  std::set<std::string> workers;
+  for (std::uint32_t index = 0; workers.size() < count && index < 16; ++index) {
+    workers.insert(fleet.Checker().WorkerOf(Task(kRestartingJob, index)));
+  }
+  return workers;
+}
+
+// Guards against tasks that wait for their turn while the other cell has room
+// on several workers.
+TEST(RestartTest, MovesTheTasksOfCrashedWorkersToSeveralWorkersAtOnce) {
+  auto fleet = FleetWithOneLargeFullCell();
+  for (const std::string& worker : FirstWorkers(*fleet, 5)) {
+    fleet->CrashWorker(worker);
+  }
+  fleet->Advance(kCalmTime + kMaxRestartTime);
+  EXPECT_EQ(CountRunning(*fleet, kRestartingJob, 16), 16U);
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
+// As above, with workers that leave. Their tasks end before the workers do.
+TEST(RestartTest, MovesTheTasksOfDrainingWorkersToSeveralWorkersAtOnce) {
+  constexpr seconds kNotice{5};
+  auto fleet = FleetWithOneLargeFullCell();
+  for (const std::string& worker : FirstWorkers(*fleet, 5)) {
+    fleet->DrainWorker(worker, kNotice);
+  }
+  std::map<std::uint32_t, milliseconds> waited;
+  constexpr milliseconds kStep{20};
+  for (milliseconds elapsed{}; elapsed < kNotice + kMaxRestartTime;
+       elapsed += kStep) {
+    fleet->Advance(kStep);
+    for (std::uint32_t index = 0; index < 16; ++index) {
+      const bool running =
+          fleet->Checker().Running(Task(kRestartingJob, index));
+      waited[index] = running ? milliseconds(0) : waited[index] + kStep;
+      EXPECT_LE(waited[index], kMaxRestartTime) << "task " << index;
+    }
+  }
+  EXPECT_EQ(CountRunning(*fleet, kRestartingJob, 16), 16U);
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // Guards against reserving room on a worker that long-running tasks without a
 // latency target fill: it never comes free there.
 TEST(RestartTest, WaitsForNoRoomThatLongRunningTasksHold) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -80,8 +80,10 @@
     return false;
   }
   const resources need = ReservedResources(step);
+  const auto waited =
+      std::chrono::floor<std::chrono::milliseconds>(now - restart.since);
   const std::optional<cell_id> to =
-      delegation_targets_.Choose(queue.service, need, now);
+      delegation_targets_.Choose(queue.service, need, waited, now);
   if (!to) {
     return false;
   }
@@ -89,16 +91,12 @@
   jobs_.Delegate(restart.task, *to, epoch_);
   AddNote(scheduling_event::kTaskDelegated,
           {restart.task, jobs_.Find(restart.task)->last_run}, "",
-          absl::StrCat(
-              "cell ", *to, " waited_ms ",
-              std::chrono::floor<std::chrono::milliseconds>(now - restart.since)
-                  .count(),
-              " need ", need.millicores));
+          absl::StrCat("cell ", *to, " waited_ms ", waited.count(), " need ",
+                       need.millicores));
   return true;
 }
 
-std::map<std::string, resources> fleet_scheduler::RoomForOtherCells(
-    time_point now) const {
+room_pieces fleet_scheduler::RoomForOtherCells(time_point now) const {
   if (!active_ || !unreported_workers_.empty() || now >= orders_until_) {
     return {};
   }
@@ -106,19 +104,17 @@
   pass.reserved_room = restart_room_;
   pass.reserved_workers = reserved_workers_;
   ReserveForExpectedRestarts(pass, now);
-  std::map<std::string, resources> largest;
+  room_pieces pieces;
   for (const auto& [id, session] : workers_) {
     if (!Usable(session, now)) {
       continue;
     }
     resources room = session.PreemptibleRoom();
     room -= pass.ReservedRoom(id, true);
-    resources& most = largest[session.entry.service];
-    if (room.millicores > most.millicores) {
-      most = room;
-    }
+    AddPiece(pieces, session.entry.service, room);
   }
-  return largest;
+  KeepLargestPieces(pieces);
+  return pieces;
 }
 
 void fleet_scheduler::ReserveForExpectedRestarts(placement_pass& pass,
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -1,5 +1,6 @@
 #include "skylarkbridge/records/job_record_codec.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -163,14 +164,45 @@
   return rows;
 }
 
-json RoomToJson(const std::map<std::string, resources>& room) {
+/// Each row holds a service and its pieces, largest first. Earlier versions
+/// write and read the first piece only.
+json RoomToJson(const room_pieces& room) {
   json rows = json::array();
-  for (const auto& [service, amounts] : room) {
-    rows.push_back(json::array({service, ToJson(amounts)}));
+  for (const auto& [service, pieces] : room) {
+    json row = json::array({service});
+    for (const resources& piece : pieces) {
+      row.push_back(ToJson(piece));
+    }
+    rows.push_back(std::move(row));
   }
   return rows;
 }
 
+/// Leaves out pieces that cannot be stated.
+room_pieces ToRoom(const json& rows) {
+  room_pieces room;
+  for (const json& row : RequireArray(rows)) {
+    const std::string service = row.at(0);
+    const std::size_t end = std::min(row.size(), 1 + kMaxStatedPieces);
+    for (std::size_t index = 1; index < end; ++index) {
+      const resources piece = ToResources(row.at(index));
+      if (CanBeStated(piece)) {
+        room[service].push_back(piece);
+      }
+    }
+  }
+  return room;
+}
+
+/// An odd statement of room must not hide the owner: it states none.
+room_pieces ToRoomOrNone(const json& rows) {
+  try {
+    return ToRoom(rows);
+  } catch (const json::exception&) {
+    return {};
+  }
+}
+
 run_number ToRunNumber(const json& value) {
   return ToInteger<run_number>(value, {0, kMaxRunNumber});
 }
@@ -344,9 +376,7 @@
         value.at(kMillicoresPerCellColumn), {0, kMaxAmount});
   }
   if (value.size() > kRoomColumn) {
-    for (const json& row : RequireArray(value.at(kRoomColumn))) {
-      record.room[row.at(0).get<std::string>()] = ToResources(row.at(1));
-    }
+    record.room = ToRoomOrNone(value.at(kRoomColumn));
   }
   return record;
 }
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "skylarkbridge/base/failure.hpp"
+#include "skylarkbridge/jobs/job_limits.hpp"
 
 namespace skylarkbridge::records {
 namespace {
@@ -182,7 +183,8 @@
       .released = true,
       .predecessor_validity = std::chrono::milliseconds(1400),
       .millicores_per_cell = 250,
-      .room = {{"service", {.millicores = 4000, .memory_mb = 5}}}};
+      .room = {{"service",
+                {{.millicores = 4000, .memory_mb = 5}, {.millicores = 200}}}}};
   EXPECT_EQ(std::get<ownership_record>(*RoundTrip(owner)), owner);
   const leased_workers leased{
       .claim_epoch = 7,
@@ -192,6 +194,61 @@
   EXPECT_EQ(std::get<leased_workers>(*RoundTrip(leased)), leased);
 }
 
+/// An owner's record with this column of its room.
+std::optional<log_record> DecodeOwnerWithRoom(const nlohmann::json& room) {
+  const nlohmann::json row =
+      nlohmann::json::array({7, "a", 9, false, 1400, 250, room});
+  std::string bytes;
+  nlohmann::json::to_msgpack(row, bytes);
+  return DecodeOrNothing({.key = "owner", .value = bytes});
+}
+
+// Guards against versions that do not read each other's room during a rolling
+// restart: earlier ones write and read one piece for each service.
+TEST(JobRecordCodecTest, ReadsTheRoomOfEarlierVersions) {
+  const auto decoded =
+      DecodeOwnerWithRoom(nlohmann::json::array({{"service", {4000, 5, 0}}}));
+  ASSERT_TRUE(decoded);
+  const room_pieces expected{
+      {"service", {{.millicores = 4000, .memory_mb = 5}}}};
+  EXPECT_EQ(std::get<ownership_record>(*decoded).room, expected);
+}
+
+// Guards against odd statements of room that hide the owner, or that other
+// cells calculate with.
+TEST(JobRecordCodecTest, LeavesOutRoomThatCannotBeStated) {
+  const std::vector<nlohmann::json> odd_rooms = {
+      nlohmann::json::array({{"service", {kMaxAmount + 1, 0, 0}}}),
+      nlohmann::json::array({{"service", {1000, -1, 0}}}),
+      nlohmann::json::array({{"service", {1000, 0, 1e300}}}),
+      nlohmann::json::array({{"service", {0, 0, 0}}}),
+      nlohmann::json::array({{"service", {1000}}}),
+      nlohmann::json::array({{"service", "all"}}),
+      nlohmann::json::array({{1000, {1000, 0, 0}}}),
+      nlohmann::json::array({nlohmann::json::array()}),
+      "room",
+  };
+  for (const nlohmann::json& room : odd_rooms) {
+    SCOPED_TRACE(room.dump());
+    const auto decoded = DecodeOwnerWithRoom(room);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(std::get<ownership_record>(*decoded).claim_epoch, 7U);
+    EXPECT_TRUE(std::get<ownership_record>(*decoded).room.empty());
+  }
+}
+
+// Guards against work for each of many pieces in every placement pass.
+TEST(JobRecordCodecTest, ReadsABoundedNumberOfPieces) {
+  nlohmann::json row = nlohmann::json::array({"service"});
+  for (int piece = 0; piece < 1000; ++piece) {
+    row.push_back({1000, 0, 0});
+  }
+  const auto decoded = DecodeOwnerWithRoom(nlohmann::json::array({row}));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<ownership_record>(*decoded).room.at("service").size(),
+            kMaxStatedPieces);
+}
+
 // Guards against a record that ends every process that reads it, again at each
 // start: the parser recurses, and 60 KB of nested arrays overflow its stack.
 TEST(JobRecordCodecTest, RejectsDeeplyNestedRecords) {
