--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -399,12 +399,13 @@
   return fleet;
 }
 
-/// The workers of the first tasks of kRestartingJob.
+/// The workers of the first tasks of a job with 16 tasks.
 std::set<std::string> FirstWorkers(const virtual_fleet& fleet,
+                                   jobs::job_id job,
                                    std::size_t count) {
   std::set<std::string> workers;
   for (std::uint32_t index = 0; workers.size() < count && index < 16; ++index) {
-    workers.insert(fleet.Checker().WorkerOf(Task(kRestartingJob, index)));
+    workers.insert(fleet.Checker().WorkerOf(Task(job, index)));
   }
   return workers;
 }
@@ -413,7 +414,7 @@
 // on several workers.
 TEST(RestartTest, MovesTheTasksOfCrashedWorkersToSeveralWorkersAtOnce) {
   auto fleet = FleetWithOneLargeFullCell();
-  for (const std::string& worker : FirstWorkers(*fleet, 5)) {
+  for (const std::string& worker : FirstWorkers(*fleet, kRestartingJob, 5)) {
     fleet->CrashWorker(worker);
   }
   fleet->Advance(kCalmTime + kMaxRestartTime);
@@ -421,11 +422,38 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against two cells that fill the same room of a third one: tasks
+// without room there would wait, also when their own cell has room again.
+TEST(RestartTest, TwoCellsShareTheRoomOfAThird) {
+  auto fleet = StartedFleet({.workers = 24, .cells = 3});
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 16");
+  SubmitAndStart(*fleet, kWaitingJob, "-2000 600000 0 16");
+  std::set<std::string> crashed;
+  for (const jobs::job_id job : {kRestartingJob, kWaitingJob}) {
+    ASSERT_EQ(CountRunning(*fleet, job, 16), 16U);
+    crashed.merge(FirstWorkers(*fleet, job, 6));
+  }
+  for (const std::string& worker : crashed) {
+    fleet->CrashWorker(worker);
+  }
+  // The third cell has room for 16 of 24 tasks.
+  fleet->Advance(kCalmTime + kMaxRestartTime);
+  EXPECT_EQ(CountRunning(*fleet, kRestartingJob, 16), 12U);
+  EXPECT_EQ(CountRunning(*fleet, kWaitingJob, 16), 12U);
+  for (const std::string& worker : crashed) {
+    fleet->StartWorker(worker);
+  }
+  fleet->Advance(kMaxRestartTime);
+  EXPECT_EQ(CountRunning(*fleet, kRestartingJob, 16), 16U);
+  EXPECT_EQ(CountRunning(*fleet, kWaitingJob, 16), 16U);
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // As above, with workers that leave. Their tasks end before the workers do.
 TEST(RestartTest, MovesTheTasksOfDrainingWorkersToSeveralWorkersAtOnce) {
   constexpr seconds kNotice{5};
   auto fleet = FleetWithOneLargeFullCell();
-  for (const std::string& worker : FirstWorkers(*fleet, 5)) {
+  for (const std::string& worker : FirstWorkers(*fleet, kRestartingJob, 5)) {
     fleet->DrainWorker(worker, kNotice);
   }
   std::map<std::uint32_t, milliseconds> waited;
