Keep a worker full while it runs a task of unknown need

Cause: a run whose job is not known, as after a takeover, reserves the capacity that its worker has when it is reported. When the worker had shrunk before and grows again, the difference counts as free, though the run may use it.

Change: such a run reserves the whole capacity of each later entry, until its end.

Measured: FleetSchedulerCapacityTest.ARunOfUnknownNeedKeepsAWorkerThatGrows fails without the change and passes with it. All 142 tests of jobs_test pass.

--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -40,6 +40,9 @@
   bool confirmed = false;
   /// Capacity reserved until the run is known not to be on the worker.
   resources reserved;
+  /// The job of the run is not known. All capacity is reserved, whatever the
+  /// worker has.
+  bool need_unknown = false;
   /// Declared processor time of a best-effort task; it is not reserved.
   std::int64_t best_effort_millicores = 0;
   bool serving = false;
@@ -196,6 +199,16 @@
   bool EntryIsOfThisLife() const {
     return !entry.start_time || !start_time || *entry.start_time == *start_time;
   }
+  /// @brief Reserves all capacity for the runs with an unknown need.
+  void ReserveForUnknownNeeds() {
+    for (auto& [run, state] : runs) {
+      if (state.need_unknown) {
+        used -= state.reserved;
+        state.reserved = entry.capacity;
+        used += state.reserved;
+      }
+    }
+  }
   /// @brief Capacity that is not reserved.
   resources Room() const {
     resources room = entry.capacity;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -15,6 +15,7 @@
   const bool starts_draining =
       entry.draining && (added || !session.entry.draining);
   session.entry = entry;
+  session.ReserveForUnknownNeeds();
   if (session.unlisted_since) {
     session.changes.returned = last_pass_;
   }
@@ -261,6 +262,7 @@
                                   time_point now) {
   const bool adopt = jobs_.CanAdopt(task.run);
   worker_run& run = AddRun(session, task.run, SpecOf(task.run, session));
+  run.need_unknown = registry_->Find(task.run.task.job) == nullptr;
   run.phase = run_phase::kRunning;
   run.confirmed = true;
   run.first_conclusive_renewal = session.last_renewal;
