--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
@@ -437,7 +437,6 @@
 // Guards against freeing a task whose start may still be carried out because a
 // stop of its run was answered, which a later incarnation knows nothing of.
 TEST(WorkerLivesTest, AnAnsweredStopDoesNotRuleOutALateStart) {
-  const fleet_scheduler_options options;
   lives_driver driver;
   driver.Join("w0", 1000);
   const start_order start = driver.SubmitOne();
