Give log lines the time that the control state is given

Cause: a line had the time of the machine's clock.

Change: event_time_scope sets the time of the lines of a thread; the control state opens one with the time of day of each call. Elsewhere lines keep the time of the machine's clock.

--- a/include/skylarkbridge/base/event_log.hpp
+++ b/include/skylarkbridge/base/event_log.hpp
@@ -2,9 +2,12 @@
 #define SKYLARKBRIDGE_BASE_EVENT_LOG_HPP
 
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "skylarkbridge/base/time.hpp"
+
 namespace skylarkbridge {
 
 enum class event_severity { kInfo, kWarning, kError };
@@ -25,6 +28,19 @@
   std::string value;
 };
 
+/// @brief Sets the time of the lines that the calling thread logs until the end
+/// of the scope. Without a scope, a line has the time of the machine's clock.
+class event_time_scope {
+ public:
+  explicit event_time_scope(wall_time time);
+  event_time_scope(const event_time_scope&) = delete;
+  event_time_scope& operator=(const event_time_scope&) = delete;
+  ~event_time_scope();
+
+ private:
+  const std::optional<wall_time> outer_;
+};
+
 /// @brief Formats one line of JSON with the time of day in seconds, the event's
 /// number, severity and name, and the fields as strings. Empty fields are left
 /// out.
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -16,6 +16,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "skylarkbridge/base/event_log.hpp"
 #include "skylarkbridge/base/failure.hpp"
 #include "skylarkbridge/base/string_view.hpp"
 #include "skylarkbridge/base/time.hpp"
@@ -37,7 +38,7 @@
 /// workers only while the VM owns a cell or a fleet map has to be written.
 ///
 /// Owned by the control thread. Platform replies and callers' requests are
-/// passed in together with the time. Calls to the platform and answers to
+/// passed in together with the time, which its log lines carry as well. Calls to the platform and answers to
 /// callers are sent through the two ports.
 template <fleet_platform Platform, caller_port Callers>
 class control_state {
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -10,6 +10,7 @@
 void control_state<Platform, Callers>::Handle(caller_request request,
                                               time_point now,
                                               wall_time wall) {
+  const event_time_scope line_time(wall);
   if (configuration_ == nullptr) {
     Reply(request.token, std::nullopt, "any", NotRun("no configuration yet"));
     return;
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -10,6 +10,7 @@
 void control_state<Platform, Callers>::Handle(platform_reply reply,
                                               time_point now,
                                               wall_time wall) {
+  const event_time_scope line_time(wall);
   std::visit([&](auto& typed) { HandleReply(std::move(typed), now, wall); },
              reply);
 }
@@ -348,6 +349,7 @@
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::BeginStop(time_point now,
                                                  wall_time wall) {
+  const event_time_scope line_time(wall);
   stopping_ = true;
   for (const auto& each_cell : cells_) {
     each_cell->BeginStop(now);
@@ -357,6 +359,7 @@
 
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::Run(time_point now, wall_time wall) {
+  const event_time_scope line_time(wall);
   for (const auto& each_cell : cells_) {
     for (const request_outcome& result : each_cell->Expire(now)) {
       ReplyWithOutcome(result);
--- a/src/skylarkbridge/base/base_test.cpp
+++ b/src/skylarkbridge/base/base_test.cpp
@@ -98,6 +98,24 @@
       << line;
 }
 
+// Guards against lines of a process in virtual time that carry the time of the
+// machine's clock, from which no timeline can be read.
+TEST(EventLogTest, LinesCarryTheTimeOfTheScope) {
+  constexpr event_definition kEvent{1, event_severity::kInfo, "thing_done", ""};
+  constexpr wall_time kOuter{std::chrono::milliseconds(1'700'000'000'250)};
+  {
+    const event_time_scope outer(kOuter);
+    {
+      const event_time_scope inner(kOuter + std::chrono::seconds(3));
+      EXPECT_TRUE(FormatEvent(kEvent, {}).starts_with(
+          "{\"time\":1700000003.250,\"event\":1"));
+    }
+    EXPECT_TRUE(FormatEvent(kEvent, {}).starts_with(
+        "{\"time\":1700000000.250,\"event\":1"));
+  }
+  EXPECT_FALSE(FormatEvent(kEvent, {}).starts_with("{\"time\":1700000000"));
+}
+
 // Guards against warnings that are lost among many lines: an owner under load
 // logs more than the budget, and the lines that tell its trouble were dropped.
 TEST(EventLogTest, KeepsRoomForWarnings) {
--- a/src/skylarkbridge/base/event_log.cpp
+++ b/src/skylarkbridge/base/event_log.cpp
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <utility>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/str_cat.h"
@@ -28,6 +30,14 @@
 /// Lines of the budget that are left to warnings and errors.
 constexpr double kReservedLines = 100;
 
+/// Time of the lines of this thread; empty for that of the machine's clock.
+thread_local std::optional<wall_time> scoped_time;
+
+wall_time LineTime() {
+  return scoped_time.value_or(std::chrono::time_point_cast<wall_time::duration>(
+      std::chrono::system_clock::now()));
+}
+
 std::string_view Name(event_severity severity) {
   switch (severity) {
     case event_severity::kInfo:
@@ -117,10 +127,17 @@
 
 }  // namespace
 
+event_time_scope::event_time_scope(wall_time time)
+    : outer_(std::exchange(scoped_time, time)) {}
+
+event_time_scope::~event_time_scope() {
+  scoped_time = outer_;
+}
+
 std::string FormatEvent(const event_definition& event,
                         std::initializer_list<event_field> fields) {
-  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now());
+  const auto now =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(LineTime());
   const auto seconds = std::chrono::floor<std::chrono::seconds>(now);
   std::string line =
       absl::StrFormat("{\"time\":%d.%03d,\"event\":%d,\"severity\":",
