Count a job as started from the first start that a worker has carried out

Cause: a job counted as started once its first start was ordered, and for good. A start without an answer that a report ruled out, or one that a worker refused, left it so.

Change: the job counts as started from the first answered start, reported run, adopted run or reported end.

Measured: WorkerLivesTest.AJobWhoseStartGotNoAnswerIsPending and JobTableTest.AJobIsPendingUntilAStartIsConfirmed fail before.

--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -87,7 +87,7 @@
 /// @brief Durable state of a job, besides the specification that the caller
 /// submitted.
 struct job_progress {
-  /// Whether any task has been started.
+  /// Whether a worker has begun any task.
   bool started = false;
   job_status status = job_status::kOpen;
   std::vector<step_progress> steps;
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -212,6 +212,9 @@
   /// @brief Records a run that was ordered, or that a worker reported and was
   /// adopted.
   void RecordStart(const run_ref& run, const std::string& worker);
+  /// @brief Records that a worker has carried out the start of a run of the
+  /// job. Until the first one, the job counts as pending.
+  void RecordConfirmedStart(job_id id);
   /// @brief Whether a reported run can be adopted: its task is not done and has
   /// no other run.
   bool CanAdopt(const run_ref& run) const;
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -138,6 +138,7 @@
     for (auto& [run, run_state] : session.runs) {
       if (run.task.job == job && jobs_.CanAdopt(run)) {
         jobs_.RecordStart(run, id);
+        jobs_.RecordConfirmedStart(job);
         run_state.detached = false;
         AddNote(scheduling_event::kRunAdopted, run, id, "known late");
       }
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -147,6 +147,7 @@
   if (reply.result == order_result::kDone) {
     session.last_confirmed_start = now;
     run.confirmed = true;
+    jobs_.RecordConfirmedStart(reply.run.task.job);
     if (run.phase == run_phase::kStarting) {
       run.phase = run_phase::kRunning;
     }
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
@@ -51,6 +51,59 @@
   EXPECT_EQ(driver.starts[1].run.run, driver.starts[0].run.run + 1);
 }
 
+/// Whether the records that are written now say that the job has started.
+bool TakesStartedRecord(lives_driver& driver) {
+  bool started = false;
+  for (const log_record& record : driver.scheduler.TakeRecords(driver.now)) {
+    const auto* const advanced = std::get_if<job_advanced>(&record);
+    started |= advanced != nullptr && advanced->job == kJob &&
+               advanced->progress.started;
+  }
+  driver.scheduler.RecordsStored(driver.scheduler.WriteNumber(), driver.now);
+  return started;
+}
+
+// Guards against VMs that show too few jobs of a queue as pending (MIXED): a
+// job counted as started once its first start was ordered, although the start
+// got no answer and the report of the worker ruled it out.
+TEST(WorkerLivesTest, AJobWhoseStartGotNoAnswerIsPending) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  const start_order start = driver.SubmitOne();
+  EXPECT_FALSE(TakesStartedRecord(driver));
+  driver.Answer(start, order_result::kNoAnswer);
+  EXPECT_FALSE(TakesStartedRecord(driver));
+  driver.now += milliseconds(100);
+  for (const renew_order& renewal : driver.RunUnanswered().renewals) {
+    driver.AnswerRenewal(renewal);
+  }
+  EXPECT_EQ(driver.RunsOn("w0"), 0U);
+  EXPECT_FALSE(TakesStartedRecord(driver));
+}
+
+// Guards against a job that stays pending while a worker runs it.
+TEST(WorkerLivesTest, AJobWhoseStartIsAnsweredHasStarted) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  const start_order start = driver.SubmitOne();
+  driver.Answer(start, order_result::kDone);
+  EXPECT_TRUE(TakesStartedRecord(driver));
+}
+
+// As above, for a start without an answer that the worker carried out.
+TEST(WorkerLivesTest, AJobWhoseRunIsReportedHasStarted) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  const start_order start = driver.SubmitOne();
+  driver.Answer(start, order_result::kNoAnswer);
+  driver.reported_runs["w0"] = {{.run = start.run, .progress_percent = 1}};
+  driver.now += milliseconds(100);
+  for (const renew_order& renewal : driver.RunUnanswered().renewals) {
+    driver.AnswerRenewal(renewal);
+  }
+  EXPECT_TRUE(TakesStartedRecord(driver));
+}
+
 // Guards against a start order that two lives of a worker carry out: it was
 // sent a second time, with the same run number, when it got no answer.
 TEST(WorkerLivesTest, AStartWithoutAnAnswerIsNotSentAgain) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -266,7 +266,10 @@
     return;
   }
   worker_run& run = found->second;
-  run.confirmed = true;
+  if (!run.confirmed) {
+    run.confirmed = true;
+    jobs_.RecordConfirmedStart(task.run.task.job);
+  }
   if (run.phase == run_phase::kStarting || run.phase == run_phase::kUncertain) {
     run.phase = run_phase::kRunning;
     run.first_conclusive_renewal = renewal_number;
@@ -302,6 +305,7 @@
   run.checkpoint = task.checkpoint;
   if (adopt) {
     jobs_.RecordStart(task.run, session.entry.worker);
+    jobs_.RecordConfirmedStart(task.run.task.job);
     jobs_.RecordCheckpoint(task.run, task.checkpoint);
     if (IsSuspected(task.run.task)) {
       session.last_suspect_start = now;
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -338,16 +338,20 @@
   task->last_run = std::max(task->last_run, run.run);
   RemoveIfNoneReady(StepOf(run.task));
   open_job& job = jobs_.find(run.task.job)->second;
-  if (!job.progress.started) {
-    job.progress.started = true;
-    changed_.insert(run.task.job);
-  }
   SetStarted(job, run.task, true);
   if (task->suspected_crashes > 0) {
     AddPendingRun(job, run, *task);
   }
 }
 
+void job_table::RecordConfirmedStart(job_id id) {
+  const auto job = jobs_.find(id);
+  if (job != jobs_.end() && !job->second.progress.started) {
+    job->second.progress.started = true;
+    changed_.insert(id);
+  }
+}
+
 bool job_table::CanAdopt(const run_ref& run) const {
   const task_state* task = Find(run.task);
   return task != nullptr && task->phase != task_phase::kDone &&
@@ -416,6 +420,7 @@
   }
   open_job& job = entry->second;
   task->last_run = std::max(task->last_run, run.run);
+  RecordConfirmedStart(run.task.job);
   RemovePendingRun(run);
   RecordCheckpoint(run, checkpoint);
   if (outcome == run_end::kDone &&
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -65,6 +65,7 @@
 TEST(JobTableTest, LaterStartsWaitForTheNextWrite) {
   job_table table = FirstOwner();
   table.RecordStart(FirstRun(0), "w");
+  table.RecordConfirmedStart(kJob);
   EXPECT_TRUE(table.HasChanges());
   EXPECT_EQ(Started(TakeProgress(table)),
             std::vector<bool>({true, false, false}));
@@ -92,11 +93,42 @@
   EXPECT_EQ(TakeProgress(table), std::nullopt);
 }
 
+// Guards against a job that no VM shows as pending although no worker has begun
+// it: a start without an answer, which a report ruled out, counted for good.
+TEST(JobTableTest, AJobIsPendingUntilAStartIsConfirmed) {
+  job_table table = FirstOwner(false);
+  table.RecordStart(FirstRun(0), "w");
+  EXPECT_EQ(TakeProgress(table), std::nullopt);
+  table.RecordRejectedStart(FirstRun(0), kNow);
+  EXPECT_EQ(TakeProgress(table), std::nullopt);
+  table.RecordStart({FirstRun(0).task, 2}, "w");
+  table.RecordConfirmedStart(kJob);
+  EXPECT_TRUE(table.HasChanges());
+  const auto progress = TakeProgress(table);
+  ASSERT_TRUE(progress);
+  EXPECT_TRUE(progress->started);
+  table.RecordConfirmedStart(kJob);
+  EXPECT_FALSE(table.HasChanges());
+}
+
+// As above, for an end that is reported before the answer to the start.
+TEST(JobTableTest, AReportedEndConfirmsTheStart) {
+  job_table table = FirstOwner(false);
+  table.RecordStart(FirstRun(0), "w");
+  table.RecordEnd(FirstRun(0), run_end::kDone, "", kMaxAttempts, kNow);
+  const auto progress = TakeProgress(table);
+  ASSERT_TRUE(progress);
+  EXPECT_TRUE(progress->started);
+}
+
 // Guards against larger records of batch jobs, which have many more tasks.
 TEST(JobTableTest, StartsOfBatchTasksAreNotWritten) {
   job_table table = FirstOwner(false);
   table.RecordStart(FirstRun(0), "w");
-  EXPECT_TRUE(Started(TakeProgress(table)).empty());
+  table.RecordConfirmedStart(kJob);
+  const auto progress = TakeProgress(table);
+  ASSERT_TRUE(progress);
+  EXPECT_TRUE(Started(progress).empty());
   table.RecordStart(FirstRun(1), "w");
   EXPECT_EQ(TakeProgress(table), std::nullopt);
 }
