Tell in the log why a waiting restart is not delegated

Change: job_table names the obstacle by the task and its job, the scheduler that of the queue, the wait and the stated room; the line has it as stays_for. CanDelegate and CanReturn decide by the same function.

--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -200,6 +200,10 @@
     if (note.restart_cause) {
       absl::StrAppend(&detail, " ", Format(*note.restart_cause));
     }
+    if (note.delegation_obstacle) {
+      absl::StrAppend(&detail, " stays_for ",
+                      ToAbsl(Name(*note.delegation_obstacle)));
+    }
     LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
                            {"run", Format(note.run)},
                            {"worker", note.worker},
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -19,6 +19,7 @@
 std::string_view Name(jobs::claim_reason reason);
 std::string_view Name(jobs::restart_obstacle obstacle);
 std::string_view Name(jobs::restart_release release);
+std::string_view Name(jobs::delegation_obstacle obstacle);
 /// @brief "jobs.CELL" for the jobs of a cell, else the name of the kind.
 std::string Format(const topic& source);
 
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -687,6 +687,11 @@
   /// Adds notes on the tasks that have waited long for their restart.
   void ReportDelayedRestarts(time_point now);
   void ReportDelayedRestart(const waiting_restart& restart, time_point now);
+  /// Why the task has not been moved to another cell.
+  delegation_obstacle DelegationObstacle(const waiting_restart& restart,
+                                         const step_spec& step,
+                                         const queue_configuration& queue,
+                                         time_point now) const;
 
   // Evacuation of draining workers.
   /// A long-running run on a draining worker.
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/delegation_obstacle.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
 #include "skylarkbridge/jobs/worker_report.hpp"
@@ -169,6 +170,9 @@
   /// @brief Whether a waiting restart can be delegated to another cell: this
   /// cell runs its job, and nothing known of the task would be lost.
   bool CanDelegate(const task_ref& task) const;
+  /// @brief What keeps a waiting restart from moving to another cell, by the
+  /// state of its task and job alone.
+  delegation_obstacle DelegationObstacle(const task_ref& task) const;
   /// @brief Delegates a task for which CanDelegate holds. This cell never
   /// starts it again; the other one does once it has read the progress.
   /// @param to_owner epoch of the other cell's owner that has room for it.
@@ -298,9 +302,11 @@
   bool CountFailure(open_job& job,
                     const run_ref& run,
                     std::uint32_t max_attempts);
-  /// Whether the task is ready and another cell can run it: nothing that only
-  /// this owner knows would be lost.
-  static bool MayMove(const task_state& task);
+  /// What keeps the task from moving, whatever its job: it is not ready, or
+  /// something that only this owner knows would be lost.
+  /// @param max_crashes suspected crashes with which it may still move.
+  static delegation_obstacle ObstacleToMove(const task_state& task,
+                                            std::size_t max_crashes);
   /// Whether the task has to be given up after these crashes.
   bool ExceedsCrashLimit(const crashed_runs& crashes) const;
   /// Whether a task that another cell delegated has crashed too many workers.
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "skylarkbridge/jobs/delegation_obstacle.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 
@@ -71,6 +72,8 @@
   std::optional<std::chrono::milliseconds> restart_wait;
   /// For the same, and for a restart that is delayed.
   std::optional<jobs::restart_cause> restart_cause;
+  /// For a restart that is delayed: why no other cell runs the task.
+  std::optional<jobs::delegation_obstacle> delegation_obstacle;
   /// For the reported end of a run of a cancelled job: the time since this VM
   /// read the cancellation.
   std::optional<std::chrono::milliseconds> cancel_wait;
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -119,6 +119,35 @@
   return "unknown";
 }
 
+std::string_view Name(jobs::delegation_obstacle obstacle) {
+  using jobs::delegation_obstacle;
+  switch (obstacle) {
+    case delegation_obstacle::kNone:
+      return "nothing";
+    case delegation_obstacle::kNotReady:
+      return "not_ready";
+    case delegation_obstacle::kGang:
+      return "gang";
+    case delegation_obstacle::kLabel:
+      return "label";
+    case delegation_obstacle::kPlacementPolicy:
+      return "placement_policy";
+    case delegation_obstacle::kRepeatingJob:
+      return "repeating_job";
+    case delegation_obstacle::kCheckpoint:
+      return "checkpoint";
+    case delegation_obstacle::kSuspectedCrashes:
+      return "suspected_crashes";
+    case delegation_obstacle::kReturnLimit:
+      return "return_limit";
+    case delegation_obstacle::kShortWait:
+      return "short_wait";
+    case delegation_obstacle::kNoStatedRoom:
+      return "no_stated_room";
+  }
+  return "unknown";
+}
+
 std::string_view Name(answer_kind kind) {
   switch (kind) {
     case answer_kind::kAccepted:
--- a/src/skylarkbridge/control/text_format_test.cpp
+++ b/src/skylarkbridge/control/text_format_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <set>
+#include <string_view>
+
 namespace skylarkbridge::control {
 namespace {
 
@@ -23,5 +27,17 @@
   EXPECT_EQ(Format(jobs::run_ref()), "");
 }
 
+// Guards against two reasons that the log does not tell apart.
+TEST(TextFormatTest, NamesEachDelegationObstacleDifferently) {
+  using jobs::delegation_obstacle;
+  std::set<std::string_view> names;
+  const int last = static_cast<int>(delegation_obstacle::kNoStatedRoom);
+  for (int obstacle = 0; obstacle <= last; ++obstacle) {
+    names.insert(Name(static_cast<delegation_obstacle>(obstacle)));
+  }
+  EXPECT_EQ(names.size(), static_cast<std::size_t>(last) + 1);
+  EXPECT_FALSE(names.contains("unknown"));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/jobs/fleet_scheduler_delegation_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_delegation_test.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "skylarkbridge/jobs/scheduler_driver_fake.hpp"
@@ -169,5 +171,67 @@
   EXPECT_EQ(driver.starts.size(), 0U);
 }
 
+/// A long-running task of one worker that starts, ends, and finds its worker
+/// full of a task of another job.
+void WaitForRoom(scheduler_driver& driver,
+                 step_spec step,
+                 const std::string& checkpoint = "") {
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.RunRounds();
+  step.count = 1;
+  step.need = {.millicores = 3000};
+  step.long_running = true;
+  driver.Submit(kJob, step);
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.refusing_worker = "w0";
+  driver.reported_ends["w0"] = {{.number = 1,
+                                 .run = driver.starts[0].run,
+                                 .outcome = run_end::kStopped,
+                                 .checkpoint = checkpoint}};
+  driver.starts[0].target.worker = "over";
+}
+
+/// The obstacle in the last line on a delayed restart within 4 s.
+std::optional<delegation_obstacle> ReportedObstacle(scheduler_driver& driver) {
+  std::optional<delegation_obstacle> reported;
+  for (int pass = 0; pass < 40; ++pass) {
+    driver.Pass(milliseconds(100));
+    for (const scheduling_note& note : driver.scheduler.TakeNotes()) {
+      if (note.event == scheduling_event::kRestartDelayed) {
+        reported = note.delegation_obstacle;
+      }
+    }
+  }
+  return reported;
+}
+
+// The tests below guard against a line on a task that waits which does not tell
+// why the task stays in a cell without room for it.
+TEST(DelegationObstacleTest, NamesTheLackOfStatedRoom) {
+  scheduler_driver driver;
+  WaitForRoom(driver, {});
+  EXPECT_EQ(ReportedObstacle(driver), delegation_obstacle::kNoStatedRoom);
+}
+
+TEST(DelegationObstacleTest, NamesTheCheckpoint) {
+  scheduler_driver driver;
+  WaitForRoom(driver, {}, "saved");
+  driver.scheduler.SetRoomInOtherCells(RoomInCellOne(driver, 4000));
+  EXPECT_EQ(ReportedObstacle(driver), delegation_obstacle::kCheckpoint);
+}
+
+TEST(DelegationObstacleTest, NamesTheShortWait) {
+  scheduler_driver driver;
+  fleet_scheduler_options options;
+  options.delegation_delay = seconds(60);
+  options.max_reserved_wait = seconds(60);
+  driver.scheduler.SetOptions(options);
+  WaitForRoom(driver, {});
+  driver.scheduler.SetRoomInOtherCells(RoomInCellOne(driver, 4000));
+  EXPECT_EQ(ReportedObstacle(driver), delegation_obstacle::kShortWait);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -326,6 +326,42 @@
   if (blocked != blocked_restarts_.end()) {
     notes_.back().restart_cause = {.obstacle = blocked->second.obstacle};
   }
+  if (queue != nullptr) {
+    notes_.back().delegation_obstacle =
+        DelegationObstacle(restart, step, *queue, now);
+  }
+}
+
+delegation_obstacle fleet_scheduler::DelegationObstacle(
+    const waiting_restart& restart,
+    const step_spec& step,
+    const queue_configuration& queue,
+    time_point now) const {
+  if (queue.HasPlacementPolicy()) {
+    return delegation_obstacle::kPlacementPolicy;
+  }
+  const delegation_obstacle of_task = jobs_.DelegationObstacle(restart.task);
+  if (of_task != delegation_obstacle::kNone) {
+    return of_task;
+  }
+  if (jobs_.CanReturn(restart.task) && returns_.Full()) {
+    return delegation_obstacle::kReturnLimit;
+  }
+  const std::chrono::milliseconds needed_wait =
+      reserved_workers_.contains(restart.task) ? options_.max_reserved_wait
+                                               : options_.delegation_delay;
+  const auto wait = restart_waits_.find(restart.task);
+  const auto waited = wait == restart_waits_.end()
+                          ? std::chrono::milliseconds(0)
+                          : std::chrono::floor<std::chrono::milliseconds>(
+                                now - wait->second.may_start_since);
+  if (waited < needed_wait) {
+    return delegation_obstacle::kShortWait;
+  }
+  return delegation_targets_.Choose(queue.service, ReservedResources(step),
+                                    waited, now)
+             ? delegation_obstacle::kNone
+             : delegation_obstacle::kNoStatedRoom;
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -140,21 +140,46 @@
 }
 
 bool job_table::CanDelegate(const task_ref& ref) const {
+  const open_job* job = Find(ref.job);
+  return job != nullptr && !job->is_delegated &&
+         DelegationObstacle(ref) == delegation_obstacle::kNone;
+}
+
+delegation_obstacle job_table::DelegationObstacle(const task_ref& ref) const {
   const open_job* job = Find(ref.job);
   const task_state* task = Find(ref);
-  if (job == nullptr || task == nullptr || job->is_delegated ||
-      job->spec.repeat_count > 0) {
-    return false;
+  if (job == nullptr || task == nullptr ||
+      !job->spec.steps[ref.step].long_running) {
+    return delegation_obstacle::kNotReady;
+  }
+  if (job->is_delegated) {
+    // The return does not carry the crashes that this cell has counted.
+    return ObstacleToMove(*task, 0);
   }
   const step_spec& step = job->spec.steps[ref.step];
-  return step.long_running && !step.gang && step.required_label.empty() &&
-         MayMove(*task);
+  if (job->spec.repeat_count > 0) {
+    return delegation_obstacle::kRepeatingJob;
+  }
+  if (step.gang) {
+    return delegation_obstacle::kGang;
+  }
+  if (!step.required_label.empty()) {
+    return delegation_obstacle::kLabel;
+  }
+  return ObstacleToMove(*task, kMaxCrashesToDelegate);
 }
 
-bool job_table::MayMove(const task_state& task) {
-  return task.phase == task_phase::kReady && task.last_run_ended_at &&
-         task.suspected_crashes <= kMaxCrashesToDelegate &&
-         task.checkpoint.empty();
+delegation_obstacle job_table::ObstacleToMove(const task_state& task,
+                                              std::size_t max_crashes) {
+  if (task.suspected_crashes > max_crashes) {
+    return delegation_obstacle::kSuspectedCrashes;
+  }
+  if (!task.checkpoint.empty()) {
+    return delegation_obstacle::kCheckpoint;
+  }
+  return task.phase == task_phase::kReady && task.last_run_ended_at
+             ? delegation_obstacle::kNone
+             : delegation_obstacle::kNotReady;
 }
 
 void job_table::Delegate(const task_ref& ref,
--- a/src/skylarkbridge/jobs/job_table_returns.cpp
+++ b/src/skylarkbridge/jobs/job_table_returns.cpp
@@ -7,10 +7,8 @@
 
 bool job_table::CanReturn(const task_ref& ref) const {
   const open_job* job = Find(ref.job);
-  const task_state* task = Find(ref);
-  // The return does not carry the crashes that this cell has counted.
-  return job != nullptr && task != nullptr && job->is_delegated &&
-         MayMove(*task) && task->suspected_crashes == 0;
+  return job != nullptr && job->is_delegated &&
+         DelegationObstacle(ref) == delegation_obstacle::kNone;
 }
 
 returned_task job_table::Return(const task_ref& ref, epoch own_epoch) {
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -412,5 +412,43 @@
   EXPECT_TRUE(table.TakeChanges().empty());
 }
 
+/// The obstacle of a task of this job whose run was lost.
+delegation_obstacle ObstacleOfLostTask(const job_spec& spec) {
+  job_table table{{}};
+  job_state state;
+  state.spec = spec;
+  table.Add(kJob, state, false, kNow, kWall);
+  table.RecordStart(FirstRun(0), "w");
+  table.RecordLoss(FirstRun(0), kNow);
+  return table.DelegationObstacle(FirstRun(0).task);
+}
+
+// Guards against a reason that is missing or wrong in the line on a task that
+// waits for its restart.
+TEST(JobTableTest, NamesWhatKeepsATaskInItsCell) {
+  const step_spec step{.count = 1, .long_running = true};
+  EXPECT_EQ(ObstacleOfLostTask({.steps = {step}}), delegation_obstacle::kNone);
+  step_spec gang = step;
+  gang.gang = true;
+  EXPECT_EQ(ObstacleOfLostTask({.steps = {gang}}), delegation_obstacle::kGang);
+  step_spec labelled = step;
+  labelled.required_label = "gpu";
+  EXPECT_EQ(ObstacleOfLostTask({.steps = {labelled}}),
+            delegation_obstacle::kLabel);
+}
+
+// As above, for a task whose workers crashed.
+TEST(JobTableTest, NamesTheCrashesThatKeepATaskInItsCell) {
+  job_table table = FirstOwner();
+  for (run_number number = 1; number <= 2; ++number) {
+    const run_ref run{FirstRun(0).task, number};
+    table.RecordStart(run, "w");
+    table.RecordCrash(run, crash_evidence::kSuspected);
+    table.RecordLoss(run, kNow);
+  }
+  EXPECT_EQ(table.DelegationObstacle(FirstRun(0).task),
+            delegation_obstacle::kSuspectedCrashes);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
