--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -38,8 +38,8 @@
 /// workers only while the VM owns a cell or a fleet map has to be written.
 ///
 /// Owned by the control thread. Platform replies and callers' requests are
-/// passed in together with the time, which its log lines carry as well. Calls to the platform and answers to
-/// callers are sent through the two ports.
+/// passed in together with the time, which its log lines carry as well. Calls
+/// to the platform and answers to callers are sent through the two ports.
 template <fleet_platform Platform, caller_port Callers>
 class control_state {
  public:
--- a/src/skylarkbridge/base/base_test.cpp
+++ b/src/skylarkbridge/base/base_test.cpp
@@ -108,11 +108,11 @@
     const event_time_scope outer(kOuter);
     {
       const event_time_scope inner(kOuter + std::chrono::seconds(3));
-      EXPECT_TRUE(FormatEvent(kEvent, {}).starts_with(
-          "{\"time\":1700000003.250,\"event\":1"));
+      EXPECT_TRUE(FormatEvent(kEvent, {})
+                      .starts_with("{\"time\":1700000003.250,\"event\":1"));
     }
-    EXPECT_TRUE(FormatEvent(kEvent, {}).starts_with(
-        "{\"time\":1700000000.250,\"event\":1"));
+    EXPECT_TRUE(FormatEvent(kEvent, {})
+                    .starts_with("{\"time\":1700000000.250,\"event\":1"));
   }
   EXPECT_FALSE(FormatEvent(kEvent, {}).starts_with("{\"time\":1700000000"));
 }
--- a/src/skylarkbridge/base/event_log.cpp
+++ b/src/skylarkbridge/base/event_log.cpp
@@ -104,13 +104,13 @@
       by_count.emplace_back(lines, kind);
     }
     std::sort(by_count.rbegin(), by_count.rend());
-    const std::string kinds = absl::StrJoin(
-        by_count, " ", [](std::string* text, const auto& entry) {
+    const std::string kinds =
+        absl::StrJoin(by_count, " ", [](std::string* text, const auto& entry) {
           absl::StrAppend(text, entry.second, ":", entry.first);
         });
-    return FormatEvent(base::kLogLinesDropped,
-                       {{"lines", absl::StrCat(std::exchange(total_, 0))},
-                        {"kinds", kinds}});
+    return FormatEvent(
+        base::kLogLinesDropped,
+        {{"lines", absl::StrCat(std::exchange(total_, 0))}, {"kinds", kinds}});
   }
 
  private:
--- a/src/skylarkbridge/control/log_time_test.cpp
+++ b/src/skylarkbridge/control/log_time_test.cpp
@@ -23,8 +23,7 @@
     std::string_view log,
     std::string_view event) {
   constexpr std::string_view kTimeField = "{\"time\":";
-  const std::size_t name =
-      log.find("\"name\":\"" + std::string(event) + "\"");
+  const std::size_t name = log.find("\"name\":\"" + std::string(event) + "\"");
   if (name == std::string_view::npos) {
     return std::nullopt;
   }
