Name a late start as the reason why a restart is not delegated

Cause: such a restart stays in its cell by the rule of late starts, and its line gave short_wait or no_stated_room.

Change: stays_for late_start.

Measured: TextFormatTest covers the name; no run of its own.

--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -138,6 +138,8 @@
       return "checkpoint";
     case delegation_obstacle::kSuspectedCrashes:
       return "suspected_crashes";
+    case delegation_obstacle::kLateStart:
+      return "late_start";
     case delegation_obstacle::kReturnLimit:
       return "return_limit";
     case delegation_obstacle::kShortWait:
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -344,6 +344,9 @@
   if (of_task != delegation_obstacle::kNone) {
     return of_task;
   }
+  if (late_starts_.Find(restart.task) != nullptr) {
+    return delegation_obstacle::kLateStart;
+  }
   if (jobs_.CanReturn(restart.task) && returns_.Full()) {
     return delegation_obstacle::kReturnLimit;
   }
