Decide by lists of machines which workers of earlier owners are gone

The scheduler now takes lists of machines. A worker counts as gone once two lists in a row name the same machines and neither names the worker. Both have to be requested after the last order of earlier owners: before, one of them could start a task on a worker that joined later.

Nothing hands lists over yet.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -22,6 +22,7 @@
 #include "skylarkbridge/jobs/job_registry.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
 #include "skylarkbridge/jobs/late_starts.hpp"
+#include "skylarkbridge/jobs/machine_list.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
@@ -164,6 +165,14 @@
     orders_until_ = until;
   }
 
+  /// @brief Whether tasks wait for workers of earlier owners that a list of
+  /// machines, requested now, may show to be gone.
+  bool NeedsMachineList(time_point now) const;
+  /// @brief A list of machines was read. Workers of earlier owners that neither
+  /// this list nor the one before it names count as gone; both have to be
+  /// requested after the last order of earlier owners.
+  void MachinesListed(const machine_list& list);
+
   /// @brief Adds a job.
   /// @param may_have_run whether an earlier owner may have started tasks of it,
   /// because the job was accepted in the log of another cell.
@@ -324,6 +333,8 @@
   void EndLife(session_map::iterator ended, time_point now);
   /// As EndLife, for a worker of an earlier owner that has not reported.
   void EndUnreportedLife(const std::string& worker);
+  /// Whether the worker has sent a report to this owner.
+  bool HasReported(const std::string& worker) const;
   void ExpireLeases(time_point now);
   /// Whether the run may be on the worker although the lease of the worker has
   /// expired: its start got no answer and may be carried out by a later life.
@@ -803,8 +814,12 @@
   std::set<std::string> stored_unreported_;
   /// When the unreported workers are stored, unless all have reported.
   std::optional<time_point> store_unreported_at_;
+  /// Latest time at which an earlier owner sends orders.
+  time_point earlier_orders_until_;
   /// Latest expiry of a lease from an earlier owner.
   time_point earlier_leases_until_;
+  /// The last list of machines that was requested after earlier_orders_until_.
+  std::optional<machine_list> last_machine_list_;
   /// Workers of earlier owners that sent no report until their leases expired.
   std::set<std::string> never_reported_;
   time_point ownership_begun_at_;
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -29,6 +29,9 @@
   /// Another worker answers at the address of the worker, whose process has
   /// ended with all its runs.
   kWorkerReplaced,
+  /// The list of machines shows that the process of an earlier owner's worker
+  /// has ended.
+  kWorkerGone,
   /// The first of a series of renewals without a usable answer.
   kWorkerQuiet,
   kWorkerQuarantined,
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -32,6 +32,8 @@
       return "worker_restarted";
     case scheduling_event::kWorkerReplaced:
       return "worker_replaced";
+    case scheduling_event::kWorkerGone:
+      return "worker_gone";
     case scheduling_event::kWorkerQuiet:
       return "worker_quiet";
     case scheduling_event::kWorkerQuarantined:
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -33,6 +33,7 @@
   jobs_ = job_table(options_.jobs, registry.Cell(), owned_epoch);
   ownership_begun_at_ = now;
   next_takeover_report_ = now + options_.takeover_report_interval;
+  earlier_orders_until_ = earlier_orders_until;
   earlier_leases_until_ = LatestLeaseExpiry(earlier_orders_until);
   for (const std::string& worker : leased.workers) {
     unreported_workers_[worker].leased_until = earlier_leases_until_;
@@ -77,6 +78,7 @@
   unreported_workers_.clear();
   stored_unreported_.clear();
   store_unreported_at_.reset();
+  last_machine_list_.reset();
   never_reported_.clear();
   waiting_jobs_since_.clear();
   reserved_workers_.clear();
@@ -319,9 +321,7 @@
     leased_workers_changed_ = true;
   }
   std::erase_if(unreported_workers_, [this, now](const auto& unreported) {
-    const auto session = workers_.find(unreported.first);
-    if (unreported.second.ended ||
-        (session != workers_.end() && session->second.has_reported)) {
+    if (unreported.second.ended || HasReported(unreported.first)) {
       return true;
     }
     // A new owner may have extended the lease, as in ExpireLeases.
--- /dev/null
+++ b/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
@@ -0,0 +1,45 @@
+// A worker is one life of a machine. A list of machines that was requested
+// after the last order of earlier owners, and that does not name a worker,
+// shows that its process has ended: a worker that is only cut off stays in it.
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "skylarkbridge/jobs/fleet_scheduler.hpp"
+
+namespace skylarkbridge::jobs {
+
+bool fleet_scheduler::NeedsMachineList(time_point now) const {
+  // Most workers report at once after a takeover, and need no list.
+  return active_ && now >= earlier_orders_until_ &&
+         now >= ownership_begun_at_ + options_.unreported_delay &&
+         std::any_of(
+             unreported_workers_.begin(), unreported_workers_.end(),
+             [](const auto& unreported) { return !unreported.second.ended; });
+}
+
+void fleet_scheduler::MachinesListed(const machine_list& list) {
+  if (!active_ || list.requested_at < earlier_orders_until_) {
+    return;
+  }
+  const std::optional<machine_list> earlier =
+      std::exchange(last_machine_list_, list);
+  if (!earlier || !Confirms(list, *earlier)) {
+    return;
+  }
+  for (auto& [worker, unreported] : unreported_workers_) {
+    if (!unreported.ended && !HasReported(worker) && !Names(*earlier, worker) &&
+        !Names(list, worker)) {
+      unreported.ended = true;
+      leased_workers_changed_ = true;
+      AddNote(scheduling_event::kWorkerGone, {}, worker, "");
+    }
+  }
+}
+
+bool fleet_scheduler::HasReported(const std::string& worker) const {
+  const auto session = workers_.find(worker);
+  return session != workers_.end() && session->second.has_reported;
+}
+
+}  // namespace skylarkbridge::jobs
