Wait for all reports before a batch task starts again in a takeover

Cause: an adopted run of a batch task that ends or is lost under a new owner makes the task ready at once, although a worker of an earlier owner that has not reported may hold the failed end of an earlier run. Change: such a task waits until every worker of earlier owners has reported or its lease is over. Run 1 has no earlier run, and long-running tasks have no limit of attempts, so neither waits.

--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -71,6 +71,8 @@
   /// earlier run. For a task that an earlier owner started, the time at which
   /// this owner added its job, until the end of a run is known.
   std::optional<time_point> last_run_ended_at;
+  /// Workers of earlier owners that have not reported yet may have run it.
+  bool may_have_unreported_runs = false;
   /// Number of crashes of workers that the task is suspected of.
   std::size_t suspected_crashes = 0;
   /// Of a long-running task: as step_progress::last_ended_runs.
@@ -316,10 +318,13 @@
   void AddPendingRun(open_job& job, const run_ref& run, task_state& task);
   /// Removes the run if it is pending: it ended without a crash.
   void RemovePendingRun(const run_ref& run);
-  /// Removes an active run. Returns whether its task is ready again, which it
-  /// is once no other run is active.
+  /// Removes an active run. Returns whether the task has no active run left. It
+  /// is then ready again, unless it has to wait for unreported ends.
   bool EndRun(const run_ref& run, time_point not_before);
   void RemoveActiveRun(task_state& task, run_number run);
+  /// Whether runs before this one, the last known run of its task, may have
+  /// failed on workers that have not reported. Their ends count as attempts.
+  bool MayHaveUnreportedAttempts(const run_ref& run) const;
   std::vector<run_to_stop> Finish(job_id id, job_status status);
   std::chrono::milliseconds RetryDelay(const open_job& job,
                                        const task_ref& task) const;
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -251,6 +251,7 @@
         task.phase = task_phase::kElsewhere;
       } else if (maybe_running) {
         task.phase = task_phase::kMaybeRunning;
+        task.may_have_unreported_runs = true;
       }
       if (IsStarted(progress, index)) {
         task.last_run_ended_at = job.added_at;
@@ -311,6 +312,7 @@
         for (std::uint32_t index = 0; index < steps[step].tasks.size();
              ++index) {
           task_state& task = steps[step].tasks[index];
+          task.may_have_unreported_runs = false;
           if (task.phase != task_phase::kMaybeRunning) {
             continue;
           }
@@ -421,10 +423,20 @@
     return false;
   }
   task->not_before = MustStayStopped(run.task) ? time_point::max() : not_before;
-  MakeReady(run.task, *task);
+  if (MayHaveUnreportedAttempts(run)) {
+    task->phase = task_phase::kMaybeRunning;
+  } else {
+    task->may_have_unreported_runs = false;
+    MakeReady(run.task, *task);
+  }
   return true;
 }
 
+bool job_table::MayHaveUnreportedAttempts(const run_ref& run) const {
+  return Find(run.task)->may_have_unreported_runs &&
+         !Spec(StepOf(run.task))->long_running && run.run > 1;
+}
+
 void job_table::RecordCheckpoint(const run_ref& run,
                                  const std::string& checkpoint) {
   if (task_state* task = MutableTask(run.task);
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -252,6 +252,57 @@
   EXPECT_EQ(table.ReadyTasks({.job = kJob}, kTakeover).size(), 3U);
 }
 
+// Guards against an attempt too many of a batch task: its run 1 failed on a
+// worker that has not reported to the new owner, which adopts run 4 and sees
+// runs 2 to 4 fail. It has to know of the earlier ends before the next start.
+TEST(JobTableTest, ABatchTaskThatFailsInATakeoverWaitsForAllReports) {
+  constexpr std::uint32_t kFourAttempts = 4;
+  const step_ref step{.job = kJob};
+  const task_ref task = FirstRun(0).task;
+  job_table table{{}};
+  table.Add(kJob, Job(false), true, kTakeover, kWall);
+  table.RecordStart({task, 4}, "w");
+  for (const run_number run : {2U, 3U, 4U}) {
+    table.RecordEnd({task, run}, run_end::kFailed, "", kFourAttempts,
+                    kTakeover);
+  }
+  EXPECT_TRUE(table.ReadyTasks(step, kTakeover + seconds(9)).empty());
+  table.RecordEnd(FirstRun(0), run_end::kFailed, "", kFourAttempts, kTakeover);
+  EXPECT_EQ(table.Find(kJob), nullptr);
+}
+
+// As above, for an adopted run that is lost, and the end of the wait.
+TEST(JobTableTest, ABatchTaskThatIsLostInATakeoverWaitsForAllReports) {
+  const step_ref step{.job = kJob};
+  const task_ref task = FirstRun(0).task;
+  job_table table{{}};
+  table.Add(kJob, Job(false), true, kTakeover, kWall);
+  table.RecordStart({task, 2}, "w");
+  table.RecordLossInRestart({task, 2}, kTakeover);
+  EXPECT_TRUE(table.ReadyTasks(step, kTakeover).empty());
+  table.AllowUnreportedTasks(kSuccessorEpoch);
+  EXPECT_EQ(table.ReadyTasks(step, kTakeover).size(), 3U);
+  // No worker is left whose ends are not known.
+  table.RecordStart({task, 10'001}, "w");
+  table.RecordLossInRestart({task, 10'001}, kTakeover);
+  EXPECT_EQ(table.ReadyTasks(step, kTakeover).size(), 3U);
+}
+
+// Guards against needless waits: no run comes before the first one, and
+// long-running tasks have no limit of attempts.
+TEST(JobTableTest, ATaskWithoutEarlierAttemptsDoesNotWaitInATakeover) {
+  const step_ref step{.job = kJob};
+  for (const auto& [long_running, run] :
+       {std::pair(false, run_number{1}), std::pair(true, run_number{4})}) {
+    const run_ref adopted{FirstRun(0).task, run};
+    job_table table{{}};
+    table.Add(kJob, Job(long_running), true, kTakeover, kWall);
+    table.RecordStart(adopted, "w");
+    table.RecordLossInRestart(adopted, kTakeover);
+    EXPECT_EQ(table.ReadyTasks(step, kTakeover), std::vector<std::uint32_t>{0});
+  }
+}
+
 /// Records a run of the first task of a job whose worker then crashes.
 /// @return whether the task has been given up.
 bool CrashRun(job_table& table, run_number run, crash_evidence evidence) {
