End no life that may have carried out a start since the renewal

Cause: a refusal by another worker at the address ends a life, also when a start was sent to it after the renewal and has no answer yet. Only confirmed starts were considered. Change: an unconfirmed start that was sent since the renewal keeps the life, as a confirmed one does. The next renewal decides. Measured: ReplacedLivesTest.ARefusalFromBeforeAStartUnderWayEndsNoLife fails on the file from before. EndReplacedLives has no test of its own.

--- a/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
@@ -5,6 +5,7 @@
 // An entry of the list of workers proves nothing here: it may be older than the
 // process at its address, or not be written by a worker. What counts is who
 // answers at the address at which the old life itself has reported.
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,20 @@
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
+namespace {
+
+/// Whether the worker may have carried out a start since this time: it has
+/// confirmed one, or one that was sent has no answer.
+bool MayHaveStartedSince(const worker_session& session, time_point time) {
+  return session.last_confirmed_start >= time ||
+         std::any_of(session.runs.begin(), session.runs.end(),
+                     [time](const auto& entry) {
+                       return !entry.second.confirmed &&
+                              entry.second.ordered_at >= time;
+                     });
+}
+
+}  // namespace
 
 void fleet_scheduler::RecordAddress(worker_session& session) {
   if (session.reported_address == session.renewal_address) {
@@ -32,10 +47,10 @@
       unreported->second.address == address) {
     EndUnreportedLife(refused->first);
   }
-  // After a start that was confirmed later, the worker may be back at the
-  // address: answers can overtake each other.
+  // After a start that was sent or confirmed later, the worker may be back at
+  // the address: answers can overtake each other.
   if (!session.has_reported || session.reported_address != address ||
-      session.last_confirmed_start > session.renewed_at) {
+      MayHaveStartedSince(session, session.renewed_at)) {
     return false;
   }
   EndLife(refused, now);
@@ -58,7 +73,7 @@
     if (&session != &reporting && session.has_reported &&
         session.reported_address == address &&
         reporting.renewed_at > session.last_answer &&
-        reporting.renewed_at > session.last_confirmed_start) {
+        !MayHaveStartedSince(session, reporting.renewed_at)) {
       EndLife(other, now);
     }
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives_test.cpp
@@ -12,6 +12,7 @@
 namespace skylarkbridge::jobs {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr job_id kJob{1};
@@ -115,6 +116,21 @@
   EXPECT_EQ(driver.RunsOn("w0"), 1U);
 }
 
+// As above, for a start whose answer is still to come.
+TEST(ReplacedLivesTest, ARefusalFromBeforeAStartUnderWayEndsNoLife) {
+  addresses_driver driver;
+  driver.StartOnW0();
+  driver.now += seconds(1);
+  const renew_order renewal = driver.RenewalOf("w0");
+  driver.now += milliseconds(100);
+  driver.Submit(job_id{2}, {.count = 1, .need = {.millicores = 300}});
+  driver.AllowOrders(driver.now);
+  driver.scheduler.Run(driver.now, addresses_driver::kWall);
+  ASSERT_EQ(driver.RunsOn("w0"), 2U);
+  driver.Refuse(renewal);
+  EXPECT_EQ(driver.RunsOn("w0"), 2U);
+}
+
 // Guards against a successor that waits for a worker of an earlier owner whose
 // address another worker has taken, also when it is in no list any more.
 TEST(ReplacedLivesTest, AReportFromTheStoredAddressEndsAnUnreportedLife) {
