Test that an entry with a later start time ends no run

By reading, such an entry only raises the token since restarts are taken from reports. Change: a test lists such an entry beside a worker that goes on reporting its run. It should pass without a change of the code.

--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives_test.cpp
@@ -35,6 +35,25 @@
   EXPECT_EQ(driver.RunsOn("w0"), 1U);
 }
 
+// Guards against a second run of a task: an entry with a later start time,
+// which may come from another writer, ends no run of the life that still
+// reports.
+TEST(WorkerLivesTest, AnEntryWithALaterStartTimeEndsNoRun) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Join("w1", 1000);
+  driver.Submit(kJob, Tasks(1, 600));
+  driver.Pass(milliseconds(100));
+  ASSERT_EQ(driver.starts.size(), 1U);
+  const std::string worker = driver.starts[0].target.worker;
+  driver.List(worker, kSecondLife, 1000);
+  for (int pass = 0; pass < 20; ++pass) {
+    EXPECT_EQ(driver.RunsOn(worker), 1U);
+    driver.Pass(milliseconds(100));
+  }
+  EXPECT_EQ(driver.starts.size(), 1U);
+}
+
 // Guards against a task that stays lost with the old life of its worker.
 TEST(WorkerLivesTest, ARunOfTheOldLifeStartsAgainOnceTheNewLifeReports) {
   lives_driver driver;
