Count the runs of a task by run in the invariant checker

Cause: the checker kept the workers that run a task. When two runs of a task are on one worker, which only a life that no owner has reached can bring about, the end of one removed the worker. The checker then took the task for gone: it reported RESTART while the task ran, and missed TWICE of a further run.

Change: the checker keeps each run with its worker. A second run is excused only if the very run beside it is one of an unknown life, which is stricter than before.

Measured: its test passes; that it fails before was not shown.

--- a/src/skylarkbridge/control/job_invariant_checker_fake.hpp
+++ b/src/skylarkbridge/control/job_invariant_checker_fake.hpp
@@ -72,9 +72,10 @@
                        jobs::Fits(step.need, without_late_starts));
     }
     if (!running_[task].empty()) {
-      AddViolation("TWICE", run,
-                   absl::StrCat("already runs on ", *running_[task].begin()),
-                   unknown_life || unknown_lives_.RunAll(task, running_[task]));
+      AddViolation(
+          "TWICE", run,
+          absl::StrCat("already runs on ", running_[task].begin()->worker),
+          unknown_life || unknown_lives_.RunAll(task, running_[task]));
     }
     if (done_.contains(task) && !step.long_running) {
       AddViolation("TWICE", run, "is already done",
@@ -104,7 +105,7 @@
         !accepted_.contains(task.job) && !uncertain_.contains(task.job)) {
       AddViolation("REFUSED", run, "every submission attempt was refused");
     }
-    running_[task].insert(worker);
+    running_[task].insert({.worker = worker, .run = run.run});
     restarts_.RunStarted(task);
     cancels_.RunStarted(worker, run, now);
   }
@@ -113,7 +114,7 @@
                 const jobs::run_ref& run,
                 end_cause cause,
                 time_point now) {
-    running_[run.task].erase(worker);
+    running_[run.task].erase({.worker = worker, .run = run.run});
     unknown_lives_.RunEnded(worker, run, cause, done_.contains(run.task));
     shrunk_lives_.RunEnded(worker, run, cause, done_.contains(run.task));
     cancels_.RunEnded(worker, run);
@@ -231,10 +232,10 @@
   }
   /// @brief A worker that runs the task; empty when none does.
   std::string WorkerOf(const jobs::task_ref& task) const {
-    const auto workers = running_.find(task);
-    return workers == running_.end() || workers->second.empty()
+    const auto runs = running_.find(task);
+    return runs == running_.end() || runs->second.empty()
                ? ""
-               : *workers->second.begin();
+               : runs->second.begin()->worker;
   }
   const std::set<jobs::job_id>& Accepted() const { return accepted_; }
   const std::vector<std::string>& Violations() const { return violations_; }
@@ -286,7 +287,7 @@
   std::set<jobs::job_id> accepted_;
   std::set<jobs::job_id> uncertain_;
   std::set<jobs::job_id> cancelled_;
-  std::map<jobs::task_ref, std::set<std::string>> running_;
+  std::map<jobs::task_ref, std::set<placed_run>> running_;
   std::map<jobs::task_ref, std::set<jobs::run_number>> failed_;
   /// As failed_, with the ends that were discarded later.
   std::map<jobs::task_ref, std::set<jobs::run_number>> ever_failed_;
--- a/src/skylarkbridge/control/job_invariant_checker_test.cpp
+++ b/src/skylarkbridge/control/job_invariant_checker_test.cpp
@@ -83,5 +83,21 @@
   EXPECT_TRUE(checker.ViolationsOfUnknownLives().empty());
 }
 
+// Guards against a checker that takes a task for gone when one of two runs on
+// the same worker ends: it missed further runs and reported a restart as due.
+TEST(JobInvariantCheckerTest, TheEndOfOneOfTwoRunsOnAWorkerLeavesTheOther) {
+  job_invariant_checker checker = CheckerOfOneTask();
+  checker.ExpectRunOfUnknownLife("w1", kRun);
+  checker.RunStarted("w1", kRun, kRoom, kNow);
+  checker.RunStarted("w1", kSecondRun, kRoom, kNow);
+  checker.RunEnded("w1", kRun, end_cause::kStopped, kNow);
+  EXPECT_EQ(checker.WorkerOf(kRun.task), "w1");
+  EXPECT_TRUE(checker.Violations().empty());
+  checker.RunStarted("w2", {kRun.task, 3}, kRoom, kNow);
+  EXPECT_EQ(checker.Violations(),
+            std::vector<std::string>{
+                "TWICE: 0000000000000001.0.0.0/3 already runs on w1"});
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/unknown_life_runs_fake.hpp
+++ b/src/skylarkbridge/control/unknown_life_runs_fake.hpp
@@ -2,6 +2,7 @@
 #define SKYLARKBRIDGE_CONTROL_UNKNOWN_LIFE_RUNS_FAKE_HPP
 
 #include <algorithm>
+#include <compare>
 #include <set>
 #include <string>
 #include <utility>
@@ -12,6 +13,14 @@
 
 namespace skylarkbridge::control {
 
+/// @brief A run of a task, and the worker that it is on.
+struct placed_run {
+  std::string worker;
+  jobs::run_number run = 0;
+
+  auto operator<=>(const placed_run&) const = default;
+};
+
 /// @brief Runs of start orders that were sent to an earlier life of a worker
 /// and reached the next one before it had seen the owner's current fencing
 /// token. docs/decisions/late_orders.md says why no owner can prevent them.
@@ -28,15 +37,12 @@
   bool Contains(const std::string& worker, const jobs::run_ref& run) const {
     return runs_.contains({worker, run});
   }
-  /// @brief Whether each of @p workers has such a run of the task.
+  /// @brief Whether all of @p runs, which belong to the task, are such runs.
   bool RunAll(const jobs::task_ref& task,
-              const std::set<std::string>& workers) const {
-    return std::all_of(
-        workers.begin(), workers.end(), [&](const std::string& worker) {
-          return std::any_of(runs_.begin(), runs_.end(), [&](const auto& run) {
-            return run.first == worker && run.second.task == task;
-          });
-        });
+              const std::set<placed_run>& runs) const {
+    return std::all_of(runs.begin(), runs.end(), [&](const placed_run& run) {
+      return Contains(run.worker, {task, run.run});
+    });
   }
   std::vector<jobs::run_ref> RunsOn(const std::string& worker) const {
     std::vector<jobs::run_ref> found;
