Clear a task of crashes once it outlives the time of suspicion

Cause: the counts of crashes never expire. Where workers often crash for other reasons, a long-running task that has just started on three of them, two of the crashes blamed on it, is given up, although it ran without a crash in between. Its job is shown as failed, so that none of its tasks starts again. A task with a lower count is not moved to a cell that has room.

Change: a run that a report lists over 1 s after the first report of it clears its task. The time counts from the first report, as a start may be carried out long after it was ordered. A task that crashes its workers within 1 s of its starts has no such run.

Measured: CrashingTaskTest.ATaskThatRunsOnBetweenCrashesIsNotGivenUp fails without the clearing.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -376,6 +376,9 @@
                       worker_run& state,
                       time_point now);
   bool IsSuspected(const task_ref& task) const;
+  /// Notes that a report lists the run, and drops the suspicion against its
+  /// task once the run has outlived crash_window.
+  void RecordSurvival(const run_ref& run, worker_run& state, time_point now);
   /// Once each worker of an earlier owner has sent a report or its lease has
   /// expired, releases the tasks that waited for this.
   void ReleaseTasksOfEarlierOwners(time_point now);
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -235,6 +235,9 @@
   /// up, its job fails; returns the runs of the job, which must be stopped.
   std::vector<run_to_stop> RecordCrash(const run_ref& run,
                                        crash_evidence evidence);
+  /// @brief Drops the suspicion against the task of a run that has outlived the
+  /// time in which a crash would be blamed on it.
+  void ClearCrashes(const run_ref& run);
   /// @brief Records that a worker did not carry out the start order of a run.
   void RecordRejectedStart(const run_ref& run, time_point now);
   /// @brief Records an end that a worker reported. Returns other runs that must
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -73,6 +73,9 @@
   std::string checkpoint;
   std::string ticket;
   time_point ordered_at;
+  /// When the worker first listed the run in a report; empty before. A start
+  /// may be carried out long after it was ordered.
+  std::optional<time_point> first_reported_at;
   /// Progress, 0 to 100.
   int progress_percent = 0;
   /// When `percent` last changed.
--- a/src/skylarkbridge/control/crashing_task_test.cpp
+++ b/src/skylarkbridge/control/crashing_task_test.cpp
@@ -178,6 +178,43 @@
   }
 }
 
+/// Crashes the worker of a task after it has run there for some time, and
+/// starts the worker again.
+testing::AssertionResult CrashWorkerOf(virtual_fleet& fleet,
+                                       const jobs::task_ref& task,
+                                       milliseconds run_time) {
+  constexpr milliseconds kStep{20};
+  constexpr int kMaxSteps = 1000;
+  for (int step = 0; step < kMaxSteps && !fleet.Checker().Running(task);
+       ++step) {
+    fleet.Advance(kStep);
+  }
+  fleet.Advance(run_time);
+  const std::string worker = fleet.Checker().WorkerOf(task);
+  if (worker.empty()) {
+    return testing::AssertionFailure() << jobs::Format(task) << " is away";
+  }
+  fleet.CrashWorker(worker);
+  fleet.Advance(seconds(2));
+  fleet.StartWorker(worker);
+  return testing::AssertionSuccess();
+}
+
+// Guards against giving up a task whose workers often crash for another reason,
+// although it has run for seconds between these crashes.
+TEST(CrashingTaskTest, ATaskThatRunsOnBetweenCrashesIsNotGivenUp) {
+  auto fleet = StartedFleet({.workers = 4});
+  fleet->Submit(0, kInnocentJob, "-500 600000 0 1");
+  for (int round = 0; round < 5; ++round) {
+    ASSERT_TRUE(
+        CrashWorkerOf(*fleet, Task(kInnocentJob, 0), milliseconds(100)));
+    ASSERT_TRUE(CrashWorkerOf(*fleet, Task(kInnocentJob, 0), seconds(5)));
+  }
+  fleet->Advance(seconds(20));
+  EXPECT_EQ(StateOf(*fleet, kInnocentJob), jobs::reported_state::kRunning);
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // Guards against giving up a task whose workers crash for another reason.
 TEST(CrashingTaskTest, ATaskOnTwoWorkersThatCrashIsNotGivenUp) {
   auto fleet = StartedFleet({.workers = 4});
--- a/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
@@ -39,6 +39,18 @@
   }
 }
 
+void fleet_scheduler::RecordSurvival(const run_ref& run,
+                                     worker_run& state,
+                                     time_point now) {
+  if (!state.first_reported_at) {
+    state.first_reported_at = now;
+  }
+  if (!state.detached && IsSuspected(run.task) &&
+      now > *state.first_reported_at + options_.crash_window) {
+    jobs_.ClearCrashes(run);
+  }
+}
+
 std::vector<run_ref> fleet_scheduler::CrashSuspects(
     const worker_session& session,
     const absl::flat_hash_set<run_ref>& surviving) const {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -270,6 +270,7 @@
     run.confirmed = true;
     jobs_.RecordConfirmedStart(task.run.task.job);
   }
+  RecordSurvival(task.run, run, now);
   if (run.phase == run_phase::kStarting || run.phase == run_phase::kUncertain) {
     run.phase = run_phase::kRunning;
     run.first_conclusive_renewal = renewal_number;
@@ -301,6 +302,7 @@
   run.progress_percent = task.progress_percent;
   run.progressed_at = now;
   run.ordered_at = now;
+  run.first_reported_at = now;
   run.measurement = task.measurement;
   run.checkpoint = task.checkpoint;
   if (adopt) {
--- a/src/skylarkbridge/jobs/job_table_crashes.cpp
+++ b/src/skylarkbridge/jobs/job_table_crashes.cpp
@@ -62,6 +62,17 @@
   }
 }
 
+void job_table::ClearCrashes(const run_ref& run) {
+  task_state* task = MutableTask(run.task);
+  if (task == nullptr || task->suspected_crashes == 0) {
+    return;
+  }
+  FindOrAddProgress(jobs_.find(run.task.job)->second, run.task)
+      .crashes.erase(run.task.index);
+  task->suspected_crashes = 0;
+  changed_.insert(run.task.job);
+}
+
 bool job_table::MustStayStopped(const task_ref& ref) const {
   const open_job* job = Find(ref.job);
   const step_progress* progress =
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -352,6 +352,23 @@
   EXPECT_EQ(table.Find(FirstRun(0).task)->suspected_crashes, 1U);
 }
 
+// Guards against giving up a task for crashes with a run between them that did
+// not crash its worker, also after a takeover.
+TEST(JobTableTest, ARunThatOutlivesTheSuspicionClearsItsTask) {
+  job_table table = FirstOwner(false);
+  CrashRun(table, 1, crash_evidence::kBlamed);
+  CrashRun(table, 2, crash_evidence::kBlamed);
+  const run_ref third{.task = FirstRun(0).task, .run = 3};
+  table.RecordStart(third, "w");
+  table.ClearCrashes(third);
+  EXPECT_EQ(table.Find(third.task)->suspected_crashes, 0U);
+  job_table successor{{}};
+  successor.Add(kJob, Job(false, *TakeProgress(table)), false, kTakeover,
+                kWall);
+  EXPECT_EQ(successor.Find(third.task)->suspected_crashes, 0U);
+  EXPECT_FALSE(CrashRun(table, 4, crash_evidence::kBlamed));
+}
+
 /// The table of the first owner, which has lost a run of the first task and
 /// delegated the task to cell 1 in its epoch 3.
 job_table DelegatingOwner() {
