Count an answer by the time of its renewal when a late start ends

Cause: a late start ended once the worker had answered after the order could arrive.

Change: the renewal that was answered must have been sent after that time.

Measured: LateStartTest.AnAnswerToAnEarlierRenewalDoesNotEndALateStart, not shown to fail without the change; all tests of jobs_test pass.

--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -152,6 +152,8 @@
   std::string reported_address;
   time_point next_renewal;
   time_point last_answer;
+  /// When the renewal was sent that the worker answered last.
+  time_point answered_renewal_sent_at;
   /// When the worker last confirmed a start.
   time_point last_confirmed_start;
   /// Consecutive renewals without a usable answer.
--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
@@ -32,8 +32,10 @@
       return true;
     }
     const worker_session& session = worker->second;
+    // An answer may be older than the life that carries the order out.
     const bool answered_since =
-        session.RefusesLateOrders() && session.last_answer >= start.arrives_by;
+        session.RefusesLateOrders() &&
+        session.answered_renewal_sent_at >= start.arrives_by;
     // A worker that drains ends and does not start again.
     return session.entry.draining || answered_since;
   });
--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
@@ -105,6 +105,26 @@
   EXPECT_EQ(driver.StartsOn("w1"), 1U);
 }
 
+// Guards against two runs of one task: an answer that was on its way when the
+// worker restarted and carried the start out counted as one of the new life.
+TEST(LateStartTest, AnAnswerToAnEarlierRenewalDoesNotEndALateStart) {
+  late_start_driver driver(Tasks(1, 600), "w0");
+  const time_point arrives_by = driver.now + kMaxOrderDelay;
+  while (driver.now + milliseconds(500) < arrives_by) {
+    driver.Pass(milliseconds(500));
+  }
+  // The renewals that are under way now are answered after that time.
+  driver.now = arrives_by - milliseconds(100);
+  const sent_orders sent = driver.RunUnanswered();
+  driver.now = arrives_by + milliseconds(100);
+  for (const renew_order& renewal : sent.renewals) {
+    driver.AnswerRenewal(renewal);
+  }
+  for (const start_order& start : driver.RunUnanswered().starts) {
+    EXPECT_EQ(start.target.worker, "w0");
+  }
+}
+
 // Guards against a task that waits for a worker which does not come back.
 TEST(LateStartTest, ATaskLeavesAWorkerThatIsGone) {
   late_start_driver driver(Tasks(1, 600));
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -165,6 +165,7 @@
     placement_pending_ = true;
   }
   session.last_answer = now;
+  session.answered_renewal_sent_at = session.renewed_at;
   session.next_renewal =
       session.pending_ended_runs.empty() && MayExtendLease(session)
           ? now
