Read the length of the outage from the last lines of the log

Cause: LogTimeTest read the first store_lost and store_regained, which belong to the start of the VM, 0.5 s apart.

Change: it reads the last ones, with the same bounds.

Measured: fails before with 0.5 s in each run, passes three times after.

--- a/src/skylarkbridge/control/log_time_test.cpp
+++ b/src/skylarkbridge/control/log_time_test.cpp
@@ -18,12 +18,13 @@
 /// there is room for the lines of a small fleet, whatever ran before.
 constexpr milliseconds kLogRefillTime{600};
 
-/// Time of the first line with the event in the log; nullopt without one.
+/// Time of the last line with the event in the log; nullopt without one. The
+/// first ones belong to the start of the VM.
 std::optional<std::chrono::duration<double>> TimeOfEvent(
     std::string_view log,
     std::string_view event) {
   constexpr std::string_view kTimeField = "{\"time\":";
-  const std::size_t name = log.find("\"name\":\"" + std::string(event) + "\"");
+  const std::size_t name = log.rfind("\"name\":\"" + std::string(event) + "\"");
   if (name == std::string_view::npos) {
     return std::nullopt;
   }
