Adopt a listed run after a later start of its task is dropped

Cause: the new life of a worker carries out the first of two unanswered starts.

Change: runs that a report does not list are dropped before the listed ones are adopted.

--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
@@ -125,6 +125,31 @@
   }
 }
 
+// Guards against two runs of one task on one worker: its new life carried out
+// the first of two unanswered starts, and the second one kept that run from
+// being adopted, so that the task started again beside it.
+TEST(LateStartTest, TheNewLifeKeepsTheFirstOfTwoUnansweredStarts) {
+  lives_driver driver;
+  driver.Join("w0", 2000);
+  const start_order first = driver.SubmitOne();
+  driver.Answer(first, order_result::kNoAnswer);
+  for (const renew_order& renewal : driver.RunUnanswered().renewals) {
+    driver.AnswerRenewal(renewal);
+  }
+  const sent_orders again = driver.RunUnanswered();
+  ASSERT_EQ(again.starts.size(), 1U);
+  driver.Answer(again.starts[0], order_result::kNoAnswer);
+  driver.start_times["w0"] = kSecondLife;
+  driver.List("w0", kSecondLife, 2000);
+  driver.reported_runs["w0"] = {{.run = first.run}};
+  for (int pass = 0; pass < 5; ++pass) {
+    driver.Pass(milliseconds(200));
+  }
+  EXPECT_TRUE(driver.starts.empty());
+  EXPECT_TRUE(driver.stops.empty());
+  EXPECT_EQ(driver.RunsOn("w0"), 1U);
+}
+
 // Guards against a task that waits for a worker which does not come back.
 TEST(LateStartTest, ATaskLeavesAWorkerThatIsGone) {
   late_start_driver driver(Tasks(1, 600));
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -185,10 +185,12 @@
   }
   session.lease.Synchronise(report.clock, now);
   ApplyEndedRuns(session, report, now);
+  // A run that is listed can be adopted once a later start of its task, which
+  // the worker has not carried out, is dropped.
+  DropMissingRuns(session, renewal_number, report, now);
   for (const running_task& task : report.running) {
     ApplyRunning(session, task, renewal_number, now);
   }
-  DropMissingRuns(session, renewal_number, report, now);
   UpdateInterferenceModel(session);
   AdjustPaces(session, now);
   if (!session.has_reported) {
