--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -18,6 +18,7 @@
 #include "skylarkbridge/jobs/cell_room.hpp"
 #include "skylarkbridge/jobs/delegation_targets.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
+#include "skylarkbridge/jobs/fleet_scheduler_options.hpp"
 #include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
@@ -35,92 +36,6 @@
 
 namespace skylarkbridge::jobs {
 
-/// @brief Timing and limits of a fleet_scheduler.
-struct fleet_scheduler_options {
-  /// Duration of the lease that each renewal requests.
-  std::chrono::milliseconds lease{5000};
-  /// Longest lease that a worker grants, whatever an order requests.
-  std::chrono::milliseconds max_lease{6000};
-  /// A new owner stores after this time which workers of earlier owners have
-  /// not reported to it. Most report at once, and those that are stored get no
-  /// longer leases until their report is stored.
-  std::chrono::milliseconds unreported_delay{1000};
-  /// How long a worker may delay its answer to a renewal until a run ends.
-  std::chrono::milliseconds renewal_wait{1000};
-  /// Delay after the first unanswered renewal; grows to five times that.
-  std::chrono::milliseconds renewal_retry_delay{100};
-  /// Interval of the renewals while ended runs are not durable yet.
-  std::chrono::milliseconds unstored_renewal_interval{400};
-  /// Age at which a worker refuses a start order.
-  std::chrono::milliseconds start_validity{1500};
-  /// An unanswered order is carried out within this time or never.
-  std::chrono::milliseconds max_order_delay{15'000};
-  /// Longest time that stopping a task takes.
-  std::chrono::milliseconds stop_timeout{400};
-  /// Delay after a stop order that failed.
-  std::chrono::milliseconds stop_retry_delay{150};
-  /// A worker that has not answered for this long gets no new tasks.
-  std::chrono::milliseconds max_silence{1700};
-  /// How long a worker gets no new tasks after a start order failed there.
-  std::chrono::milliseconds fault_backoff{500};
-  /// How long a worker gets no new tasks after failures_for_quarantine failed
-  /// runs without a successful one.
-  std::chrono::milliseconds quarantine{3000};
-  int failures_for_quarantine = 4;
-  /// A task is suspected of a worker's crash when it was started there this
-  /// long before the worker's last answer, or later.
-  std::chrono::milliseconds crash_window{1000};
-  /// Interval of the starts of suspected tasks on one worker. Longer than
-  /// crash_window and renewal_wait together, so that only one of them can be
-  /// suspected of the worker's next crash.
-  std::chrono::milliseconds suspect_interval{2100};
-  /// After the start of a task that is suspected of this many crashes, no other
-  /// task is started on the worker for suspect_interval.
-  std::size_t crashes_before_isolation = 2;
-  /// A worker with a serving task over its latency target for this long gets no
-  /// best-effort tasks until the tail latency is below the target again.
-  std::chrono::milliseconds over_target_grace{300};
-  /// Best-effort tasks with this progress or more are not evicted for
-  /// interference.
-  int max_evict_percent = 70;
-  /// Replaces renewal_wait while a serving task is over its target.
-  std::chrono::milliseconds over_target_renewal_wait{400};
-  /// Minimum interval of the placement passes while some tasks find no room.
-  std::chrono::milliseconds pass_interval{20};
-  /// A placement pass ends after this many steps with tasks that found no room.
-  int max_unplaced_steps = 40;
-  /// For a restart of a long-running task that waits longer for room, other
-  /// runs are stopped on the worker on which room is reserved for it. This and
-  /// the next two delays count from the time at which the task could have
-  /// started, not from the end of its run.
-  std::chrono::milliseconds preemption_delay{1000};
-  /// A restart of a long-running task is delegated to another cell when it has
-  /// waited this long and no worker can have room for it. Long enough for a
-  /// worker that restarts at once to come back.
-  std::chrono::milliseconds delegation_delay{500};
-  /// The same when room is reserved for it on a worker. Longer than
-  /// preemption_delay and the stop of a task together.
-  std::chrono::milliseconds max_reserved_wait{2000};
-  /// A long-running task that waits longer for its restart is reported.
-  std::chrono::milliseconds restart_report_delay{1000};
-  /// Interval of these reports.
-  std::chrono::milliseconds restart_report_interval{1000};
-  /// Tasks that are reported at once, those that have waited longest.
-  std::size_t max_restart_reports = 5;
-  /// Interval of the reports on tasks that wait for the workers of an earlier
-  /// owner.
-  std::chrono::milliseconds takeover_report_interval{1000};
-  /// A run of a cancelled job that is on its worker for longer is reported.
-  std::chrono::milliseconds cancel_report_delay{1000};
-  /// Interval of these reports.
-  std::chrono::milliseconds cancel_report_interval{1000};
-  /// Runs that are reported at once, those that have been cancelled longest.
-  std::size_t max_cancel_reports = 5;
-  job_table_options jobs;
-  placement_options placement;
-  permit_options permits;
-};
-
 /// @brief Schedules the tasks of all open jobs on the workers of the fleet.
 /// Used by the VM that owns the fleet.
 ///
