Read the list of machines while a takeover waits for workers

Cause: an owner that takes over a cell waits for all workers that may run tasks of earlier owners. One that left or was lost never reports, so that all restarts of the cell waited until its last lease had ended, 12 s after the last write of the earlier owner. The decision that ends this wait by two readings of the platform's list of machines was built, and nothing called it.

Change: jobs::machine_list_reader joins the pages of a reading, one request at a time. A page that fails, repeats its token or contradicts an earlier one ends the reading, so that no part counts as the whole list. The control state requests pages only while a cell needs them, and passes each whole list to all cells. platform::client reads GET /machines at the address under cloud_api; without that address nothing changes. A row that can't be read makes the page invalid, as its worker would count as gone. The first two readings are 0.2 s apart and later ones 0.5 s, as the platform limits the readings of all VMs together and a worker that is cut off stays in the list. Event 5033, machines_listed, names each reading.

With the list down the same schedule still waits over 9 s (ATakeoverWithoutAListOfMachinesWaitsForTheLease).

--- a/include/skylarkbridge/control/control_options.hpp
+++ b/include/skylarkbridge/control/control_options.hpp
@@ -9,6 +9,7 @@
 #include "skylarkbridge/control/request_writer.hpp"
 #include "skylarkbridge/jobs/fleet_bootstrap.hpp"
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
+#include "skylarkbridge/jobs/machine_list_reader.hpp"
 #include "skylarkbridge/jobs/ownership.hpp"
 
 namespace skylarkbridge::control {
@@ -18,6 +19,7 @@
   jobs::fleet_bootstrap_options bootstrap;
   jobs::ownership_options ownership;
   jobs::fleet_scheduler_options scheduler;
+  jobs::machine_list_reader_options machine_list_reader;
   request_writer_options request_writer;
   owner_writer_options owner_writer;
   /// Sequence number of a claim, which is the first write of its epoch. It has
@@ -33,6 +35,10 @@
   /// Time limits of a single order to a worker.
   std::chrono::milliseconds order_timeout{700};
   std::chrono::milliseconds renewal_timeout{500};
+  /// Whether the platform serves a list of its machines.
+  bool has_machine_list = true;
+  /// Time limit of a request for one page of the list of machines.
+  std::chrono::milliseconds machine_page_timeout{1000};
   /// Pause between two reads of a cell's log by a follower, which is a VM that
   /// doesn't own the cell. It is multiplied by the number of cells, divided by
   /// ownership.processor_share, and clamped to the bounds below.
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -60,7 +60,8 @@
                          {.wait = kWorkerWait, .pause = kWorkerPause},
                          options_),
         map_follower_({topic_kind::kFleetMap}, {.wait = kMapWait}, options_),
-        bootstrap_(options_.bootstrap) {}
+        bootstrap_(options_.bootstrap),
+        machine_list_reader_(options_.machine_list_reader) {}
 
   /// @brief Handles a request. The answer is sent through the caller port, at
   /// once or from a later Handle or Run.
@@ -195,6 +196,9 @@
   void HandleReply(const jobs::permit_reply& reply,
                    time_point now,
                    wall_time wall);
+  void HandleReply(const machine_page_reply& reply,
+                   time_point now,
+                   wall_time wall);
   void ApplyConfiguration(const jobs::reader_update& update);
   void ApplyFleetMap(const jobs::reader_update& update, time_point now);
   void ApplyWorkerList(const jobs::reader_update& update, time_point now);
@@ -244,6 +248,9 @@
                          std::uint64_t offset,
                          const failure& error);
   void SendCalls(time_point now);
+  /// Requests the next page of the list of machines while an owner on this VM
+  /// waits for it.
+  void ReadMachines(time_point now);
   void UpdateGauges(time_point now);
   /// Updates the gauges of the free room in the cells that this VM owns. Those
   /// of a cell that it has lost are set to zero once.
@@ -258,6 +265,7 @@
   topic_follower worker_follower_;
   topic_follower map_follower_;
   jobs::fleet_bootstrap bootstrap_;
+  jobs::machine_list_reader machine_list_reader_;
   std::optional<jobs::fleet_map> map_;
   /// The cells keep a reference to map_.
   std::vector<std::unique_ptr<cell>> cells_;
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -66,6 +66,38 @@
   }
 }
 
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::HandleReply(
+    const machine_page_reply& reply,
+    time_point now,
+    wall_time /*wall*/) {
+  const auto list = machine_list_reader_.Handle(reply.number, reply.page, now);
+  if (!list) {
+    return;
+  }
+  LogEvent(
+      kMachinesListed,
+      {{"machines", absl::StrCat(list->workers.size())},
+       {"took_ms", absl::StrCat(std::chrono::floor<std::chrono::milliseconds>(
+                                    now - list->requested_at)
+                                    .count())}});
+  for (const auto& each_cell : cells_) {
+    each_cell->MachinesListed(*list);
+  }
+}
+
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::ReadMachines(time_point now) {
+  const bool needed =
+      options_.has_machine_list &&
+      std::any_of(cells_.begin(), cells_.end(), [now](const auto& each_cell) {
+        return each_cell->NeedsMachineList(now);
+      });
+  if (const auto request = machine_list_reader_.Next(needed, now)) {
+    platform_.ReadMachines(*request, now + options_.machine_page_timeout);
+  }
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::ForwardToOtherCells(cell& from,
                                                            time_point now,
@@ -411,6 +443,7 @@
   if (FollowsWorkers()) {
     worker_follower_.Send(platform_, now);
   }
+  ReadMachines(now);
 }
 
 template <fleet_platform Platform, caller_port Callers>
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -58,6 +58,10 @@
 inline constexpr event_definition kWorkerEntryRejected{
     5032, event_severity::kWarning, "worker_entry_rejected",
     "worker offset error"};
+/// The whole list of the platform's machines was read, as an owner waits for
+/// workers that may be gone.
+inline constexpr event_definition kMachinesListed{
+    5033, event_severity::kInfo, "machines_listed", "machines took_ms"};
 inline constexpr event_definition kScheduling{
     5040, event_severity::kInfo, "scheduling",
     "what run worker detail cell epoch"};
@@ -85,6 +89,7 @@
                                                kWorkerListed,
                                                kWorkerUnlisted,
                                                kWorkerEntryRejected,
+                                               kMachinesListed,
                                                kScheduling,
                                                kCancelDelayed};
 
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -145,6 +145,15 @@
     return std::exchange(worker_list_needed_, false);
   }
 
+  /// @brief Whether the cell waits for a reading of the list of machines.
+  bool NeedsMachineList(time_point now) const {
+    return scheduler_.NeedsMachineList(now);
+  }
+  /// @brief Applies a whole reading of the list of machines.
+  void MachinesListed(const jobs::machine_list& list) {
+    scheduler_.MachinesListed(list);
+  }
+
   /// @brief Queues a caller's record for an append to the cell's log. Returns
   /// false when the store can't take it now.
   bool EnqueueAppend(const pending_request& item, time_point now) {
--- a/include/skylarkbridge/control/ports.hpp
+++ b/include/skylarkbridge/control/ports.hpp
@@ -18,6 +18,7 @@
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/fleet_map.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
+#include "skylarkbridge/jobs/machine_list_reader.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
 #include "skylarkbridge/jobs/topic_reader.hpp"
 #include "skylarkbridge/records/job_record_codec.hpp"
@@ -107,29 +108,41 @@
       outcome;
 };
 
+/// @brief The reply to the request of a page of the list of machines with the
+/// same number.
+struct machine_page_reply {
+  std::uint64_t number = 0;
+  /// Empty when the platform gave none that can be used.
+  std::optional<jobs::machine_page> page;
+};
+
 /// @brief Any reply of the platform to an earlier call.
 using platform_reply = std::variant<append_reply,
                                     read_reply,
+                                    machine_page_reply,
                                     jobs::renew_reply,
                                     jobs::start_reply,
                                     jobs::stop_reply,
                                     jobs::pace_reply,
                                     jobs::permit_reply>;
 
-/// @brief Access to the store and to the workers, as the control thread uses
-/// it. Append, Read and SendOrder return at once; each is followed by exactly
-/// one platform_reply, no later than its deadline.
+/// @brief Access to the store, the workers and the list of machines, as the
+/// control thread uses it. Append, Read, ReadMachines and SendOrder return at
+/// once; each is followed by exactly one platform_reply, no later than its
+/// deadline.
 template <class T>
 concept fleet_platform = requires(T& platform,
                                   append_call append,
                                   topic source,
                                   const jobs::read_request& read,
+                                  const jobs::machine_page_request& page,
                                   const jobs::order& order,
                                   const std::string& key,
                                   std::string_view bytes,
                                   time_point deadline) {
   platform.Append(std::move(append), deadline);
   platform.Read(source, read, deadline);
+  platform.ReadMachines(page, deadline);
   platform.SendOrder(order, deadline);
   {
     T::DecodeConfiguration(bytes)
--- a/src/skylarkbridge/control/platform_fake.hpp
+++ b/src/skylarkbridge/control/platform_fake.hpp
@@ -31,12 +31,16 @@
   void Read(const topic& source,
             const jobs::read_request& call,
             time_point deadline);
+  void ReadMachines(const jobs::machine_page_request& call,
+                    time_point deadline);
   void SendOrder(const jobs::order& order, time_point deadline);
   /// @brief The calls themselves, once the traffic thread sends them.
   void AppendNow(append_call call, time_point deadline);
   void ReadNow(const topic& source,
                const jobs::read_request& call,
                time_point deadline);
+  void ReadMachinesNow(const jobs::machine_page_request& call,
+                       time_point deadline);
   void SendOrderNow(const jobs::order& order, time_point deadline);
 
   /// @brief Decodes "VERSION MAX_ATTEMPTS" into a configuration with the queue
--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -301,6 +301,44 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a wait without an end when the platform serves no list of
+// machines: the leases on the worker end at the latest 12 s after the last
+// order of the earlier owner.
+TEST(RestartTest, ATakeoverWithoutAListOfMachinesWaitsForTheLease) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->SetMachineListDown(true);
+  fleet->DrainWorker(fleet->Checker().WorkerOf(Task(kRestartingJob, 0)),
+                     milliseconds(200));
+  fleet->KillVm(*fleet->Owner());
+  fleet->Advance(milliseconds(300));
+  EXPECT_FALSE(RunsWithin(*fleet, Task(kRestartingJob, 0), seconds(9)));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), seconds(5)));
+}
+
+// Guards against readings of the list, which are priced, while all workers of
+// the earlier owner report.
+TEST(RestartTest, ATakeoverOfLivingWorkersReadsNoListOfMachines) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  fleet->KillVm(*fleet->Owner());
+  fleet->Advance(seconds(15));
+  EXPECT_TRUE(fleet->Checker().Running(Task(kRestartingJob, 0)));
+  EXPECT_EQ(fleet->MachinePagesServed(), 0);
+}
+
+// Guards against a second run of a task: a worker that is cut off from all VMs
+// stays in the list and runs its tasks until their lease ends.
+TEST(RestartTest, ATakeoverWaitsForAWorkerThatIsCutOff) {
+  auto fleet = FleetSharedWithBatch(milliseconds(700));
+  const std::string worker = fleet->Checker().WorkerOf(Task(kRestartingJob, 0));
+  for (std::size_t vm = 0; vm < 3; ++vm) {
+    fleet->CutFromWorker(vm, worker, true);
+  }
+  fleet->KillVm(*fleet->Owner());
+  fleet->Advance(seconds(20));
+  EXPECT_GT(fleet->MachinePagesServed(), 0);
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 // As above, for a task whose end another worker reports to the successor.
 TEST(RestartTest, AReportedEndDoesNotWaitForAWorkerThatLeft) {
   auto fleet = FleetSharedWithBatch(milliseconds(700));
--- a/src/skylarkbridge/control/store_fake.hpp
+++ b/src/skylarkbridge/control/store_fake.hpp
@@ -63,6 +63,18 @@
         {.offset = log.size(), .key = key, .value = std::move(value)});
   }
 
+  /// @brief Whether the newest record of the key has a value.
+  bool Contains(topic source, const std::string& key) const {
+    const auto log = logs_.find(source);
+    if (log == logs_.end()) {
+      return false;
+    }
+    const auto newest = std::find_if(
+        log->second.rbegin(), log->second.rend(),
+        [&key](const jobs::topic_record& record) { return record.key == key; });
+    return newest != log->second.rend() && newest->value.has_value();
+  }
+
   /// @brief A page of the newest record of each key that sorts after @p after.
   jobs::snapshot_page Snapshot(topic source, const std::string& after) const {
     jobs::snapshot_page page{.end = End(source)};
--- a/src/skylarkbridge/control/topic_follower_test.cpp
+++ b/src/skylarkbridge/control/topic_follower_test.cpp
@@ -23,6 +23,8 @@
             time_point /*deadline*/) {
     numbers.push_back(read.number);
   }
+  void ReadMachines(const jobs::machine_page_request& /*call*/,
+                    time_point /*deadline*/) {}
   void SendOrder(const jobs::order& /*order*/, time_point /*deadline*/) {}
   static boost::leaf::result<jobs::fleet_configuration> DecodeConfiguration(
       std::string_view /*bytes*/) {
--- a/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
@@ -37,6 +37,11 @@
   fleet_.Transmit(
       vm_, [this, source, call, deadline] { ReadNow(source, call, deadline); });
 }
+inline void platform_fake::ReadMachines(const jobs::machine_page_request& call,
+                                        time_point deadline) {
+  fleet_.Transmit(vm_,
+                  [this, call, deadline] { ReadMachinesNow(call, deadline); });
+}
 inline void platform_fake::SendOrder(const jobs::order& order,
                                      time_point deadline) {
   fleet_.Transmit(vm_,
@@ -124,6 +129,30 @@
   });
 }
 
+inline void platform_fake::ReadMachinesNow(
+    const jobs::machine_page_request& call,
+    time_point deadline) {
+  if (!fleet_.MachineListReachable(vm_)) {
+    fleet_.ScheduleAt(
+        deadline, [&fleet = fleet_, vm = vm_, incarnation = incarnation_,
+                   number = call.number] {
+          fleet.Deliver(vm, incarnation, machine_page_reply{.number = number});
+        });
+    return;
+  }
+  fleet_.ScheduleAfter(
+      fleet_.Delay(),
+      [&fleet = fleet_, vm = vm_, incarnation = incarnation_, call, deadline] {
+        fleet.ScheduleAfter(fleet.Delay(),
+                            [&fleet, vm, incarnation, deadline,
+                             reply = machine_page_reply{
+                                 .number = call.number,
+                                 .page = fleet.MachinePage(call.page_token)}] {
+                              fleet.Deliver(vm, incarnation, reply, deadline);
+                            });
+      });
+}
+
 inline void virtual_fleet::PollRead(std::size_t vm,
                                     std::uint64_t incarnation,
                                     topic source,
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -233,6 +233,10 @@
     }
     return nullptr;
   }
+  /// @brief Sets whether requests for the list of machines get no answer.
+  void SetMachineListDown(bool down) { machine_list_down_ = down; }
+  /// @brief Number of pages of the list of machines that were served.
+  int MachinePagesServed() const { return machine_pages_served_; }
   /// @brief Changes the capacity of a worker, which says so in the store. This
   /// is not a fault.
   void SetCapacity(const std::string& id, std::int64_t millicores) {
@@ -420,6 +424,39 @@
            std::chrono::duration_cast<std::chrono::milliseconds>(Draw() *
                                                                  range);
   }
+  /// @brief Whether a VM reaches the list of machines. One that is cut off from
+  /// the store is cut off from it as well.
+  bool MachineListReachable(std::size_t vm) const {
+    return !machine_list_down_ && !vms_[vm].store_cut;
+  }
+  /// @brief A page of the list of machines from @p token on. Each place of a
+  /// worker is a machine; one whose worker is down is listed without a worker
+  /// while its entry is in the list of workers, and then no more.
+  jobs::machine_page MachinePage(const std::string& token) {
+    constexpr std::size_t kPageSize = 4;
+    ++machine_pages_served_;
+    std::map<std::string, std::string> machines;
+    for (const auto& [id, worker] : workers_) {
+      if (worker.Up()) {
+        machines[worker.Address()] = id;
+      } else if (store_.Contains({topic_kind::kWorkers}, id)) {
+        machines.try_emplace(worker.Address());
+      }
+    }
+    const std::size_t first = token.empty() ? 0 : std::stoul(token);
+    jobs::machine_page page;
+    std::size_t position = 0;
+    for (const auto& [machine, worker] : machines) {
+      if (position >= first && position < first + kPageSize) {
+        page.workers[machine] = worker;
+      }
+      ++position;
+    }
+    if (first + kPageSize < machines.size()) {
+      page.next_token = absl::StrCat(first + kPageSize);
+    }
+    return page;
+  }
   bool StoreRefusing() const { return store_refusing_; }
   /// @brief Whether an answer of the store to a call that is sent now may
   /// arrive after @p deadline.
@@ -682,6 +719,8 @@
   std::multimap<time_point, std::function<void()>> pending_events_;
   bool store_down_ = false;
   bool store_refusing_ = false;
+  bool machine_list_down_ = false;
+  int machine_pages_served_ = 0;
   std::chrono::milliseconds store_delay_{};
   /// A fault occurred since the last observation of the checker.
   bool fault_occurred_ = false;
--- a/src/skylarkbridge/service/fleet_service.cpp
+++ b/src/skylarkbridge/service/fleet_service.cpp
@@ -168,6 +168,7 @@
   options.ownership.incarnation = incarnation;
   options.ownership.processor_share = settings.processor_share;
   options.store_writes_per_second = settings.store_writes_per_second;
+  options.has_machine_list = !settings.machines_address.empty();
   // Random, so that two claims of one epoch use different sequence numbers.
   options.first_sequence = incarnation;
   options.ended_job_retention = std::chrono::ceil<std::chrono::seconds>(
@@ -179,12 +180,14 @@
   mailbox_.Reopen();
   stop.OnRequest([this](time_point) { mailbox_.Close(); });
   const std::uint64_t incarnation = GenerateIncarnation();
-  platform::client client(http_client_,
-                          {.store_address = options_.settings.store_address,
-                           .policy_address = options_.settings.policy_address},
-                          [this](control::platform_reply reply) {
-                            mailbox_.SendUnbounded(std::move(reply));
-                          });
+  platform::client client(
+      http_client_,
+      {.store_address = options_.settings.store_address,
+       .policy_address = options_.settings.policy_address,
+       .machines_address = options_.settings.machines_address},
+      [this](control::platform_reply reply) {
+        mailbox_.SendUnbounded(std::move(reply));
+      });
   answer_sender answers{callers_};
   fleet_control_state state(ControlOptions(incarnation), client, answers,
                             metrics_);
