Fail a request that waits for a connection at its deadline

Cause: a request to an address with max_connections open connections waits until one of them ends its exchange, and only then its deadline was looked at. Behind connections that went silent, or behind long polls, its callback ran long after the deadline.

Change: each waiting request has a timer of its own, which ends the wait with kNotSent. The server that goes silent moves to a header, so that tests of other modules can use it.

Measured: SilentConnectionsTest.ARequestThatWaitsForAConnectionFailsAtItsDeadline sends one request of 20 s and one of 100 ms over a single connection.

--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -7,7 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
-#include <deque>
+#include <list>
 #include <optional>
 #include <vector>
 
@@ -31,6 +31,17 @@
   http_callback callback;
 };
 
+/// A request that waits for a connection, and the timer of its deadline.
+struct waiting_request {
+  pending_request pending;
+  asio::steady_timer timer;
+};
+
+void StartTimer(asio::steady_timer& timer, time_point deadline) {
+  timer.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
+      deadline - boot_clock::now()));
+}
+
 }  // namespace
 
 class http_client::connection_pool
@@ -52,11 +63,15 @@
   /// Connections to one address and the requests that wait for them.
   struct address_connections {
     std::vector<std::shared_ptr<connection>> idle;
-    std::deque<pending_request> waiting;
+    std::list<waiting_request> waiting;
     std::size_t open_count = 0;
   };
 
   void Dispatch(pending_request pending);
+  /// Keeps the request until a connection is free, at most to its deadline.
+  void Wait(pending_request pending);
+  /// Fails the waiting requests to the address whose deadline has passed.
+  void FailOverdue(const std::string& address);
   void OnIdle(const std::string& address,
               const std::shared_ptr<connection>& idle);
   void OnClosed(const std::string& address);
@@ -105,8 +120,7 @@
 
  private:
   void StartDeadlineTimer() {
-    timer_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
-        pending_->request.deadline - boot_clock::now()));
+    StartTimer(timer_, pending_->request.deadline);
     timer_.async_wait([self = shared_from_this(),
                        generation = ++generation_](const error_code& error) {
       if (!error && generation == self->generation_ && self->pending_) {
@@ -241,7 +255,7 @@
     return;
   }
   if (connections.open_count >= options_.max_connections) {
-    connections.waiting.push_back(std::move(pending));
+    Wait(std::move(pending));
     return;
   }
   ++connections.open_count;
@@ -249,6 +263,38 @@
       ->SendRequest(std::move(pending));
 }
 
+void http_client::connection_pool::Wait(pending_request pending) {
+  const std::string address = pending.request.address;
+  const time_point deadline = pending.request.deadline;
+  std::list<waiting_request>& waiting = by_address_[address].waiting;
+  waiting.push_back({std::move(pending), asio::steady_timer(context_)});
+  // Each request has a timer of its own, as the connections may have gone
+  // silent or hold long polls: none of them may be free before the deadline.
+  asio::steady_timer& timer = waiting.back().timer;
+  StartTimer(timer, deadline);
+  timer.async_wait([weak = weak_from_this(), address](const error_code& error) {
+    if (const auto self = weak.lock(); self && !error) {
+      self->FailOverdue(address);
+    }
+  });
+}
+
+void http_client::connection_pool::FailOverdue(const std::string& address) {
+  std::list<waiting_request>& waiting = by_address_[address].waiting;
+  const time_point now = boot_clock::now();
+  for (auto each = waiting.begin(); each != waiting.end();) {
+    if (now < each->pending.request.deadline) {
+      ++each;
+      continue;
+    }
+    asio::post(context_,
+               [callback = std::move(each->pending.callback)]() mutable {
+                 callback(http_failure::kNotSent);
+               });
+    each = waiting.erase(each);
+  }
+}
+
 void http_client::connection_pool::OnIdle(
     const std::string& address,
     const std::shared_ptr<connection>& idle) {
@@ -276,19 +322,12 @@
 }
 
 void http_client::connection_pool::DispatchWaiting(const std::string& address) {
+  FailOverdue(address);
   address_connections& connections = by_address_[address];
-  while (!connections.waiting.empty() &&
-         connections.waiting.front().request.deadline <= boot_clock::now()) {
-    http_callback callback = std::move(connections.waiting.front().callback);
-    connections.waiting.pop_front();
-    asio::post(context_, [callback = std::move(callback)]() mutable {
-      callback(http_failure::kNotSent);
-    });
-  }
   if (!connections.waiting.empty() &&
       (!connections.idle.empty() ||
        connections.open_count < options_.max_connections)) {
-    pending_request next = std::move(connections.waiting.front());
+    pending_request next = std::move(connections.waiting.front().pending);
     connections.waiting.pop_front();
     asio::post(context_,
                [self = shared_from_this(), next = std::move(next)]() mutable {
--- a/src/skylarkbridge/transport/silent_connections_test.cpp
+++ b/src/skylarkbridge/transport/silent_connections_test.cpp
@@ -1,17 +1,10 @@
 #include <gtest/gtest.h>
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 #include <chrono>
-#include <memory>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -19,89 +12,44 @@
 #include "skylarkbridge/base/mailbox.hpp"
 #include "skylarkbridge/base/posix_thread.hpp"
 #include "skylarkbridge/transport/http_client.hpp"
+#include "skylarkbridge/transport/silent_server_fake.hpp"
 
 namespace skylarkbridge::transport {
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
-using boost::system::error_code;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::string_view kResponse =
-    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+/// Sends requests from the test's own thread, which also runs the server.
+struct silent_loopback {
+  silent_loopback(std::size_t batch, std::size_t max_connections)
+      : server(context, batch), client(context, {max_connections}) {}
 
-/// An HTTP server whose open connections can go silent: they stay open, but
-/// nothing that arrives on them is answered any more. New connections work.
-class server_fake {
- public:
-  /// @param batch number of requests to receive before the first answers, so
-  /// that a client has to open that many connections.
-  server_fake(asio::io_context& context, std::size_t batch)
-      : acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-        batch_(batch) {
-    Accept();
+  void Send(milliseconds timeout) {
+    client.Send(
+        {.address = server.Address(),
+         .method = "GET",
+         .target = "/",
+         .deadline = boot_clock::now() + timeout},
+        [this](const http_outcome& outcome) { outcomes.push_back(outcome); });
   }
-
-  std::string Address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-  /// @brief Lets all open connections go silent.
-  void GoSilent() {
-    for (const auto& each : connections_) {
-      each->silent = true;
+  /// Runs until there are @p count outcomes, for at most 5 s.
+  void Await(std::size_t count) {
+    const time_point give_up = boot_clock::now() + seconds(5);
+    while (outcomes.size() < count && boot_clock::now() < give_up) {
+      context.run_one_for(milliseconds(100));
     }
+    ASSERT_EQ(outcomes.size(), count);
   }
-
- private:
-  struct connection {
-    explicit connection(tcp::socket accepted) : socket(std::move(accepted)) {}
-    tcp::socket socket;
-    asio::streambuf received;
-    bool silent = false;
-  };
-
-  void Accept() {
-    acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
-      if (error) {
-        return;
-      }
-      connections_.push_back(std::make_shared<connection>(std::move(socket)));
-      Read(connections_.back());
-      Accept();
-    });
-  }
-  void Read(const std::shared_ptr<connection>& from) {
-    asio::async_read_until(
-        from->socket, from->received, "\r\n\r\n",
-        [this, from](const error_code& error, std::size_t bytes) {
-          if (error) {
-            return;
-          }
-          from->received.consume(bytes);
-          if (!from->silent) {
-            waiting_.push_back(from);
-          }
-          if (waiting_.size() >= batch_) {
-            batch_ = 1;
-            for (const auto& each : std::exchange(waiting_, {})) {
-              Answer(each);
-            }
-          }
-          Read(from);
-        });
-  }
-  static void Answer(const std::shared_ptr<connection>& to) {
-    asio::async_write(to->socket, asio::buffer(kResponse),
-                      [to](const error_code& /*error*/, std::size_t) {});
+  bool Answered(std::size_t outcome) const {
+    return std::holds_alternative<http_response>(outcomes.at(outcome));
   }
 
-  tcp::acceptor acceptor_;
-  std::size_t batch_;
-  std::vector<std::shared_ptr<connection>> connections_;
-  /// Connections with a request that is not answered yet.
-  std::vector<std::shared_ptr<connection>> waiting_;
+  asio::io_context context;
+  silent_server server;
+  http_client client;
+  std::vector<http_outcome> outcomes;
 };
 
 // Guards against a request that fails once for each idle connection that has
@@ -111,7 +59,7 @@
   constexpr std::size_t kConnections = 8;
   asio::io_context context;
   const auto work = asio::make_work_guard(context);
-  server_fake server(context, kConnections);
+  silent_server server(context, kConnections);
   http_client client(context, {.max_connections = 12});
   mailbox<http_outcome> outcomes(100);
   posix_thread thread =
@@ -151,5 +99,19 @@
   thread.Join();
 }
 
+// Guards against a request that waits for a free connection and is answered
+// long after its deadline: the connections were in use by requests without an
+// answer, and only their ends were looked at.
+TEST(SilentConnectionsTest, ARequestThatWaitsForAConnectionFailsAtItsDeadline) {
+  constexpr std::size_t kNeverAnswers = 100;
+  silent_loopback loopback(kNeverAnswers, 1);
+  loopback.Send(seconds(20));
+  loopback.Send(milliseconds(100));
+  loopback.Await(1);
+  ASSERT_FALSE(loopback.Answered(0));
+  EXPECT_EQ(std::get<http_failure>(loopback.outcomes[0]),
+            http_failure::kNotSent);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::transport
