Close all idle connections after a request without a response

Cause: after a request without a response, the HTTP client kept the idle connections on which something was received since that request began, and all of them when the failed connection was a new one. When the silence began while the request was under way, the next request went out on one of those and was lost as well: a start more without an answer.

Change: a request that was written and got no response closes all idle connections to its address. This costs at most one new connection for each of them. A connection that can't be opened still closes none.

Measured: SilenceThatBeginsDuringARequestFailsOnlyThatOne and SilenceOnANewConnectionClosesTheOlderOnes (SilentConnectionsTest) failed on the code before, built with the new tests, and pass with the change. The server had limits for idle connections and half-received requests already, without a test: AServerClosesTheConnectionsOfSilentCallers passes before and after.

--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -1,6 +1,5 @@
 #include "skylarkbridge/transport/http_client.hpp"
 
-#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +8,7 @@
 #include <chrono>
 #include <list>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -75,9 +75,8 @@
   void OnIdle(const std::string& address,
               const std::shared_ptr<connection>& idle);
   void OnClosed(const std::string& address);
-  /// Closes the idle connections to the address on which nothing has been
-  /// received since @p since.
-  void CloseIdle(const std::string& address, time_point since);
+  /// Closes the idle connections to the address.
+  void CloseIdle(const std::string& address);
   void DispatchWaiting(const std::string& address);
 
   asio::io_context& context_;
@@ -99,7 +98,6 @@
 
   void SendRequest(pending_request pending) {
     pending_ = std::move(pending);
-    request_started_at_ = boot_clock::now();
     write_started_ = false;
     StartDeadlineTimer();
     if (socket_.is_open()) {
@@ -109,8 +107,6 @@
     }
   }
 
-  /// When the last response was received; nullopt before the first one.
-  std::optional<time_point> LastResponseAt() const { return last_response_at_; }
   /// Closes an idle connection.
   void Close() {
     error_code ignored;  // The connection is discarded in any case.
@@ -199,7 +195,6 @@
     const bool keep_alive = parser_->get().keep_alive();
     http_callback callback = std::move(pending_->callback);
     pending_.reset();
-    last_response_at_ = boot_clock::now();
     if (keep_alive) {
       owner_->OnIdle(address_, shared_from_this());
     } else {
@@ -214,10 +209,11 @@
     http_callback callback = std::move(pending_->callback);
     pending_.reset();
     Close();
-    if (last_response_at_) {
-      // The connection worked before, so others that are as old may have gone
-      // silent with it: only a request without a response shows that.
-      owner_->CloseIdle(address_, request_started_at_);
+    if (write_started_) {
+      // All connections may have gone silent together, also those with a
+      // response since this request was sent: the silence began at any time
+      // from then on, and only a request without a response shows it.
+      owner_->CloseIdle(address_);
     }
     callback(write_started_ ? http_failure::kNoResponse
                             : http_failure::kNotSent);
@@ -228,8 +224,6 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::optional<pending_request> pending_;
-  time_point request_started_at_;
-  std::optional<time_point> last_response_at_;
   /// Incremented for each request and at its end, so that completion handlers
   /// of an earlier request are ignored.
   std::uint64_t generation_ = 0;
@@ -307,16 +301,9 @@
   DispatchWaiting(address);
 }
 
-void http_client::connection_pool::CloseIdle(const std::string& address,
-                                             time_point since) {
-  std::vector<std::shared_ptr<connection>>& idle = by_address_[address].idle;
-  const auto first_silent = std::partition(
-      idle.begin(), idle.end(),
-      [since](const auto& each) { return each->LastResponseAt() >= since; });
-  const std::vector<std::shared_ptr<connection>> silent(first_silent,
-                                                        idle.end());
-  idle.erase(first_silent, idle.end());
-  for (const std::shared_ptr<connection>& each : silent) {
+void http_client::connection_pool::CloseIdle(const std::string& address) {
+  for (const std::shared_ptr<connection>& each :
+       std::exchange(by_address_[address].idle, {})) {
     each->Close();
   }
 }
--- a/src/skylarkbridge/transport/silent_connections_test.cpp
+++ b/src/skylarkbridge/transport/silent_connections_test.cpp
@@ -1,10 +1,15 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -12,12 +17,15 @@
 #include "skylarkbridge/base/mailbox.hpp"
 #include "skylarkbridge/base/posix_thread.hpp"
 #include "skylarkbridge/transport/http_client.hpp"
+#include "skylarkbridge/transport/http_server.hpp"
 #include "skylarkbridge/transport/silent_server_fake.hpp"
 
 namespace skylarkbridge::transport {
 namespace {
 
 namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -113,5 +121,90 @@
             http_failure::kNotSent);
 }
 
+// Guards against a request that fails on a connection which answered while an
+// earlier one was under way, before both went silent.
+TEST(SilentConnectionsTest, SilenceThatBeginsDuringARequestFailsOnlyThatOne) {
+  silent_loopback loopback(2, 12);
+  loopback.Send(seconds(20));
+  loopback.Send(seconds(20));
+  loopback.Await(2);
+  loopback.server.HoldNextRequest();
+  loopback.Send(milliseconds(400));
+  loopback.Send(seconds(20));
+  loopback.Await(3);
+  ASSERT_TRUE(loopback.Answered(2));
+  loopback.server.GoSilent();
+  loopback.Await(4);
+  ASSERT_FALSE(loopback.Answered(3));
+  loopback.Send(seconds(2));
+  loopback.Await(5);
+  EXPECT_TRUE(loopback.Answered(4));
+}
+
+// As above, with a connection that had answered nothing before.
+TEST(SilentConnectionsTest, SilenceOnANewConnectionClosesTheOlderOnes) {
+  silent_loopback loopback(1, 12);
+  loopback.Send(seconds(20));
+  loopback.Await(1);
+  loopback.server.HoldNextRequest();
+  loopback.Send(milliseconds(400));
+  loopback.server.HoldNextRequest();
+  loopback.Send(milliseconds(200));
+  loopback.Await(3);
+  loopback.server.GoSilent();
+  loopback.Send(seconds(2));
+  loopback.Await(4);
+  EXPECT_TRUE(loopback.Answered(3));
+}
+
+// Guards against callers whose connections went silent and that use up the
+// connections of a server, before a request or within one.
+TEST(SilentConnectionsTest, AServerClosesTheConnectionsOfSilentCallers) {
+  asio::io_context context(1);
+  http_server server(context,
+                     {.address = "127.0.0.1:0",
+                      .transfer_timeout = milliseconds(100),
+                      .idle_timeout = milliseconds(100),
+                      .max_connections = 2},
+                     [&server](const server_request& request) {
+                       server.Respond(request.token, {.status = 200});
+                     });
+  server.Listen().value();
+  const tcp::endpoint address(asio::ip::address_v4::loopback(), server.Port());
+  const std::string_view half_request =
+      "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nab";
+  std::size_t closed = 0;
+  char byte = 0;
+  std::vector<tcp::socket> callers;
+  for (const std::string_view sent : {std::string_view(), half_request}) {
+    callers.emplace_back(context).connect(address);
+    asio::write(callers.back(), asio::buffer(sent));
+  }
+  for (tcp::socket& caller : callers) {
+    caller.async_receive(
+        asio::buffer(&byte, 1),
+        [&closed](const error_code& error, std::size_t /*bytes*/) {
+          closed += error ? 1 : 0;
+        });
+  }
+  const time_point give_up = boot_clock::now() + seconds(5);
+  while (closed < 2 && boot_clock::now() < give_up) {
+    context.run_one_for(milliseconds(100));
+  }
+  EXPECT_EQ(closed, 2U);
+
+  http_client client(context, {});
+  std::optional<http_outcome> outcome;
+  client.Send({.address = "127.0.0.1:" + std::to_string(server.Port()),
+               .method = "GET",
+               .target = "/",
+               .deadline = boot_clock::now() + seconds(2)},
+              [&outcome](const http_outcome& received) { outcome = received; });
+  while (!outcome && context.run_one_for(seconds(5)) > 0) {
+  }
+  ASSERT_TRUE(outcome);
+  EXPECT_TRUE(std::holds_alternative<http_response>(*outcome));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::transport
