Count a response that arrived before the deadline on a busy thread

Cause: on a thread that was busy until after the deadline of a request, the timer ran before the handlers that read a response of more than 64 KB: each read queues the next one behind the timer. A response that had arrived in time was discarded: a page of a log, or the report of a worker, whose next renewal then carried no lease.

Change: the timer lets the connection go on while bytes are available that were not read, for at most 8 turns of the thread, before the request fails.

Measured: HttpTest.CountsAResponseThatArrivedBeforeTheDeadline sleeps past the deadline after the response was sent.

--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -26,6 +26,11 @@
 /// Beast reads 512 bytes at a time, each behind the other work of the thread.
 constexpr std::size_t kReadBytes = 64U << 10U;
 
+/// Turns of the thread in which a connection may read on after the deadline of
+/// a request. Enough for a page of a log; a response that is still arriving
+/// does not extend the deadline by more.
+constexpr int kMaxLateReads = 8;
+
 struct pending_request {
   http_request request;
   http_callback callback;
@@ -120,11 +125,28 @@
     timer_.async_wait([self = shared_from_this(),
                        generation = ++generation_](const error_code& error) {
       if (!error && generation == self->generation_ && self->pending_) {
-        self->Fail();
+        self->ReadBeforeFailing(generation, kMaxLateReads);
       }
     });
   }
 
+  /// Fails the request at its deadline, but first lets the handlers run of what
+  /// has arrived by then: on a busy thread they may wait behind the timer.
+  void ReadBeforeFailing(std::uint64_t generation, int reads_left) {
+    asio::post(
+        owner_->context_, [self = shared_from_this(), generation, reads_left] {
+          if (generation != self->generation_ || !self->pending_) {
+            return;
+          }
+          error_code ignored;  // Without a usable socket nothing is available.
+          if (reads_left > 0 && self->socket_.available(ignored) > 0) {
+            self->ReadBeforeFailing(generation, reads_left - 1);
+          } else {
+            self->Fail();
+          }
+        });
+  }
+
   /// Returns a completion handler that runs @p next, or fails the request on an
   /// error. It does nothing once the request has ended, for instance at its
   /// deadline.
--- a/src/skylarkbridge/transport/http_test.cpp
+++ b/src/skylarkbridge/transport/http_test.cpp
@@ -184,6 +184,32 @@
   EXPECT_LE(steps, 16U);
 }
 
+// Guards against a renewal that was answered in time and counted as unanswered,
+// since the thread of the client was busy until after its deadline.
+TEST(HttpTest, CountsAResponseThatArrivedBeforeTheDeadline) {
+  for (const std::size_t body_bytes : {10UL, 100'000UL}) {
+    http_loopback loopback;
+    boost::asio::io_context context(1);
+    http_client client(context, {});
+    std::optional<http_outcome> outcome;
+    client.Send({.address = loopback.Address(),
+                 .method = "GET",
+                 .target = "/",
+                 .deadline = boot_clock::now() + milliseconds(400)},
+                [&](http_outcome result) { outcome = std::move(result); });
+    context.run_for(milliseconds(100));
+    loopback.Server().Respond(
+        loopback.ReceiveRequest().token,
+        {.status = 200, .body = std::string(body_bytes, 'x')});
+    // The response arrives and the deadline passes before the client reads.
+    std::this_thread::sleep_for(milliseconds(500));
+    while (!outcome && context.run_one_for(seconds(20)) > 0) {
+    }
+    ASSERT_TRUE(outcome);
+    EXPECT_TRUE(std::holds_alternative<http_response>(*outcome)) << body_bytes;
+  }
+}
+
 // Guards against a server that reads a large request in many small pieces: on a
 // busy thread a job of 64 KB did not reach the control thread in time.
 TEST(HttpTest, ReadsALargeRequestInFewSteps) {
