--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -1,14 +1,14 @@
 #include "skylarkbridge/transport/http_client.hpp"
 
-#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
-#include <deque>
+#include <list>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -26,11 +26,27 @@
 /// Beast reads 512 bytes at a time, each behind the other work of the thread.
 constexpr std::size_t kReadBytes = 64U << 10U;
 
+/// Turns of the thread in which a connection may read on after the deadline of
+/// a request. Enough for a page of a log; a response that is still arriving
+/// does not extend the deadline by more.
+constexpr int kMaxLateReads = 8;
+
 struct pending_request {
   http_request request;
   http_callback callback;
 };
 
+/// A request that waits for a connection, and the timer of its deadline.
+struct waiting_request {
+  pending_request pending;
+  asio::steady_timer timer;
+};
+
+void StartTimer(asio::steady_timer& timer, time_point deadline) {
+  timer.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
+      deadline - boot_clock::now()));
+}
+
 }  // namespace
 
 class http_client::connection_pool
@@ -52,17 +68,20 @@
   /// Connections to one address and the requests that wait for them.
   struct address_connections {
     std::vector<std::shared_ptr<connection>> idle;
-    std::deque<pending_request> waiting;
+    std::list<waiting_request> waiting;
     std::size_t open_count = 0;
   };
 
   void Dispatch(pending_request pending);
+  /// Keeps the request until a connection is free, at most to its deadline.
+  void Wait(pending_request pending);
+  /// Fails the waiting requests to the address whose deadline has passed.
+  void FailOverdue(const std::string& address);
   void OnIdle(const std::string& address,
               const std::shared_ptr<connection>& idle);
   void OnClosed(const std::string& address);
-  /// Closes the idle connections to the address on which nothing has been
-  /// received since @p since.
-  void CloseIdle(const std::string& address, time_point since);
+  /// Closes the idle connections to the address.
+  void CloseIdle(const std::string& address);
   void DispatchWaiting(const std::string& address);
 
   asio::io_context& context_;
@@ -84,7 +103,6 @@
 
   void SendRequest(pending_request pending) {
     pending_ = std::move(pending);
-    request_started_at_ = boot_clock::now();
     write_started_ = false;
     StartDeadlineTimer();
     if (socket_.is_open()) {
@@ -94,8 +112,6 @@
     }
   }
 
-  /// When the last response was received; nullopt before the first one.
-  std::optional<time_point> LastResponseAt() const { return last_response_at_; }
   /// Closes an idle connection.
   void Close() {
     error_code ignored;  // The connection is discarded in any case.
@@ -105,16 +121,32 @@
 
  private:
   void StartDeadlineTimer() {
-    timer_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
-        pending_->request.deadline - boot_clock::now()));
+    StartTimer(timer_, pending_->request.deadline);
     timer_.async_wait([self = shared_from_this(),
                        generation = ++generation_](const error_code& error) {
       if (!error && generation == self->generation_ && self->pending_) {
-        self->Fail();
+        self->ReadBeforeFailing(generation, kMaxLateReads);
       }
     });
   }
 
+  /// Fails the request at its deadline, but first lets the handlers run of what
+  /// has arrived by then: on a busy thread they may wait behind the timer.
+  void ReadBeforeFailing(std::uint64_t generation, int reads_left) {
+    asio::post(
+        owner_->context_, [self = shared_from_this(), generation, reads_left] {
+          if (generation != self->generation_ || !self->pending_) {
+            return;
+          }
+          error_code ignored;  // Without a usable socket nothing is available.
+          if (reads_left > 0 && self->socket_.available(ignored) > 0) {
+            self->ReadBeforeFailing(generation, reads_left - 1);
+          } else {
+            self->Fail();
+          }
+        });
+  }
+
   /// Returns a completion handler that runs @p next, or fails the request on an
   /// error. It does nothing once the request has ended, for instance at its
   /// deadline.
@@ -185,7 +217,6 @@
     const bool keep_alive = parser_->get().keep_alive();
     http_callback callback = std::move(pending_->callback);
     pending_.reset();
-    last_response_at_ = boot_clock::now();
     if (keep_alive) {
       owner_->OnIdle(address_, shared_from_this());
     } else {
@@ -200,10 +231,11 @@
     http_callback callback = std::move(pending_->callback);
     pending_.reset();
     Close();
-    if (last_response_at_) {
-      // The connection worked before, so others that are as old may have gone
-      // silent with it: only a request without a response shows that.
-      owner_->CloseIdle(address_, request_started_at_);
+    if (write_started_) {
+      // All connections may have gone silent together, also those with a
+      // response since this request was sent: the silence began at any time
+      // from then on, and only a request without a response shows it.
+      owner_->CloseIdle(address_);
     }
     callback(write_started_ ? http_failure::kNoResponse
                             : http_failure::kNotSent);
@@ -214,8 +246,6 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::optional<pending_request> pending_;
-  time_point request_started_at_;
-  std::optional<time_point> last_response_at_;
   /// Incremented for each request and at its end, so that completion handlers
   /// of an earlier request are ignored.
   std::uint64_t generation_ = 0;
@@ -241,7 +271,7 @@
     return;
   }
   if (connections.open_count >= options_.max_connections) {
-    connections.waiting.push_back(std::move(pending));
+    Wait(std::move(pending));
     return;
   }
   ++connections.open_count;
@@ -249,6 +279,38 @@
       ->SendRequest(std::move(pending));
 }
 
+void http_client::connection_pool::Wait(pending_request pending) {
+  const std::string address = pending.request.address;
+  const time_point deadline = pending.request.deadline;
+  std::list<waiting_request>& waiting = by_address_[address].waiting;
+  waiting.push_back({std::move(pending), asio::steady_timer(context_)});
+  // Each request has a timer of its own, as the connections may have gone
+  // silent or hold long polls: none of them may be free before the deadline.
+  asio::steady_timer& timer = waiting.back().timer;
+  StartTimer(timer, deadline);
+  timer.async_wait([weak = weak_from_this(), address](const error_code& error) {
+    if (const auto self = weak.lock(); self && !error) {
+      self->FailOverdue(address);
+    }
+  });
+}
+
+void http_client::connection_pool::FailOverdue(const std::string& address) {
+  std::list<waiting_request>& waiting = by_address_[address].waiting;
+  const time_point now = boot_clock::now();
+  for (auto each = waiting.begin(); each != waiting.end();) {
+    if (now < each->pending.request.deadline) {
+      ++each;
+      continue;
+    }
+    asio::post(context_,
+               [callback = std::move(each->pending.callback)]() mutable {
+                 callback(http_failure::kNotSent);
+               });
+    each = waiting.erase(each);
+  }
+}
+
 void http_client::connection_pool::OnIdle(
     const std::string& address,
     const std::shared_ptr<connection>& idle) {
@@ -261,34 +323,20 @@
   DispatchWaiting(address);
 }
 
-void http_client::connection_pool::CloseIdle(const std::string& address,
-                                             time_point since) {
-  std::vector<std::shared_ptr<connection>>& idle = by_address_[address].idle;
-  const auto first_silent = std::partition(
-      idle.begin(), idle.end(),
-      [since](const auto& each) { return each->LastResponseAt() >= since; });
-  const std::vector<std::shared_ptr<connection>> silent(first_silent,
-                                                        idle.end());
-  idle.erase(first_silent, idle.end());
-  for (const std::shared_ptr<connection>& each : silent) {
+void http_client::connection_pool::CloseIdle(const std::string& address) {
+  for (const std::shared_ptr<connection>& each :
+       std::exchange(by_address_[address].idle, {})) {
     each->Close();
   }
 }
 
 void http_client::connection_pool::DispatchWaiting(const std::string& address) {
+  FailOverdue(address);
   address_connections& connections = by_address_[address];
-  while (!connections.waiting.empty() &&
-         connections.waiting.front().request.deadline <= boot_clock::now()) {
-    http_callback callback = std::move(connections.waiting.front().callback);
-    connections.waiting.pop_front();
-    asio::post(context_, [callback = std::move(callback)]() mutable {
-      callback(http_failure::kNotSent);
-    });
-  }
   if (!connections.waiting.empty() &&
       (!connections.idle.empty() ||
        connections.open_count < options_.max_connections)) {
-    pending_request next = std::move(connections.waiting.front());
+    pending_request next = std::move(connections.waiting.front().pending);
     connections.waiting.pop_front();
     asio::post(context_,
                [self = shared_from_this(), next = std::move(next)]() mutable {
