Hold a start without an answer against its task only when nothing else fits

What callers saw: a long-running task waited 42 s for its restart, as two crashes kept it in a full cell. One of them was held against a run whose start got no answer and which no report ever listed.

Cause: each run that was ordered shortly before a worker's last answer was suspected of its crash, whether or not the worker had confirmed it. Such a start may never have been carried out. After the lease the confirmed runs were dropped without suspicion, and only the unanswered ones were left when the worker came back.

Change: unanswered starts are suspected only while no confirmed one is, are blamed only when they were isolated, and are not suspected when the worker comes back after its lease.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -273,12 +273,15 @@
   /// @param surviving runs that may be on a later life of the worker.
   void RecordCrash(const worker_session& session,
                    const absl::flat_hash_set<run_ref>& surviving);
-  /// The runs that were started shortly before the worker crashed.
+  /// The runs that were started shortly before the worker crashed: those that
+  /// it has confirmed or, while there are none, those whose start got no
+  /// answer.
   std::vector<run_ref> CrashSuspects(
       const worker_session& session,
       const absl::flat_hash_set<run_ref>& surviving) const;
   /// The run among @p suspects to blame for a crash, with the other members of
-  /// its gang; none while several may have caused it.
+  /// its gang; none while several may have caused it. One whose start got no
+  /// answer is blamed only if it was isolated.
   std::vector<run_ref> CrashCulprits(
       const worker_session& session,
       const std::vector<run_ref>& suspects) const;
--- a/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
@@ -54,20 +54,26 @@
 std::vector<run_ref> fleet_scheduler::CrashSuspects(
     const worker_session& session,
     const absl::flat_hash_set<run_ref>& surviving) const {
-  std::vector<run_ref> suspects;
+  std::vector<run_ref> started;
+  std::vector<run_ref> unanswered;
   for (const auto& [run, state] : session.runs) {
     if (!state.detached && !surviving.contains(run) &&
         state.ordered_at + options_.crash_window >= session.last_answer) {
-      suspects.push_back(run);
+      (state.confirmed ? started : unanswered).push_back(run);
     }
   }
-  return suspects;
+  // A start without an answer may never have been carried out.
+  return started.empty() ? unanswered : started;
 }
 
 std::vector<run_ref> fleet_scheduler::CrashCulprits(
     const worker_session& session,
     const std::vector<run_ref>& suspects) const {
-  if (AreOneUnit(suspects)) {
+  const bool started = std::all_of(
+      suspects.begin(), suspects.end(), [&session](const run_ref& run) {
+        return session.runs.find(run)->second.confirmed;
+      });
+  if (started && AreOneUnit(suspects)) {
     return suspects;
   }
   std::vector<run_ref> suspected_before;
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
@@ -55,7 +55,12 @@
           absl::StrCat("runs ", session.runs.size()));
   absl::flat_hash_set<run_ref> surviving = ReportedRuns(report);
   std::vector<run_ref> lost;
+  // Then the runs that were carried out have been dropped without suspicion.
+  const bool lease_expired = now >= session.lease.ExpiresAt();
   for (const auto& [run, state] : session.runs) {
+    if (!state.confirmed && lease_expired) {
+      surviving.insert(run);
+    }
     if (!state.confirmed || surviving.contains(run)) {
       continue;
     }
