Let the crashes of a task move with it, so that they keep it in no full cell

What callers saw: a long-running task that was suspected of two crashes waited for its restart without a bound although another cell had room. One suspected crash held a task that another cell ran, and a delegated task that had crashed too many workers stayed stopped until a takeover, with its job still shown as running.

Cause: a delegation carried the crashes there, and nothing carried them back. So suspected tasks were not moved, and the other cell could not have the job failed.

Change: a return states the crashes that are held against its task, and the cell that runs the job takes them over and fails the job when they exceed the limit. A task that exceeds it in the other cell is given back at once. The number of crashes is no obstacle to a move any more: suspected_crashes leaves the lines on restarts. The row of a return without crashes is unchanged, and earlier versions ignore the new field.

--- a/include/skylarkbridge/jobs/delegation_obstacle.hpp
+++ b/include/skylarkbridge/jobs/delegation_obstacle.hpp
@@ -21,8 +21,6 @@
   kRepeatingJob,
   /// The checkpoint would be lost.
   kCheckpoint,
-  /// The task has crashed too many workers.
-  kSuspectedCrashes,
   /// A start of it without an answer may still be carried out by its worker.
   kLateStart,
   /// It was delegated to this cell, which can't give it back: as many returns
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -586,7 +586,10 @@
                        time_point now);
   /// Gives a task that was delegated to this cell back to the cell that runs
   /// its job, as another cell has room for it.
-  void ReturnRestart(const waiting_restart& restart, std::string detail);
+  void ReturnTask(const task_ref& task, std::string detail);
+  /// Gives back the delegated tasks that have crashed too many workers, so that
+  /// the cell that runs their job can fail it.
+  void ReturnTasksToGiveUp();
   /// Keeps the tasks of the job that were given back from starting.
   void ApplyReturns(job_id job);
   /// Adopts the runs of a job that workers reported before it was known.
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -182,6 +182,9 @@
   /// Lowest number of its next run: all runs that this cell started have lower
   /// numbers.
   run_number next_run = 1;
+  /// The crashes that are held against the task, those before the delegation
+  /// included. Empty in records of versions that didn't store it.
+  crashed_runs crashes = {};
 
   bool operator==(const returned_task&) const = default;
 };
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -188,12 +188,17 @@
   /// @brief Gives back a task for which CanReturn holds. This cell does not
   /// start it again unless it is delegated again.
   returned_task Return(const task_ref& task, epoch own_epoch);
+  /// @brief Tasks that another cell has delegated to this one and that have to
+  /// be given up for their crashes. Only the cell that runs the job can fail
+  /// it, so they have to be given back.
+  std::vector<task_ref> TasksToGiveUp() const;
   /// @brief This cell has given back a task. Has no effect if the task has been
   /// delegated again since.
   void ApplyReturn(const returned_task& returned);
-  /// @brief Takes a task back that the cell @p from has given back. It starts
-  /// here once that is stored. Returns false if the return does not concern the
-  /// present delegation of the task.
+  /// @brief Takes a task back that the cell @p from has given back, with the
+  /// crashes that are held against it. It starts here once that is stored.
+  /// Returns false if the return does not concern the present delegation of the
+  /// task.
   bool TakeBack(cell_id from, const returned_task& returned, time_point now);
   /// @brief Removes a job. Returns its active runs, which must be stopped.
   std::vector<run_to_stop> Remove(job_id job);
@@ -235,6 +240,10 @@
   /// up, its job fails; returns the runs of the job, which must be stopped.
   std::vector<run_to_stop> RecordCrash(const run_ref& run,
                                        crash_evidence evidence);
+  /// @brief Fails the job of a task that has to be given up for its crashes, if
+  /// this cell runs the job. Returns the runs of the job, which must be
+  /// stopped.
+  std::vector<run_to_stop> GiveUpIfCrashing(const task_ref& task);
   /// @brief Drops the suspicion against the task of a run that has outlived the
   /// time in which a crash would be blamed on it.
   void ClearCrashes(const run_ref& run);
@@ -309,14 +318,16 @@
                     std::uint32_t max_attempts);
   /// What keeps the task from moving, whatever its job: it is not ready, or
   /// something that only this owner knows would be lost.
-  /// @param max_crashes suspected crashes with which it may still move.
-  static delegation_obstacle ObstacleToMove(const task_state& task,
-                                            std::size_t max_crashes);
+  static delegation_obstacle ObstacleToMove(const task_state& task);
   /// Whether the task has to be given up after these crashes.
   bool ExceedsCrashLimit(const crashed_runs& crashes) const;
   /// Whether a task that another cell delegated has crashed too many workers.
-  /// It is not started again, as only the other cell can fail the job.
+  /// It is not started here again; see TasksToGiveUp.
   bool MustStayStopped(const task_ref& task) const;
+  /// The crashes that are held against a task; null while there are none.
+  const crashed_runs* FindCrashes(const task_ref& task) const;
+  /// Replaces the crashes that are held against a task.
+  void SetCrashes(const task_ref& task, const crashed_runs& crashes);
   /// Records a run of a task that is suspected of crashing its workers.
   void AddPendingRun(open_job& job, const run_ref& run, task_state& task);
   /// Removes the run if it is pending: it ended without a crash.
--- a/src/skylarkbridge/control/delegation_return_test.cpp
+++ b/src/skylarkbridge/control/delegation_return_test.cpp
@@ -193,6 +193,60 @@
   EXPECT_EQ(waiting.Violations(), "");
 }
 
+/// A fleet of two cells with one worker each that can run a task of kJob, and
+/// one that is too small. A worker that a task crashed is away for longer than
+/// its lease, so that the task moves to the other cell.
+std::unique_ptr<virtual_fleet> FleetOfTwoLargeWorkers() {
+  auto fleet = std::make_unique<virtual_fleet>(virtual_fleet::options{
+      .workers = 4, .cells = 2, .crash_return = seconds(9)});
+  fleet->Advance(kCalmTime + seconds(1));
+  for (jobs::cell_id cell = 0; cell < 2; ++cell) {
+    fleet->SetCapacity(WorkersOf(*fleet, cell)[0], kSmallCapacity);
+  }
+  fleet->Advance(seconds(3));
+  return fleet;
+}
+
+testing::AssertionResult RunsWithin(virtual_fleet& fleet, milliseconds limit) {
+  for (milliseconds waited{}; waited <= limit; waited += kStep) {
+    if (fleet.Checker().Running(kTask)) {
+      return testing::AssertionSuccess();
+    }
+    fleet.Advance(kStep);
+  }
+  return testing::AssertionFailure() << "not running";
+}
+
+// Guards against a task that waits in a full cell, while another one has room,
+// because two of its workers crashed shortly after its starts.
+TEST(DelegationReturnTest, ATaskSuspectedOfTwoCrashesMoves) {
+  const auto fleet = FleetOfTwoLargeWorkers();
+  fleet->Submit(0, kJob, "-4000 600000 0 1");
+  ASSERT_TRUE(RunsWithin(*fleet, seconds(3)));
+  const std::string in_first = fleet->Checker().WorkerOf(kTask);
+  std::string in_second;
+  for (jobs::cell_id cell = 0; cell < 2; ++cell) {
+    const std::string large = WorkersOf(*fleet, cell)[1];
+    in_second = large == in_first ? in_second : large;
+  }
+  fleet->SetCapacity(in_second, kSmallCapacity);
+  fleet->Advance(seconds(6));
+  for (int crashes = 0; crashes < 2; ++crashes) {
+    fleet->CrashWorker(in_first);
+    fleet->Advance(seconds(2));
+    fleet->StartWorker(in_first);
+    ASSERT_TRUE(RunsWithin(*fleet, seconds(15)));
+    fleet->Advance(milliseconds(100));
+  }
+  fleet->CrashWorker(in_first);
+  fleet->Advance(seconds(12));
+  ASSERT_FALSE(fleet->Checker().Running(kTask));
+  fleet->SetCapacity(in_second, kFullCapacity);
+  EXPECT_TRUE(RunsWithin(*fleet, kMaxRestartTime));
+  EXPECT_EQ(fleet->Checker().WorkerOf(kTask), in_second);
+  EXPECT_EQ(absl::StrJoin(fleet->Checker().Violations(), "\n"), "");
+}
+
 // Guards against a successor in the second cell that starts a task which was
 // given back, and against a return that is lost with its owner.
 TEST(DelegationReturnTest, SurvivesATakeoverOfTheSecondCell) {
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -138,8 +138,6 @@
       return "repeating_job";
     case delegation_obstacle::kCheckpoint:
       return "checkpoint";
-    case delegation_obstacle::kSuspectedCrashes:
-      return "suspected_crashes";
     case delegation_obstacle::kLateStart:
       return "late_start";
     case delegation_obstacle::kReturnLimit:
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -7,6 +7,7 @@
 namespace skylarkbridge::jobs {
 
 bool fleet_scheduler::PlaceRestarts(placement_pass& pass, time_point now) {
+  ReturnTasksToGiveUp();
   bool all_placed = true;
   for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
     all_placed &= PlaceRestart(restart, pass, now);
@@ -123,7 +124,7 @@
           .count(),
       " need ", need.millicores);
   if (delegated_here) {
-    ReturnRestart(restart, std::move(detail));
+    ReturnTask(restart.task, std::move(detail));
     return true;
   }
   jobs_.Delegate(restart.task, *to, delegation_targets_.StatingOwner(*to),
--- a/src/skylarkbridge/jobs/fleet_scheduler_returns.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_returns.cpp
@@ -20,12 +20,19 @@
   }
 }
 
-void fleet_scheduler::ReturnRestart(const waiting_restart& restart,
-                                    std::string detail) {
-  const returned_task returned = jobs_.Return(restart.task, epoch_);
+void fleet_scheduler::ReturnTask(const task_ref& task, std::string detail) {
+  const returned_task returned = jobs_.Return(task, epoch_);
   returns_.Add(returned);
-  AddNote(scheduling_event::kTaskReturned,
-          {restart.task, returned.next_run - 1}, "", std::move(detail));
+  AddNote(scheduling_event::kTaskReturned, {task, returned.next_run - 1}, "",
+          std::move(detail));
+}
+
+void fleet_scheduler::ReturnTasksToGiveUp() {
+  for (const task_ref& task : jobs_.TasksToGiveUp()) {
+    if (!returns_.Full()) {
+      ReturnTask(task, "too many crashes");
+    }
+  }
 }
 
 void fleet_scheduler::TaskReturned(cell_id from,
@@ -37,6 +44,11 @@
   AddNote(scheduling_event::kTaskTakenBack,
           {returned.task, returned.next_run - 1}, "",
           absl::StrCat("cell ", from));
+  RequestStops(jobs_.GiveUpIfCrashing(returned.task), true);
+  if (jobs_.Find(returned.task.job) == nullptr) {
+    AddNote(scheduling_event::kTaskGivenUp,
+            {returned.task, returned.next_run - 1}, "");
+  }
   placement_pending_ = true;
 }
 
--- a/src/skylarkbridge/jobs/job_table_crashes.cpp
+++ b/src/skylarkbridge/jobs/job_table_crashes.cpp
@@ -19,12 +19,43 @@
   known = evidence;
   changed_.insert(run.task.job);
   task->suspected_crashes = CountCrashes(crashes, crash_evidence::kSuspected);
-  // Only the cell that runs the job records its end.
-  return !job.is_delegated && ExceedsCrashLimit(crashes)
-             ? Finish(run.task.job, job_status::kFailed)
+  return GiveUpIfCrashing(run.task);
+}
+
+std::vector<run_to_stop> job_table::GiveUpIfCrashing(const task_ref& ref) {
+  const open_job* job = Find(ref.job);
+  if (job == nullptr || job->is_delegated) {
+    return {};
+  }
+  const crashed_runs* crashes = FindCrashes(ref);
+  return crashes != nullptr && ExceedsCrashLimit(*crashes)
+             ? Finish(ref.job, job_status::kFailed)
              : std::vector<run_to_stop>();
 }
 
+const crashed_runs* job_table::FindCrashes(const task_ref& ref) const {
+  const open_job* job = Find(ref.job);
+  const step_progress* progress =
+      job == nullptr ? nullptr
+                     : FindProgress(job->progress, ref.occurrence, ref.step);
+  if (progress == nullptr) {
+    return nullptr;
+  }
+  const auto found = progress->crashes.find(ref.index);
+  return found == progress->crashes.end() ? nullptr : &found->second;
+}
+
+void job_table::SetCrashes(const task_ref& ref, const crashed_runs& crashes) {
+  auto& known = FindOrAddProgress(jobs_.find(ref.job)->second, ref).crashes;
+  if (crashes.empty()) {
+    known.erase(ref.index);
+  } else {
+    known[ref.index] = crashes;
+  }
+  MutableTask(ref)->suspected_crashes =
+      CountCrashes(crashes, crash_evidence::kSuspected);
+}
+
 bool job_table::ExceedsCrashLimit(const crashed_runs& crashes) const {
   const std::size_t count = CountCrashes(crashes, crash_evidence::kSuspected);
   const std::size_t blamed = CountCrashes(crashes, crash_evidence::kBlamed);
@@ -74,15 +105,28 @@
 }
 
 bool job_table::MustStayStopped(const task_ref& ref) const {
-  const open_job* job = Find(ref.job);
-  const step_progress* progress =
-      FindProgress(job->progress, ref.occurrence, ref.step);
-  if (!job->is_delegated || progress == nullptr) {
+  if (!Find(ref.job)->is_delegated) {
     return false;
   }
-  const auto crashes = progress->crashes.find(ref.index);
-  return crashes != progress->crashes.end() &&
-         ExceedsCrashLimit(crashes->second);
+  const crashed_runs* crashes = FindCrashes(ref);
+  return crashes != nullptr && ExceedsCrashLimit(*crashes);
+}
+
+std::vector<task_ref> job_table::TasksToGiveUp() const {
+  std::vector<task_ref> tasks;
+  for (const step_ref& ref : ready_) {
+    if (!Find(ref.job)->is_delegated) {
+      continue;
+    }
+    const std::vector<task_state>& states = Find(ref)->tasks;
+    for (std::uint32_t index = 0; index < states.size(); ++index) {
+      const task_ref task = TaskOf(ref, index);
+      if (states[index].phase == task_phase::kReady && MustStayStopped(task)) {
+        tasks.push_back(task);
+      }
+    }
+  }
+  return tasks;
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/job_table_delegations.cpp
+++ b/src/skylarkbridge/jobs/job_table_delegations.cpp
@@ -6,13 +6,6 @@
 #include "skylarkbridge/jobs/job_table.hpp"
 
 namespace skylarkbridge::jobs {
-namespace {
-
-/// A task that is suspected of more crashes stays in its cell: other cells do
-/// not record the crashes of its next runs.
-constexpr std::size_t kMaxCrashesToDelegate = 1;
-
-}  // namespace
 
 void job_table::StartDelegatedOccurrence(open_job& job) {
   std::vector<step_state>& steps = job.due_occurrences[0];
@@ -47,12 +40,9 @@
         continue;
       }
       task->first_run = delegation.first_run;
-      if (const auto crashed = step.crashes.find(index);
-          crashed != step.crashes.end()) {
-        FindOrAddProgress(entry->second, ref).crashes[index] = crashed->second;
-        task->suspected_crashes =
-            CountCrashes(crashed->second, crash_evidence::kSuspected);
-      }
+      const auto crashed = step.crashes.find(index);
+      SetCrashes(ref, crashed == step.crashes.end() ? crashed_runs()
+                                                    : crashed->second);
       task->last_run_ended_at = now;
       // No earlier owner has started a task that was delegated to this one.
       const bool delegated_to_this_owner =
@@ -80,8 +70,7 @@
     return delegation_obstacle::kNotReady;
   }
   if (job->is_delegated) {
-    // The return does not carry the crashes that this cell has counted.
-    return ObstacleToMove(*task, 0);
+    return ObstacleToMove(*task);
   }
   const step_spec& step = job->spec.steps[ref.step];
   if (job->spec.repeat_count > 0) {
@@ -93,14 +82,10 @@
   if (!step.required_label.empty()) {
     return delegation_obstacle::kLabel;
   }
-  return ObstacleToMove(*task, kMaxCrashesToDelegate);
+  return ObstacleToMove(*task);
 }
 
-delegation_obstacle job_table::ObstacleToMove(const task_state& task,
-                                              std::size_t max_crashes) {
-  if (task.suspected_crashes > max_crashes) {
-    return delegation_obstacle::kSuspectedCrashes;
-  }
+delegation_obstacle job_table::ObstacleToMove(const task_state& task) {
   if (!task.checkpoint.empty()) {
     return delegation_obstacle::kCheckpoint;
   }
--- a/src/skylarkbridge/jobs/job_table_returns.cpp
+++ b/src/skylarkbridge/jobs/job_table_returns.cpp
@@ -13,10 +13,12 @@
 
 returned_task job_table::Return(const task_ref& ref, epoch own_epoch) {
   const run_number first_run = Find(ref)->first_run;
+  const crashed_runs* crashes = FindCrashes(ref);
   const returned_task returned{
       .task = ref,
       .first_run = first_run,
-      .next_run = std::max(NextRun(ref, own_epoch), first_run + 1)};
+      .next_run = std::max(NextRun(ref, own_epoch), first_run + 1),
+      .crashes = crashes == nullptr ? crashed_runs() : *crashes};
   ApplyReturn(returned);
   return returned;
 }
@@ -56,6 +58,7 @@
   task->not_before = now;
   // Also holds the start back until the new entry is stored.
   RecordLastEndedRun(job, {ref, returned.next_run - 1});
+  SetCrashes(ref, returned.crashes);
   MakeReady(ref, *task);
   return true;
 }
--- a/src/skylarkbridge/jobs/job_table_returns_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_returns_test.cpp
@@ -128,6 +128,66 @@
   EXPECT_TRUE(first.WaitingRestarts().empty());
 }
 
+/// Records a run in the second cell whose worker crashed.
+void CrashRun(job_table& second, run_number number) {
+  const run_ref run{kTask, number};
+  second.RecordStart(run, "w");
+  second.RecordCrash(run, crash_evidence::kBlamed);
+  second.RecordLoss(run, kNow);
+}
+
+// Guards against crashes in the second cell that the first one doesn't count,
+// and against a task that they keep in the second cell.
+TEST(JobTableReturnsTest, AReturnCarriesTheCrashes) {
+  job_state stored = DelegatedJob();
+  stored.progress.steps[0].crashes = {{0, {{1, crash_evidence::kSuspected}}}};
+  job_table second = TableOf(kSecondCell, stored);
+  CrashRun(second, kDelegatedRun);
+  ASSERT_TRUE(second.CanReturn(kTask));
+  const returned_task returned = second.Return(kTask, 2);
+  const crashed_runs crashes = {{1, crash_evidence::kSuspected},
+                                {kDelegatedRun, crash_evidence::kBlamed}};
+  EXPECT_EQ(returned.crashes, crashes);
+
+  job_table first = TableOf(kFirstCell, stored);
+  ASSERT_TRUE(first.TakeBack(kSecondCell, returned, kNow));
+  EXPECT_TRUE(first.GiveUpIfCrashing(kTask).empty());
+  EXPECT_EQ(first.Find(kTask)->suspected_crashes, 2U);
+  EXPECT_EQ(TakeProgress(first).steps[0].crashes.at(0), crashes);
+}
+
+// Guards against crashes that the first cell holds against a task which has run
+// on without one in the second cell.
+TEST(JobTableReturnsTest, AReturnWithoutCrashesClearsThem) {
+  job_state stored = DelegatedJob();
+  stored.progress.steps[0].crashes = {{0, {{1, crash_evidence::kBlamed}}}};
+  job_table first = TableOf(kFirstCell, stored);
+  ASSERT_TRUE(first.TakeBack(
+      kSecondCell,
+      {.task = kTask, .first_run = kDelegatedRun, .next_run = 30'006}, kNow));
+  EXPECT_EQ(first.Find(kTask)->suspected_crashes, 0U);
+  EXPECT_TRUE(TakeProgress(first).steps[0].crashes.empty());
+}
+
+// Guards against a task that stays stopped in the second cell, which can't fail
+// the job, after it has crashed too many workers there.
+TEST(JobTableReturnsTest, ATaskThatCrashesWorkersInTheSecondCellIsGivenUp) {
+  job_table second = TableOf(kSecondCell, DelegatedJob());
+  CrashRun(second, kDelegatedRun);
+  CrashRun(second, kDelegatedRun + 1);
+  EXPECT_TRUE(second.TasksToGiveUp().empty());
+  CrashRun(second, kDelegatedRun + 2);
+  ASSERT_EQ(second.TasksToGiveUp(), std::vector<task_ref>{kTask});
+  const returned_task returned = second.Return(kTask, 2);
+  EXPECT_TRUE(second.TasksToGiveUp().empty());
+
+  job_table first = TableOf(kFirstCell, DelegatedJob());
+  ASSERT_TRUE(first.TakeBack(kSecondCell, returned, kNow));
+  first.GiveUpIfCrashing(kTask);
+  EXPECT_EQ(first.Find(kTask.job), nullptr);
+  EXPECT_EQ(TakeProgress(first).status, job_status::kFailed);
+}
+
 // Guards against a successor that takes the end of an early run for that of the
 // last one: the numbers of a task that was taken back begin higher.
 TEST(JobTableReturnsTest, AnEndOfAnEarlierEpochReleasesNoTask) {
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -47,6 +47,9 @@
 /// Position of delegated_task::owner_epoch in a row of that column. Rows of
 /// earlier versions end before it.
 constexpr std::size_t kOwnerEpochOfDelegation = 3;
+/// Position of returned_task::crashes in a row. Rows of tasks without crashes,
+/// and those of earlier versions, end before it; earlier versions ignore it.
+constexpr std::size_t kCrashesOfReturn = 3;
 /// Column of ownership_record::room, which earlier versions neither write nor
 /// read.
 constexpr std::size_t kRoomColumn = 6;
@@ -141,14 +144,18 @@
   return flags;
 }
 
+json ToJson(const crashed_runs& crashes) {
+  json rows = json::array();
+  for (const auto& [run, evidence] : crashes) {
+    rows.push_back(json::array({run, static_cast<int>(evidence)}));
+  }
+  return rows;
+}
+
 json CrashesToJson(const step_progress& step) {
   json rows = json::array();
   for (const auto& [index, crashes] : step.crashes) {
-    json runs = json::array();
-    for (const auto& [run, evidence] : crashes) {
-      runs.push_back(json::array({run, static_cast<int>(evidence)}));
-    }
-    rows.push_back(json::array({index, std::move(runs)}));
+    rows.push_back(json::array({index, ToJson(crashes)}));
   }
   return rows;
 }
@@ -340,8 +347,12 @@
 keyed_record ToRecord(const returned_tasks& record) {
   json rows = json::array();
   for (const returned_task& returned : record.tasks) {
-    rows.push_back(json::array(
-        {Format(returned.task), returned.first_run, returned.next_run}));
+    json row = json::array(
+        {Format(returned.task), returned.first_run, returned.next_run});
+    if (!returned.crashes.empty()) {
+      row.push_back(ToJson(returned.crashes));
+    }
+    rows.push_back(std::move(row));
   }
   return {.key = std::string(kReturnedTasksKey),
           .value = Pack(json::array({record.claim_epoch, std::move(rows)}))};
@@ -425,9 +436,14 @@
   if (!task) {
     encoding::ThrowInvalid("is not a task");
   }
-  return {.task = *task,
-          .first_run = ToInteger<run_number>(row.at(1), {1, kMaxRunNumber}),
-          .next_run = ToInteger<run_number>(row.at(2), {1, kMaxRunNumber})};
+  returned_task returned{
+      .task = *task,
+      .first_run = ToInteger<run_number>(row.at(1), {1, kMaxRunNumber}),
+      .next_run = ToInteger<run_number>(row.at(2), {1, kMaxRunNumber})};
+  if (row.size() > kCrashesOfReturn) {
+    returned.crashes = ToCrashedRuns(row.at(kCrashesOfReturn));
+  }
+  return returned;
 }
 
 returned_tasks ToReturnedTasks(const json& value) {
