--- a/src/skylarkbridge/jobs/job_table_returns.cpp
+++ b/src/skylarkbridge/jobs/job_table_returns.cpp
@@ -14,7 +14,7 @@
 returned_task job_table::Return(const task_ref& ref, epoch own_epoch) {
   const run_number first_run = Find(ref)->first_run;
   const crashed_runs* crashes = FindCrashes(ref);
-  const returned_task returned{
+  returned_task returned{
       .task = ref,
       .first_run = first_run,
       .next_run = std::max(NextRun(ref, own_epoch), first_run + 1),
