Move what concerns several cells into a header of its own

Change: control_state_cells.hpp holds what one cell's log passes on to others and the choice of a job's cell; code moved, not changed.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -181,7 +181,8 @@
             .reason = std::move(reason)};
   }
 
-  // The store and the workers, in control_state_store.hpp.
+  // The store and the workers, in control_state_store.hpp, and what concerns
+  // several cells, in control_state_cells.hpp.
   void HandleReply(const append_reply& reply, time_point now, wall_time wall);
   void HandleReply(read_reply reply, time_point now, wall_time wall);
   template <class OrderReply>
@@ -288,6 +289,7 @@
 }  // namespace skylarkbridge::control
 
 #include "skylarkbridge/control/control_state_callers.hpp"
+#include "skylarkbridge/control/control_state_cells.hpp"
 #include "skylarkbridge/control/control_state_fleet_map.hpp"
 #include "skylarkbridge/control/control_state_gauges.hpp"
 #include "skylarkbridge/control/control_state_store.hpp"
