Relocate a smaller run for a restart that finds room in small pieces only

Cause: a long-running task for which no worker has room in one piece, also with batch work stopped, and for which no other cell states room, waited until long-running work ended or a worker joined, although its cell had more free room than it needs.

Change: after 2.2 s (relocation_delay, when a delegation has been tried also to the shares of other cells) the owner chooses the smallest long-running run that holds what the task lacks on its worker and for whose task another worker has room, or can have it by stopping batch work. That room is reserved first, then the run is stopped, and the waiting task has its room reserved on the worker that the run leaves. The room of the relocated task is kept until its own turn in each pass. A task is relocated at most once in 60 s. The event log has the new note relocation_planned.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -28,6 +28,7 @@
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
+#include "skylarkbridge/jobs/relocation.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/stated_room.hpp"
@@ -432,6 +433,8 @@
     absl::flat_hash_map<std::string, resources> expected_restart_room;
     /// Whether expected_restart_room has been computed.
     bool expects_restarts = false;
+    /// Whether a run to relocate was searched.
+    bool searched_relocation = false;
 
     /// Room on the worker that is kept from a step.
     resources ReservedRoom(const std::string& worker,
@@ -622,6 +625,66 @@
                                          const queue_configuration& queue,
                                          time_point now) const;
 
+  // Relocation of long-running runs.
+  /// A long-running run that is stopped so that a larger waiting task gets its
+  /// room. Room is reserved for its own task on another worker before.
+  struct relocation {
+    run_ref run;
+    std::string from;
+    std::string to;
+    /// From then on no room is kept for the relocation.
+    time_point give_up_at;
+  };
+  /// The run while it is on its first worker; null after that.
+  const worker_run* FindRelocatedRun(const relocation& move) const;
+  /// Whether the run is to be stopped for the waiting task, or its task waits
+  /// for its restart.
+  bool IsUnderWay(const task_ref& waiting,
+                  const relocation& move,
+                  time_point now) const;
+  /// Removes the relocations that are over, and keeps the room for the tasks of
+  /// the others.
+  void KeepRoomOfRelocatedRuns(placement_pass& pass, time_point now);
+  void ReserveRoomOnTarget(const relocation& move,
+                           placement_pass& pass,
+                           time_point now) const;
+  /// Makes the room that was kept for a waiting restart available to it.
+  void ReleaseKeptRoom(const task_ref& task, placement_pass& pass) const;
+  /// Reserves room on a worker from which a smaller run is relocated, for a
+  /// task for which no worker can have room otherwise. Returns that worker once
+  /// the run is being stopped.
+  const placement_candidate* ReserveRoomByRelocation(
+      const waiting_restart& restart,
+      const step_spec& step,
+      const queue_configuration& queue,
+      placement_pass& pass,
+      time_point now);
+  /// Chooses a run to relocate; nullopt when the move of one run does not
+  /// suffice.
+  std::optional<relocation> PlanRelocation(const waiting_restart& restart,
+                                           const step_spec& step,
+                                           const queue_configuration& queue,
+                                           placement_pass& pass,
+                                           time_point now);
+  /// The smaller runs on the workers that the waiting task may use.
+  std::vector<relocatable_run> RelocatableRuns(const task_ref& waiting,
+                                               const step_spec& step,
+                                               const queue_configuration& queue,
+                                               placement_pass& pass,
+                                               time_point now) const;
+  bool MayRelocate(const run_ref& run, const worker_run& state) const;
+  /// Another worker that has room for the task of the run, or can have it once
+  /// batch work is stopped; empty for none.
+  std::string FindRelocationTarget(const relocatable_run& run,
+                                   placement_pass& pass,
+                                   time_point now) const;
+  /// Stops the run once the reserved room on its next worker is free. Returns
+  /// whether it is being stopped.
+  bool StopRelocatedRun(const task_ref& waiting,
+                        const relocation& move,
+                        const placement_pass& pass,
+                        time_point now);
+
   // Evacuation of draining workers.
   /// A long-running run on a draining worker.
   struct leaving_run {
@@ -767,6 +830,12 @@
   std::map<task_ref, blocked_restart> blocked_restarts_;
   /// Kept when a start is refused, as the wait goes on.
   std::map<task_ref, restart_wait> restart_waits_;
+  /// By the waiting task that gets the room; at most one for each.
+  std::map<task_ref, relocation> relocations_;
+  /// The tasks that were relocated lately, each with the time before which it
+  /// is not relocated again.
+  std::map<task_ref, time_point> relocated_until_;
+  time_point next_relocation_search_;
   late_starts late_starts_;
   time_point next_restart_report_;
   time_point next_cancel_report_;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -76,6 +76,16 @@
   /// The same when room is reserved for it on a worker. Longer than
   /// preemption_delay and the stop of a task together.
   std::chrono::milliseconds max_reserved_wait{2000};
+  /// For a restart of a long-running task that has waited this long, while no
+  /// worker can have room for it in one piece, a smaller long-running run is
+  /// relocated. Longer than a delegation to the share of another cell takes.
+  std::chrono::milliseconds relocation_delay{2200};
+  /// Interval of the searches for a run to relocate, over all restarts.
+  std::chrono::milliseconds relocation_search_interval{200};
+  /// A relocation ends after this time, also if its task has not started again.
+  std::chrono::milliseconds relocation_timeout{4000};
+  /// A task is not relocated again within this time.
+  std::chrono::milliseconds min_relocation_interval{60'000};
   /// A long-running task that waits longer for its restart is reported.
   std::chrono::milliseconds restart_report_delay{1000};
   /// Interval of these reports.
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -52,6 +52,9 @@
   kTaskReturned,
   /// This cell has taken back a task that it had delegated.
   kTaskTakenBack,
+  /// A long-running run will be stopped and restarted on another worker, so
+  /// that a larger waiting task gets its room.
+  kRelocationPlanned,
   /// A run of a cancelled job has been on its worker for over
   /// fleet_scheduler_options::cancel_report_delay since the cancellation was
   /// read.
--- a/src/skylarkbridge/control/restart_test.cpp
+++ b/src/skylarkbridge/control/restart_test.cpp
@@ -30,6 +30,8 @@
 /// The job with the task whose run ends.
 constexpr jobs::job_id kRestartingJob{0x20};
 constexpr jobs::job_id kBatchJob{0x30};
+/// A job with smaller tasks.
+constexpr jobs::job_id kSmallJob{0x40};
 
 jobs::task_ref Task(jobs::job_id job, std::uint32_t index) {
   return {.job = job, .index = index};
@@ -360,6 +362,24 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a task that waits without a bound because its cell has the
+// room that it needs in small pieces only.
+TEST(RestartTest, MovesASmallerTaskWhenTheRoomIsThereInSmallPieces) {
+  auto fleet = StartedFleet({.workers = 3});
+  SubmitAndStart(*fleet, kRestartingJob, "-2000 600000 0 1");
+  SubmitAndStart(*fleet, kWaitingJob, "-1500 600000 0 2");
+  SubmitAndStart(*fleet, kSmallJob, "-1000 600000 0 2");
+  const std::string leaving =
+      fleet->Checker().WorkerOf(Task(kRestartingJob, 0));
+  fleet->DrainWorker(leaving, seconds(2));
+  fleet->Advance(seconds(2));
+  ASSERT_FALSE(fleet->Checker().Running(Task(kRestartingJob, 0)));
+  EXPECT_TRUE(RunsWithin(*fleet, Task(kRestartingJob, 0), kMaxRestartTime));
+  fleet->Advance(kMaxRestartTime);
+  EXPECT_EQ(CountRunning(*fleet, kSmallJob, 2), 2U);
+  EXPECT_EQ(Violations(*fleet), "");
+}
+
 /// A fleet of two cells with four workers each. kRestartingJob fills its cell;
 /// the other is empty.
 /// @param tasks number of tasks of kRestartingJob, of which eight run.
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -52,6 +52,8 @@
       return "task_returned";
     case scheduling_event::kTaskTakenBack:
       return "task_taken_back";
+    case scheduling_event::kRelocationPlanned:
+      return "relocation_planned";
     case scheduling_event::kCancelDelayed:
       return "cancel_delayed";
     case scheduling_event::kCrashSuspected:
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -87,6 +87,9 @@
   returns_.Clear();
   blocked_restarts_.clear();
   restart_waits_.clear();
+  relocations_.clear();
+  relocated_until_.clear();
+  next_relocation_search_ = {};
   late_starts_.Clear();
   permits_.Clear();
   registration_writes_.clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -26,9 +26,13 @@
   placement_pass pass;
   const std::vector<leaving_run> leaving = LeavingRuns();
   KeepRoomOfLeavingRuns(leaving, pass, now);
+  KeepRoomOfRelocatedRuns(pass, now);
   bool restarts_placed = PlaceRestarts(pass, now);
   restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
   restart_room_ = pass.reserved_room;
+  if (pass.searched_relocation) {
+    next_relocation_search_ = now + options_.relocation_search_interval;
+  }
   const bool bound_tasks_placed = PlaceBoundTasks(pass, now);
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
--- /dev/null
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -0,0 +1,257 @@
+// Relocation of smaller long-running runs for a restart that finds its room
+// only in several pieces.
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "skylarkbridge/jobs/fleet_scheduler.hpp"
+
+namespace skylarkbridge::jobs {
+namespace {
+
+/// Runs for which another worker is searched in one pass. When the smallest
+/// ones find no room, larger ones hardly do.
+constexpr std::size_t kMaxRunsTried = 8;
+
+resources PreemptibleRoom(const placement_candidate& candidate) {
+  resources room = candidate.session->PreemptibleRoom();
+  room -= candidate.reserved;
+  return room;
+}
+
+}  // namespace
+
+const worker_run* fleet_scheduler::FindRelocatedRun(
+    const relocation& move) const {
+  const auto from = workers_.find(move.from);
+  if (from == workers_.end()) {
+    return nullptr;
+  }
+  const auto run = from->second.runs.find(move.run);
+  return run == from->second.runs.end() ? nullptr : &run->second;
+}
+
+bool fleet_scheduler::IsUnderWay(const task_ref& waiting,
+                                 const relocation& move,
+                                 time_point now) const {
+  if (now >= move.give_up_at) {
+    return false;
+  }
+  const auto is_ready = [this](const task_ref& task) {
+    const task_state* state = jobs_.Find(task);
+    return state != nullptr && state->phase == task_phase::kReady;
+  };
+  const worker_run* run = FindRelocatedRun(move);
+  if (run == nullptr) {
+    return is_ready(move.run.task);
+  }
+  if (run->stop_wanted) {
+    return !run->detached;
+  }
+  const auto usable = [this, now](const std::string& worker) {
+    const auto session = workers_.find(worker);
+    return session != workers_.end() && Usable(session->second, now);
+  };
+  return is_ready(waiting) && usable(move.from) && usable(move.to);
+}
+
+void fleet_scheduler::KeepRoomOfRelocatedRuns(placement_pass& pass,
+                                              time_point now) {
+  std::erase_if(relocated_until_,
+                [now](const auto& entry) { return now >= entry.second; });
+  std::erase_if(relocations_, [this, now](const auto& entry) {
+    return !IsUnderWay(entry.first, entry.second, now);
+  });
+  for (const auto& [waiting, move] : relocations_) {
+    if (!pass.reserved_workers.contains(move.run.task)) {
+      ReserveRoomOnTarget(move, pass, now);
+    }
+  }
+}
+
+void fleet_scheduler::ReserveRoomOnTarget(const relocation& move,
+                                          placement_pass& pass,
+                                          time_point now) const {
+  const task_ref& task = move.run.task;
+  const step_ref ref = StepOf(task);
+  const step_spec* step = jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  if (step == nullptr || queue == nullptr) {
+    return;
+  }
+  for (placement_candidate& candidate :
+       CandidatesForStep(ref, *step, *queue, pass, now)) {
+    if (candidate.session->entry.worker == move.to) {
+      ReserveRoomOn(candidate, task, *step, pass);
+      return;
+    }
+  }
+}
+
+void fleet_scheduler::ReleaseKeptRoom(const task_ref& task,
+                                      placement_pass& pass) const {
+  const auto reserved = pass.reserved_workers.find(task);
+  if (reserved == pass.reserved_workers.end()) {
+    return;
+  }
+  pass.reserved_room[reserved->second] -=
+      ReservedResources(*jobs_.Spec(StepOf(task)));
+  pass.reserved_workers.erase(reserved);
+}
+
+const placement_candidate* fleet_scheduler::ReserveRoomByRelocation(
+    const waiting_restart& restart,
+    const step_spec& step,
+    const queue_configuration& queue,
+    placement_pass& pass,
+    time_point now) {
+  // A policy would first have to permit the start on the worker.
+  if (queue.HasPlacementPolicy()) {
+    return nullptr;
+  }
+  auto move = relocations_.find(restart.task);
+  if (move == relocations_.end()) {
+    std::optional<relocation> planned =
+        PlanRelocation(restart, step, queue, pass, now);
+    if (!planned) {
+      return nullptr;
+    }
+    ReserveRoomOnTarget(*planned, pass, now);
+    move = relocations_.emplace(restart.task, std::move(*planned)).first;
+  }
+  for (placement_candidate& candidate :
+       CandidatesForStep(StepOf(restart.task), step, queue, pass, now)) {
+    if (candidate.session->entry.worker == move->second.from) {
+      ReserveRoomOn(candidate, restart.task, step, pass);
+      return StopRelocatedRun(restart.task, move->second, pass, now)
+                 ? &candidate
+                 : nullptr;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<fleet_scheduler::relocation> fleet_scheduler::PlanRelocation(
+    const waiting_restart& restart,
+    const step_spec& step,
+    const queue_configuration& queue,
+    placement_pass& pass,
+    time_point now) {
+  if (now < next_relocation_search_) {
+    return std::nullopt;
+  }
+  pass.searched_relocation = true;
+  const std::vector<relocatable_run> ranked =
+      RankRunsToRelocate(RelocatableRuns(restart.task, step, queue, pass, now));
+  const std::size_t tried = std::min(ranked.size(), kMaxRunsTried);
+  for (std::size_t index = 0; index < tried; ++index) {
+    const relocatable_run& run = ranked[index];
+    const std::string to = FindRelocationTarget(run, pass, now);
+    if (to.empty()) {
+      continue;
+    }
+    AddNote(scheduling_event::kRelocationPlanned, run.run, to,
+            absl::StrCat("from ", run.worker, " holds ", run.held.millicores,
+                         " for ", Format(restart.task), " need ",
+                         step.need.millicores));
+    return relocation{.run = run.run,
+                      .from = run.worker,
+                      .to = to,
+                      .give_up_at = now + options_.relocation_timeout};
+  }
+  return std::nullopt;
+}
+
+std::vector<relocatable_run> fleet_scheduler::RelocatableRuns(
+    const task_ref& waiting,
+    const step_spec& step,
+    const queue_configuration& queue,
+    placement_pass& pass,
+    time_point now) const {
+  const resources need = ReservedResources(step);
+  std::vector<relocatable_run> runs;
+  for (const placement_candidate& candidate :
+       CandidatesForStep(StepOf(waiting), step, queue, pass, now)) {
+    if (!IsEligible(step, candidate)) {
+      continue;
+    }
+    resources missing = need;
+    missing -= PreemptibleRoom(candidate);
+    for (const auto& [run, state] : candidate.session->runs) {
+      if (state.reserved.millicores < need.millicores &&
+          !pass.reserved_workers.contains(run.task) &&
+          MayRelocate(run, state)) {
+        runs.push_back({.run = run,
+                        .worker = candidate.session->entry.worker,
+                        .held = state.reserved,
+                        .missing = missing});
+      }
+    }
+  }
+  return runs;
+}
+
+bool fleet_scheduler::MayRelocate(const run_ref& run,
+                                  const worker_run& state) const {
+  const queue_configuration* queue = Queue(run.task.job);
+  const task_state* task = jobs_.Find(run.task);
+  return queue != nullptr && task != nullptr && !queue->HasPlacementPolicy() &&
+         state.phase == run_phase::kRunning && state.long_running &&
+         !state.gang && !state.detached && !state.stop_wanted &&
+         task->active_runs.size() == 1 && task->suspected_crashes == 0 &&
+         late_starts_.Find(run.task) == nullptr &&
+         !relocated_until_.contains(run.task);
+}
+
+std::string fleet_scheduler::FindRelocationTarget(const relocatable_run& run,
+                                                  placement_pass& pass,
+                                                  time_point now) const {
+  const step_ref ref = StepOf(run.run.task);
+  const step_spec* step = jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  if (step == nullptr || queue == nullptr) {
+    return {};
+  }
+  std::vector<placement_candidate> others =
+      CandidatesForStep(ref, *step, *queue, pass, now);
+  std::erase_if(others, [&run](const placement_candidate& candidate) {
+    return candidate.session->entry.worker == run.worker;
+  });
+  std::optional<std::size_t> chosen =
+      ChooseWorker(*step, others, "", options_.placement);
+  if (!chosen) {
+    chosen = ChooseWorkerToReserve(*step, others, "");
+  }
+  return chosen && Fits(ReservedResources(*step),
+                        PreemptibleRoom(others[*chosen]))
+             ? others[*chosen].session->entry.worker
+             : "";
+}
+
+bool fleet_scheduler::StopRelocatedRun(const task_ref& waiting,
+                                       const relocation& move,
+                                       const placement_pass& pass,
+                                       time_point now) {
+  const worker_run* run = FindRelocatedRun(move);
+  if (run == nullptr || run->stop_wanted) {
+    return true;
+  }
+  const placement_candidate target{
+      .session = &workers_.find(move.to)->second,
+      .reserved = pass.ReservedRoom(move.to, false)};
+  if (!Fits(resources{}, target.Room())) {
+    PreemptRuns(move.run.task, target, now);
+    return false;
+  }
+  worker_session& from = workers_.find(move.from)->second;
+  from.runs.find(move.run)->second.stop_wanted = true;
+  relocated_until_[move.run.task] = now + options_.min_relocation_interval;
+  AddNote(scheduling_event::kStopOrdered, move.run, move.from,
+          absl::StrCat("makes room for the restart of ", Format(waiting),
+                       ", restarts on ", move.to));
+  SendStops(from, now);
+  return true;
+}
+
+}  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -9,6 +9,7 @@
 bool fleet_scheduler::PlaceRestarts(placement_pass& pass, time_point now) {
   bool all_placed = true;
   for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
+    ReleaseKeptRoom(restart.task, pass);
     all_placed &= PlaceRestart(restart, pass, now);
   }
   return all_placed;
@@ -80,6 +81,10 @@
     pass.blocked_restarts.erase(restart.task);
     return true;
   }
+  if (reserved_on == nullptr && late == nullptr &&
+      waited >= options_.relocation_delay) {
+    reserved_on = ReserveRoomByRelocation(restart, *step, *queue, pass, now);
+  }
   if (reserved_on != nullptr && may_start &&
       waited >= options_.preemption_delay) {
     PreemptRuns(restart.task, *reserved_on, now);
