Take no list of machines that names none of the reporting workers

Cause: a list whose ids are not those in the list of workers, or that gives no ids, made every worker of earlier owners that had not reported count as gone, also one that is only cut off and runs its tasks.

Change: a list proves nothing when workers have reported to the owner and it names none of them. Where none has reported, it counts: all workers of the cell may have left, and its tasks can move to another cell.

Measured: MachineListReleaseTest.AListWithoutAWorkerThatReportsProvesNothing failed in a build without the change (the second list ended the wait) and passes.

--- a/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
@@ -2,12 +2,31 @@
 // after the last order of earlier owners, and that does not name a worker,
 // shows that its process has ended: a worker that is only cut off stays in it.
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
+namespace {
+
+/// Whether workers have reported and the list names none of them, so that its
+/// ids may have nothing to do with those in the list of workers.
+bool IsOdd(const machine_list& list,
+           const std::map<std::string, worker_session>& workers) {
+  bool any_reported = false;
+  for (const auto& [worker, session] : workers) {
+    if (session.has_reported && Names(list, worker)) {
+      return false;
+    }
+    any_reported = any_reported || session.has_reported;
+  }
+  return any_reported;
+}
+
+}  // namespace
 
 bool fleet_scheduler::NeedsMachineList(time_point now) const {
   // Most workers report at once after a takeover, and need no list.
@@ -22,6 +41,9 @@
   if (!active_ || list.requested_at < earlier_orders_until_) {
     return;
   }
+  if (IsOdd(list, workers_)) {
+    return;
+  }
   const std::optional<machine_list> earlier =
       std::exchange(last_machine_list_, list);
   if (!earlier || !Confirms(list, *earlier)) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_machine_list_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_machine_list_test.cpp
@@ -98,6 +98,35 @@
   EXPECT_FALSE(driver.Waits());
 }
 
+// Guards against a second run of a task where the list names workers in another
+// way than the list of workers does, or names none: every worker would count as
+// gone.
+TEST(MachineListReleaseTest, AListWithoutAWorkerThatReportsProvesNothing) {
+  machine_list_driver driver;
+  driver.Pass(kEarlierOwnerTime);
+  for (const std::string worker : {"other", "other", "", ""}) {
+    driver.List({{"m0", worker}});
+    EXPECT_TRUE(driver.Waits());
+    driver.Pass(milliseconds(500));
+  }
+}
+
+// Guards against a wait of 12 s for a cell whose workers have all left, so that
+// none can report; its tasks can move to another cell.
+TEST(MachineListReleaseTest, AListCountsWhereNoWorkerReports) {
+  scheduler_driver driver;
+  driver.Begin({"gone"}, kEarlierOwnerTime);
+  driver.Pass(kEarlierOwnerTime);
+  for (int reading = 0; reading < 2; ++reading) {
+    EXPECT_GT(driver.scheduler.UnreportedWorkers(), 0U);
+    driver.scheduler.MachinesListed(
+        {.requested_at = driver.now, .workers = {{"m0", "other"}}});
+    driver.RunRounds();
+    driver.Pass(milliseconds(500));
+  }
+  EXPECT_EQ(driver.scheduler.UnreportedWorkers(), 0U);
+}
+
 // Guards against calls to the platform while no worker is waited for, and for
 // workers that report at once.
 TEST(MachineListReleaseTest, NeedsNoListWithoutUnreportedWorkers) {
