Let a task leave a worker that answers renewals but no start

Cause: a start without an answer binds its task to the worker for 15 s, in case a later life carries it out. Each repeat on that worker was such a start again and bound the task for 15 s more, so that a worker that answers renewals but no start kept the task without end. For other tasks it was chosen again every 500 ms.

Change: while late starts bind a task, its worker gets one more start of it, and further ones only after it has confirmed another start or restarted. Once the late starts are over, the worker is not chosen for the task for 30 s. Its pause for other tasks doubles with each further unanswered start, up to 16 s.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -336,6 +336,14 @@
                        const worker_run& run);
   /// Removes the late starts that can have no effect any more.
   void RemoveEndedLateStarts(time_point now);
+  /// Whether the late start can have no effect any more.
+  bool IsOver(const late_start& start, time_point now) const;
+  /// Whether the worker may get one more start of the task: it has not left too
+  /// many without an answer, or has confirmed another start since.
+  static bool MayRepeatStart(const late_start& start,
+                             const worker_session& session);
+  /// How long a worker gets no new tasks after a start without an answer.
+  std::chrono::milliseconds StartBackoff(const worker_session& session) const;
   worker_target Target(const worker_session& session) const;
   /// Latest expiry of a lease that a worker grants at @p now, by the local
   /// clock and with a margin.
@@ -451,21 +459,21 @@
   bool PlaceStep(const ready_step& ranked,
                  placement_pass& pass,
                  time_point now);
-  /// Places the tasks with late starts that are not long-running ones, ahead of
-  /// others that could start on any worker. Returns false when some have to
-  /// wait.
-  bool PlaceBoundTasks(placement_pass& pass, time_point now);
-  /// The worker on which a task with a late start can be placed; empty while it
-  /// gets no new tasks.
-  std::vector<placement_candidate> BoundCandidates(
+  /// Places the tasks with late starts that PlaceRestarts does not handle,
+  /// ahead of others that could start on any worker. Returns false when some
+  /// have to wait.
+  bool PlaceTasksWithLateStarts(placement_pass& pass, time_point now);
+  /// The worker to which a late start binds its task, empty while it gets no
+  /// start of it; all other workers once the late start does not bind it.
+  std::vector<placement_candidate> LateStartCandidates(
       const late_start& late,
       const step_ref& ref,
       const step_spec& step,
       const queue_configuration& queue,
       placement_pass& pass,
       time_point now) const;
-  /// The ready tasks of the step that PlaceRestarts and PlaceBoundTasks do not
-  /// handle.
+  /// The ready tasks of the step that PlaceRestarts and
+  /// PlaceTasksWithLateStarts do not handle.
   std::vector<std::uint32_t> TasksToPlace(const step_ref& ref,
                                           const step_spec& step,
                                           time_point now) const;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -38,6 +38,11 @@
   std::chrono::milliseconds max_silence{1700};
   /// How long a worker gets no new tasks after a start order failed there.
   std::chrono::milliseconds fault_backoff{500};
+  /// The delay doubles with each further start without an answer, up to this.
+  std::chrono::milliseconds max_start_backoff{16'000};
+  /// How long a worker is not chosen for a task after several starts of it got
+  /// no answer, counted from the time when they can have no effect any more.
+  std::chrono::milliseconds unanswered_start_avoidance{30'000};
   /// How long a worker gets no new tasks after failures_for_quarantine failed
   /// runs without a successful one.
   std::chrono::milliseconds quarantine{3000};
--- a/include/skylarkbridge/jobs/late_starts.hpp
+++ b/include/skylarkbridge/jobs/late_starts.hpp
@@ -1,7 +1,9 @@
 #ifndef SKYLARKBRIDGE_JOBS_LATE_STARTS_HPP
 #define SKYLARKBRIDGE_JOBS_LATE_STARTS_HPP
 
+#include <iterator>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "skylarkbridge/base/time.hpp"
@@ -9,16 +11,26 @@
 
 namespace skylarkbridge::jobs {
 
-/// @brief A start order without an answer that the life of the worker which
-/// reported last has not carried out and refuses. A later life may carry it
-/// out.
+/// @brief Start orders of one task without an answer that the life of the
+/// worker which reported last has not carried out and refuses. A later life may
+/// carry them out.
 struct late_start {
   std::string worker;
-  /// The order is carried out before this time or never.
+  /// When the last of the orders was sent.
+  time_point last_sent_at;
+  /// The orders are carried out before this time or never.
   time_point arrives_by;
-  /// Latest time at which a run that it started is on the worker, unless the
+  /// Latest time at which a run that they started is on the worker, unless the
   /// worker has answered the owner since `arrives_by`.
   time_point runs_until;
+  /// Orders without an answer that were sent to this life of the worker.
+  int unanswered = 1;
+  /// Set once the orders can have no effect any more, after so many that the
+  /// worker is not chosen for the task before this time.
+  std::optional<time_point> avoided_until;
+
+  /// @brief Whether the task may start only on the worker.
+  bool Binds() const { return !avoided_until; }
 };
 
 /// @brief The late starts of an owner, by the task that they would start.
@@ -28,17 +40,25 @@
 /// ends its run ends with it.
 class late_starts {
  public:
-  /// @brief Adds a late start. A task has several only on the same worker.
+  /// @brief Adds a late start. A task has several that bind it only on the same
+  /// worker.
   void Add(const task_ref& task, const late_start& start);
-  /// @brief The late start of a task; null without one.
+  /// @brief The late start of a task, also one that does not bind it; null
+  /// without one.
   const late_start* Find(const task_ref& task) const;
+  /// @brief The late start that binds a task to its worker; null without one.
+  const late_start* FindBinding(const task_ref& task) const;
+  /// @brief Counts the unanswered orders to the worker anew, as its next life
+  /// may answer.
+  void WorkerRestarted(const std::string& worker);
   const std::map<task_ref, late_start>& All() const { return starts_; }
-  /// @brief Removes the late starts for which @p is_over holds.
+  /// @brief Removes the late starts for which @p is_over holds. It may change
+  /// those that stay.
   template <class Predicate>
   void RemoveIf(Predicate is_over) {
-    std::erase_if(starts_, [&is_over](const auto& entry) {
-      return is_over(entry.second);
-    });
+    for (auto entry = starts_.begin(); entry != starts_.end();) {
+      entry = is_over(entry->second) ? starts_.erase(entry) : std::next(entry);
+    }
   }
   void Clear() { starts_.clear(); }
 
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -163,6 +163,8 @@
   /// The same, after a start order without an answer. Tasks that can start only
   /// on this worker are excepted.
   time_point start_backoff_until;
+  /// Consecutive start orders without an answer, with different tokens.
+  int unanswered_starts = 0;
   /// When a task that is suspected of crashing its workers was last started
   /// on the worker; empty for never.
   std::optional<time_point> last_suspect_start;
--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
@@ -1,12 +1,20 @@
 // A start order without an answer may be carried out by a later life of its
 // worker, although the life that has reported refuses it. Until it can arrive
-// no more, its task starts only on that worker.
+// no more, its task starts only on that worker. A worker that answers renewals
+// but no start would so keep the task without end: after kMaxUnanswered orders
+// it gets no more, and then the task starts elsewhere.
 #include <algorithm>
 #include <vector>
 
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
+namespace {
+
+/// Unanswered starts of a task after which its worker gets no more of them.
+constexpr int kMaxUnanswered = 2;
+
+}  // namespace
 
 void fleet_scheduler::RecordLateStart(const worker_session& session,
                                       const task_ref& task,
@@ -21,36 +29,68 @@
   late_starts_.Add(
       task,
       {.worker = session.entry.worker,
+       .last_sent_at = run.ordered_at,
        .arrives_by = run.ordered_at + options_.max_order_delay,
        .runs_until = LatestLeaseExpiry(last_order + options_.max_order_delay)});
 }
 
 void fleet_scheduler::RemoveEndedLateStarts(time_point now) {
-  late_starts_.RemoveIf([this, now](const late_start& start) {
+  late_starts_.RemoveIf([this, now](late_start& start) {
+    if (start.Binds() && !IsOver(start, now)) {
+      return false;
+    }
     const auto worker = workers_.find(start.worker);
-    if (worker == workers_.end() || now >= start.runs_until) {
+    if (worker == workers_.end() || worker->second.entry.draining ||
+        MayRepeatStart(start, worker->second)) {
       return true;
     }
-    const worker_session& session = worker->second;
-    // An answer may be older than the life that carries the order out.
-    const bool answered_since =
-        session.RefusesLateOrders() &&
-        session.answered_renewal_sent_at >= start.arrives_by;
-    // A worker that drains ends and does not start again.
-    return session.entry.draining || answered_since;
+    if (start.Binds()) {
+      start.avoided_until = now + options_.unanswered_start_avoidance;
+      placement_pending_ = true;
+    }
+    return now >= *start.avoided_until;
   });
 }
 
-std::vector<placement_candidate> fleet_scheduler::BoundCandidates(
+bool fleet_scheduler::IsOver(const late_start& start, time_point now) const {
+  const auto worker = workers_.find(start.worker);
+  if (worker == workers_.end() || now >= start.runs_until) {
+    return true;
+  }
+  const worker_session& session = worker->second;
+  // An answer may be older than the life that carries the order out.
+  const bool answered_since =
+      session.RefusesLateOrders() &&
+      session.answered_renewal_sent_at >= start.arrives_by;
+  // A worker that drains ends and does not start again.
+  return session.entry.draining || answered_since;
+}
+
+bool fleet_scheduler::MayRepeatStart(const late_start& start,
+                                     const worker_session& session) {
+  return start.unanswered < kMaxUnanswered ||
+         session.last_confirmed_start > start.last_sent_at;
+}
+
+std::vector<placement_candidate> fleet_scheduler::LateStartCandidates(
     const late_start& late,
     const step_ref& ref,
     const step_spec& step,
     const queue_configuration& queue,
     placement_pass& pass,
     time_point now) const {
+  if (!late.Binds()) {
+    std::vector<placement_candidate> others =
+        CandidatesForStep(ref, step, queue, pass, now);
+    std::erase_if(others, [&late](const placement_candidate& candidate) {
+      return candidate.session->entry.worker == late.worker;
+    });
+    return others;
+  }
   const auto worker = workers_.find(late.worker);
   if (worker == workers_.end() ||
       worker->second.entry.service != queue.service ||
+      !MayRepeatStart(late, worker->second) ||
       !UsableForBoundTasks(worker->second, now)) {
     return {};
   }
@@ -66,7 +106,8 @@
   return candidates;
 }
 
-bool fleet_scheduler::PlaceBoundTasks(placement_pass& pass, time_point now) {
+bool fleet_scheduler::PlaceTasksWithLateStarts(placement_pass& pass,
+                                               time_point now) {
   bool all_placed = true;
   for (const auto& [task, late] : late_starts_.All()) {
     const step_ref ref = StepOf(task);
@@ -82,7 +123,7 @@
       continue;
     }
     std::vector<placement_candidate> candidates =
-        BoundCandidates(late, ref, *step, *queue, pass, now);
+        LateStartCandidates(late, ref, *step, *queue, pass, now);
     all_placed &= PlaceOnCandidates({.ref = ref}, *step, *queue, {task.index},
                                     candidates, now);
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
@@ -21,9 +21,12 @@
 /// Two workers, and a task whose start on the first got no answer.
 struct late_start_driver : lives_driver {
   /// @param refusing worker that refuses all further starts; empty for none.
+  /// @param unanswering worker that answers no further start; empty for none.
   explicit late_start_driver(const step_spec& step,
-                             const std::string& refusing = "") {
+                             const std::string& refusing = "",
+                             const std::string& unanswering = "") {
     refusing_worker = refusing;
+    unanswering_worker = unanswering;
     Join("w0", 1000);
     Submit(kJob, step);
     const sent_orders sent = RunUnanswered();
@@ -218,5 +221,87 @@
   EXPECT_EQ(driver.StartsOn("w1"), 1U);
 }
 
+// Guards against a task that a worker keeps without end, as it answers renewals
+// but no start: each start that the task was bound to was late again.
+TEST(LateStartTest, ATaskLeavesAWorkerThatAnswersNoStart) {
+  late_start_driver driver(Tasks(1, 600), "", "w0");
+  ASSERT_EQ(driver.unanswered_starts.size(), 1U);
+  const time_point last_sent_at = driver.now;
+  while (driver.StartsOn("w1") == 0 &&
+         driver.now < last_sent_at + kMaxOrderDelay + kMaxLease) {
+    driver.Pass(milliseconds(500));
+    if (driver.now < last_sent_at + kMaxOrderDelay) {
+      ASSERT_EQ(driver.StartsOn("w1"), 0U);
+    }
+  }
+  EXPECT_EQ(driver.StartsOn("w1"), 1U);
+  for (int pass = 0; pass < 120; ++pass) {
+    driver.Pass(milliseconds(500));
+  }
+  EXPECT_EQ(driver.unanswered_starts.size(), 1U);
+  EXPECT_EQ(driver.StartsOn("w1"), 1U);
+}
+
+// As above, for a long-running task that restarts. The worker still has the
+// most room after its starts are over.
+TEST(LateStartTest, ALongRunningTaskLeavesAWorkerThatAnswersNoStart) {
+  lives_driver driver;
+  driver.Join("w0", 2000);
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 600}, .long_running = true});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.unanswering_worker = "w0";
+  driver.EndRun(driver.starts.front().run, run_end::kFailed);
+  for (int pass = 0; pass < 10 && driver.unanswered_starts.size() < 2; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  ASSERT_EQ(driver.unanswered_starts.size(), 2U);
+  const time_point last_sent_at = driver.now;
+  driver.Join("w1", 1000);
+  while (driver.starts.size() < 2 &&
+         driver.now < last_sent_at + kMaxOrderDelay + kMaxLease) {
+    driver.Pass(milliseconds(500));
+  }
+  ASSERT_EQ(driver.starts.size(), 2U);
+  EXPECT_EQ(driver.starts.back().target.worker, "w1");
+  EXPECT_EQ(driver.unanswered_starts.size(), 2U);
+}
+
+// Guards against a worker that is chosen again every 500 ms although it answers
+// no start.
+TEST(LateStartTest, AWorkerThatAnswersNoStartIsChosenLessAndLessOften) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.unanswering_worker = "w0";
+  driver.Submit(kJob, Tasks(100, 1000));
+  for (int pass = 0; pass < 600; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  // Pauses of 0.5, 1, 2, 4, 8 and 16 s, and one repeat for each task.
+  EXPECT_LE(driver.unanswered_starts.size(), 16U);
+  EXPECT_GE(driver.unanswered_starts.size(), 6U);
+}
+
+// Guards against a worker that stays unused after it has left some starts
+// unanswered and then answers one.
+TEST(LateStartTest, AnAnswerEndsTheGrowingPause) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.unanswering_worker = "w0";
+  driver.Submit(kJob, Tasks(3, 300));
+  for (int pass = 0; pass < 100; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  EXPECT_EQ(driver.starts.size(), 0U);
+  driver.unanswering_worker = "";
+  driver.Submit(job_id{2}, Tasks(1, 100));
+  for (int pass = 0; pass < 100 && driver.starts.empty(); ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  driver.Pass(milliseconds(1000));
+  EXPECT_EQ(driver.starts.size(), 4U);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -29,7 +29,7 @@
   bool restarts_placed = PlaceRestarts(pass, now);
   restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
   restart_room_ = pass.reserved_room;
-  const bool bound_tasks_placed = PlaceBoundTasks(pass, now);
+  const bool late_tasks_placed = PlaceTasksWithLateStarts(pass, now);
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
@@ -42,7 +42,7 @@
   // While steps are ready, each call of Run starts a pass. After a pass that
   // left steps or restarts unplaced, the next one waits for pass_interval,
   // which limits the cost of a long backlog.
-  next_pass_ = unplaced_steps == 0 && restarts_placed && bound_tasks_placed
+  next_pass_ = unplaced_steps == 0 && restarts_placed && late_tasks_placed
                    ? now
                    : now + options_.pass_interval;
   placement_pending_ = !jobs_.ReadySteps().empty() || !leaving.empty();
@@ -435,7 +435,13 @@
   std::vector<std::string> chosen_workers;
   run_number run = 0;
   for (const std::uint32_t index : ready) {
-    const late_start* late = late_starts_.Find(TaskOf(ref, index));
+    const late_start* late = late_starts_.FindBinding(TaskOf(ref, index));
+    if (late != nullptr) {
+      const auto worker = workers_.find(late->worker);
+      if (worker != workers_.end() && !MayRepeatStart(*late, worker->second)) {
+        return false;
+      }
+    }
     const std::optional<std::size_t> chosen =
         late == nullptr
             ? ChooseWorker(step, candidates, "", options_.placement)
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -24,14 +24,15 @@
   if (step == nullptr || queue == nullptr || step->gang) {
     return true;
   }
-  const late_start* late = late_starts_.Find(restart.task);
-  std::vector<placement_candidate> bound;
-  if (late != nullptr) {
-    bound = BoundCandidates(*late, ref, *step, *queue, pass, now);
+  const late_start* known = late_starts_.Find(restart.task);
+  std::vector<placement_candidate> of_late_start;
+  if (known != nullptr) {
+    of_late_start = LateStartCandidates(*known, ref, *step, *queue, pass, now);
   }
   std::vector<placement_candidate>& candidates =
-      late != nullptr ? bound
-                      : CandidatesForStep(ref, *step, *queue, pass, now);
+      known != nullptr ? of_late_start
+                       : CandidatesForStep(ref, *step, *queue, pass, now);
+  const late_start* late = late_starts_.FindBinding(restart.task);
   const ready_step ranked{.starving = IsStarving(ref.job, now), .ref = ref};
   blocked_restart blocked{.obstacle = restart_obstacle::kRetryDelay,
                           .pass = last_pass_};
@@ -344,7 +345,7 @@
   if (of_task != delegation_obstacle::kNone) {
     return of_task;
   }
-  if (late_starts_.Find(restart.task) != nullptr) {
+  if (late_starts_.FindBinding(restart.task) != nullptr) {
     return delegation_obstacle::kLateStart;
   }
   if (jobs_.CanReturn(restart.task) && returns_.Full()) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -146,6 +146,9 @@
   worker_run& run = found->second;
   if (reply.result == order_result::kDone) {
     session.last_confirmed_start = now;
+    session.unanswered_starts = 0;
+    session.start_backoff_until =
+        std::min(session.start_backoff_until, now + options_.fault_backoff);
     run.confirmed = true;
     jobs_.RecordConfirmedStart(reply.run.task.job);
     if (run.phase == run_phase::kStarting) {
@@ -173,13 +176,27 @@
   placement_pending_ = true;
 }
 
+std::chrono::milliseconds fleet_scheduler::StartBackoff(
+    const worker_session& session) const {
+  std::chrono::milliseconds backoff = options_.fault_backoff;
+  for (int start = 1; start < session.unanswered_starts &&
+                      backoff < options_.max_start_backoff;
+       ++start) {
+    backoff *= 2;
+  }
+  return std::min(backoff, options_.max_start_backoff);
+}
+
 void fleet_scheduler::HandleUnansweredStart(worker_session& session,
                                             const start_reply& reply,
                                             time_point now) {
   if (reply.fence == session.fence) {
+    // Starts with the same token that fail together count once.
+    ++session.unanswered_starts;
     RaiseFence(session, now);
   }
-  session.start_backoff_until = now + options_.fault_backoff;
+  session.start_backoff_until =
+      std::max(session.start_backoff_until, now + StartBackoff(session));
   const auto found = session.runs.find(reply.run);
   if (found == session.runs.end() ||
       found->second.phase != run_phase::kStarting) {
--- a/src/skylarkbridge/jobs/late_starts.cpp
+++ b/src/skylarkbridge/jobs/late_starts.cpp
@@ -6,9 +6,13 @@
 
 void late_starts::Add(const task_ref& task, const late_start& start) {
   const auto [entry, added] = starts_.try_emplace(task, start);
-  if (!added) {
-    late_start& known = entry->second;
+  late_start& known = entry->second;
+  if (!added && !known.Binds()) {
+    known = start;
+  } else if (!added) {
     known.worker = start.worker;
+    known.unanswered += start.unanswered;
+    known.last_sent_at = std::max(known.last_sent_at, start.last_sent_at);
     known.arrives_by = std::max(known.arrives_by, start.arrives_by);
     known.runs_until = std::max(known.runs_until, start.runs_until);
   }
@@ -19,4 +23,17 @@
   return entry == starts_.end() ? nullptr : &entry->second;
 }
 
+const late_start* late_starts::FindBinding(const task_ref& task) const {
+  const late_start* const found = Find(task);
+  return found != nullptr && found->Binds() ? found : nullptr;
+}
+
+void late_starts::WorkerRestarted(const std::string& worker) {
+  for (auto& [task, start] : starts_) {
+    if (start.worker == worker) {
+      start.unanswered = 0;
+    }
+  }
+}
+
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -104,6 +104,13 @@
               start_reply{start->target.worker, start->run,
                           order_result::kUnhealthy, start->target.fence},
               now);
+        } else if (start != nullptr &&
+                   start->target.worker == unanswering_worker) {
+          unanswered_starts.push_back(*start);
+          scheduler.Handle(
+              start_reply{start->target.worker, start->run,
+                          order_result::kNoAnswer, start->target.fence},
+              now);
         } else if (start != nullptr) {
           starts.push_back(*start);
           scheduler.Handle(
@@ -190,6 +197,10 @@
   leased_workers stored_list;
   /// Worker that refuses all starts.
   std::string refusing_worker;
+  /// Worker that answers renewals but no start.
+  std::string unanswering_worker;
+  /// Start orders to it so far.
+  std::vector<start_order> unanswered_starts;
   /// Worker whose renewals get no answer.
   std::string silent_worker;
   /// Further runs that a worker reports.
