Test a task that crashes workers of two cells

Cause: no test counted the starts of a task that crashes workers of both the cell that runs its job and the one to which it was delegated.

Change: such a test, in which crashed workers stay away for longer than their lease, so that the task moves.

--- a/src/skylarkbridge/control/delegation_return_test.cpp
+++ b/src/skylarkbridge/control/delegation_return_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -247,6 +248,29 @@
   EXPECT_EQ(absl::StrJoin(fleet->Checker().Violations(), "\n"), "");
 }
 
+// Guards against a task that crashes workers of both cells and is started more
+// often than in one cell, and against one that stays stopped in the cell that
+// can't fail its job.
+TEST(DelegationReturnTest, ATaskThatCrashesWorkersOfTwoCellsIsGivenUp) {
+  const auto fleet = FleetOfTwoLargeWorkers();
+  fleet->Submit(0, kJob, "-4000 600000 0 1 crash=300");
+  std::set<std::string> workers;
+  for (milliseconds waited{}; waited <= seconds(120); waited += kStep) {
+    if (fleet->Checker().Running(kTask)) {
+      workers.insert(fleet->Checker().WorkerOf(kTask));
+    }
+    fleet->Advance(kStep);
+  }
+  EXPECT_EQ(workers.size(), 2U);
+  EXPECT_LE(fleet->Checker().Crashes(kTask), 4);
+  const std::uint64_t token = fleet->Send(0, caller_method::kQuery, kJob);
+  fleet->Advance(seconds(3));
+  const caller_answer* const answer = fleet->AnswerTo(token);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->state, jobs::reported_state::kFailed);
+  EXPECT_EQ(absl::StrJoin(fleet->Checker().Violations(), "\n"), "");
+}
+
 // Guards against a successor in the second cell that starts a task which was
 // given back, and against a return that is lost with its owner.
 TEST(DelegationReturnTest, SurvivesATakeoverOfTheSecondCell) {
