Make the return of a test a constant that needs no constant evaluation

Cause: a return now holds the crashes of its task, so that it is no literal type, and the test no longer compiled.

Change: const instead of constexpr.

--- a/src/skylarkbridge/jobs/task_returns_test.cpp
+++ b/src/skylarkbridge/jobs/task_returns_test.cpp
@@ -12,9 +12,9 @@
 using std::chrono::seconds;
 
 constexpr time_point kNow{seconds(100)};
-constexpr returned_task kReturned{.task = {.job = job_id{1}, .index = 2},
-                                  .first_run = 5,
-                                  .next_run = 7};
+const returned_task kReturned{.task = {.job = job_id{1}, .index = 2},
+                              .first_run = 5,
+                              .next_run = 7};
 
 job_state StateWithDelegation(run_number first_run) {
   return {.progress = {
