--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
@@ -92,14 +92,12 @@
     driver.stops.clear();
     return tasks;
   }
-  /// Passes time, at most @p limit, until a stop is ordered. Returns it.
-  milliseconds PassUntilStop(milliseconds limit) {
-    milliseconds passed{0};
-    while (driver.stops.empty() && passed < limit) {
+  /// Passes time, at most @p limit, until a stop is ordered.
+  void PassUntilStop(milliseconds limit) {
+    const time_point until = driver.now + limit;
+    while (driver.stops.empty() && driver.now < until) {
       driver.Pass(kPassTime);
-      passed += kPassTime;
     }
-    return passed;
   }
   /// Passes the time. Returns the tasks of the runs that were stopped.
   std::set<task_ref> PassFor(milliseconds time) {
