Test a task that crashes too many workers of the second cell

Cause: only the job tables were tested with a task that exceeds the limit of crashes in a cell that does not run its job.

Change: such a test of both cells.

--- a/src/skylarkbridge/control/delegation_return_test.cpp
+++ b/src/skylarkbridge/control/delegation_return_test.cpp
@@ -271,6 +271,31 @@
   EXPECT_EQ(absl::StrJoin(fleet->Checker().Violations(), "\n"), "");
 }
 
+// Guards against a task that stays stopped in the cell that can't fail its job,
+// after it has crashed too many workers there.
+TEST(DelegationReturnTest, ATaskThatCrashesWorkersOfTheSecondCellIsGivenUp) {
+  const auto fleet = FleetOfTwoLargeWorkers();
+  fleet->Submit(0, kJob, "-4000 600000 0 1 crash=300");
+  ASSERT_TRUE(RunsWithin(*fleet, seconds(3)));
+  const std::string in_first = fleet->Checker().WorkerOf(kTask);
+  for (milliseconds waited{};
+       waited <= seconds(20) && fleet->Checker().Crashes(kTask) < 2;
+       waited += kStep) {
+    fleet->Advance(kStep);
+  }
+  // Then the first worker is back.
+  fleet->Advance(seconds(3));
+  fleet->SetCapacity(in_first, kSmallCapacity);
+  fleet->Advance(seconds(30));
+  EXPECT_EQ(fleet->Checker().Crashes(kTask), 3);
+  const std::uint64_t token = fleet->Send(0, caller_method::kQuery, kJob);
+  fleet->Advance(seconds(3));
+  const caller_answer* const answer = fleet->AnswerTo(token);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->state, jobs::reported_state::kFailed);
+  EXPECT_EQ(absl::StrJoin(fleet->Checker().Violations(), "\n"), "");
+}
+
 // Guards against a successor in the second cell that starts a task which was
 // given back, and against a return that is lost with its owner.
 TEST(DelegationReturnTest, SurvivesATakeoverOfTheSecondCell) {
