Keep to the disruption budget of a step when a run is relocated

Cause: the relocation of a smaller run is the first stop that the scheduler makes of a healthy long-running run on a sound worker. It did not look at the number of tasks of the step that may be unavailable at once because of the system (AVAIL of the users' rules), so that clients could lose more of them.

Change: a run is relocated only while fewer other tasks of its step are unavailable than the step allows, checked when it is chosen and again before its stop. A task counts as available only when a worker reports it at 100 percent.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -687,6 +687,11 @@
                                                placement_pass& pass,
                                                time_point now) const;
   bool MayRelocate(const run_ref& run, const worker_run& state) const;
+  /// Whether the stop of the task's run leaves no more tasks of its step
+  /// unavailable than the step allows for stops of the system.
+  bool IsWithinDisruptionBudget(const task_ref& task) const;
+  /// Whether a worker reports that the task is fully available.
+  bool IsAvailable(const task_ref& task, const task_state& state) const;
   /// Another worker that has room for the task of the run, or can have it once
   /// batch work is stopped; empty for none.
   std::string FindRelocationTarget(const relocatable_run& run,
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -2,6 +2,7 @@
 // only in several pieces.
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -201,7 +202,42 @@
          !state.gang && !state.detached && !state.stop_wanted &&
          task->active_runs.size() == 1 && task->suspected_crashes == 0 &&
          late_starts_.Find(run.task) == nullptr &&
-         !relocated_until_.contains(run.task);
+         !relocated_until_.contains(run.task) &&
+         IsWithinDisruptionBudget(run.task);
+}
+
+bool fleet_scheduler::IsWithinDisruptionBudget(const task_ref& task) const {
+  const step_ref ref = StepOf(task);
+  const std::int32_t budget = jobs_.Spec(ref)->disruption_budget;
+  if (budget < 0) {
+    return true;
+  }
+  const std::vector<task_state>& tasks = jobs_.Find(ref)->tasks;
+  std::int32_t unavailable = 0;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const bool counts =
+        index != task.index && !IsAvailable(TaskOf(ref, index), tasks[index]);
+    unavailable += counts ? 1 : 0;
+  }
+  return unavailable < budget;
+}
+
+bool fleet_scheduler::IsAvailable(const task_ref& task,
+                                  const task_state& state) const {
+  constexpr int kFullyAvailablePercent = 100;
+  return std::any_of(
+      state.active_runs.begin(), state.active_runs.end(),
+      [&](const active_run& active) {
+        const auto worker = workers_.find(active.worker);
+        if (worker == workers_.end()) {
+          return false;
+        }
+        const auto run = worker->second.runs.find({task, active.run});
+        return run != worker->second.runs.end() &&
+               run->second.phase == run_phase::kRunning &&
+               !run->second.stop_wanted &&
+               run->second.progress_percent == kFullyAvailablePercent;
+      });
 }
 
 std::string fleet_scheduler::FindRelocationTarget(const relocatable_run& run,
@@ -237,6 +273,10 @@
   if (run == nullptr || run->stop_wanted) {
     return true;
   }
+  // Another task of the step may have become unavailable since the plan.
+  if (!IsWithinDisruptionBudget(move.run.task)) {
+    return false;
+  }
   const placement_candidate target{
       .session = &workers_.find(move.to)->second,
       .reserved = pass.ReservedRoom(move.to, false)};
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
@@ -35,6 +35,11 @@
   return {.count = 1, .need = {.millicores = millicores}, .long_running = true};
 }
 
+/// Number of tasks of a step that may be down at once.
+struct disruption_budget {
+  std::int32_t tasks = 0;
+};
+
 /// Two workers with 4000 millicores on each of which two long-running tasks
 /// leave 1500, and a third one that drains. The workers report a stopped run as
 /// ended in the next pass.
@@ -44,19 +49,35 @@
   /// @param restarting_need need of the task that will wait.
   explicit restart_beside_small_pieces(std::int64_t small_need = 1000,
                                        std::int64_t restarting_need = 2000) {
+    StartLargeTasks(2500 - small_need);
+    for (const job_id job : kSmallJobs) {
+      Start(job, LongRunning(small_need));
+    }
+    StartRestartingTask(restarting_need);
+  }
+  /// The smaller tasks are those of one step with the budget. The larger ones
+  /// need as much as the task that will wait, so that they are not moved.
+  explicit restart_beside_small_pieces(disruption_budget budget) {
+    StartLargeTasks(2000);
+    step_spec step = LongRunning(1000);
+    step.count = 2;
+    step.disruption_budget = budget.tasks;
+    Start(kSmallJobs[0], step);
+    StartRestartingTask(2000);
+  }
+  void StartLargeTasks(std::int64_t need) {
     driver.Begin();
     driver.AddWorker("w0", 4000);
     driver.AddWorker("w1", 4000);
     driver.RunRounds();
     for (const job_id job : kLargeJobs) {
-      Start(job, LongRunning(2500 - small_need));
-    }
-    for (const job_id job : kSmallJobs) {
-      Start(job, LongRunning(small_need));
+      Start(job, LongRunning(need));
     }
+  }
+  void StartRestartingTask(std::int64_t need) {
     driver.AddWorker("w2", 4000);
     driver.RunRounds();
-    Start(kRestartingJob, LongRunning(restarting_need));
+    Start(kRestartingJob, LongRunning(need));
   }
   void Start(job_id job, const step_spec& step) {
     driver.Submit(job, step);
@@ -191,6 +212,27 @@
   }
 }
 
+/// As above, with both smaller tasks in one step that allows @p budget of them
+/// to be down at once. Returns the tasks whose runs are stopped.
+std::set<task_ref> StoppedWithBudget(std::int32_t budget,
+                                     int progress_percent) {
+  restart_beside_small_pieces fleet(disruption_budget{budget});
+  fleet.driver.progress_percent = progress_percent;
+  fleet.EndRestartingRun();
+  return fleet.PassFor(kMaxRestartTime);
+}
+
+// Guards against the stop of a healthy run beyond the number of tasks of its
+// step that may be unavailable at once.
+TEST(RelocationSchedulerTest, KeepsToTheDisruptionBudgetOfAStep) {
+  constexpr int kAvailable = 100;
+  constexpr int kStarting = 50;
+  EXPECT_TRUE(StoppedWithBudget(0, kAvailable).empty());
+  EXPECT_EQ(StoppedWithBudget(1, kAvailable).size(), 1U);
+  EXPECT_TRUE(StoppedWithBudget(1, kStarting).empty());
+  EXPECT_EQ(StoppedWithBudget(2, kStarting).size(), 1U);
+}
+
 // Guards against a task that is stopped again and again for others.
 TEST(RelocationSchedulerTest, ATaskIsNotRelocatedTwiceWithinTheInterval) {
   restart_beside_small_pieces fleet;
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -165,7 +165,8 @@
     worker_report report{.clock = worker_time(std::chrono::milliseconds(1000))};
     for (const start_order& start : starts) {
       if (start.target.worker == id) {
-        report.running.push_back({.run = start.run, .progress_percent = 50});
+        report.running.push_back(
+            {.run = start.run, .progress_percent = progress_percent});
       }
     }
     for (const running_task& task : reported_runs[id]) {
@@ -203,6 +204,8 @@
   std::vector<start_order> unanswered_starts;
   /// Worker whose renewals get no answer.
   std::string silent_worker;
+  /// Progress that the workers report of all runs.
+  int progress_percent = 50;
   /// Further runs that a worker reports.
   std::map<std::string, std::vector<running_task>> reported_runs;
   std::map<std::string, std::vector<ended_task>> reported_ends;
