Blame no task for a crash beside a start without an answer

Cause: a long-running job was failed although none of its tasks harms a worker: a start that got no answer, and that no report listed, was blamed for the crash of its worker because the task had been isolated.

Change: such a start may be suspected and is never blamed, as it may never have been carried out.

--- a/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
@@ -73,7 +73,10 @@
       suspects.begin(), suspects.end(), [&session](const run_ref& run) {
         return session.runs.find(run)->second.confirmed;
       });
-  if (started && AreOneUnit(suspects)) {
+  if (!started) {
+    return {};
+  }
+  if (AreOneUnit(suspects)) {
     return suspects;
   }
   std::vector<run_ref> suspected_before;
