Format a comment on the culprits of a crash

Cause: a line of the comment is over 80 columns, which the formatter refuses.

Change: the line is broken.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -281,8 +281,8 @@
       const worker_session& session,
       const absl::flat_hash_set<run_ref>& surviving) const;
   /// The run among @p suspects to blame for a crash, with the other members of
-  /// its gang; none while several may have caused it, nor for a start without an
-  /// answer, which may never have been carried out.
+  /// its gang; none while several may have caused it, nor for a start without
+  /// an answer, which may never have been carried out.
   std::vector<run_ref> CrashCulprits(
       const worker_session& session,
       const std::vector<run_ref>& suspects) const;
