Count only workers that still answer against a list of machines

Cause: a list that names none of the workers that have reported proves nothing. A worker that had reported and then left counted, so that in a cell without another one every list was refused and the takeover waited 12 s (found by the reviewer).

Change: only workers that have answered within max_silence of the request count.

--- a/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
@@ -2,6 +2,7 @@
 // after the last order of earlier owners, and that does not name a worker,
 // shows that its process has ended: a worker that is only cut off stays in it.
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,18 +13,24 @@
 namespace skylarkbridge::jobs {
 namespace {
 
-/// Whether workers have reported and the list names none of them, so that its
-/// ids may have nothing to do with those in the list of workers.
-bool IsOdd(const machine_list& list,
-           const std::map<std::string, worker_session>& workers) {
-  bool any_reported = false;
+/// Whether workers report and the list names none of them, so that its ids may
+/// have nothing to do with those in the list of workers.
+/// @param max_silence a worker that has not answered for this long when the
+/// list was requested may have left like the one that is waited for.
+bool NamesNoReportingWorker(
+    const machine_list& list,
+    const std::map<std::string, worker_session>& workers,
+    std::chrono::milliseconds max_silence) {
+  bool any_reports = false;
   for (const auto& [worker, session] : workers) {
-    if (session.has_reported && Names(list, worker)) {
+    const bool reports = session.has_reported &&
+                         list.requested_at < session.last_answer + max_silence;
+    if (reports && Names(list, worker)) {
       return false;
     }
-    any_reported = any_reported || session.has_reported;
+    any_reports = any_reports || reports;
   }
-  return any_reported;
+  return any_reports;
 }
 
 }  // namespace
@@ -41,7 +48,7 @@
   if (!active_ || list.requested_at < earlier_orders_until_) {
     return;
   }
-  if (IsOdd(list, workers_)) {
+  if (NamesNoReportingWorker(list, workers_, options_.max_silence)) {
     return;
   }
   const std::optional<machine_list> earlier =
--- a/src/skylarkbridge/jobs/fleet_scheduler_machine_list_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_machine_list_test.cpp
@@ -111,6 +111,18 @@
   }
 }
 
+// As below, where the other worker has left as well after its report.
+TEST(MachineListReleaseTest, AWorkerThatReportedAndLeftMakesNoListOdd) {
+  machine_list_driver driver;
+  driver.Pass(kEarlierOwnerTime);
+  driver.silent_worker = "w0";
+  driver.Pass(seconds(2));
+  driver.List({{"m0", "other"}});
+  driver.Pass(milliseconds(500));
+  driver.List({{"m0", "other"}});
+  EXPECT_FALSE(driver.Waits());
+}
+
 // Guards against a wait of 12 s for a cell whose workers have all left, so that
 // none can report; its tasks can move to another cell.
 TEST(MachineListReleaseTest, AListCountsWhereNoWorkerReports) {
