End the pause of a worker that answered no start when it starts a run

Cause: the pause after unanswered starts grew to 16 s and ended only with an answered start.

Change: the three proofs end the pause in the same way, and it grows to 4 s.

No test shows the wait itself.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -348,6 +348,8 @@
                              const worker_session& session);
   /// How long a worker gets no new tasks after a start without an answer.
   std::chrono::milliseconds StartBackoff(const worker_session& session) const;
+  /// The worker has carried out a start, or has restarted.
+  void EndStartBackoff(worker_session& session, time_point now) const;
   worker_target Target(const worker_session& session) const;
   /// Latest expiry of a lease that a worker grants at @p now, by the local
   /// clock and with a margin.
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -39,7 +39,8 @@
   /// How long a worker gets no new tasks after a start order failed there.
   std::chrono::milliseconds fault_backoff{500};
   /// The delay doubles with each further start without an answer, up to this.
-  std::chrono::milliseconds max_start_backoff{16'000};
+  /// Shorter than the time within which a long-running task has to run again.
+  std::chrono::milliseconds max_start_backoff{4000};
   /// How long a worker is not chosen for a task after several starts of it got
   /// no answer, counted from the time when they can have no effect any more.
   std::chrono::milliseconds unanswered_start_avoidance{30'000};
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -146,9 +146,7 @@
   worker_run& run = found->second;
   if (reply.result == order_result::kDone) {
     session.last_confirmed_start = now;
-    session.unanswered_starts = 0;
-    session.start_backoff_until =
-        std::min(session.start_backoff_until, now + options_.fault_backoff);
+    EndStartBackoff(session, now);
     run.confirmed = true;
     jobs_.RecordConfirmedStart(reply.run.task.job);
     if (run.phase == run_phase::kStarting) {
@@ -187,6 +185,13 @@
   return std::min(backoff, options_.max_start_backoff);
 }
 
+void fleet_scheduler::EndStartBackoff(worker_session& session,
+                                      time_point now) const {
+  session.unanswered_starts = 0;
+  session.start_backoff_until =
+      std::min(session.start_backoff_until, now + options_.fault_backoff);
+}
+
 void fleet_scheduler::HandleUnansweredStart(worker_session& session,
                                             const start_reply& reply,
                                             time_point now) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
@@ -83,7 +83,7 @@
   session.lease.Reset(LatestLeaseExpiry(now));
   permits_.WorkerRestarted(session.entry.worker);
   late_starts_.WorkerRestarted(session.entry.worker);
-  session.unanswered_starts = 0;
+  EndStartBackoff(session, now);
   session.last_applied_ended_run = 0;
   session.last_durable_ended_run = 0;
   session.last_acknowledged_ended_run = 0;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -275,7 +275,7 @@
   }
   RecordSurvival(task.run, run, now);
   if (run.phase == run_phase::kStarting || run.phase == run_phase::kUncertain) {
-    session.unanswered_starts = 0;
+    EndStartBackoff(session, now);
     run.phase = run_phase::kRunning;
     run.first_conclusive_renewal = renewal_number;
   }
