Limit the searches for a run to relocate, and count silent workers

A run on a silent worker counted as available for the disruption budget until its lease ended. All waiting restarts searched all runs of the cell in one pass. A relocation that expired before its stop was planned again with the same run.

Change: only workers that answer count as available; at most four searches in a pass and one every 0.4 s for a task; the budget is checked for the runs that are tried only; a run whose relocation expired is left alone for the interval of relocations.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -446,8 +446,8 @@
     absl::flat_hash_map<std::string, resources> expected_restart_room;
     /// Whether expected_restart_room has been computed.
     bool expects_restarts = false;
-    /// Whether a run to relocate was searched.
-    bool searched_relocation = false;
+    /// Restarts for which a run to relocate was searched.
+    int relocation_searches = 0;
 
     /// Room on the worker that is kept from a step.
     resources ReservedRoom(const std::string& worker,
@@ -691,9 +691,11 @@
   bool MayRelocate(const run_ref& run, const worker_run& state) const;
   /// Whether the stop of the task's run leaves no more tasks of its step
   /// unavailable than the step allows for stops of the system.
-  bool IsWithinDisruptionBudget(const task_ref& task) const;
+  bool IsWithinDisruptionBudget(const task_ref& task, time_point now) const;
   /// Whether a worker reports that the task is fully available.
-  bool IsAvailable(const task_ref& task, const task_state& state) const;
+  bool IsAvailable(const task_ref& task,
+                   const task_state& state,
+                   time_point now) const;
   /// Another worker that has room for the task of the run, or can have it once
   /// batch work is stopped; empty for none.
   std::string FindRelocationTarget(const relocatable_run& run,
@@ -856,7 +858,9 @@
   /// The tasks that were relocated lately, each with the time before which it
   /// is not relocated again.
   std::map<task_ref, time_point> relocated_until_;
-  time_point next_relocation_search_;
+  /// Waiting restarts for which a run to relocate was searched lately, each
+  /// with the time before which it is not searched again.
+  std::map<task_ref, time_point> searched_until_;
   late_starts late_starts_;
   time_point next_restart_report_;
   time_point next_cancel_report_;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -86,8 +86,8 @@
   /// worker can have room for it in one piece, a smaller long-running run is
   /// relocated. Longer than a delegation to the share of another cell takes.
   std::chrono::milliseconds relocation_delay{2200};
-  /// Interval of the searches for a run to relocate, over all restarts.
-  std::chrono::milliseconds relocation_search_interval{200};
+  /// Interval of the searches for a run to relocate for one restart.
+  std::chrono::milliseconds relocation_search_interval{400};
   /// A relocation ends after this time, also if its task has not started again.
   std::chrono::milliseconds relocation_timeout{4000};
   /// A task is not relocated again within this time.
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -89,7 +89,7 @@
   restart_waits_.clear();
   relocations_.clear();
   relocated_until_.clear();
-  next_relocation_search_ = {};
+  searched_until_.clear();
   late_starts_.Clear();
   permits_.Clear();
   registration_writes_.clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -30,9 +30,6 @@
   bool restarts_placed = PlaceRestarts(pass, now);
   restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
   restart_room_ = pass.reserved_room;
-  if (pass.searched_relocation) {
-    next_relocation_search_ = now + options_.relocation_search_interval;
-  }
   const bool late_tasks_placed = PlaceTasksWithLateStarts(pass, now);
   int unplaced_steps = 0;
   for (const ready_step& step : OrderedReadySteps(now)) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_ranking.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_ranking.cpp
@@ -21,6 +21,7 @@
 /// A job starves when none of its tasks has run for this long while the fleet
 /// was underused.
 constexpr std::chrono::milliseconds kStarvationTime{1200};
+
 /// Length of the critical path by the estimates of the steps. Completed steps
 /// count as zero.
 /// @param steps progress of the steps; null treats all steps as not
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -11,9 +11,11 @@
 namespace skylarkbridge::jobs {
 namespace {
 
-/// Runs for which another worker is searched in one pass. When the smallest
-/// ones find no room, larger ones hardly do.
-constexpr std::size_t kMaxRunsTried = 8;
+/// Runs that are considered for one waiting task. When the smallest ones find
+/// no room elsewhere, larger ones hardly do.
+constexpr std::size_t kMaxRunsTried = 16;
+/// Searches in one pass. Each looks at all runs of the cell.
+constexpr int kMaxSearches = 4;
 
 resources PreemptibleRoom(const placement_candidate& candidate) {
   resources room = candidate.session->PreemptibleRoom();
@@ -61,8 +63,15 @@
                                               time_point now) {
   std::erase_if(relocated_until_,
                 [now](const auto& entry) { return now >= entry.second; });
+  std::erase_if(searched_until_,
+                [now](const auto& entry) { return now >= entry.second; });
   std::erase_if(relocations_, [this, now](const auto& entry) {
-    return !IsUnderWay(entry.first, entry.second, now);
+    const relocation& move = entry.second;
+    if (now >= move.give_up_at) {
+      // Another run may be easier to move.
+      relocated_until_[move.run.task] = now + options_.min_relocation_interval;
+    }
+    return !IsUnderWay(entry.first, move, now);
   });
   for (const auto& [waiting, move] : relocations_) {
     if (!pass.reserved_workers.contains(move.run.task)) {
@@ -139,15 +148,20 @@
     const queue_configuration& queue,
     placement_pass& pass,
     time_point now) {
-  if (now < next_relocation_search_) {
+  if (pass.relocation_searches >= kMaxSearches ||
+      searched_until_.contains(restart.task)) {
     return std::nullopt;
   }
-  pass.searched_relocation = true;
+  ++pass.relocation_searches;
+  searched_until_[restart.task] = now + options_.relocation_search_interval;
   const std::vector<relocatable_run> ranked =
       RankRunsToRelocate(RelocatableRuns(restart.task, step, queue, pass, now));
   const std::size_t tried = std::min(ranked.size(), kMaxRunsTried);
   for (std::size_t index = 0; index < tried; ++index) {
     const relocatable_run& run = ranked[index];
+    if (!IsWithinDisruptionBudget(run.run.task, now)) {
+      continue;
+    }
     const std::string to = FindRelocationTarget(run, pass, now);
     if (to.empty()) {
       continue;
@@ -195,18 +209,20 @@
 
 bool fleet_scheduler::MayRelocate(const run_ref& run,
                                   const worker_run& state) const {
+  if (state.phase != run_phase::kRunning || !state.long_running || state.gang ||
+      state.detached || state.stop_wanted) {
+    return false;
+  }
   const queue_configuration* queue = Queue(run.task.job);
   const task_state* task = jobs_.Find(run.task);
   return queue != nullptr && task != nullptr && !queue->HasPlacementPolicy() &&
-         state.phase == run_phase::kRunning && state.long_running &&
-         !state.gang && !state.detached && !state.stop_wanted &&
          task->active_runs.size() == 1 && task->suspected_crashes == 0 &&
          late_starts_.Find(run.task) == nullptr &&
-         !relocated_until_.contains(run.task) &&
-         IsWithinDisruptionBudget(run.task);
+         !relocated_until_.contains(run.task);
 }
 
-bool fleet_scheduler::IsWithinDisruptionBudget(const task_ref& task) const {
+bool fleet_scheduler::IsWithinDisruptionBudget(const task_ref& task,
+                                               time_point now) const {
   const step_ref ref = StepOf(task);
   const std::int32_t budget = jobs_.Spec(ref)->disruption_budget;
   if (budget < 0) {
@@ -215,15 +231,16 @@
   const std::vector<task_state>& tasks = jobs_.Find(ref)->tasks;
   std::int32_t unavailable = 0;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    const bool counts =
-        index != task.index && !IsAvailable(TaskOf(ref, index), tasks[index]);
+    const bool counts = index != task.index &&
+                        !IsAvailable(TaskOf(ref, index), tasks[index], now);
     unavailable += counts ? 1 : 0;
   }
   return unavailable < budget;
 }
 
 bool fleet_scheduler::IsAvailable(const task_ref& task,
-                                  const task_state& state) const {
+                                  const task_state& state,
+                                  time_point now) const {
   constexpr int kFullyAvailablePercent = 100;
   return std::any_of(
       state.active_runs.begin(), state.active_runs.end(),
@@ -236,7 +253,10 @@
         return run != worker->second.runs.end() &&
                run->second.phase == run_phase::kRunning &&
                !run->second.stop_wanted &&
-               run->second.progress_percent == kFullyAvailablePercent;
+               run->second.progress_percent == kFullyAvailablePercent &&
+               // The run of a silent worker is kept until its lease ends.
+               !worker->second.unlisted_since &&
+               now < worker->second.last_answer + options_.max_silence;
       });
 }
 
@@ -274,7 +294,7 @@
     return true;
   }
   // Another task of the step may have become unavailable since the plan.
-  if (!IsWithinDisruptionBudget(move.run.task)) {
+  if (!IsWithinDisruptionBudget(move.run.task, now)) {
     return false;
   }
   const placement_candidate target{
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
@@ -233,6 +233,17 @@
   EXPECT_EQ(StoppedWithBudget(2, kStarting).size(), 1U);
 }
 
+// As above: the run of a silent worker is listed until its lease ends.
+TEST(RelocationSchedulerTest, ATaskOnASilentWorkerIsUnavailable) {
+  restart_beside_small_pieces fleet(disruption_budget{1});
+  fleet.driver.progress_percent = 100;
+  fleet.driver.AddWorker("w3", 1000);
+  fleet.driver.RunRounds();
+  fleet.driver.silent_worker = "w1";
+  fleet.EndRestartingRun();
+  EXPECT_TRUE(fleet.PassFor(seconds(4)).empty());
+}
+
 // Guards against a task that is stopped again and again for others.
 TEST(RelocationSchedulerTest, ATaskIsNotRelocatedTwiceWithinTheInterval) {
   restart_beside_small_pieces fleet;
