--- a/review/kit/standin.cc
+++ b/review/kit/standin.cc
@@ -71,13 +71,13 @@
 
   response Handle(const request& r) {
     if (r.path == "/log-append") {
-      return Append(r);
+      return Admit(writes_, 800) ? Append(r) : response{429};
     }
-    if (r.path == "/log-read") {
-      return Read(r);
-    }
-    if (r.path == "/log-newest") {
-      return Newest(r);
+    if (r.path == "/log-read" || r.path == "/log-newest") {
+      if (!Admit(reads_, 2000)) {
+        return {429};
+      }
+      return r.path == "/log-read" ? Read(r) : Newest(r);
     }
     if (r.path == "/standin-config") {
       const std::lock_guard lock(mutex_);
@@ -140,6 +140,20 @@
     Add(t, BigEndian(key.size(), 1) + key + value.value_or(""));
   }
 
+  struct rate {
+    std::int64_t second = 0;
+    int calls = 0;
+  };
+  /// Whether a call is within the calls of this second.
+  bool Admit(rate& calls, int most) {
+    const std::lock_guard lock(mutex_);
+    const std::int64_t second = NowMs() / 1000;
+    if (calls.second != second) {
+      calls = {second, 0};
+    }
+    return ++calls.calls <= most;
+  }
+
   response Append(const request& r) {
     const std::lock_guard lock(mutex_);
     const std::string name = r.query.at("topic");
@@ -156,8 +170,10 @@
         size = size << 8U | static_cast<unsigned char>(r.body[at + i]);
       }
       if (size > kRecordBytes || at + 4 + size > r.body.size()) {
-        record.Line("store", "append refused: a record of " +
-                                 std::to_string(size) + " bytes");
+        if (++refused_ <= 20) {
+          record.Line("store", "append refused: a record of " +
+                                   std::to_string(size) + " bytes");
+        }
         return {400};
       }
       contents.push_back(r.body.substr(at + 4, size));
@@ -284,6 +300,10 @@
   const std::int64_t heartbeat_ms_;
   std::mutex mutex_;
   std::condition_variable changed_;
+  rate writes_;
+  rate reads_;
+  /// Appends with a record that is too large; the first ones are recorded.
+  int refused_ = 0;
   std::map<std::string, topic> topics_;
   std::map<std::string, beat> beats_;
 };
