Review case 1: a task runs again after its end was acknowledged

Cause: a VM that takes a cell over may not know a job whose acceptance stands in another cell's topic. It has the ends of unknown tasks acknowledged, and starts these tasks when it reads the acceptance. Change: the case; the stand-in of the store can silence one partition and the one of the workers runs many in one process.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,101 +1,108 @@
-// A worker of a gang crashes behind a cut after the gang has ended `done`.
+// A part of the store is down while the owner of a cell dies.
 #include "deployment.h"
 
 using namespace kit;
 
+namespace {
+
+/// FNV-1a of the job's id, by which the project names a job's home cell.
+std::uint64_t Hash(const std::string& bytes) {
+  std::uint64_t hash = 0xcbf29ce484222325;
+  for (const char byte : bytes) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3;
+  }
+  return hash;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   deployment fleet(ReadOptions(argc, argv));
-  const std::string id = "5c0e7a21d94b36f8";
-  const std::string path = "/lohu930/" + id;
+  // Both have the first of two cells as their home.
+  std::vector<std::string> ids;
+  for (std::uint64_t number = 0x5c0e7a21d94b36f0; ids.size() < 2; ++number) {
+    char id[20];
+    std::snprintf(id, sizeof id, "%016llx",
+                  static_cast<unsigned long long>(number));
+    if (Hash(id) % 2 == 0) {
+      ids.push_back(id);
+    }
+  }
   fleet.StartPlatform();
   fleet.Configure(
       Configuration(1, json::array({Route("r-jobs", "/lohu930/", 4)})));
-  for (int i = 1; i <= 6; ++i) {
-    fleet.StartWorker({.id = "i-" + std::to_string(i),
-                       .machine = "m-" + std::to_string(i),
-                       .rack = "r1-" + std::to_string(i)});
-  }
-  Sleep(500);
+  fleet.StartWorkers(128, 16000);
+  Sleep(4000);
   fleet.StartVm(1);
-  fleet.StartVm(2);
   fleet.WaitReady(1);
+  Sleep(4000);
+  fleet.StartVm(2, 0.12);
   fleet.WaitReady(2);
-
-  // Two members that fit on no single worker; a second step that follows.
-  fleet.Submit(1, path,
-               {{"spec", "0:work=2500,gang=2;1:work=500"},
-                {"steps",
-                 {{{"count", 2},
-                   {"cpu", 9000},
-                   {"mem_mb", 100},
-                   {"estimate_ms", 2500},
-                   {"gang", true}},
-                  {{"count", 1},
-                   {"cpu", 1000},
-                   {"mem_mb", 100},
-                   {"estimate_ms", 500},
-                   {"depends_on", {0}}}}}});
-  const auto starts = [&](const std::string& member) {
-    return fleet.WaitFor(15000, [&](const record_line& line) {
-      return line.what.starts_with("start " + id + ".0.0." + member + " ");
-    });
+  // A lasting job in the first cell, so that the next one runs in the second.
+  fleet.Submit(1, "/lohu930/" + ids[0],
+               {{"spec", "0:lasts"},
+                {"steps", json::array({{{"count", 1},
+                                        {"cpu", 2000},
+                                        {"mem_mb", 100},
+                                        {"estimate_ms", 500},
+                                        {"long_running", true}}})}});
+  Sleep(3000);
+  fleet.Submit(1, "/lohu930/" + ids[1],
+               {{"spec", "0:work=800;1:lasts"},
+                {"steps", json::array({{{"count", 1},
+                                        {"cpu", 2000},
+                                        {"mem_mb", 100},
+                                        {"estimate_ms", 800}},
+                                       {{"count", 1},
+                                        {"cpu", 2000},
+                                        {"mem_mb", 100},
+                                        {"estimate_ms", 500},
+                                        {"depends_on", json::array({0})},
+                                        {"long_running", true}}})}});
+  const std::string task = ids[1] + ".0.0.0";
+  const auto starts = [&](const record_line& line) {
+    return line.what.starts_with("start " + task + " ");
   };
-  const auto first = starts("0");
-  const auto second = starts("1");
-  if (!first || !second) {
-    fleet.Quit(2, "the gang did not start");
+  if (!fleet.WaitFor(5000, starts)) {
+    fleet.Quit(2, "the task did not start");
   }
-  const std::string cut_worker = second->who.substr(7);
-  Sleep(500);
-  const std::int64_t cut_at = NowMs();
   if (fleet.Trouble()) {
-    fleet.Log("case",
-              "cut: no machine of the system reaches worker " + cut_worker);
-    fleet.SignalWorker(cut_worker, SIGUSR1);
-  }
-  // The end of the first member is listed and acknowledged.
-  if (!fleet.WaitFor(10000, [&](const record_line& line) {
-        return line.what.starts_with("acknowledged " + id + ".0.0.0 ") &&
-               line.what.ends_with(" done");
-      })) {
-    fleet.Quit(2, "the gang did not end");
+    fleet.TakePartitionDown("keyed.jobs.0", 4500);
+    Sleep(200);
+    fleet.KillVm(1);
+    Sleep(3500);
+    fleet.StartVm(1);
   }
-  if (fleet.Trouble()) {
-    if (!fleet.WaitFor(1000, [&](const record_line& line) {
-          return line.what.starts_with("end " + id + ".0.0.1 ") &&
-                 line.what.find(" done ") != std::string::npos;
-        })) {
-      fleet.Quit(2, "the other member did not end with it");
-    }
-    fleet.KillWorker(cut_worker);
-    Sleep(cut_at + 5000 - NowMs());
-    const std::string number = cut_worker.substr(2);
-    fleet.StartWorker(
-        {.id = cut_worker, .machine = "m-" + number, .rack = "r1-" + number});
-    fleet.Log("case", "the cut is over, the worker is back");
-  }
-  // LOST: finish_s after the end of the traffic, for 3 s.
-  const auto turn = [&](const record_line& line) {
-    return line.what.starts_with("start " + id + ".0.1.0 ");
-  };
-  const std::int64_t end = NowMs();
-  Sleep(14000);
-  fleet.State(1, path);
-  Sleep(3500);
-  const std::string state = fleet.State(2, path);
-  bool started = false;
+  Sleep(16000);
+  fleet.State(2, "/lohu930/" + ids[1]);
+  // TWICE: a start after a run has ended `done`, if that end is taken note of.
+  // An end counts as taken note of when `ack_cursor` reaches it, unless the
+  // worker's lease lapsed between the two.
+  bool done = false;
+  bool lapsed = false;
+  bool noted = false;
+  bool again = false;
+  std::string ran_on;
   for (const auto& line : fleet.Record()) {
-    started = started || turn(line);
+    again = again || (done && starts(line));
+    if (line.what.starts_with("end " + task + " ") && !done) {
+      ran_on = line.who;
+    }
+    lapsed = lapsed || (done && !noted && line.who == ran_on &&
+                        line.what == "lease lapsed");
+    done = done || (line.what.starts_with("end " + task + " ") &&
+                    line.what.find(" done ") != std::string::npos);
+    noted = noted || (line.what.starts_with("acknowledged " + task + " ") &&
+                      line.what.ends_with(" done"));
   }
-  if (state == "completed") {
-    fleet.Quit(0, "the job is completed");
+  if (again && noted && !lapsed) {
+    fleet.Quit(1, "TWICE: " + task +
+                      " was started again after its end `done` "
+                      "was taken note of");
   }
-  if (!started) {
-    fleet.Quit(1, "LOST: " + std::to_string((NowMs() - end) / 1000) +
-                      " s after the worker was back the job is shown as " +
-                      state +
-                      ", nothing of it runs, and its second step, whose turn "
-                      "has come, was never started");
+  if (again) {
+    fleet.Quit(2, "the lease lapsed before the end was taken note of");
   }
-  fleet.Quit(0, "the second step has been started; state " + state);
+  fleet.Quit(done && noted ? 0 : 2,
+             done ? "the task ran once" : "the task did not end");
 }
--- a/review/kit/deployment.h
+++ b/review/kit/deployment.h
@@ -138,6 +138,23 @@
     workers_[spec.id] = pid;
   }
 
+  /// Starts workers i-1 to i-COUNT in one process.
+  void StartWorkers(int count, std::int64_t cpu) {
+    children_.push_back(
+        Spawn({Standin(), "workers", "count=" + std::to_string(count), "kind=a",
+               "cpu=" + std::to_string(cpu), "service=desk", "zone=z-a",
+               "prefix=" + prefix_, "store=" + StoreAddress(),
+               "heartbeat_ms=" + std::to_string(kHeartbeatMs),
+               "shared=" + temporary_},
+              {"RECORD=" + record_path_}, temporary_ + "/workers.log"));
+  }
+
+  /// The store answers no call to the partition of a topic for a while.
+  void TakePartitionDown(const std::string& topic, std::int64_t for_ms) {
+    Call(StoreAddress(), "POST",
+         "/standin-down?topic=" + topic + "&for_ms=" + std::to_string(for_ms));
+  }
+
   void KillWorker(const std::string& id) {
     Log("case", "SIGKILL worker " + id);
     kill(workers_[id], SIGKILL);
@@ -148,7 +165,7 @@
   }
 
   /// Starts the program of the deploy file as VM number @p vm, from 1.
-  void StartVm(int vm) {
+  void StartVm(int vm, double cpu_share = 0.25) {
     const std::string ip = prefix_ + std::to_string(10 + vm);
     const std::string name = "edge-z-a-" + std::to_string(vm);
     json settings = {
@@ -169,7 +186,7 @@
         {"bootstrap", true},
         {"fault_counted", false},
         {"limits",
-         {{"cpu_share", 0.25},
+         {{"cpu_share", cpu_share},
           {"cores", 1},
           {"memory_mb", 260},
           {"max_fds", 4100},
--- a/review/kit/standin.cc
+++ b/review/kit/standin.cc
@@ -1,8 +1,9 @@
 // Stand-ins of the users' platform for the review's cases, as PROTOCOL.md
-// describes them: the platform's store and list of machines, and one worker.
+// describes them: the platform's store and list of machines, and workers.
 //
 //   standin store ADDRESS MACHINES_ADDRESS HEARTBEAT_MS
 //   standin worker key=value...
+//   standin workers key=value...
 //
 // Paths that begin with /standin- are for other stand-ins only.
 #include <condition_variable>
@@ -70,6 +71,19 @@
   explicit store(std::int64_t heartbeat_ms) : heartbeat_ms_(heartbeat_ms) {}
 
   response Handle(const request& r) {
+    if (r.path == "/standin-down") {
+      const std::lock_guard lock(mutex_);
+      down_until_[r.query.at("topic")] =
+          NowMs() + std::stoll(r.query.at("for_ms"));
+      record.Line("store", "the partition of " + r.query.at("topic") +
+                               " is silent for " + r.query.at("for_ms") +
+                               " ms");
+      changed_.notify_all();
+      return {};
+    }
+    if (r.query.contains("topic") && IsDown(r.query.at("topic"))) {
+      return Silence(r.query.at("topic"));
+    }
     if (r.path == "/log-append") {
       return Admit(writes_, 800) ? Append(r) : response{429};
     }
@@ -140,6 +154,16 @@
     Add(t, BigEndian(key.size(), 1) + key + value.value_or(""));
   }
 
+  /// No answer while the partition is down; nothing is done.
+  response Silence(const std::string& name) {
+    while (IsDown(name)) {
+      Sleep(20);
+    }
+    response none;
+    none.drop = true;
+    return none;
+  }
+
   struct rate {
     std::int64_t second = 0;
     int calls = 0;
@@ -154,6 +178,12 @@
     return ++calls.calls <= most;
   }
 
+  bool IsDown(const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    const auto until = down_until_.find(name);
+    return until != down_until_.end() && NowMs() < until->second;
+  }
+
   response Append(const request& r) {
     const std::lock_guard lock(mutex_);
     const std::string name = r.query.at("topic");
@@ -239,8 +269,16 @@
     const std::size_t most =
         1024 *
         (r.query.contains("max_kb") ? std::stoull(r.query.at("max_kb")) : 1024);
+    const auto is_down = [&] {
+      const auto until = down_until_.find(r.query.at("topic"));
+      return until != down_until_.end() && NowMs() < until->second;
+    };
     changed_.wait_for(lock, std::chrono::milliseconds(wait),
-                      [&] { return t.records.size() > from; });
+                      [&] { return t.records.size() > from || is_down(); });
+    if (is_down()) {
+      lock.unlock();
+      return Silence(r.query.at("topic"));
+    }
     std::string out = BigEndian(t.records.size(), 8) + BigEndian(0, 8);
     std::size_t bytes = 0;
     for (std::size_t at = from; at < t.records.size(); ++at) {
@@ -300,6 +338,7 @@
   const std::int64_t heartbeat_ms_;
   std::mutex mutex_;
   std::condition_variable changed_;
+  std::map<std::string, std::int64_t> down_until_;
   rate writes_;
   rate reads_;
   /// Appends with a record that is too large; the first ones are recorded.
@@ -384,9 +423,14 @@
   void Tick() {
     const std::lock_guard lock(mutex_);
     const std::int64_t now = NowMs();
+    const bool lapsed = Clock() >= lease_;
+    if (lapsed && !lapsed_) {
+      Note("lease lapsed");
+    }
+    lapsed_ = lapsed;
     std::vector<std::pair<std::string, std::string>> ends;
     for (auto& [task, state] : running_) {
-      if (Clock() >= lease_) {
+      if (lapsed) {
         ends.emplace_back(task, "lapsed");
       } else if (state.stop_at > 0 && now >= state.stop_at) {
         ends.emplace_back(task, "stopped");
@@ -625,6 +669,7 @@
   std::condition_variable changed_;
   std::uint64_t fence_ = 0;
   std::int64_t lease_ = 0;
+  bool lapsed_ = true;
   std::map<std::string, run_state> running_;
   std::map<std::string, std::int64_t> highest_;
   std::vector<end_row> finished_;
@@ -652,6 +697,44 @@
   return 0;
 }
 
+/// Runs one of several workers of this process.
+void RunOneOfMany(std::map<std::string, std::string> options) {
+  auto* const one = new worker(options);
+  std::thread([one] {
+    for (;;) {
+      one->Tick();
+      Sleep(10);
+    }
+  }).detach();
+  std::thread([one, options]() mutable {
+    const auto interval = std::stoll(options["heartbeat_ms"]);
+    for (;;) {
+      Call(options["store"], "POST", "/standin-beat?id=" + options["id"],
+           one->Entry().dump());
+      Sleep(interval);
+    }
+  }).detach();
+  std::thread([one, options]() mutable {
+    Serve(options["address"],
+          [one](const request& r) { return one->Handle(r); });
+  }).detach();
+}
+
+/// Workers i-1 to i-COUNT, eight a rack, at hosts 100 and up of `prefix`.
+int RunWorkers(std::map<std::string, std::string> options) {
+  const int count = std::stoi(options["count"]);
+  for (int i = 1; i <= count; ++i) {
+    options["id"] = "i-" + std::to_string(i);
+    options["machine"] = "m-" + std::to_string(i);
+    options["rack"] = "r1-" + std::to_string((i + 7) / 8);
+    options["address"] = options["prefix"] + std::to_string(99 + i) + ":8080";
+    RunOneOfMany(options);
+  }
+  for (;;) {
+    Sleep(1000);
+  }
+}
+
 int RunWorker(std::map<std::string, std::string> options) {
   // Handled by the thread below; not in a handler.
   sigset_t signals;
@@ -698,13 +781,13 @@
   if (role == "store" && argc == 5) {
     return RunStore(argv[2], argv[3], std::atoll(argv[4]));
   }
-  if (role == "worker") {
+  if (role == "worker" || role == "workers") {
     std::map<std::string, std::string> options;
     for (int i = 2; i < argc; ++i) {
       const std::string word = argv[i];
       options[word.substr(0, word.find('='))] = word.substr(word.find('=') + 1);
     }
-    return RunWorker(options);
+    return role == "worker" ? RunWorker(options) : RunWorkers(options);
   }
   std::fputs("usage: standin store|worker ...\n", stderr);
   return 2;
