--- a/review/kit/standin.cc
+++ b/review/kit/standin.cc
@@ -351,7 +351,8 @@
 
 /// What a task does, from the job's `spec`: "STEP:key=value,...;STEP:...".
 /// work: milliseconds; lasts: until it is stopped; gang: members that must be
-/// present; fail_once: the first run of the task ends `failed`.
+/// present; fail_once: the first run of the task ends `failed`; fail_at: the
+/// task with the index 0 fails once, so many milliseconds after its start.
 std::map<std::string, std::string> Behaviour(const std::string& spec,
                                              const std::string& step) {
   std::istringstream steps(spec);
@@ -373,6 +374,8 @@
   return found;
 }
 
+constexpr std::int64_t kGangTimeoutMs = 3000;
+
 struct run_state {
   std::int64_t run = 0;
   std::string step_name;  // ID.K.STEP
@@ -434,13 +437,8 @@
         ends.emplace_back(task, "lapsed");
       } else if (state.stop_at > 0 && now >= state.stop_at) {
         ends.emplace_back(task, "stopped");
-      } else if (state.behaviour.contains("lasts")) {
-        continue;
-      } else if (Finished(task, state, now)) {
-        ends.emplace_back(task, Outcome(task, state));
-      } else if (state.behaviour.contains("gang") && state.present_at == 0 &&
-                 now >= state.started + 3000) {
-        ends.emplace_back(task, "alone");
+      } else if (const auto how = OwnEnd(task, state, now); !how.empty()) {
+        ends.emplace_back(task, how);
       }
     }
     for (const auto& [task, how] : ends) {
@@ -477,15 +475,33 @@
     record.Line("worker:" + options_["id"], what);
   }
 
-  bool Finished(const std::string& task, run_state& state, std::int64_t now) {
-    if (!state.behaviour.contains("gang")) {
-      return now >= state.started + state.work;
+  /// How the run ends by itself now; empty while it does not.
+  std::string OwnEnd(const std::string& task,
+                     run_state& state,
+                     std::int64_t now) {
+    std::int64_t since = state.started;
+    if (state.behaviour.contains("gang")) {
+      if (GangEnded(state)) {
+        return "broken";
+      }
+      if (state.present_at == 0) {
+        state.present_at = GangPresentAt(state);
+      }
+      if (state.present_at == 0) {
+        return now >= state.started + kGangTimeoutMs ? "alone" : "";
+      }
+      since = state.present_at;
+    }
+    const auto fail_at = state.behaviour.find("fail_at");
+    if (fail_at != state.behaviour.end() && task.ends_with(".0") &&
+        now >= since + std::stoll(fail_at->second) && FailsNow(task)) {
+      return "failed";
     }
-    if (state.present_at == 0) {
-      state.present_at = GangPresentAt(state);
+    if (state.behaviour.contains("lasts") || now < since + state.work) {
+      return "";
     }
-    (void)task;
-    return state.present_at > 0 && now >= state.present_at + state.work;
+    return state.behaviour.contains("fail_once") && FailsNow(task) ? "failed"
+                                                                   : "done";
   }
 
   /// Members on other workers are seen through files in a common folder.
@@ -507,23 +523,36 @@
            std::to_string(state.run) + "-" + index;
   }
 
-  std::string Outcome(const std::string& task, const run_state& state) {
-    if (!state.behaviour.contains("fail_once")) {
-      return "done";
+  /// Whether a member of the run has ended on another worker before it was
+  /// done. Members that are done end at the same time.
+  bool GangEnded(const run_state& state) {
+    for (int i = 0; i < std::stoi(state.behaviour.at("gang")); ++i) {
+      if (access((GangFile(state, std::to_string(i)) + "-ended").c_str(),
+                 F_OK) == 0) {
+        return true;
+      }
     }
+    return false;
+  }
+
+  /// True once for each task.
+  bool FailsNow(const std::string& task) {
     const std::string marker = options_["shared"] + "/failed-" + task;
     const int fd = open(marker.c_str(), O_CREAT | O_EXCL | O_WRONLY, 0644);
-    if (fd < 0) {
-      return "done";
+    if (fd >= 0) {
+      close(fd);
     }
-    close(fd);
-    return "failed";
+    return fd >= 0;
   }
 
   void End(const std::string& task, const std::string& how) {
     const auto found = running_.find(task);
     const std::int64_t run = found->second.run;
     highest_[task] = std::max(highest_[task], run);
+    if (found->second.behaviour.contains("gang") && how != "done") {
+      std::ofstream(GangFile(found->second, task.substr(task.rfind('.') + 1)) +
+                    "-ended");
+    }
     running_.erase(found);
     finished_.push_back({++last_end_, task, run, how});
     Note("end " + task + " run " + std::to_string(run) + " " + how +
@@ -646,8 +675,10 @@
     for (const auto& [task, state] : running_) {
       const std::int64_t age = NowMs() - state.started;
       const bool lasts = state.behaviour.contains("lasts");
+      const bool gang_waits =
+          state.behaviour.contains("gang") && state.present_at == 0;
       const std::int64_t percent =
-          lasts ? (age >= 300 ? 100 : 0)
+          lasts ? ((gang_waits || age < 300) ? 0 : 100)
                 : std::min<std::int64_t>(
                       99, state.work > 0 ? 100 * age / state.work : 0);
       running.push_back({task, state.run, "", percent, lasts ? 5 : 100});
