Keep the ends of runs whose job a new owner does not know yet

Cause: the acceptance of a job stands in the log of its home cell, and another cell may run it. A VM that takes that cell over may not have read the other log for up to 30 s. It ignored an end that a worker reported of such a job, had it acknowledged with the next log write, and started the task when it read the acceptance. By the same cause a running task of such a job was stopped and its work lost, and so was an occurrence that the dead owner had started by a clock that was ahead; and the record of a task that was given back counted as settled while its job was not known.

Change: such ends and runs are kept until their task is known, or until the logs of all other cells have been read since the worker's report. A job is accepted and a task delegated before a start, so a log that was read later shows both. Ends are acknowledged up to the first one that is kept. A run that is adopted late takes its declared room and no longer the whole worker.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -146,6 +146,8 @@
   /// Time up to which the logs of all cells have been read. Empty while one of
   /// them has not been read to its end.
   std::optional<time_point> AllLogsReadAt() const;
+  /// The same for the logs of the other cells; time_point::max() without any.
+  std::optional<time_point> OtherLogsReadAt(const cell& own) const;
   /// Removes the entries of unconfirmed_submissions_ whose jobs have been read
   /// from a log.
   void RemoveConfirmedSubmissions();
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -105,6 +105,18 @@
   return oldest;
 }
 
+template <fleet_platform Platform, caller_port Callers>
+std::optional<time_point> control_state<Platform, Callers>::OtherLogsReadAt(
+    const cell& own) const {
+  std::optional<time_point> oldest = time_point::max();
+  for (const auto& each_cell : cells_) {
+    if (each_cell.get() != &own) {
+      oldest = std::min(oldest, each_cell->Reader().CompleteUntil());
+    }
+  }
+  return oldest;
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::QueryPending(
     const caller_request& request,
--- a/include/skylarkbridge/control/control_state_cells.hpp
+++ b/include/skylarkbridge/control/control_state_cells.hpp
@@ -76,6 +76,8 @@
       if (jobs::IsSettled(returned,
                           running.Registry().Find(returned.task.job))) {
         from.ReturnSettled(returned, now);
+      } else {
+        from.ReturnUnsettled(returned);
       }
     }
   }
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -277,6 +277,7 @@
     const auto held = static_cast<std::size_t>(std::count_if(
         cells_.begin(), cells_.end(),
         [](const auto& other) { return other->IsOwnerOrClaiming(); }));
+    each_cell->SetOtherLogsReadUntil(OtherLogsReadAt(*each_cell));
     each_cell->Run(each_cell->IsOwnerOrClaiming() ? held - 1 : held,
                    all_read_until, now, wall);
     if (each_cell->TakeWorkerListRequest()) {
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -101,6 +101,10 @@
   void SetRoomInOtherCells(std::vector<jobs::stated_room> rooms) {
     scheduler_.SetRoomInOtherCells(std::move(rooms));
   }
+  /// @brief See fleet_scheduler::SetOtherLogsReadUntil.
+  void SetOtherLogsReadUntil(std::optional<time_point> until) {
+    scheduler_.SetOtherLogsReadUntil(until);
+  }
   /// @brief The delegated tasks that this cell has given back, by its log.
   const std::vector<jobs::returned_task>& ReturnedTasks() const {
     return returned_.tasks;
@@ -116,6 +120,10 @@
   void ReturnSettled(const jobs::returned_task& returned, time_point now) {
     scheduler_.ReturnSettled(returned, now);
   }
+  /// @brief The return of a task still needs its record.
+  void ReturnUnsettled(const jobs::returned_task& returned) {
+    scheduler_.ReturnUnsettled(returned);
+  }
   /// @brief Passes the reply to an order on to the scheduler.
   template <class OrderReply>
   void Handle(const OrderReply& reply, time_point now) {
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -34,6 +34,7 @@
 #include "skylarkbridge/jobs/start_limit.hpp"
 #include "skylarkbridge/jobs/stated_room.hpp"
 #include "skylarkbridge/jobs/task_returns.hpp"
+#include "skylarkbridge/jobs/unmatched_ends.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
 
 namespace skylarkbridge::jobs {
@@ -82,6 +83,14 @@
     orders_until_ = until;
   }
 
+  /// @brief Sets the time up to which this VM has read the logs of the other
+  /// cells; nullopt while one has not been read to its end. Runs of jobs that
+  /// are not known are left alone, and their ends not acknowledged, until the
+  /// logs have been read for longer than the runs have been reported.
+  void SetOtherLogsReadUntil(std::optional<time_point> until) {
+    other_logs_read_until_ = until;
+  }
+
   /// @brief Whether tasks wait for workers of earlier owners that a list of
   /// machines, requested now, may show to be gone.
   bool NeedsMachineList(time_point now) const;
@@ -119,6 +128,10 @@
   void ReturnSettled(const returned_task& returned, time_point now) {
     returns_.Settle(returned, now);
   }
+  /// @brief The return still needs its record.
+  void ReturnUnsettled(const returned_task& returned) {
+    returns_.Unsettle(returned);
+  }
   /// @brief Replaces what the owners of other cells have stated about their
   /// room.
   void SetRoomInOtherCells(std::vector<stated_room> rooms) {
@@ -212,6 +225,28 @@
   void ApplyEndedRun(worker_session& session,
                      const ended_task& end,
                      time_point now);
+  /// Records the end of a run that is on no worker any more.
+  void RecordEnd(const ended_task& end, time_point now);
+  /// Lets the log write after the next one acknowledge the ends of the worker
+  /// up to the first one that is unmatched.
+  void AcknowledgeAppliedEnds(worker_session& session);
+  /// Whether the task of a reported run is not known, but may become known
+  /// without a further event at its worker: its job by a log of another cell,
+  /// or its occurrence when it is due.
+  bool MayBecomeKnown(const run_ref& run, time_point reported_at) const;
+  /// Applies the ends and adopts or stops the runs whose tasks have become
+  /// known, or that can't become known any more.
+  void ResolveUnmatchedRuns(time_point now);
+  void ResolveUnmatchedRun(worker_session& session,
+                           const run_ref& run,
+                           worker_run& state,
+                           time_point now);
+  /// Adopts the runs of a job that workers reported before it was known.
+  void AdoptRunsKnownLate(job_id job, time_point now);
+  void AdoptKnownLate(worker_session& session,
+                      const run_ref& run,
+                      worker_run& state,
+                      time_point now);
   void ApplyRunning(worker_session& session,
                     const running_task& task,
                     std::uint64_t renewal_number,
@@ -220,6 +255,10 @@
   void AdoptOrStop(worker_session& session,
                    const running_task& task,
                    time_point now);
+  void Adopt(worker_session& session,
+             const run_ref& run,
+             worker_run& state,
+             time_point now);
   /// Drops the runs that the report does not list, although its renewal is
   /// recent enough to list them.
   void DropMissingRuns(worker_session& session,
@@ -327,6 +366,10 @@
   worker_run& AddRun(worker_session& session,
                      const run_ref& run,
                      const step_spec& step);
+  /// Sets what the run needs and how it is treated.
+  static void SetStep(worker_run& state, const step_spec& step);
+  static void AddRoom(worker_session& session, const worker_run& state);
+  static void SubtractRoom(worker_session& session, const worker_run& state);
   /// @brief The step of a run that a worker reports. When the job is not known,
   /// a step that needs the whole worker.
   step_spec SpecOf(const run_ref& run, const worker_session& session) const;
@@ -624,8 +667,6 @@
   void ReturnTasksToGiveUp();
   /// Keeps the tasks of the job that were given back from starting.
   void ApplyReturns(job_id job);
-  /// Adopts the runs of a job that workers reported before it was known.
-  void AdoptRunsKnownLate(job_id job);
   /// Why a restart that may start now was not placed.
   restart_obstacle ObstacleOf(
       const step_spec& step,
@@ -884,6 +925,8 @@
   /// with the time before which it is not searched again.
   std::map<task_ref, time_point> searched_until_;
   late_starts late_starts_;
+  unmatched_ends unmatched_ends_;
+  std::optional<time_point> other_logs_read_until_;
   start_limit start_limit_;
   time_point next_restart_report_;
   time_point next_cancel_report_;
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -19,7 +19,14 @@
   kStartUncertain,
   kRunAdopted,
   kUnexpectedRun,
+  /// A worker reports a run whose task is not known yet.
+  kRunUnmatched,
   kRunEnded,
+  /// A worker reports the end of a run whose task is not known yet. It is kept
+  /// and not acknowledged.
+  kEndUnmatched,
+  /// An unmatched end was applied, or its job is in no log.
+  kEndMatched,
   kRunLost,
   kStopOrdered,
   kPaceOrdered,
--- a/include/skylarkbridge/jobs/task_returns.hpp
+++ b/include/skylarkbridge/jobs/task_returns.hpp
@@ -20,7 +20,7 @@
 /// @brief Whether the return needs no record any more: the cell that runs the
 /// job has delegated the task again or taken it back, or the job has ended.
 /// @param running the job's state by the log of the cell that runs it; null
-/// when its records were deleted.
+/// when its records were deleted, or have not been read yet.
 bool IsSettled(const returned_task& returned, const job_state* running);
 
 /// @brief The delegated tasks that the owners of this cell have given back, as
@@ -38,6 +38,9 @@
   /// kSettledRetention later, so that no successor relies on a log of the other
   /// cell that it read before.
   void Settle(const returned_task& returned, time_point now);
+  /// @brief The entry has not been settled after all: its job was only not
+  /// known yet.
+  void Unsettle(const returned_task& returned);
 
   std::vector<returned_task> Tasks() const;
   /// @brief Whether the record has to be written again.
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -58,6 +58,9 @@
   std::uint64_t first_conclusive_renewal = 0;
   /// The run no longer belongs to its task; its end is ignored.
   bool detached = false;
+  /// The run was reported while its task was not known. It is neither adopted
+  /// nor stopped before that is settled.
+  bool unmatched = false;
   /// The task is suspected of crashing its workers, and no other task was
   /// started on the worker for some time after it.
   bool isolated = false;
@@ -169,8 +172,11 @@
   /// on the worker; empty for never.
   std::optional<time_point> last_suspect_start;
 
-  /// Number of the last ended run that was applied to its job.
+  /// Number of the last ended run that was applied to its job, or that was
+  /// added to the unmatched ends.
   std::uint64_t last_applied_ended_run = 0;
+  /// Number up to which the ended runs will be durable with pending_ended_runs.
+  std::uint64_t last_pending_ended_run = 0;
   /// Number of the last ended run that is durable in the log.
   std::uint64_t last_durable_ended_run = 0;
   /// Number of the last ended run that an answered renewal has acknowledged.
--- a/src/skylarkbridge/control/job_body_fake.hpp
+++ b/src/skylarkbridge/control/job_body_fake.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_CONTROL_JOB_BODY_FAKE_HPP
 #define SKYLARKBRIDGE_CONTROL_JOB_BODY_FAKE_HPP
 
+#include <cstdint>
 #include <map>
 #include <sstream>
 #include <string>
@@ -22,6 +23,16 @@
   return settings;
 }
 
+/// @brief Whether a step of a job is long-running; see
+/// platform_fake::DecodeJob.
+inline bool IsLongRunning(std::int64_t millicores,
+                          const std::map<std::string, std::string>& settings,
+                          std::uint32_t step) {
+  const auto first = settings.find("lasting_from");
+  return millicores < 0 ||
+         (first != settings.end() && step >= std::stoul(first->second));
+}
+
 }  // namespace skylarkbridge::control
 
 #endif  // SKYLARKBRIDGE_CONTROL_JOB_BODY_FAKE_HPP
--- a/src/skylarkbridge/control/platform_fake.hpp
+++ b/src/skylarkbridge/control/platform_fake.hpp
@@ -98,10 +98,11 @@
   ///
   /// Each COUNT is a step with that many tasks, which depends on the step
   /// before it. Negative MILLICORES stand for a long-running job, which should
-  /// have one step. FAILURES: see worker_fake::ParseRunState. The settings
-  /// after the counts apply to all steps: max_per_worker, image, and target,
-  /// the latency target in milliseconds. For queue see QueueOf, for crash and
-  /// crashers worker_fake::ParseRunState.
+  /// have one step. With the setting lasting_from=STEP the steps from that
+  /// number on are long-running. FAILURES: see worker_fake::ParseRunState. The
+  /// settings after the counts apply to all steps: max_per_worker, image, and
+  /// target, the latency target in milliseconds. For queue see QueueOf, for
+  /// crash and crashers worker_fake::ParseRunState.
   static boost::leaf::result<jobs::job_spec> DecodeJob(std::string_view body) {
     jobs::job_spec spec{.payload = std::string(body)};
     const std::map<std::string, std::string> settings = JobSettings(body);
@@ -114,7 +115,9 @@
       jobs::step_spec step{.count = count,
                            .need = {.millicores = std::abs(millicores)},
                            .estimate = std::chrono::milliseconds(duration),
-                           .long_running = millicores < 0};
+                           .long_running = IsLongRunning(
+                               millicores, settings,
+                               static_cast<std::uint32_t>(spec.steps.size()))};
       ApplySettings(settings, step);
       if (!spec.steps.empty()) {
         step.depends_on = {static_cast<std::uint32_t>(spec.steps.size() - 1)};
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -18,8 +18,14 @@
       return "run_adopted";
     case scheduling_event::kUnexpectedRun:
       return "unexpected_run";
+    case scheduling_event::kRunUnmatched:
+      return "run_unmatched";
     case scheduling_event::kRunEnded:
       return "run_ended";
+    case scheduling_event::kEndUnmatched:
+      return "end_unmatched";
+    case scheduling_event::kEndMatched:
+      return "end_matched";
     case scheduling_event::kRunLost:
       return "run_lost";
     case scheduling_event::kStopOrdered:
--- a/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
@@ -57,7 +57,7 @@
                     append_reply{.target = target, .number = number});
     });
   };
-  if (!fleet_.StoreReachable(vm_)) {
+  if (!fleet_.StoreReachable(vm_, call.target)) {
     no_answer();
     return;
   }
@@ -110,7 +110,7 @@
                                    .outcome = read_failed{result}});
         });
   };
-  if (!fleet_.StoreReachable(vm_) || fleet_.StoreTooSlow(deadline) ||
+  if (!fleet_.StoreReachable(vm_, source) || fleet_.StoreTooSlow(deadline) ||
       (snapshot_of_cell && fleet_.TakeLostSnapshotAnswer(vm_, source.cell))) {
     fail_at(deadline, store_result::kNoAnswer);
     return;
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -155,6 +155,14 @@
   bool Running(std::size_t vm) const { return vms_[vm].control != nullptr; }
   /// @param cut whether to cut the connection or to restore it.
   void CutFromStore(std::size_t vm, bool cut) { vms_[vm].store_cut = cut; }
+  /// @brief Sets whether the VM's calls to one topic get no answer.
+  void SilenceTopic(std::size_t vm, const topic& target, bool silent) {
+    if (silent) {
+      vms_[vm].silent_topics.insert(target);
+    } else {
+      vms_[vm].silent_topics.erase(target);
+    }
+  }
   void CutFromWorkers(std::size_t vm, bool cut) { vms_[vm].workers_cut = cut; }
   void CutFromWorker(std::size_t vm, const std::string& worker, bool cut) {
     if (cut) {
@@ -404,8 +412,9 @@
   std::mt19937_64& Random() { return random_; }
 
   // Used by platform_fake.
-  bool StoreReachable(std::size_t vm) const {
-    return !store_down_ && !vms_[vm].store_cut;
+  bool StoreReachable(std::size_t vm, const topic& target) const {
+    return !store_down_ && !vms_[vm].store_cut &&
+           !vms_[vm].silent_topics.contains(target);
   }
   bool WorkerReachable(std::size_t vm, const std::string& worker) const {
     return !vms_[vm].workers_cut && !vms_[vm].cut_workers.contains(worker);
@@ -560,6 +569,7 @@
     /// Replies that wait for the control thread.
     std::vector<platform_reply> mailbox;
     bool store_cut = false;
+    std::set<topic> silent_topics;
     bool workers_cut = false;
     std::set<std::string> cut_workers;
   };
@@ -604,7 +614,8 @@
   bool FaultPresent() const {
     const auto unavailable = [](const vm_state& vm) { return !vm.control; };
     const auto cut = [](const vm_state& vm) {
-      return vm.store_cut || vm.workers_cut || !vm.cut_workers.empty();
+      return vm.store_cut || !vm.silent_topics.empty() || vm.workers_cut ||
+             !vm.cut_workers.empty();
     };
     return store_down_ || store_refusing_ || store_delay_.count() > 0 ||
            lost_answer_share_ > 0 || now_ < late_orders_until_ ||
--- a/src/skylarkbridge/control/worker_fake.hpp
+++ b/src/skylarkbridge/control/worker_fake.hpp
@@ -286,7 +286,8 @@
   }
 
   /// Parses the payload, which begins with "MILLICORES MILLISECONDS FAILURES".
-  /// A run fails when its number within the epoch is at most FAILURES. With the
+  /// A run fails when its number within the epoch is at most FAILURES. A run of
+  /// a step from the setting lasting_from on does not end by itself. With the
   /// settings crash=MILLISECONDS and crashers=COUNT, each run of the first
   /// COUNT tasks of a step (1 without the setting) crashes its worker after
   /// that time.
@@ -298,10 +299,15 @@
     std::istringstream text(order.payload);
     text >> millicores >> duration >> failures;
     const std::uint64_t run_in_epoch = order.run.run % kRunsPerEpoch;
-    return {.ends_at = now + std::chrono::milliseconds(duration),
+    const bool long_running = IsLongRunning(
+        millicores, JobSettings(order.payload), order.run.task.step);
+    // The duration is that of the other steps of the job.
+    const bool ends = !long_running || millicores < 0;
+    return {.ends_at = ends ? now + std::chrono::milliseconds(duration)
+                            : time_point::max(),
             .crashes_at = CrashTime(order, now),
             .fails = fail_all_runs_ || run_in_epoch <= failures,
-            .long_running = millicores < 0,
+            .long_running = long_running,
             .need = {.millicores = std::abs(millicores)}};
   }
 
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -95,6 +95,7 @@
   relocated_until_.clear();
   searched_until_.clear();
   late_starts_.Clear();
+  unmatched_ends_.Clear();
   start_limit_.Clear();
   permits_.Clear();
   registration_writes_.clear();
@@ -120,7 +121,7 @@
   jobs_.Add(job, state, may_have_run && !unreported_workers_.empty(), now,
             wall);
   if (may_have_run) {
-    AdoptRunsKnownLate(job);
+    AdoptRunsKnownLate(job, now);
   }
   placement_pending_ = true;
 }
@@ -139,23 +140,10 @@
     jobs_.AddDelegatedTasks(job, state, may_have_run, now);
   }
   ApplyReturns(job);
-  AdoptRunsKnownLate(job);
+  AdoptRunsKnownLate(job, now);
   placement_pending_ = true;
 }
 
-void fleet_scheduler::AdoptRunsKnownLate(job_id job) {
-  for (auto& [id, session] : workers_) {
-    for (auto& [run, run_state] : session.runs) {
-      if (run.task.job == job && jobs_.CanAdopt(run)) {
-        jobs_.RecordStart(run, id);
-        jobs_.RecordConfirmedStart(job);
-        run_state.detached = false;
-        AddNote(scheduling_event::kRunAdopted, run, id, "known late");
-      }
-    }
-  }
-}
-
 void fleet_scheduler::JobCancelled(job_id job, time_point now) {
   if (!active_) {
     return;
@@ -185,6 +173,7 @@
     return;
   }
   jobs_.StartDue(wall);
+  ResolveUnmatchedRuns(now);
   ExpireLeases(now);
   RemoveEndedLateStarts(now);
   ReleaseTasksOfEarlierOwners(now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
@@ -100,6 +100,7 @@
   }
   permits_.WorkerRestarted(ended->first);
   registration_writes_.erase(ended->first);
+  unmatched_ends_.WorkerRestarted(ended->first);
   leased_workers_changed_ = true;
   placement_pending_ = true;
   workers_.erase(ended);
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -18,15 +18,23 @@
                                     const run_ref& run,
                                     const step_spec& step) {
   worker_run& state = session.runs[run];
+  SetStep(state, step);
+  AddRoom(session, state);
+  return state;
+}
+
+void fleet_scheduler::SetStep(worker_run& state, const step_spec& step) {
   state.reserved = ReservedResources(step);
-  if (step.best_effort) {
-    state.best_effort_millicores = step.need.millicores;
-  }
+  state.best_effort_millicores = step.best_effort ? step.need.millicores : 0;
   state.serving = step.latency_target.count() > 0;
   state.long_running = step.long_running;
   state.gang = step.gang;
   state.latency_target = step.latency_target;
   state.image = step.image;
+}
+
+void fleet_scheduler::AddRoom(worker_session& session,
+                              const worker_run& state) {
   session.used += state.reserved;
   if (state.long_running) {
     session.used_by_long_running += state.reserved;
@@ -37,15 +45,10 @@
   if (state.serving) {
     session.serving_millicores += state.reserved.millicores;
   }
-  return state;
 }
 
-void fleet_scheduler::RemoveRun(worker_session& session, const run_ref& run) {
-  const auto found = session.runs.find(run);
-  if (found == session.runs.end()) {
-    return;
-  }
-  const worker_run& state = found->second;
+void fleet_scheduler::SubtractRoom(worker_session& session,
+                                   const worker_run& state) {
   session.used -= state.reserved;
   if (state.long_running) {
     session.used_by_long_running -= state.reserved;
@@ -56,6 +59,15 @@
   if (state.serving) {
     session.serving_millicores -= state.reserved.millicores;
   }
+}
+
+void fleet_scheduler::RemoveRun(worker_session& session, const run_ref& run) {
+  const auto found = session.runs.find(run);
+  if (found == session.runs.end()) {
+    return;
+  }
+  const worker_run& state = found->second;
+  SubtractRoom(session, state);
   if (state.best_effort_millicores == 0) {
     session.changes.run_removed = last_pass_;
     session.changes.removed_run = run;
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
@@ -84,7 +84,9 @@
   permits_.WorkerRestarted(session.entry.worker);
   late_starts_.WorkerRestarted(session.entry.worker);
   EndStartBackoff(session, now);
+  unmatched_ends_.WorkerRestarted(session.entry.worker);
   session.last_applied_ended_run = 0;
+  session.last_pending_ended_run = 0;
   session.last_durable_ended_run = 0;
   session.last_acknowledged_ended_run = 0;
   session.pending_ended_runs.clear();
@@ -104,9 +106,9 @@
 bool fleet_scheduler::MayReportEnd(const worker_session& session,
                                    const worker_run& run,
                                    time_point now) const {
-  return run.confirmed && !run.long_running && !run.detached &&
-         session.has_reported && !session.unlisted_since &&
-         !session.entry.draining &&
+  return run.confirmed && !run.long_running &&
+         (!run.detached || run.unmatched) && session.has_reported &&
+         !session.unlisted_since && !session.entry.draining &&
          now < session.lease.ExpiresAt() + options_.max_report_wait;
 }
 
@@ -143,6 +145,7 @@
     if (session.RemovedFromList(now) && !session.renewal_under_way) {
       leased_workers_changed_ |= session.has_reported;
       registration_writes_.erase(position->first);
+      unmatched_ends_.WorkerRestarted(position->first);
       position = workers_.erase(position);
     } else {
       ++position;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -108,6 +108,7 @@
   }
   if (session.has_reported && session.lease.IsSynchronised() &&
       session.RefusesLateOrders() && session.pending_ended_runs.empty() &&
+      !unmatched_ends_.FirstListed(session.entry.worker) &&
       MayExtendLease(session)) {
     renewal.wait = session.over_target_since ? options_.over_target_renewal_wait
                                              : options_.renewal_wait;
@@ -171,7 +172,8 @@
   session.last_answer = now;
   session.answered_renewal_sent_at = session.renewed_at;
   session.next_renewal =
-      session.pending_ended_runs.empty() && MayExtendLease(session)
+      session.pending_ended_runs.empty() && MayExtendLease(session) &&
+              !unmatched_ends_.FirstListed(session.entry.worker)
           ? now
           : now + options_.unstored_renewal_interval;
 }
@@ -214,19 +216,13 @@
 void fleet_scheduler::ApplyEndedRuns(worker_session& session,
                                      const worker_report& report,
                                      time_point now) {
-  bool has_new_ends = false;
   for (const ended_task& end : report.ended) {
     if (end.number > session.last_applied_ended_run) {
       ApplyEndedRun(session, end, now);
       session.last_applied_ended_run = end.number;
-      has_new_ends = true;
     }
   }
-  if (has_new_ends) {
-    // The next log write contains the job changes that these ends caused.
-    session.pending_ended_runs.emplace_back(session.last_applied_ended_run,
-                                            write_number_ + 1);
-  }
+  AcknowledgeAppliedEnds(session);
 }
 
 void fleet_scheduler::ApplyEndedRun(worker_session& session,
@@ -238,8 +234,6 @@
   if (found != session.runs.end()) {
     RemoveRun(session, end.run);
   }
-  const queue_configuration* queue = Queue(end.run.task.job);
-  const std::uint32_t max_attempts = queue == nullptr ? 1 : queue->max_attempts;
   if (end.outcome == run_end::kFailed && !settled) {
     if (++session.consecutive_failures >= options_.failures_for_quarantine) {
       session.excluded_until = now + options_.quarantine;
@@ -257,6 +251,18 @@
     notes_.back().cancel_wait =
         std::chrono::floor<std::chrono::milliseconds>(now - *cancelled_at);
   }
+  if (MayBecomeKnown(end.run, now)) {
+    unmatched_ends_.Add(
+        {.worker = session.entry.worker, .end = end, .reported_at = now});
+    AddNote(scheduling_event::kEndUnmatched, end.run, session.entry.worker);
+  } else {
+    RecordEnd(end, now);
+  }
+}
+
+void fleet_scheduler::RecordEnd(const ended_task& end, time_point now) {
+  const queue_configuration* queue = Queue(end.run.task.job);
+  const std::uint32_t max_attempts = queue == nullptr ? 1 : queue->max_attempts;
   RequestStops(
       jobs_.RecordEnd(end.run, end.outcome, end.checkpoint, max_attempts, now),
       true);
@@ -314,23 +320,35 @@
   run.measurement = task.measurement;
   run.checkpoint = task.checkpoint;
   if (adopt) {
-    jobs_.RecordStart(task.run, session.entry.worker);
-    jobs_.RecordConfirmedStart(task.run.task.job);
-    jobs_.RecordCheckpoint(task.run, task.checkpoint);
-    if (IsSuspected(task.run.task)) {
-      session.last_suspect_start = now;
-    }
-    AddNote(scheduling_event::kRunAdopted, task.run, session.entry.worker);
-    run.stop_wanted =
-        session.entry.draining && MustLeave(session, task.run, run, now);
-    placement_pending_ |= session.entry.draining;
+    Adopt(session, task.run, run, now);
     return;
   }
   run.detached = true;
+  if (MayBecomeKnown(task.run, now)) {
+    run.unmatched = true;
+    AddNote(scheduling_event::kRunUnmatched, task.run, session.entry.worker);
+    return;
+  }
   run.stop_wanted = true;
   AddNote(scheduling_event::kUnexpectedRun, task.run, session.entry.worker);
 }
 
+void fleet_scheduler::Adopt(worker_session& session,
+                            const run_ref& run,
+                            worker_run& state,
+                            time_point now) {
+  jobs_.RecordStart(run, session.entry.worker);
+  jobs_.RecordConfirmedStart(run.task.job);
+  jobs_.RecordCheckpoint(run, state.checkpoint);
+  if (IsSuspected(run.task)) {
+    session.last_suspect_start = now;
+  }
+  AddNote(scheduling_event::kRunAdopted, run, session.entry.worker);
+  state.stop_wanted =
+      session.entry.draining && MustLeave(session, run, state, now);
+  placement_pending_ |= session.entry.draining;
+}
+
 void fleet_scheduler::DropMissingRuns(worker_session& session,
                                       std::uint64_t renewal_number,
                                       const worker_report& report,
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,14 +46,14 @@
   void Begin(const leased_workers& leased,
              std::chrono::milliseconds earlier_owner_time) {
     scheduler.BeginOwnership(2, registry, leased, now, now + earlier_owner_time,
-                             now, kWall);
+                             now, wall);
     AllowOrders(now);
   }
   /// Begins another ownership of the same VM.
   void Begin(epoch owned_epoch) {
     scheduler.BeginOwnership(owned_epoch, registry,
                              {.claim_epoch = owned_epoch - 1}, now, now, now,
-                             kWall);
+                             wall);
     AllowOrders(now);
   }
   void AllowOrders(time_point confirmed) {
@@ -79,13 +81,20 @@
                                 .queue = queue,
                                 .spec = {.payload = "p", .steps = {step}}},
                    now);
-    scheduler.JobAccepted(id, *registry.Find(id), false, now, kWall);
+    scheduler.JobAccepted(id, *registry.Find(id), false, now, wall);
+  }
+  /// Passes on a job whose acceptance was read in the log of another cell.
+  void ReadInOtherLog(const job_accepted& record) {
+    registry.Apply(record, now);
+    scheduler.JobAccepted(record.job, *registry.Find(record.job), true, now,
+                          wall);
   }
   /// Runs four rounds in which renewals and start orders are answered: enough
   /// to register a new worker and to start tasks on it.
   void RunRounds() {
     for (int round = 0; round < 4; ++round) {
-      scheduler.Run(now, kWall);
+      scheduler.SetOtherLogsReadUntil(other_logs_read_until);
+      scheduler.Run(now, wall);
       if (scheduler.HasRecords()) {
         for (const log_record& record : scheduler.TakeRecords(now)) {
           if (const auto* list = std::get_if<leased_workers>(&record)) {
@@ -96,6 +105,8 @@
       }
       for (const order& sent_order : scheduler.TakeOrders()) {
         if (const auto* renewal = std::get_if<renew_order>(&sent_order)) {
+          std::uint64_t& last = acknowledged[renewal->target.worker];
+          last = std::max(last, renewal->acknowledged);
           AnswerRenewal(*renewal);
         } else if (const auto* start = std::get_if<start_order>(&sent_order);
                    start != nullptr &&
@@ -185,6 +196,12 @@
   }
 
   time_point now{std::chrono::seconds(1000)};
+  /// The time of day that the owner sees.
+  wall_time wall = kWall;
+  /// There are no other cells.
+  std::optional<time_point> other_logs_read_until = time_point::max();
+  /// Number of the last end that each worker was last told to forget.
+  std::map<std::string, std::uint64_t> acknowledged;
   job_registry registry;
   fleet_scheduler scheduler;
   /// Start orders so far. Each worker reports the runs that target it as
--- a/src/skylarkbridge/jobs/task_returns.cpp
+++ b/src/skylarkbridge/jobs/task_returns.cpp
@@ -55,6 +55,13 @@
   }
 }
 
+void task_returns::Unsettle(const returned_task& returned) {
+  if (const auto found = entries_.find(returned.task);
+      found != entries_.end() && found->second.returned == returned) {
+    found->second.settled_at.reset();
+  }
+}
+
 std::vector<returned_task> task_returns::Tasks() const {
   std::vector<returned_task> tasks;
   tasks.reserve(entries_.size());
--- a/src/skylarkbridge/jobs/task_returns_test.cpp
+++ b/src/skylarkbridge/jobs/task_returns_test.cpp
@@ -52,6 +52,19 @@
   EXPECT_FALSE(returns.TakeChanges());
 }
 
+// Guards against a return that is dropped because its job was not known for a
+// while: the task was never started again.
+TEST(TaskReturnsTest, CountsTheRetentionFromTheLastTimeItWasNotSettled) {
+  task_returns returns;
+  returns.Begin({.claim_epoch = 1, .tasks = {kReturned}});
+  returns.Settle(kReturned, kNow);
+  returns.Unsettle(kReturned);
+  returns.Settle(kReturned, kNow + seconds(60));
+  EXPECT_EQ(returns.Tasks(), std::vector<returned_task>{kReturned});
+  returns.Settle(kReturned, kNow + seconds(120));
+  EXPECT_TRUE(returns.Tasks().empty());
+}
+
 // Guards against an entry that is dropped because an earlier one of its task is
 // settled.
 TEST(TaskReturnsTest, SettlesOnlyTheSameReturn) {
