Let accepted jobs go on when their queue is removed

Cause: without the queue the scheduler took 1 for the limit of attempts. By the same cause such jobs started no further step, and their long-running tasks were not started again. A route without max_attempts counted as one with a single attempt.

Change: the record of an accepted job holds the settings of its queue that its tasks need. They hold while the configuration has no such queue, also on VMs that start later. Where no limit is known, failures count and nothing is given up; once it is known, a task that has used it up is not started again and its job fails.

--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -70,11 +70,13 @@
         RemoveConfirmedSubmissions();
         const std::int64_t long_running = jobs::LongRunningMillicores(spec);
         const jobs::cell_id running_cell = ChooseCell(job, spec);
-        const jobs::job_accepted accepted{.job = job,
-                                          .queue = queue.name,
-                                          .accepted_at = wall,
-                                          .spec = std::move(spec),
-                                          .cell = running_cell};
+        const jobs::job_accepted accepted{
+            .job = job,
+            .queue = queue.name,
+            .accepted_at = wall,
+            .spec = std::move(spec),
+            .cell = running_cell,
+            .settings = jobs::SettingsOfTasks(queue)};
         if (long_running > 0) {
           unconfirmed_submissions_[job] = {running_cell, long_running};
         }
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -146,7 +146,8 @@
           .queue = state.queue,
           .accepted_at = state.accepted_at,
           .spec = state.spec,
-          .cell = state.cell};
+          .cell = state.cell,
+          .settings = state.settings};
 }
 
 template <fleet_platform Platform>
--- a/include/skylarkbridge/jobs/fleet_configuration.hpp
+++ b/include/skylarkbridge/jobs/fleet_configuration.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,8 @@
   std::chrono::milliseconds time_per_worker{};
   /// How long a permit can be used.
   std::chrono::milliseconds permit_validity{};
+
+  bool operator==(const placement_policy_timing&) const = default;
 };
 
 /// @brief A queue that callers submit jobs to, and the settings of its tasks.
@@ -31,7 +34,8 @@
   std::string service;
   /// Lower values are more urgent; zero is the most urgent.
   int priority = 0;
-  std::uint32_t max_attempts = 1;
+  /// Failed runs after which a task is given up; nullopt while it is not known.
+  std::optional<std::uint32_t> max_attempts;
   /// A job should complete within `slack_factor` times the length of its
   /// critical path, plus `slack_time`.
   double slack_factor = 1.0;
@@ -42,8 +46,14 @@
 
   /// @brief Whether a placement policy decides which workers a step may use.
   bool HasPlacementPolicy() const { return policy.permit_validity.count() > 0; }
+
+  bool operator==(const queue_configuration&) const = default;
 };
 
+/// @brief The settings of a queue that its tasks need, without those that only
+/// concern callers.
+queue_configuration SettingsOfTasks(const queue_configuration& queue);
+
 /// @brief A complete version of the configuration that operators publish.
 struct fleet_configuration {
   std::uint64_t version = 0;
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -632,6 +632,12 @@
   time_point Objective(const open_job& job,
                        const queue_configuration* queue) const;
   const queue_configuration* Queue(job_id job) const;
+  /// Failed runs after which a task of the job is given up; nullopt while this
+  /// is not known.
+  std::optional<std::uint32_t> MaxAttempts(job_id id) const;
+  /// Fails the jobs with a task that has used up its attempts while its limit
+  /// was not known.
+  void FailExhaustedJobs();
 
   // Restarts of long-running tasks.
   /// Places the long-running tasks that have run before, ahead of all other
@@ -898,6 +904,7 @@
   /// waited in an underused fleet.
   std::map<job_id, time_point> waiting_jobs_since_;
   bool placement_pending_ = false;
+  bool exhausted_check_pending_ = false;
   time_point next_pass_;
   /// Number of the last placement pass.
   std::uint64_t last_pass_ = 0;
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -4,12 +4,14 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "skylarkbridge/base/time.hpp"
+#include "skylarkbridge/jobs/fleet_configuration.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
 #include "skylarkbridge/jobs/stated_room.hpp"
@@ -108,6 +110,10 @@
   /// The cell that runs the job. It differs from the home cell when the home
   /// cell has more long-running work than other cells.
   cell_id cell = 0;
+  /// The queue's settings when the job was accepted, as SettingsOfTasks. They
+  /// hold while the configuration has no such queue. Nullopt in records of
+  /// versions that didn't store them.
+  std::optional<queue_configuration> settings;
 };
 
 /// @brief The caller cancelled the job.
--- a/include/skylarkbridge/jobs/job_registry.hpp
+++ b/include/skylarkbridge/jobs/job_registry.hpp
@@ -23,6 +23,8 @@
   job_spec spec;
   /// The cell that runs the job.
   cell_id cell = 0;
+  /// As job_accepted::settings.
+  std::optional<queue_configuration> settings;
   job_progress progress;
   bool cancelled = false;
   /// The cell is neither the job's home nor the cell that runs the job: it only
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -97,6 +97,8 @@
 /// @brief An open job with the state of its tasks.
 struct open_job {
   std::string queue;
+  /// As job_accepted::settings.
+  std::optional<queue_configuration> settings;
   job_spec spec;
   wall_time accepted_at{};
   /// Another cell runs the job and records its progress. This cell runs the
@@ -261,11 +263,18 @@
   void RecordRejectedStart(const run_ref& run, time_point now);
   /// @brief Records an end that a worker reported. Returns other runs that must
   /// be stopped because of it.
+  /// @param max_attempts nullopt while it is not known: a failed run counts,
+  /// and gives nothing up.
   std::vector<run_to_stop> RecordEnd(const run_ref& run,
                                      run_end outcome,
                                      const std::string& checkpoint,
-                                     std::uint32_t max_attempts,
+                                     std::optional<std::uint32_t> max_attempts,
                                      time_point now);
+  /// @brief Fails the job if one of its tasks is ready although it has used up
+  /// its attempts, as those were counted while max_attempts was not known.
+  /// Returns the runs of the job, which must be stopped.
+  std::vector<run_to_stop> FailIfExhausted(job_id id,
+                                           std::uint32_t max_attempts);
   /// @brief Records a newer checkpoint that a worker reported.
   void RecordCheckpoint(const run_ref& run, const std::string& checkpoint);
 
@@ -325,7 +334,7 @@
   /// Returns whether the task has used up its attempts.
   bool CountFailure(open_job& job,
                     const run_ref& run,
-                    std::uint32_t max_attempts);
+                    std::optional<std::uint32_t> max_attempts);
   /// What keeps the task from moving, whatever its job: it is not ready, or
   /// something that only this owner knows would be lost.
   static delegation_obstacle ObstacleToMove(const task_state& task);
--- a/src/skylarkbridge/control/platform_fake.hpp
+++ b/src/skylarkbridge/control/platform_fake.hpp
@@ -44,7 +44,8 @@
   void SendOrderNow(const jobs::order& order, time_point deadline);
 
   /// @brief Decodes "VERSION MAX_ATTEMPTS" into a configuration with the queue
-  /// "batch" and the more urgent queue "serving".
+  /// "batch" and the more urgent queue "serving", or "VERSION MAX_ATTEMPTS
+  /// without=QUEUE" into one that lacks one of them.
   static boost::leaf::result<jobs::fleet_configuration> DecodeConfiguration(
       std::string_view bytes) {
     std::istringstream text{std::string(bytes)};
@@ -54,12 +55,19 @@
                                     .path_prefix = "/batch/",
                                     .service = "service",
                                     .priority = 1};
-    text >> configuration.version >> queue.max_attempts;
+    std::uint32_t max_attempts = 0;
+    text >> configuration.version >> max_attempts;
+    queue.max_attempts = max_attempts;
     configuration.queues.push_back(queue);
     queue.name = "serving";
     queue.path_prefix = "/serving/";
     queue.priority = 0;
     configuration.queues.push_back(queue);
+    std::erase_if(configuration.queues, [bytes](const auto& each) {
+      const auto settings = JobSettings(bytes);
+      const auto removed = settings.find("without");
+      return removed != settings.end() && removed->second == each.name;
+    });
     return configuration;
   }
   /// @brief Decodes "MILLICORES BORN", or "MILLICORES BORN MILLISECONDS" of a
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -284,6 +284,12 @@
     store_.Put({topic_kind::kConfiguration}, "config",
                absl::StrCat(version, " ", options_.max_attempts));
   }
+  /// @brief Publishes a configuration that lacks a queue.
+  void PublishWithoutQueue(std::uint64_t version, const std::string& queue) {
+    store_.Put(
+        {topic_kind::kConfiguration}, "config",
+        absl::StrCat(version, " ", options_.max_attempts, " without=", queue));
+  }
   worker_fake& Worker(const std::string& id) { return workers_.at(id); }
 
   // Callers.
--- a/src/skylarkbridge/jobs/fleet_configuration.cpp
+++ b/src/skylarkbridge/jobs/fleet_configuration.cpp
@@ -2,6 +2,15 @@
 
 namespace skylarkbridge::jobs {
 
+queue_configuration SettingsOfTasks(const queue_configuration& queue) {
+  return {.service = queue.service,
+          .priority = queue.priority,
+          .max_attempts = queue.max_attempts,
+          .slack_factor = queue.slack_factor,
+          .slack_time = queue.slack_time,
+          .policy = queue.policy};
+}
+
 const queue_configuration* fleet_configuration::Match(
     std::string_view host,
     std::string_view path) const {
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -64,6 +64,7 @@
       jobs_.Add(id, state, !unreported_workers_.empty(), now, wall);
     }
   }
+  exhausted_check_pending_ = true;
   placement_pending_ = true;
 }
 
@@ -107,6 +108,7 @@
 void fleet_scheduler::Configure(
     std::shared_ptr<const fleet_configuration> configuration) {
   configuration_ = std::move(configuration);
+  exhausted_check_pending_ = true;
   placement_pending_ = true;
 }
 
@@ -120,6 +122,7 @@
   }
   jobs_.Add(job, state, may_have_run && !unreported_workers_.empty(), now,
             wall);
+  exhausted_check_pending_ |= may_have_run;
   if (may_have_run) {
     AdoptRunsKnownLate(job, now);
   }
@@ -178,6 +181,7 @@
   RemoveEndedLateStarts(now);
   ReleaseTasksOfEarlierOwners(now);
   ReportDelayedTakeover(now);
+  FailExhaustedJobs();
   for (auto& [id, session] : workers_) {
     StopOverdueRuns(session, now);
     SendStops(session, now);
@@ -351,14 +355,42 @@
           absl::StrCat("waited_ms ", waited.count(), " unreported ",
                        never_reported_.size(), " restarts ", released.size()));
   jobs_.AllowUnreportedTasks(epoch_);
+  exhausted_check_pending_ = true;
   placement_pending_ = true;
 }
 
 const queue_configuration* fleet_scheduler::Queue(job_id id) const {
   const open_job* job = jobs_.Find(id);
-  return job == nullptr || configuration_ == nullptr
-             ? nullptr
-             : configuration_->Find(job->queue);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const queue_configuration* configured =
+      configuration_ == nullptr ? nullptr : configuration_->Find(job->queue);
+  if (configured != nullptr) {
+    return configured;
+  }
+  // An accepted job goes on when its queue is removed.
+  return job->settings ? &*job->settings : nullptr;
+}
+
+std::optional<std::uint32_t> fleet_scheduler::MaxAttempts(job_id id) const {
+  const queue_configuration* queue = Queue(id);
+  return queue == nullptr ? std::nullopt : queue->max_attempts;
+}
+
+void fleet_scheduler::FailExhaustedJobs() {
+  if (!std::exchange(exhausted_check_pending_, false)) {
+    return;
+  }
+  std::vector<job_id> ids;
+  for (const auto& [id, job] : jobs_.Jobs()) {
+    ids.push_back(id);
+  }
+  for (const job_id id : ids) {
+    if (const auto max_attempts = MaxAttempts(id)) {
+      RequestStops(jobs_.FailIfExhausted(id, *max_attempts), true);
+    }
+  }
 }
 
 worker_target fleet_scheduler::Target(const worker_session& session) const {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -261,11 +261,9 @@
 }
 
 void fleet_scheduler::RecordEnd(const ended_task& end, time_point now) {
-  const queue_configuration* queue = Queue(end.run.task.job);
-  const std::uint32_t max_attempts = queue == nullptr ? 1 : queue->max_attempts;
-  RequestStops(
-      jobs_.RecordEnd(end.run, end.outcome, end.checkpoint, max_attempts, now),
-      true);
+  RequestStops(jobs_.RecordEnd(end.run, end.outcome, end.checkpoint,
+                               MaxAttempts(end.run.task.job), now),
+               true);
   placement_pending_ = true;
 }
 
--- a/src/skylarkbridge/jobs/job_registry.cpp
+++ b/src/skylarkbridge/jobs/job_registry.cpp
@@ -34,6 +34,7 @@
   state.accepted_at = record.accepted_at;
   state.spec = std::move(record.spec);
   state.cell = record.cell;
+  state.settings = std::move(record.settings);
   state.seen_at = now;
   if (const auto early = early_records_.find(record.job);
       early != early_records_.end()) {
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -57,6 +57,7 @@
   }
   open_job& job = entry->second;
   job.queue = state.queue;
+  job.settings = state.settings;
   job.spec = state.spec;
   job.accepted_at = state.accepted_at;
   job.added_at = now;
@@ -343,11 +344,12 @@
   }
 }
 
-std::vector<run_to_stop> job_table::RecordEnd(const run_ref& run,
-                                              run_end outcome,
-                                              const std::string& checkpoint,
-                                              std::uint32_t max_attempts,
-                                              time_point now) {
+std::vector<run_to_stop> job_table::RecordEnd(
+    const run_ref& run,
+    run_end outcome,
+    const std::string& checkpoint,
+    std::optional<std::uint32_t> max_attempts,
+    time_point now) {
   const auto entry = jobs_.find(run.task.job);
   task_state* task = MutableTask(run.task);
   if (task == nullptr || task->phase == task_phase::kDone) {
@@ -453,7 +455,7 @@
 
 bool job_table::CountFailure(open_job& job,
                              const run_ref& run,
-                             std::uint32_t max_attempts) {
+                             std::optional<std::uint32_t> max_attempts) {
   if (job.spec.steps[run.task.step].long_running) {
     return false;
   }
@@ -461,7 +463,26 @@
   if (runs.insert(run.run).second) {
     changed_.insert(run.task.job);
   }
-  return runs.size() >= max_attempts;
+  return max_attempts && runs.size() >= *max_attempts;
+}
+
+std::vector<run_to_stop> job_table::FailIfExhausted(
+    job_id id,
+    std::uint32_t max_attempts) {
+  const open_job* job = Find(id);
+  if (job == nullptr || job->is_delegated) {
+    return {};
+  }
+  for (const step_progress& step : job->progress.steps) {
+    for (const auto& [index, runs] : step.failures) {
+      const task_state* task = Find({id, step.occurrence, step.step, index});
+      if (task != nullptr && task->phase == task_phase::kReady &&
+          runs.size() >= max_attempts) {
+        return Finish(id, job_status::kFailed);
+      }
+    }
+  }
+  return {};
 }
 
 std::chrono::milliseconds job_table::RetryDelay(const open_job& job,
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -53,6 +53,11 @@
 /// Column of ownership_record::room, which earlier versions neither write nor
 /// read.
 constexpr std::size_t kRoomColumn = 6;
+/// Column of job_accepted::settings, under the same rules.
+constexpr std::size_t kSettingsColumn = 8;
+/// Stands for settings without queue_configuration::max_attempts.
+constexpr std::uint32_t kUnknownMaxAttempts = 0;
+constexpr double kMaxSlackFactor = 1e6;
 
 std::string Key(char kind, job_id job) {
   return absl::StrCat(std::string(1, kind), Format(job));
@@ -111,17 +116,58 @@
           .disruption_budget = ToInteger<std::int32_t>(value.at(15))};
 }
 
+json ToJson(const queue_configuration& settings) {
+  return json::array({settings.service, settings.priority,
+                      settings.max_attempts.value_or(kUnknownMaxAttempts),
+                      settings.slack_factor, settings.slack_time.count(),
+                      settings.policy.decision_time.count(),
+                      settings.policy.time_per_worker.count(),
+                      settings.policy.permit_validity.count()});
+}
+
+queue_configuration ToSettings(const json& row) {
+  queue_configuration settings{
+      .service = row.at(0),
+      .priority = ToInteger<int>(row.at(1), {.min = 0}),
+      .slack_factor = row.at(3),
+      .slack_time = ToMilliseconds(row.at(4)),
+      .policy = {.decision_time = ToMilliseconds(row.at(5)),
+                 .time_per_worker = ToMilliseconds(row.at(6)),
+                 .permit_validity = ToMilliseconds(row.at(7))}};
+  if (!(settings.slack_factor >= 0 &&
+        settings.slack_factor <= kMaxSlackFactor)) {
+    encoding::ThrowInvalid("the slack factor is out of its range");
+  }
+  const auto max_attempts = ToInteger<std::uint32_t>(row.at(2));
+  if (max_attempts != kUnknownMaxAttempts) {
+    settings.max_attempts = max_attempts;
+  }
+  return settings;
+}
+
+/// Odd settings must not hide the job: they count as unknown.
+std::optional<queue_configuration> ToSettingsOrNone(const json& row) {
+  try {
+    return ToSettings(row);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 keyed_record ToRecord(const job_accepted& record) {
   json steps = json::array();
   for (const step_spec& step : record.spec.steps) {
     steps.push_back(ToJson(step));
   }
-  return {.key = Key(kAcceptedKind, record.job),
-          .value = Pack(json::array(
-              {record.queue, record.accepted_at.time_since_epoch().count(),
-               record.spec.payload, std::move(steps), record.spec.repeat_count,
-               record.spec.first_due.time_since_epoch().count(),
-               record.spec.interval.count(), record.cell}))};
+  json row = json::array(
+      {record.queue, record.accepted_at.time_since_epoch().count(),
+       record.spec.payload, std::move(steps), record.spec.repeat_count,
+       record.spec.first_due.time_since_epoch().count(),
+       record.spec.interval.count(), record.cell});
+  if (record.settings) {
+    row.push_back(ToJson(*record.settings));
+  }
+  return {.key = Key(kAcceptedKind, record.job), .value = Pack(row)};
 }
 
 keyed_record ToRecord(const job_cancelled& record) {
@@ -381,6 +427,9 @@
   if (const auto fault = FindFault(record.spec)) {
     encoding::ThrowInvalid(std::string(*fault));
   }
+  if (value.size() > kSettingsColumn) {
+    record.settings = ToSettingsOrNone(value.at(kSettingsColumn));
+  }
   return record;
 }
 
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -70,10 +70,20 @@
                           .disruption_budget = 7}},
                .repeat_count = 8,
                .first_due = wall_time(std::chrono::seconds(9)),
-               .interval = std::chrono::milliseconds(10)}};
+               .interval = std::chrono::milliseconds(10)},
+      .settings = queue_configuration{
+          .service = "s",
+          .priority = 11,
+          .max_attempts = 12,
+          .slack_factor = 1.5,
+          .slack_time = std::chrono::milliseconds(13),
+          .policy = {.decision_time = std::chrono::milliseconds(14),
+                     .time_per_worker = std::chrono::milliseconds(15),
+                     .permit_validity = std::chrono::milliseconds(16)}}};
   const auto decoded = RoundTrip(accepted);
   ASSERT_TRUE(decoded);
   const auto& decoded_job = std::get<job_accepted>(*decoded);
+  EXPECT_EQ(decoded_job.settings, accepted.settings);
   EXPECT_EQ(decoded_job.job, accepted.job);
   EXPECT_EQ(decoded_job.accepted_at, accepted.accepted_at);
   EXPECT_EQ(decoded_job.spec.payload, accepted.spec.payload);
@@ -87,6 +97,35 @@
   EXPECT_EQ(step.disruption_budget, 7);
 }
 
+// Guards against a job that can't be read because of its settings, and against
+// a missing limit of the attempts that is taken for a limit.
+TEST(JobRecordCodecTest, TakesOddSettingsOfAJobForUnknownOnes) {
+  const auto decode = [](const nlohmann::json& settings) {
+    const keyed_record accepted =
+        Encode(job_accepted{.job = job_id{1},
+                            .queue = "r-1",
+                            .spec = {.steps = {{.count = 1}}},
+                            .settings = queue_configuration{.service = "s"}});
+    nlohmann::json row = nlohmann::json::from_msgpack(*accepted.value);
+    if (!settings.is_null()) {
+      row.back() = settings;
+    }
+    std::string value;
+    nlohmann::json::to_msgpack(row, value);
+    const auto decoded = DecodeOrNothing({accepted.key, value});
+    EXPECT_TRUE(decoded);
+    return std::get<job_accepted>(*decoded).settings;
+  };
+  const auto unchanged = decode(nullptr);
+  ASSERT_TRUE(unchanged);
+  EXPECT_EQ(unchanged->service, "s");
+  EXPECT_FALSE(unchanged->max_attempts);
+  EXPECT_FALSE(decode("text"));
+  EXPECT_FALSE(decode({"s", -1, 0, 1.5, 0, 0, 0, 0}));
+  EXPECT_FALSE(decode({"s", 1, 0, 1e300, 0, 0, 0, 0}));
+  EXPECT_FALSE(decode({"s"}));
+}
+
 // Guards against lost progress: failed runs and done tasks decide whether a
 // task may start again.
 TEST(JobRecordCodecTest, KeepsTheProgress) {
