Give no job up for the crash of a worker before it is proved

Cause: when the lease of a worker that had left the list of workers ran out, the worker counted as crashed, and the tasks that it had just started were blamed. A worker that is cut off from the VMs and the store looks the same. In the users' record the workers list the lapsed runs later in the life that had started them.

Change: such tasks are suspected as before, but no job is given up before the crash is proved: by a report from another life, by another worker at the address, or by two readings of the list of machines without the worker. A worker that comes back in the same life, or that lists the end of a run, withdraws the crash.

That the users' runs had this cause is inferred from their record.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -28,6 +28,7 @@
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
+#include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
@@ -91,8 +92,9 @@
     other_logs_read_until_ = until;
   }
 
-  /// @brief Whether tasks wait for workers of earlier owners that a list of
-  /// machines, requested now, may show to be gone.
+  /// @brief Whether a list of machines, requested now, may show that a worker
+  /// is gone: one of an earlier owner for which tasks wait, or one that may
+  /// have crashed.
   bool NeedsMachineList(time_point now) const;
   /// @brief A list of machines was read. Workers of earlier owners that neither
   /// this list nor the one before it names count as gone; both have to be
@@ -321,6 +323,36 @@
   /// @param surviving runs that may be on a later life of the worker.
   void RecordCrash(const worker_session& session,
                    const absl::flat_hash_set<run_ref>& surviving);
+  /// Records a crash as RecordCrash does, and returns the suspects.
+  std::vector<run_ref> HoldResponsible(
+      const worker_session& session,
+      const absl::flat_hash_set<run_ref>& surviving,
+      crash_proof proof);
+  /// The task of the run may have been given up for the crash of the worker.
+  void FinishGivingUp(const run_ref& run,
+                      const std::string& worker,
+                      const std::vector<run_to_stop>& stops);
+
+  // Workers that have crashed or are only cut off.
+  /// Records the crash of a worker that is silent and not listed. It gives no
+  /// task up before it is proved.
+  void PresumeCrash(const worker_session& session, time_point now);
+  void ProveCrash(const std::string& worker);
+  /// The worker has not crashed, or nothing proves that it has.
+  void WithdrawCrash(const std::string& worker);
+  /// The worker reports: from the life that may have crashed, or another one.
+  void ResolvePresumedCrash(const worker_session& session,
+                            const worker_report& report);
+  /// Another worker reports from the address of one that may have crashed.
+  void ProveReplacedCrashes(const worker_session& reporting);
+  /// @param earlier the list before, if the two confirm each other; else null.
+  void ProveListedCrashes(const machine_list& list,
+                          const machine_list* earlier);
+  void ForgetUnprovedCrashes(time_point now);
+  /// Delays the next start of tasks that have to be given up if a presumed
+  /// crash is proved, which a list of machines shows at once.
+  void DelayTasksInDoubt(const std::vector<run_ref>& lost, time_point now);
+
   /// The runs that were started shortly before the worker crashed: those that
   /// it has confirmed or, while there are none, those whose start got no
   /// answer.
@@ -933,6 +965,8 @@
   std::map<task_ref, time_point> searched_until_;
   late_starts late_starts_;
   unmatched_ends unmatched_ends_;
+  /// By worker.
+  std::map<std::string, presumed_crash> presumed_crashes_;
   std::optional<time_point> other_logs_read_until_;
   start_limit start_limit_;
   time_point next_restart_report_;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -62,6 +62,9 @@
   /// A task is suspected of a worker's crash when it was started there this
   /// long before the worker's last answer, or later.
   std::chrono::milliseconds crash_window{1000};
+  /// How long a worker that has left the list may take to prove by its return
+  /// that it has crashed.
+  std::chrono::milliseconds presumed_crash_retention{30'000};
   /// Interval of the starts of suspected tasks on one worker. Longer than
   /// crash_window and renewal_wait together, so that only one of them can be
   /// suspected of the worker's next crash.
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -139,6 +139,13 @@
   bool end_stored = true;
 };
 
+/// @brief Whether a worker is known to have crashed.
+enum class crash_proof {
+  /// It is silent and not listed, and may be only cut off.
+  kPresumed,
+  kProved,
+};
+
 struct job_table_options {
   /// A failed task starts again after this delay times the number of its failed
   /// runs.
@@ -249,9 +256,20 @@
   void RecordLossInRestart(const run_ref& run, time_point now);
   /// @brief Records that the worker of a run crashed shortly after the start;
   /// the run still has to be recorded as lost. When the task has to be given
-  /// up, its job fails; returns the runs of the job, which must be stopped.
+  /// up, its job fails; returns the runs of the job, which must be stopped. A
+  /// crash that is only presumed gives nothing up.
   std::vector<run_to_stop> RecordCrash(const run_ref& run,
-                                       crash_evidence evidence);
+                                       crash_evidence evidence,
+                                       crash_proof proof);
+  /// @brief A presumed crash is proved. Returns as RecordCrash.
+  std::vector<run_to_stop> ProveCrash(const run_ref& run);
+  /// @brief The worker of the run has not crashed.
+  void WithdrawCrash(const run_ref& run);
+  /// @brief Whether the task has to be given up if its presumed crashes are
+  /// proved.
+  bool IsInDoubt(const task_ref& task) const;
+  /// @brief The task is not started before @p until.
+  void DelayStart(const task_ref& task, time_point until);
   /// @brief Fails the job of a task that has to be given up for its crashes, if
   /// this cell runs the job. Returns the runs of the job, which must be
   /// stopped.
@@ -338,8 +356,10 @@
   /// What keeps the task from moving, whatever its job: it is not ready, or
   /// something that only this owner knows would be lost.
   static delegation_obstacle ObstacleToMove(const task_state& task);
-  /// Whether the task has to be given up after these crashes.
+  /// Whether a task has to be given up after these crashes.
   bool ExceedsCrashLimit(const crashed_runs& crashes) const;
+  /// The same for the crashes of the task that are proved.
+  bool MustBeGivenUp(const task_ref& task) const;
   /// Whether a task that another cell delegated has crashed too many workers.
   /// It is not started here again; see TasksToGiveUp.
   bool MustStayStopped(const task_ref& task) const;
@@ -374,6 +394,8 @@
   std::set<job_id> deferred_changes_;
   /// Jobs that still have occurrences which are not due.
   std::set<job_id> scheduled_;
+  /// Runs whose workers may be only cut off, although they count as crashed.
+  std::set<run_ref> presumed_crashes_;
   /// Final progress of jobs that have ended and were removed.
   std::vector<job_advanced> finished_;
   epoch ends_stored_from_ = 0;
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -66,6 +66,12 @@
   /// fleet_scheduler_options::cancel_report_delay since the cancellation was
   /// read.
   kCancelDelayed,
+  /// A worker is silent and not listed: it has crashed or is only cut off.
+  kCrashPresumed,
+  /// Such a worker has crashed.
+  kCrashProved,
+  /// Such a worker has come back without a crash, or nothing has proved one.
+  kCrashWithdrawn,
   /// A worker crashed shortly after it had been ordered to start the run.
   kCrashSuspected,
   /// The job of a task that crashes its workers has failed.
--- a/src/skylarkbridge/control/crashing_task_test.cpp
+++ b/src/skylarkbridge/control/crashing_task_test.cpp
@@ -253,5 +253,37 @@
   EXPECT_EQ(Violations(*fleet), "");
 }
 
+// Guards against a job that is given up because its workers were cut off from
+// the VMs and the store, and left the list of workers: they had not crashed,
+// and reported its lapsed runs later.
+TEST(CrashingTaskTest, AWorkerThatIsCutOffFromAllHasNotCrashed) {
+  for (const char* const body : {"-500 600000 0 1", "500 30000 0 1"}) {
+    SCOPED_TRACE(body);
+    auto fleet = StartedFleet({.workers = 4});
+    fleet->Submit(0, kInnocentJob, body);
+    std::string last;
+    for (int cuts = 0; cuts < 6; ++cuts) {
+      std::string worker = last;
+      for (int step = 0; step < 1000 && (worker == last || worker.empty());
+           ++step) {
+        fleet->Advance(milliseconds(20));
+        worker = fleet->Checker().WorkerOf(Task(kInnocentJob, 0));
+      }
+      ASSERT_NE(worker, last) << "after " << cuts << " cuts";
+      fleet->Advance(milliseconds(100));
+      fleet->CutOffWorker(worker);
+      if (!last.empty()) {
+        fleet->ReconnectWorker(last);
+      }
+      last = worker;
+    }
+    fleet->ReconnectWorker(last);
+    fleet->Advance(seconds(60));
+    const auto state = StateOf(*fleet, kInnocentJob);
+    EXPECT_NE(state, jobs::reported_state::kFailed);
+    EXPECT_EQ(Violations(*fleet), "");
+  }
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -62,6 +62,12 @@
       return "relocation_planned";
     case scheduling_event::kCancelDelayed:
       return "cancel_delayed";
+    case scheduling_event::kCrashPresumed:
+      return "crash_presumed";
+    case scheduling_event::kCrashProved:
+      return "crash_proved";
+    case scheduling_event::kCrashWithdrawn:
+      return "crash_withdrawn";
     case scheduling_event::kCrashSuspected:
       return "crash_suspected";
     case scheduling_event::kTaskGivenUp:
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -171,6 +171,27 @@
       vms_[vm].cut_workers.erase(worker);
     }
   }
+  /// @brief Cuts a worker off from all VMs and from the store, which removes
+  /// its entry after 3 s. It runs on.
+  void CutOffWorker(const std::string& id) {
+    cut_off_workers_.insert(id);
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+      CutFromWorker(vm, id, true);
+    }
+    ScheduleAfter(std::chrono::seconds(3), [this, id] {
+      if (cut_off_workers_.contains(id)) {
+        store_.Put({topic_kind::kWorkers}, id, std::nullopt);
+      }
+    });
+  }
+  /// @brief Ends that. The worker writes its entry again.
+  void ReconnectWorker(const std::string& id) {
+    cut_off_workers_.erase(id);
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+      CutFromWorker(vm, id, false);
+    }
+    store_.Put({topic_kind::kWorkers}, id, EntryOf(workers_.at(id)));
+  }
   /// @brief Sets whether calls to the store get no answer.
   void SetStoreDown(bool down) { store_down_ = down; }
   /// @brief Sets whether the store refuses all calls at once.
@@ -743,6 +764,7 @@
   bool fault_occurred_ = false;
   time_point next_observation_;
   std::set<std::string> draining_workers_;
+  std::set<std::string> cut_off_workers_;
   std::map<jobs::job_id, std::string> queues_;
   double lost_answer_share_ = 0;
   late_orders late_orders_;
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -97,6 +97,7 @@
   searched_until_.clear();
   late_starts_.Clear();
   unmatched_ends_.Clear();
+  presumed_crashes_.clear();
   start_limit_.Clear();
   permits_.Clear();
   registration_writes_.clear();
@@ -178,6 +179,7 @@
   jobs_.StartDue(wall);
   ResolveUnmatchedRuns(now);
   ExpireLeases(now);
+  ForgetUnprovedCrashes(now);
   RemoveEndedLateStarts(now);
   ReleaseTasksOfEarlierOwners(now);
   ReportDelayedTakeover(now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
@@ -20,6 +20,13 @@
 void fleet_scheduler::RecordCrash(
     const worker_session& session,
     const absl::flat_hash_set<run_ref>& surviving) {
+  HoldResponsible(session, surviving, crash_proof::kProved);
+}
+
+std::vector<run_ref> fleet_scheduler::HoldResponsible(
+    const worker_session& session,
+    const absl::flat_hash_set<run_ref>& surviving,
+    crash_proof proof) {
   const std::vector<run_ref> suspects = CrashSuspects(session, surviving);
   const std::vector<run_ref> culprits = CrashCulprits(session, suspects);
   for (const run_ref& run : suspects) {
@@ -30,12 +37,20 @@
         std::find(culprits.begin(), culprits.end(), run) != culprits.end();
     AddNote(scheduling_event::kCrashSuspected, run, session.entry.worker,
             blamed ? "blamed" : absl::StrCat("one of ", suspects.size()));
-    RequestStops(jobs_.RecordCrash(run, blamed ? crash_evidence::kBlamed
-                                               : crash_evidence::kSuspected),
-                 true);
-    if (jobs_.Find(run.task.job) == nullptr) {
-      AddNote(scheduling_event::kTaskGivenUp, run, session.entry.worker);
-    }
+    const auto stops = jobs_.RecordCrash(
+        run, blamed ? crash_evidence::kBlamed : crash_evidence::kSuspected,
+        proof);
+    FinishGivingUp(run, session.entry.worker, stops);
+  }
+  return suspects;
+}
+
+void fleet_scheduler::FinishGivingUp(const run_ref& run,
+                                     const std::string& worker,
+                                     const std::vector<run_to_stop>& stops) {
+  RequestStops(stops, true);
+  if (jobs_.Find(run.task.job) == nullptr) {
+    AddNote(scheduling_event::kTaskGivenUp, run, worker);
   }
 }
 
--- a/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
@@ -36,12 +36,17 @@
 }  // namespace
 
 bool fleet_scheduler::NeedsMachineList(time_point now) const {
+  const bool crash_in_doubt =
+      std::any_of(presumed_crashes_.begin(), presumed_crashes_.end(),
+                  [](const auto& entry) { return !entry.second.named; });
   // Most workers report at once after a takeover, and need no list.
-  return active_ && now >= earlier_orders_until_ &&
-         now >= ownership_begun_at_ + options_.unreported_delay &&
-         std::any_of(
-             unreported_workers_.begin(), unreported_workers_.end(),
-             [](const auto& unreported) { return !unreported.second.ended; });
+  const bool worker_unreported =
+      now >= earlier_orders_until_ &&
+      now >= ownership_begun_at_ + options_.unreported_delay &&
+      std::any_of(
+          unreported_workers_.begin(), unreported_workers_.end(),
+          [](const auto& unreported) { return !unreported.second.ended; });
+  return active_ && (crash_in_doubt || worker_unreported);
 }
 
 void fleet_scheduler::MachinesListed(const machine_list& list) {
@@ -53,7 +58,9 @@
   }
   const std::optional<machine_list> earlier =
       std::exchange(last_machine_list_, list);
-  if (!earlier || !Confirms(list, *earlier)) {
+  const bool confirmed = earlier && Confirms(list, *earlier);
+  ProveListedCrashes(list, confirmed ? &*earlier : nullptr);
+  if (!confirmed) {
     return;
   }
   for (auto& [worker, unreported] : unreported_workers_) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
@@ -60,6 +60,7 @@
 void fleet_scheduler::EndReplacedLives(const worker_session& reporting,
                                        time_point now) {
   const std::string& address = reporting.reported_address;
+  ProveReplacedCrashes(reporting);
   for (const auto& [worker, unreported] : unreported_workers_) {
     if (worker != reporting.entry.worker && unreported.address == address) {
       EndUnreportedLife(worker);
@@ -83,6 +84,7 @@
   worker_session& session = ended->second;
   AddNote(scheduling_event::kWorkerReplaced, {}, ended->first,
           absl::StrCat("runs ", session.runs.size()));
+  ProveCrash(ended->first);
   if (!session.entry.draining) {
     RecordCrash(session, {});
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
@@ -134,12 +134,13 @@
               absl::StrCat("runs ", lost.size()));
       // A worker that is only cut off from this VM stays in the list.
       if (session.unlisted_since && !session.entry.draining) {
-        RecordCrash(session, {});
+        PresumeCrash(session, now);
       }
       for (const run_ref& run : lost) {
         RemoveRun(session, run);
         jobs_.RecordLoss(run, now);
       }
+      DelayTasksInDoubt(lost, now);
       placement_pending_ = true;
     }
     if (session.RemovedFromList(now) && !session.renewal_under_way) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -182,6 +182,7 @@
                                   std::uint64_t renewal_number,
                                   const worker_report& report,
                                   time_point now) {
+  ResolvePresumedCrash(session, report);
   if (report.start_time && session.start_time &&
       *report.start_time != *session.start_time) {
     HandleRestart(session, renewal_number, report, now);
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -358,7 +358,8 @@
   open_job& job = entry->second;
   task->last_run = std::max(task->last_run, run.run);
   RecordConfirmedStart(run.task.job);
-  RemovePendingRun(run);
+  // A worker that has crashed reports no ends of the life before.
+  WithdrawCrash(run);
   RecordCheckpoint(run, checkpoint);
   if (outcome == run_end::kDone &&
       !job.spec.steps[run.task.step].long_running) {
@@ -526,6 +527,8 @@
     }
   }
   jobs_.erase(entry);
+  std::erase_if(presumed_crashes_,
+                [id](const run_ref& run) { return run.task.job == id; });
   changed_.erase(id);
   deferred_changes_.erase(id);
   scheduled_.erase(id);
--- a/src/skylarkbridge/jobs/job_table_crashes.cpp
+++ b/src/skylarkbridge/jobs/job_table_crashes.cpp
@@ -1,10 +1,13 @@
+#include <algorithm>
+
 #include "skylarkbridge/jobs/job_progress_queries.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
 
 namespace skylarkbridge::jobs {
 
 std::vector<run_to_stop> job_table::RecordCrash(const run_ref& run,
-                                                crash_evidence evidence) {
+                                                crash_evidence evidence,
+                                                crash_proof proof) {
   task_state* task = MutableTask(run.task);
   if (task == nullptr || task->phase == task_phase::kDone) {
     return {};
@@ -17,20 +20,63 @@
     return {};
   }
   known = evidence;
+  if (proof == crash_proof::kPresumed) {
+    presumed_crashes_.insert(run);
+  }
   changed_.insert(run.task.job);
   task->suspected_crashes = CountCrashes(crashes, crash_evidence::kSuspected);
   return GiveUpIfCrashing(run.task);
 }
 
+std::vector<run_to_stop> job_table::ProveCrash(const run_ref& run) {
+  presumed_crashes_.erase(run);
+  return GiveUpIfCrashing(run.task);
+}
+
+void job_table::WithdrawCrash(const run_ref& run) {
+  presumed_crashes_.erase(run);
+  const crashed_runs* known = FindCrashes(run.task);
+  if (known == nullptr || !known->contains(run.run) ||
+      Find(run.task) == nullptr) {
+    return;
+  }
+  crashed_runs crashes = *known;
+  crashes.erase(run.run);
+  SetCrashes(run.task, crashes);
+  changed_.insert(run.task.job);
+}
+
+bool job_table::IsInDoubt(const task_ref& ref) const {
+  const crashed_runs* crashes = FindCrashes(ref);
+  return crashes != nullptr && ExceedsCrashLimit(*crashes) &&
+         !MustBeGivenUp(ref);
+}
+
+void job_table::DelayStart(const task_ref& ref, time_point until) {
+  if (task_state* task = MutableTask(ref)) {
+    task->not_before = std::max(task->not_before, until);
+  }
+}
+
 std::vector<run_to_stop> job_table::GiveUpIfCrashing(const task_ref& ref) {
   const open_job* job = Find(ref.job);
   if (job == nullptr || job->is_delegated) {
     return {};
   }
+  return MustBeGivenUp(ref) ? Finish(ref.job, job_status::kFailed)
+                            : std::vector<run_to_stop>();
+}
+
+bool job_table::MustBeGivenUp(const task_ref& ref) const {
   const crashed_runs* crashes = FindCrashes(ref);
-  return crashes != nullptr && ExceedsCrashLimit(*crashes)
-             ? Finish(ref.job, job_status::kFailed)
-             : std::vector<run_to_stop>();
+  if (crashes == nullptr || !ExceedsCrashLimit(*crashes)) {
+    return false;
+  }
+  crashed_runs proved = *crashes;
+  std::erase_if(proved, [this, &ref](const auto& entry) {
+    return presumed_crashes_.contains({ref, entry.first});
+  });
+  return ExceedsCrashLimit(proved);
 }
 
 const crashed_runs* job_table::FindCrashes(const task_ref& ref) const {
@@ -105,11 +151,7 @@
 }
 
 bool job_table::MustStayStopped(const task_ref& ref) const {
-  if (!Find(ref.job)->is_delegated) {
-    return false;
-  }
-  const crashed_runs* crashes = FindCrashes(ref);
-  return crashes != nullptr && ExceedsCrashLimit(*crashes);
+  return Find(ref.job)->is_delegated && MustBeGivenUp(ref);
 }
 
 std::vector<task_ref> job_table::TasksToGiveUp() const {
--- a/src/skylarkbridge/jobs/job_table_returns_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_returns_test.cpp
@@ -132,7 +132,7 @@
 void CrashRun(job_table& second, run_number number) {
   const run_ref run{kTask, number};
   second.RecordStart(run, "w");
-  second.RecordCrash(run, crash_evidence::kBlamed);
+  second.RecordCrash(run, crash_evidence::kBlamed, crash_proof::kProved);
   second.RecordLoss(run, kNow);
 }
 
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -308,7 +308,7 @@
 bool CrashRun(job_table& table, run_number run, crash_evidence evidence) {
   const run_ref crashed{.task = FirstRun(0).task, .run = run};
   table.RecordStart(crashed, "w");
-  table.RecordCrash(crashed, evidence);
+  table.RecordCrash(crashed, evidence, crash_proof::kProved);
   table.RecordLoss(crashed, kNow);
   return table.Find(kJob) == nullptr;
 }
@@ -326,6 +326,42 @@
   }
 }
 
+// Guards against a job that is given up for workers that were only cut off.
+TEST(JobTableTest, APresumedCrashGivesNothingUpBeforeItIsProved) {
+  job_table table = FirstOwner(false);
+  const auto run_of = [](run_number run) {
+    return run_ref{.task = FirstRun(0).task, .run = run};
+  };
+  for (run_number run = 1; run <= 5; ++run) {
+    table.RecordStart(run_of(run), "w");
+    table.RecordCrash(run_of(run), crash_evidence::kBlamed,
+                      crash_proof::kPresumed);
+    table.RecordLoss(run_of(run), kNow);
+  }
+  ASSERT_NE(table.Find(kJob), nullptr);
+  EXPECT_TRUE(table.IsInDoubt(FirstRun(0).task));
+  table.WithdrawCrash(run_of(4));
+  table.WithdrawCrash(run_of(5));
+  EXPECT_EQ(table.Find(FirstRun(0).task)->suspected_crashes, 3U);
+  table.ProveCrash(run_of(1));
+  table.ProveCrash(run_of(2));
+  ASSERT_NE(table.Find(kJob), nullptr);
+  table.ProveCrash(run_of(3));
+  EXPECT_EQ(table.Find(kJob), nullptr);
+}
+
+// Guards against a crash that counts although its worker reports how the run
+// ended: it was cut off, and an earlier owner took it for crashed.
+TEST(JobTableTest, AReportedEndWithdrawsTheCrashOfItsRun) {
+  job_table table = FirstOwner(false);
+  EXPECT_FALSE(CrashRun(table, 1, crash_evidence::kBlamed));
+  EXPECT_FALSE(CrashRun(table, 2, crash_evidence::kBlamed));
+  table.RecordEnd({.task = FirstRun(0).task, .run = 1}, run_end::kLeaseExpired,
+                  "", 3, kNow);
+  EXPECT_EQ(table.Find(FirstRun(0).task)->suspected_crashes, 1U);
+  EXPECT_FALSE(CrashRun(table, 3, crash_evidence::kBlamed));
+}
+
 // Guards against a takeover that forgets a crash: the owner died after it had
 // started a suspected task, and no worker reports how the run ended.
 TEST(JobTableTest, ARunOfASuspectWithoutAnEndCountsAfterATakeover) {
@@ -511,7 +547,7 @@
   for (run_number number = 1; number <= 2; ++number) {
     const run_ref run{FirstRun(0).task, number};
     table.RecordStart(run, "w");
-    table.RecordCrash(run, crash_evidence::kSuspected);
+    table.RecordCrash(run, crash_evidence::kSuspected, crash_proof::kProved);
     table.RecordLoss(run, kNow);
   }
   EXPECT_EQ(table.DelegationObstacle(FirstRun(0).task),
