Complete a gang with the first end that is reported

Cause: the members of a gang end together, and one end represents all. Only the reported member was marked as done. When the worker of another one was lost before its end was read, that member was ready again, and a gang starts only with all its members. By the same cause failed attempts were counted for each member, so that a gang could fail more often than it may, and members could start from different checkpoints.

Change: one end marks all members as done, also where a successor reads a record that names only one. Attempts are counted for the gang by the number of the run, and a checkpoint of one member is that of all.

--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -339,7 +339,12 @@
   void ReleaseSteps(job_id id, open_job& job, std::uint32_t occurrence);
   void MakeReady(const task_ref& ref, task_state& task);
   void RemoveIfNoneReady(const step_ref& step);
-  void MarkDone(open_job& job, const task_ref& ref, task_state& task);
+  /// The task of the run is done. Returns its other runs, which must be
+  /// stopped.
+  std::vector<run_to_stop> MarkDone(open_job& job, const run_ref& run);
+  /// The members of a gang end together, so that the end of one run says that
+  /// all of them are done. The others may never be reported.
+  std::vector<run_to_stop> MarkGangDone(open_job& job, const run_ref& run);
   /// Records in the progress whether a task of a long-running step has been
   /// started.
   void SetStarted(open_job& job, const task_ref& task, bool started);
@@ -353,6 +358,9 @@
   bool CountFailure(open_job& job,
                     const run_ref& run,
                     std::optional<std::uint32_t> max_attempts);
+  /// The failed runs of a task, or of a gang: its members share the number of a
+  /// run, and only the one that failed reports it as failed.
+  failed_runs FailedAttempts(const open_job& job, const task_ref& task) const;
   /// What keeps the task from moving, whatever its job: it is not ready, or
   /// something that only this owner knows would be lost.
   static delegation_obstacle ObstacleToMove(const task_state& task);
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -18,6 +18,14 @@
          progress->done[index];
 }
 
+/// Whether a gang is done. Records of earlier versions may name only one of its
+/// members.
+bool IsGangDone(const step_spec& step, const step_progress* progress) {
+  return step.gang && !step.long_running && progress != nullptr &&
+         std::find(progress->done.begin(), progress->done.end(), true) !=
+             progress->done.end();
+}
+
 bool IsStarted(const step_progress* progress, std::uint32_t index) {
   return progress != nullptr && index < progress->started.size() &&
          progress->started[index];
@@ -125,6 +133,7 @@
   for (std::uint32_t step = 0; step < steps.size(); ++step) {
     const step_progress* progress =
         FindProgress(job.progress, occurrence, step);
+    const bool gang_done = IsGangDone(job.spec.steps[step], progress);
     steps[step].tasks.resize(job.spec.steps[step].count);
     for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
       task_state& task = steps[step].tasks[index];
@@ -132,7 +141,7 @@
       if (delegation != nullptr && delegation->cell == cell_) {
         task.first_run = delegation->first_run;
       }
-      if (IsDone(progress, index)) {
+      if (gang_done || IsDone(progress, index)) {
         task.phase = task_phase::kDone;
         ++steps[step].done;
       } else if (delegation != nullptr && delegation->cell != cell_) {
@@ -338,9 +347,18 @@
 
 void job_table::RecordCheckpoint(const run_ref& run,
                                  const std::string& checkpoint) {
-  if (task_state* task = MutableTask(run.task);
-      task != nullptr && !checkpoint.empty()) {
+  task_state* task = MutableTask(run.task);
+  if (task == nullptr || checkpoint.empty()) {
+    return;
+  }
+  if (!Spec(StepOf(run.task))->gang) {
     task->checkpoint = checkpoint;
+    return;
+  }
+  // All members of a gang start from the same checkpoint.
+  const step_ref ref = StepOf(run.task);
+  for (std::uint32_t index = 0; index < Spec(ref)->count; ++index) {
+    MutableTask(TaskOf(ref, index))->checkpoint = checkpoint;
   }
 }
 
@@ -363,12 +381,9 @@
   RecordCheckpoint(run, checkpoint);
   if (outcome == run_end::kDone &&
       !job.spec.steps[run.task.step].long_running) {
-    RemoveActiveRun(*task, run.run);
-    std::vector<run_to_stop> runs_to_stop;
-    for (const active_run& other : task->active_runs) {
-      runs_to_stop.push_back({other.worker, {run.task, other.run}});
-    }
-    MarkDone(job, run.task, *task);
+    std::vector<run_to_stop> runs_to_stop = job.spec.steps[run.task.step].gang
+                                                ? MarkGangDone(job, run)
+                                                : MarkDone(job, run);
     if (job.completed_occurrences == job.OccurrenceCount()) {
       std::vector<run_to_stop> job_runs =
           Finish(run.task.job, job_status::kCompleted);
@@ -434,7 +449,29 @@
   }
 }
 
-void job_table::MarkDone(open_job& job, const task_ref& ref, task_state& task) {
+std::vector<run_to_stop> job_table::MarkGangDone(open_job& job,
+                                                 const run_ref& run) {
+  std::vector<run_to_stop> runs_to_stop;
+  const std::uint32_t count = job.spec.steps[run.task.step].count;
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const run_ref member{TaskOf(StepOf(run.task), index), run.run};
+    if (Find(member.task)->phase != task_phase::kDone) {
+      const std::vector<run_to_stop> others = MarkDone(job, member);
+      runs_to_stop.insert(runs_to_stop.end(), others.begin(), others.end());
+    }
+  }
+  return runs_to_stop;
+}
+
+std::vector<run_to_stop> job_table::MarkDone(open_job& job,
+                                             const run_ref& run) {
+  const task_ref& ref = run.task;
+  task_state& task = *MutableTask(ref);
+  RemoveActiveRun(task, run.run);
+  std::vector<run_to_stop> runs_to_stop;
+  for (const active_run& other : task.active_runs) {
+    runs_to_stop.push_back({other.worker, {ref, other.run}});
+  }
   task.phase = task_phase::kDone;
   task.active_runs.clear();
   std::vector<step_state>& steps = job.due_occurrences[ref.occurrence];
@@ -446,12 +483,13 @@
   changed_.insert(ref.job);
   RemoveIfNoneReady(StepOf(ref));
   if (step.done < step.tasks.size()) {
-    return;
+    return runs_to_stop;
   }
   if (AllDone(steps)) {
     ++job.completed_occurrences;
   }
   ReleaseSteps(ref.job, job, ref.occurrence);
+  return runs_to_stop;
 }
 
 bool job_table::CountFailure(open_job& job,
@@ -464,7 +502,24 @@
   if (runs.insert(run.run).second) {
     changed_.insert(run.task.job);
   }
-  return max_attempts && runs.size() >= *max_attempts;
+  return max_attempts && FailedAttempts(job, run.task).size() >= *max_attempts;
+}
+
+failed_runs job_table::FailedAttempts(const open_job& job,
+                                      const task_ref& task) const {
+  const step_progress* progress =
+      FindProgress(job.progress, task.occurrence, task.step);
+  failed_runs attempts;
+  if (progress == nullptr) {
+    return attempts;
+  }
+  const bool gang = job.spec.steps[task.step].gang;
+  for (const auto& [index, runs] : progress->failures) {
+    if (gang || index == task.index) {
+      attempts.insert(runs.begin(), runs.end());
+    }
+  }
+  return attempts;
 }
 
 std::vector<run_to_stop> job_table::FailIfExhausted(
@@ -476,9 +531,10 @@
   }
   for (const step_progress& step : job->progress.steps) {
     for (const auto& [index, runs] : step.failures) {
-      const task_state* task = Find({id, step.occurrence, step.step, index});
+      const task_ref ref{id, step.occurrence, step.step, index};
+      const task_state* task = Find(ref);
       if (task != nullptr && task->phase == task_phase::kReady &&
-          runs.size() >= max_attempts) {
+          FailedAttempts(*job, ref).size() >= max_attempts) {
         return Finish(id, job_status::kFailed);
       }
     }
