Reserve room for the restart of long-running gangs

Cause: room was reserved for restarts, and batch runs were stopped for them, only for tasks outside gangs. A gang needs room for all members at once, and each piece that came free went to the next batch task.

Change: a gang is placed among the restarts, all members or none. Once one member waits, room is reserved for each that does; after preemption_delay batch runs are stopped there.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -680,6 +680,22 @@
   bool PlaceRestart(const waiting_restart& restart,
                     placement_pass& pass,
                     time_point now);
+  /// Places all members of a gang or none. Reserves room for all that wait, as
+  /// soon as one does, and stops other runs there after preemption_delay.
+  /// @param first the member that has waited longest.
+  bool PlaceGangRestart(const waiting_restart& first,
+                        placement_pass& pass,
+                        time_point now);
+  /// Returns false when some member of the gang can have no room.
+  bool ReserveRoomForGang(const step_ref& ref,
+                          const step_spec& step,
+                          std::vector<placement_candidate>& candidates,
+                          placement_pass& pass) const;
+  /// Stops runs on the workers on which room is reserved for the gang.
+  void PreemptForGang(const step_ref& ref,
+                      const std::vector<placement_candidate>& candidates,
+                      const placement_pass& pass,
+                      time_point now);
   /// How long the task could have started here. Waits for the end of its run
   /// to be stored, for a takeover and for the retry delay do not count.
   std::chrono::milliseconds WaitForRoom(const waiting_restart& restart,
--- a/src/skylarkbridge/jobs/fleet_scheduler_gangs_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_gangs_test.cpp
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr job_id kGang{1};
+constexpr job_id kBatch{2};
 
 task_ref Member(std::uint32_t index, std::uint32_t step = 0) {
   return {.job = kGang, .step = step, .index = index};
@@ -29,16 +30,17 @@
     driver.AddWorker("w1", 1000);
     driver.RunRounds();
     driver.registry.Apply(
-        job_accepted{.job = kGang,
-                     .queue = "batch",
-                     .spec = {.payload = "p",
-                              .steps = {{.count = 2,
-                                         .need = {.millicores = 800},
-                                         .gang = true,
-                                         .long_running = long_running},
-                                        {.count = 1,
-                                         .need = {.millicores = 100},
-                                         .depends_on = {0}}}}},
+        job_accepted{
+            .job = kGang,
+            .queue = "batch",
+            .spec = {.payload = "p",
+                     .steps = {{.count = 2,
+                                .need = {.millicores = 800},
+                                .gang = true,
+                                .long_running = long_running},
+                               {.count = 1,
+                                .need = {.millicores = 100},
+                                .depends_on = {0}}}}},
         driver.now);
     driver.scheduler.JobAccepted(kGang, *driver.registry.Find(kGang), false,
                                  driver.now, driver.wall);
@@ -90,9 +92,9 @@
 TEST(FleetSchedulerGangsTest, AStoredEndSaysThatAllMembersAreDone) {
   running_gang day(false);
   day.driver.registry.Apply(
-      job_advanced{
-          .job = kGang,
-          .progress = {.started = true, .steps = {{.done = {false, true}}}}},
+      job_advanced{.job = kGang,
+                   .progress = {.started = true,
+                                .steps = {{.done = {false, true}}}}},
       day.driver.now);
   day.driver.starts.clear();
   day.driver.Begin(3);
@@ -131,5 +133,21 @@
   EXPECT_EQ(day.driver.starts[3].checkpoint, "c");
 }
 
+// Guards against batch work that takes the room of a long-running gang whose
+// runs have ended, bit by bit as it comes free (review/5).
+TEST(FleetSchedulerGangsTest, ALongRunningGangRestartsBesideBatchWork) {
+  running_gang day(true);
+  day.driver.Submit(kBatch, {.count = 50, .need = {.millicores = 100}});
+  day.Pass(milliseconds(500));
+  const std::size_t before = day.driver.starts.size();
+  EXPECT_GT(before, 2U);
+  day.EndMember(0, run_end::kFailed);
+  day.Pass(milliseconds(100));
+  day.EndMember(1, run_end::kGangMemberEnded);
+  day.Pass(milliseconds(2500));
+  EXPECT_TRUE(day.Runs(Member(0)));
+  EXPECT_TRUE(day.Runs(Member(1)));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -250,11 +250,15 @@
                                                          const step_spec& step,
                                                          time_point now) const {
   std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
-  if (step.long_running && !step.gang) {
+  if (step.long_running) {
     const std::vector<task_state>& tasks = jobs_.Find(ref)->tasks;
-    std::erase_if(ready, [&tasks](std::uint32_t index) {
+    const auto has_run = [&tasks](std::uint32_t index) {
       return tasks[index].last_run_ended_at.has_value();
-    });
+    };
+    if (step.gang && std::any_of(ready.begin(), ready.end(), has_run)) {
+      return {};
+    }
+    std::erase_if(ready, has_run);
   }
   if (!step.gang) {
     std::erase_if(ready, [this, &ref](std::uint32_t index) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -9,7 +11,14 @@
 bool fleet_scheduler::PlaceRestarts(placement_pass& pass, time_point now) {
   ReturnTasksToGiveUp();
   bool all_placed = true;
+  std::set<step_ref> gangs;
   for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
+    const step_ref ref = StepOf(restart.task);
+    if (jobs_.Spec(ref)->gang) {
+      all_placed &= !gangs.insert(ref).second ||
+                    PlaceGangRestart(restart, pass, now);
+      continue;
+    }
     ReleaseKeptRoom(restart.task, pass);
     all_placed &= PlaceRestart(restart, pass, now);
   }
@@ -22,8 +31,7 @@
   const step_ref ref = StepOf(restart.task);
   const step_spec* step = jobs_.Spec(ref);
   const queue_configuration* queue = Queue(ref.job);
-  // The tasks of a gang start together.
-  if (step == nullptr || queue == nullptr || step->gang) {
+  if (step == nullptr || queue == nullptr) {
     return true;
   }
   const late_start* known = late_starts_.Find(restart.task);
@@ -94,6 +102,69 @@
   return false;
 }
 
+bool fleet_scheduler::PlaceGangRestart(const waiting_restart& first,
+                                       placement_pass& pass,
+                                       time_point now) {
+  const step_ref ref = StepOf(first.task);
+  const step_spec& step = *jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  if (queue == nullptr) {
+    return true;
+  }
+  std::vector<placement_candidate> candidates =
+      CandidatesForStep(ref, step, *queue, pass, now);
+  const std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
+  const bool complete = ready.size() == step.count;
+  if (complete && PlaceOnCandidates({.ref = ref}, step, *queue, ready,
+                                    candidates, now)) {
+    return true;
+  }
+  if (queue->HasPlacementPolicy()) {
+    candidates = Permitted(ref, candidates, now);
+  }
+  const auto waited =
+      complete ? WaitForRoom(first, now) : std::chrono::milliseconds(0);
+  const bool reserved = ReserveRoomForGang(ref, step, candidates, pass);
+  if (reserved && waited >= options_.preemption_delay) {
+    PreemptForGang(ref, candidates, pass, now);
+  }
+  return !complete;
+}
+
+bool fleet_scheduler::ReserveRoomForGang(
+    const step_ref& ref,
+    const step_spec& step,
+    std::vector<placement_candidate>& candidates,
+    placement_pass& pass) const {
+  const std::vector<task_state>& tasks = jobs_.Find(ref)->tasks;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    if (tasks[index].phase == task_phase::kReady &&
+        ReserveRoom(TaskOf(ref, index), step, candidates, pass) == nullptr) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void fleet_scheduler::PreemptForGang(
+    const step_ref& ref,
+    const std::vector<placement_candidate>& candidates,
+    const placement_pass& pass,
+    time_point now) {
+  std::set<std::string> workers;
+  for (auto reserved = pass.reserved_workers.lower_bound(TaskOf(ref, 0));
+       reserved != pass.reserved_workers.end() &&
+       StepOf(reserved->first) == ref;
+       ++reserved) {
+    workers.insert(reserved->second);
+  }
+  for (const placement_candidate& candidate : candidates) {
+    if (workers.contains(candidate.session->entry.worker)) {
+      PreemptRuns(TaskOf(ref, 0), candidate, now);
+    }
+  }
+}
+
 void fleet_scheduler::WaitAsRestarts(const step_ref& ref,
                                      const step_spec& step,
                                      time_point now) {
