Bound the record of a job's progress, and survive a rejected write

Cause: the progress of a job held a digit for each task of each occurrence that had begun, and outgrew record_bytes. The 400 of the store counted as no answer, so that the owner and each successor repeated the write without end. By the same cause a caller's job that is larger than a record kept the requests of other callers from the store.

Change: flags are written densely, complete occurrences are counted by one number, runs of done tasks are dropped, and occurrences start only while at most 50,000 tasks of their job are open. A job that can't be stored is rejected at once. A rejected append is sent record by record, the record that the store does not take is left out, and at most the job that it concerns fails.

--- a/include/skylarkbridge/control/control_options.hpp
+++ b/include/skylarkbridge/control/control_options.hpp
@@ -71,6 +71,8 @@
   /// Largest number of ended jobs that one write of the owner removes from the
   /// log.
   std::size_t max_drops_per_write = 50;
+  /// Largest record that the store takes.
+  std::size_t max_record_bytes = 262'144;
   /// Appends per second that the store accepts from all VMs together.
   double store_writes_per_second = 800;
   /// Fraction of store_writes_per_second that is left to the owners of all
--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -29,6 +29,7 @@
 #include "skylarkbridge/control/text_format.hpp"
 #include "skylarkbridge/control/topic_follower.hpp"
 #include "skylarkbridge/jobs/fleet_bootstrap.hpp"
+#include "skylarkbridge/jobs/job_limits.hpp"
 #include "skylarkbridge/records/fleet_map_codec.hpp"
 
 namespace skylarkbridge::control {
--- a/include/skylarkbridge/control/control_state_callers.hpp
+++ b/include/skylarkbridge/control/control_state_callers.hpp
@@ -67,6 +67,9 @@
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(spec, Platform::DecodeJob(request.body));
+        if (const auto fault = jobs::FindStorageFault(spec)) {
+          return boost::leaf::new_error(failure{"job", std::string(*fault)});
+        }
         RemoveConfirmedSubmissions();
         const std::int64_t long_running = jobs::LongRunningMillicores(spec);
         const jobs::cell_id running_cell = ChooseCell(job, spec);
@@ -77,12 +80,17 @@
             .spec = std::move(spec),
             .cell = running_cell,
             .settings = jobs::SettingsOfTasks(queue)};
+        records::keyed_record record = records::Encode(accepted);
+        if (record.Bytes() > options_.max_record_bytes) {
+          return boost::leaf::new_error(
+              failure{"job", "is too large for a record"});
+        }
         if (long_running > 0) {
           unconfirmed_submissions_[job] = {running_cell, long_running};
         }
         Store({.token = request.token,
                .job = job,
-               .record = records::Encode(accepted),
+               .record = std::move(record),
                .deadline = request.deadline},
               "submit", now);
         return {};
@@ -287,6 +295,10 @@
   } else if (result.stored) {
     Reply(result.request.token, result.request.job, method,
           {.kind = cancel ? answer_kind::kCancelled : answer_kind::kAccepted});
+  } else if (result.rejected && !result.request.uncertain) {
+    Reply(result.request.token, result.request.job, method,
+          {.kind = answer_kind::kInvalid,
+           .reason = "the store does not take the record"});
   } else if (result.request.uncertain) {
     Reply(result.request.token, result.request.job, method,
           Uncertain("the store did not answer"));
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -15,6 +15,10 @@
                                              "store_lost", "topic result"};
 inline constexpr event_definition kStoreRegained{5004, event_severity::kInfo,
                                                  "store_regained", "topic"};
+/// A record is larger than the store takes. If it is the progress of a job,
+/// the job fails.
+inline constexpr event_definition kRecordUnstorable{
+    5007, event_severity::kWarning, "record_unstorable", "topic key bytes"};
 inline constexpr event_definition kSnapshotRead{
     5005, event_severity::kInfo, "snapshot_read", "topic keys next"};
 /// A topic was last read to its end `age_ms` ago; `failed` reads have failed
@@ -77,6 +81,7 @@
                                                kStoreRegained,
                                                kSnapshotRead,
                                                kReadsBehind,
+                                               kRecordUnstorable,
                                                kRequestAnswered,
                                                kJobKnown,
                                                kJobEnded,
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -276,6 +276,11 @@
   void BeginOwnership(time_point now, wall_time wall);
   void LoseOwnership(std::string_view reason);
   void WriteOwnerRecords(std::size_t other_owned_cells, time_point now);
+  /// Handles a record that the store never takes; to repeat it would hold up
+  /// all others for good. The job whose progress it is fails. Returns the
+  /// record of that, to be written with the others.
+  std::optional<records::keyed_record> FailUnstorable(
+      const records::keyed_record& record);
   void LogSchedulingNotes();
   void SendOrders(time_point now);
   time_point OrderDeadline(const jobs::order& order, time_point now) const;
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -336,13 +336,36 @@
              reply.result == store_result::kEndMoved ||
              reply.result == store_result::kOutOfSequence) {
     LoseOwnership(Name(reply.result));
-  } else if (writer_.Handle(reply, now)) {
-    ownership_.Confirmed(writer_.SentAt());
-    scheduler_.RecordsStored(written_batch_number_, now);
+  } else {
+    writer_.Handle(reply, now);
+    for (const records::keyed_record& record : writer_.TakeRejected()) {
+      if (auto end = FailUnstorable(record)) {
+        writer_.Add(std::move(*end));
+      }
+    }
+    if (writer_.Idle()) {
+      ownership_.Confirmed(writer_.SentAt());
+      scheduler_.RecordsStored(written_batch_number_, now);
+    }
   }
   return {};
 }
 
+template <fleet_platform Platform>
+std::optional<records::keyed_record> fleet_cell<Platform>::FailUnstorable(
+    const records::keyed_record& record) {
+  LogEvent(kRecordUnstorable, {{"topic", absl::StrCat("jobs.", cell_)},
+                               {"key", record.key},
+                               {"bytes", absl::StrCat(record.Bytes())}});
+  const auto job = records::JobOfProgress(record);
+  if (!job || !scheduler_.FailJobWithoutProgress(*job)) {
+    return std::nullopt;
+  }
+  return records::Encode(jobs::job_advanced{
+      .job = *job,
+      .progress = {.started = true, .status = jobs::job_status::kFailed}});
+}
+
 }  // namespace skylarkbridge::control
 
 #endif  // SKYLARKBRIDGE_CONTROL_FLEET_CELL_LOG_HPP
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -13,7 +13,9 @@
   refresh_requested_ = true;
   const bool was_in_doubt = claim_in_doubt_;
   claim_in_doubt_ |= reply.result == store_result::kNoAnswer;
-  if (writer_.Handle(reply, now) || reply.result == store_result::kNoAnswer ||
+  const bool written = writer_.Handle(reply, now);
+  if ((written && reply.result == store_result::kDone) ||
+      reply.result == store_result::kNoAnswer ||
       reply.result == store_result::kRefused ||
       reply.result == store_result::kNotSent) {
     return;
@@ -134,7 +136,12 @@
   }
   if (!batch.empty() || scheduler_.HasRecords()) {
     for (const jobs::log_record& record : scheduler_.TakeRecords(now)) {
-      batch.push_back(records::Encode(record));
+      records::keyed_record encoded = records::Encode(record);
+      if (encoded.Bytes() <= options_.max_record_bytes) {
+        batch.push_back(std::move(encoded));
+      } else if (auto end = FailUnstorable(encoded)) {
+        batch.push_back(std::move(*end));
+      }
     }
   }
   written_batch_number_ = scheduler_.WriteNumber();
--- a/include/skylarkbridge/control/owner_writer.hpp
+++ b/include/skylarkbridge/control/owner_writer.hpp
@@ -2,8 +2,10 @@
 #define SKYLARKBRIDGE_CONTROL_OWNER_WRITER_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "skylarkbridge/base/time.hpp"
@@ -17,11 +19,14 @@
   /// Minimum time between two writes, so that the owners of all cells together
   /// stay within the store's write rate.
   std::chrono::microseconds interval{0};
+  /// Largest sum of the records of one append; a larger write takes several.
+  std::size_t max_append_bytes = 2'097'152;
 };
 
 /// @brief Writes the owner's records, one append at a time, with consecutive
 /// sequence numbers. A write without an answer is repeated under its sequence
-/// number, so that the store applies it only once.
+/// number, so that the store applies it only once. A record that the store
+/// rejects is left out, so that the others are written.
 class owner_writer {
  public:
   explicit owner_writer(owner_writer_options options) : options_(options) {}
@@ -47,8 +52,17 @@
   }
   /// @brief When an append was last sent.
   time_point SentAt() const { return sent_at_; }
+  /// @brief Adds a record to the present write, which need not be under way any
+  /// more.
+  void Add(records::keyed_record record) {
+    batch_.push_back(std::move(record));
+  }
+  /// @brief Returns and clears the records that the store has rejected.
+  std::vector<records::keyed_record> TakeRejected() {
+    return std::exchange(rejected_, {});
+  }
   /// @brief Handles the reply to the append in flight. Returns true when the
-  /// write is durable.
+  /// whole write is durable, but for the rejected records.
   bool Handle(const append_reply& reply, time_point now);
   /// @brief When the next attempt is due; nothing when none is waiting.
   std::optional<time_point> NextDeadline() const;
@@ -62,7 +76,17 @@
   const owner_writer_options options_;
   jobs::epoch epoch_ = 0;
   std::uint64_t sequence_ = 0;
+  /// Number of the first records of the write that one append takes.
+  std::size_t RecordsOfAppend() const;
+
+  /// The records that are not durable yet.
   std::vector<records::keyed_record> batch_;
+  std::vector<records::keyed_record> rejected_;
+  /// Records of the append in flight, or of the last one.
+  std::size_t append_records_ = 0;
+  /// The store has rejected an append of this many records. They are written
+  /// one by one, which shows the one that it does not take.
+  std::size_t single_records_ = 0;
   std::optional<std::uint64_t> expected_end_;
   bool in_flight_ = false;
   std::uint64_t append_number_ = 0;
--- a/include/skylarkbridge/control/ports.hpp
+++ b/include/skylarkbridge/control/ports.hpp
@@ -69,6 +69,8 @@
   kDone,
   /// The store did nothing: it is overloaded or down.
   kRefused,
+  /// The store did nothing, and never takes these records: one is too large.
+  kRejected,
   /// The log holds a write of a higher epoch.
   kFenced,
   /// The log does not end at the expected offset.
--- a/include/skylarkbridge/control/request_writer.hpp
+++ b/include/skylarkbridge/control/request_writer.hpp
@@ -49,12 +49,17 @@
   /// The record may be stored: an append of it, by this or an earlier request,
   /// had no answer.
   bool uncertain = false;
+  /// The store has rejected an append of this and other records. It is written
+  /// alone, which shows whether it is the one that the store does not take.
+  bool alone = false;
 };
 
 /// @brief A request that was stored or given up.
 struct request_outcome {
   pending_request request;
   bool stored = false;
+  /// The store does not take the record.
+  bool rejected = false;
 };
 
 /// @brief Writes callers' requests to the store, several with one append.
@@ -99,6 +104,11 @@
   bool Idle() const { return waiting_.empty() && in_flight_.empty(); }
 
  private:
+  /// Moves the requests of the next append from waiting_.
+  std::vector<pending_request> TakeBatch();
+  /// Handles an append that the store never takes.
+  std::vector<request_outcome> HandleRejected(
+      std::vector<pending_request> requests);
   /// Remembers the key of the request if it is uncertain, and returns the
   /// outcome with `stored` unset.
   request_outcome GiveUp(pending_request request);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -190,6 +190,10 @@
   /// @brief Marks the log writes up to @p number as durable.
   void RecordsStored(std::uint64_t number, time_point now);
 
+  /// @brief Fails a job whose progress is larger than any record that the store
+  /// takes. Returns false when the job is not open here.
+  bool FailJobWithoutProgress(job_id job);
+
   /// @brief Number of workers that can get new tasks.
   std::size_t UsableWorkers(time_point now) const;
   /// @brief Number of long-running tasks that wait for their restart.
--- a/include/skylarkbridge/jobs/job_limits.hpp
+++ b/include/skylarkbridge/jobs/job_limits.hpp
@@ -39,9 +39,17 @@
 /// @brief Highest number of a run. JSON readers that use doubles keep it exact.
 inline constexpr run_number kMaxRunNumber = (1ULL << 53U) - 1;
 
+/// @brief Most long-running tasks of a job. The record of the job's progress
+/// holds some 60 bytes for each, and the store takes 256 KB.
+inline constexpr std::uint64_t kMaxLongRunningTasks = 4000;
+
 /// @brief Returns why the job can't be run; nullopt for a valid job.
 std::optional<std::string_view> FindFault(const job_spec& spec);
 
+/// @brief Returns why the progress of a valid job could become larger than a
+/// record; nullopt if it can't.
+std::optional<std::string_view> FindStorageFault(const job_spec& spec);
+
 }  // namespace skylarkbridge::jobs
 
 #endif  // SKYLARKBRIDGE_JOBS_JOB_LIMITS_HPP
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -92,7 +92,11 @@
   /// Whether a worker has begun any task.
   bool started = false;
   job_status status = job_status::kOpen;
+  /// Steps of occurrences that are not complete.
   std::vector<step_progress> steps;
+  /// All occurrences below this one are complete. 0 in records of versions that
+  /// didn't store it.
+  std::uint32_t complete_occurrences = 0;
 
   bool operator==(const job_progress&) const = default;
 };
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -107,9 +107,11 @@
   /// When the job was added to the table, on this process's clock.
   time_point added_at;
   job_progress progress;
-  /// Steps of each occurrence that is due, by number of the occurrence.
+  /// Steps of each occurrence that is due and not covered by
+  /// job_progress::complete_occurrences, by number of the occurrence.
   std::map<std::uint32_t, std::vector<step_state>> due_occurrences;
-  /// First occurrence that is not due yet.
+  /// First occurrence that is not due yet, or that waits for earlier ones to
+  /// complete.
   std::uint32_t next_occurrence = 0;
   /// Number of occurrences that are complete.
   std::uint32_t completed_occurrences = 0;
@@ -117,6 +119,7 @@
   std::uint32_t OccurrenceCount() const {
     return spec.repeat_count == 0 ? 1 : spec.repeat_count;
   }
+  std::uint64_t TasksPerOccurrence() const;
 };
 
 /// @brief A run that is no longer needed.
@@ -152,6 +155,10 @@
   std::chrono::milliseconds retry_delay{50};
   /// Upper bound of the delay before a failed task starts again.
   std::chrono::milliseconds max_retry_delay{1000};
+  /// An occurrence of a job starts only once all its tasks and those of the
+  /// earlier occurrences that are not complete are at most so many. It bounds
+  /// the record of the job's progress.
+  std::uint64_t max_open_tasks = 50'000;
   /// A task is given up when this many workers have crashed shortly after they
   /// started it, and two of the crashes are blamed on it.
   std::size_t max_crashes_two_blamed = 3;
@@ -293,6 +300,9 @@
   /// Returns the runs of the job, which must be stopped.
   std::vector<run_to_stop> FailIfExhausted(job_id id,
                                            std::uint32_t max_attempts);
+  /// @brief Fails a job whose progress can't be stored, and drops the progress.
+  /// Returns the runs of the job, which must be stopped.
+  std::vector<run_to_stop> FailWithoutProgress(job_id id);
   /// @brief Records a newer checkpoint that a worker reported.
   void RecordCheckpoint(const run_ref& run, const std::string& checkpoint);
 
@@ -337,6 +347,13 @@
   /// Starts the only occurrence of a job that another cell runs.
   void StartDelegatedOccurrence(open_job& job);
   void ReleaseSteps(job_id id, open_job& job, std::uint32_t occurrence);
+  /// Starts the occurrences that are due, as far as max_open_tasks allows.
+  void StartDueOccurrences(job_id id,
+                           open_job& job,
+                           bool maybe_running,
+                           wall_time wall_now);
+  /// Drops the state of the first occurrences of the job that are complete.
+  static void DropCompleteOccurrences(open_job& job);
   void MakeReady(const task_ref& ref, task_state& task);
   void RemoveIfNoneReady(const step_ref& step);
   /// The task of the run is done. Returns its other runs, which must be
--- a/include/skylarkbridge/records/job_record_codec.hpp
+++ b/include/skylarkbridge/records/job_record_codec.hpp
@@ -18,9 +18,17 @@
   /// Nullopt deletes the key.
   std::optional<std::string> value;
 
+  /// @brief Bytes that count towards the store's limit of a record.
+  std::size_t Bytes() const {
+    return sizeof(std::uint8_t) + key.size() + (value ? value->size() : 0);
+  }
+
   bool operator==(const keyed_record&) const = default;
 };
 
+/// @brief The job whose progress a record holds; nullopt for other records.
+std::optional<jobs::job_id> JobOfProgress(const keyed_record& record);
+
 /// @brief Encodes a record as MessagePack. Its key names the kind of the record
 /// and the job, if it concerns one.
 keyed_record Encode(const jobs::log_record& record);
--- a/src/skylarkbridge/control/platform_fake.hpp
+++ b/src/skylarkbridge/control/platform_fake.hpp
@@ -107,7 +107,8 @@
   /// Each COUNT is a step with that many tasks, which depends on the step
   /// before it. Negative MILLICORES stand for a long-running job, which should
   /// have one step. With the setting lasting_from=STEP the steps from that
-  /// number on are long-running. FAILURES: see worker_fake::ParseRunState. The
+  /// number on are long-running. With repeat=COUNT the steps run that many
+  /// times, all of which are due. FAILURES: see worker_fake::ParseRunState. The
   /// settings after the counts apply to all steps: max_per_worker, image, and
   /// target, the latency target in milliseconds. For queue see QueueOf, for
   /// crash and crashers worker_fake::ParseRunState.
@@ -132,6 +133,11 @@
       }
       spec.steps.push_back(step);
     }
+    if (const auto repeat = settings.find("repeat"); repeat != settings.end()) {
+      spec.repeat_count =
+          static_cast<std::uint32_t>(std::stoul(repeat->second));
+      spec.interval = std::chrono::milliseconds(200);
+    }
     return spec;
   }
   /// @brief Returns the value of "queue" in the body of a job; "batch" without
--- a/src/skylarkbridge/control/request_writer.cpp
+++ b/src/skylarkbridge/control/request_writer.cpp
@@ -49,15 +49,45 @@
   }
   append_call call{.number = number};
   std::vector<pending_request>& requests = in_flight_[number];
+  requests = TakeBatch();
+  for (const pending_request& request : requests) {
+    call.batch.push_back(request.record);
+  }
+  return call;
+}
+
+std::vector<pending_request> request_writer::TakeBatch() {
+  std::vector<pending_request> requests;
   std::size_t bytes = 0;
   while (!waiting_.empty() && requests.size() < options_.max_batch_records &&
          bytes < options_.max_batch_bytes) {
-    bytes += waiting_.front().record.value.value_or("").size();
-    call.batch.push_back(waiting_.front().record);
+    const bool alone = waiting_.front().alone;
+    if (alone && !requests.empty()) {
+      break;
+    }
+    bytes += waiting_.front().record.Bytes();
     requests.push_back(std::move(waiting_.front()));
     waiting_.pop_front();
+    if (alone) {
+      break;
+    }
   }
-  return call;
+  return requests;
+}
+
+std::vector<request_outcome> request_writer::HandleRejected(
+    std::vector<pending_request> requests) {
+  if (requests.size() == 1) {
+    request_outcome outcome = GiveUp(std::move(requests.front()));
+    outcome.rejected = true;
+    return {std::move(outcome)};
+  }
+  for (auto request = requests.rbegin(); request != requests.rend();
+       ++request) {
+    request->alone = true;
+    waiting_.push_front(std::move(*request));
+  }
+  return {};
 }
 
 std::vector<request_outcome> request_writer::Handle(const append_reply& reply,
@@ -77,6 +107,11 @@
     }
     return results;
   }
+  if (reply.result == store_result::kRejected) {
+    failing_since_.reset();
+    next_append_ = now;
+    return HandleRejected(std::move(requests));
+  }
   if (!failing_since_) {
     failing_since_ = now;
   }
--- a/src/skylarkbridge/control/request_writer_test.cpp
+++ b/src/skylarkbridge/control/request_writer_test.cpp
@@ -56,6 +56,35 @@
   EXPECT_TRUE(results[0].request.uncertain);
 }
 
+// Guards against a record that the store never takes and that keeps the
+// requests of other callers from being written.
+TEST(RequestWriterTest, GivesUpOnlyTheRequestThatTheStoreRejects) {
+  request_writer writer({});
+  for (std::uint64_t token = 1; token <= 3; ++token) {
+    ASSERT_TRUE(writer.Add(Request(token), kNow));
+  }
+  std::vector<std::uint64_t> stored;
+  std::vector<std::uint64_t> rejected;
+  for (std::uint64_t number = 1; number <= 10; ++number) {
+    const auto append = writer.Next(kNow, number);
+    if (!append) {
+      break;
+    }
+    // The store does not take the record of the second request, which is
+    // written alone as the third append.
+    const bool takes = append->batch.size() == 1 && number != 3;
+    for (const request_outcome& outcome :
+         writer.Handle({.number = number,
+         .result = takes ? store_result::kDone : store_result::kRejected},
+                       kNow)) {
+      (outcome.stored ? stored : rejected).push_back(outcome.request.token);
+      EXPECT_EQ(outcome.rejected, !outcome.stored);
+    }
+  }
+  EXPECT_EQ(stored, (std::vector<std::uint64_t>{1, 3}));
+  EXPECT_EQ(rejected, std::vector<std::uint64_t>{2});
+}
+
 // Guards against a control thread that spins while as many appends as allowed
 // are in flight and further requests wait: only a reply can let them go on.
 TEST(RequestWriterTest, WaitsForAReplyWhileAllAppendsAreInFlight) {
--- a/src/skylarkbridge/control/store_fake.hpp
+++ b/src/skylarkbridge/control/store_fake.hpp
@@ -2,7 +2,9 @@
 #define SKYLARKBRIDGE_CONTROL_STORE_FAKE_HPP
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,6 +21,14 @@
   append_reply Append(const append_call& call) {
     append_reply reply{.number = call.number, .result = store_result::kDone};
     reply.target = call.target;
+    if (std::any_of(call.batch.begin(), call.batch.end(),
+                    [this](const records::keyed_record& record) {
+                      return record.Bytes() > max_record_bytes_;
+                    })) {
+      ++rejected_appends_;
+      reply.result = store_result::kRejected;
+      return reply;
+    }
     std::vector<jobs::topic_record>& log = logs_[call.target];
     last_sequenced_write& last_write = last_writes_[call.target];
     if (call.sequenced) {
@@ -120,6 +130,10 @@
     return log == logs_.end() ? 0 : log->second.size();
   }
 
+  void SetMaxRecordBytes(std::size_t bytes) { max_record_bytes_ = bytes; }
+  /// @brief Number of appends that held a larger record.
+  int RejectedAppends() const { return rejected_appends_; }
+
   /// @brief Trims all topics: Tail can't read the present records any more, but
   /// Snapshot still returns the newest record of each key.
   void Trim() {
@@ -138,6 +152,8 @@
     std::uint64_t last_offset = 0;
   };
 
+  std::size_t max_record_bytes_ = std::numeric_limits<std::size_t>::max();
+  int rejected_appends_ = 0;
   std::map<topic, std::vector<jobs::topic_record>> logs_;
   std::map<topic, std::uint64_t> first_offsets_;
   std::map<topic, last_sequenced_write> last_writes_;
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -211,6 +211,8 @@
       return "done";
     case store_result::kRefused:
       return "refused";
+    case store_result::kRejected:
+      return "rejected";
     case store_result::kFenced:
       return "fenced";
     case store_result::kEndMoved:
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -57,12 +57,17 @@
     /// Whether violations after late starts that no owner could prevent are
     /// counted apart (job_invariant_checker::ViolationsOfUnknownLives).
     bool count_unknown_lives_apart = false;
+    /// Largest record that the store takes.
+    std::size_t max_record_bytes = 262'144;
+    /// The limit that the VMs know of.
+    std::size_t known_max_record_bytes = 262'144;
   };
 
   explicit virtual_fleet(const options& settings)
       : options_(settings),
         random_(settings.seed),
         checker_(settings.max_attempts, settings.cancels) {
+    store_.SetMaxRecordBytes(settings.max_record_bytes);
     store_.Put({topic_kind::kConfiguration}, "config",
                absl::StrCat("1 ", settings.max_attempts));
     for (std::size_t worker = 0; worker < settings.workers; ++worker) {
@@ -135,6 +140,7 @@
     // Differs for each start of each VM, so that two claims of one epoch have
     // different sequence numbers.
     options.first_sequence = 1000 * (vm + 1) + 100 * state.incarnation;
+    options.max_record_bytes = options_.known_max_record_bytes;
     options.bootstrap.settle_time = std::chrono::milliseconds(200);
     options.bootstrap.division.workers_per_cell =
         (options_.workers + options_.cells - 1) / options_.cells;
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -318,6 +318,12 @@
   }
 }
 
+bool fleet_scheduler::FailJobWithoutProgress(job_id job) {
+  const bool open = jobs_.Find(job) != nullptr;
+  RequestStops(jobs_.FailWithoutProgress(job), true);
+  return open;
+}
+
 void fleet_scheduler::ReleaseTasksOfEarlierOwners(time_point now) {
   if (unreported_workers_.empty()) {
     return;
--- a/src/skylarkbridge/jobs/fleet_scheduler_unmatched_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_unmatched_runs.cpp
@@ -22,7 +22,11 @@
         run.task.step < job->spec.steps.size() &&
         run.task.index < job->spec.steps[run.task.step].count &&
         run.task.occurrence < std::max(job->spec.repeat_count, 1U);
-    return task == nullptr && in_spec;
+    const open_job* open = jobs_.Find(run.task.job);
+    const bool complete =
+        open != nullptr &&
+        run.task.occurrence < open->progress.complete_occurrences;
+    return task == nullptr && in_spec && !complete;
   }
   const bool known = task != nullptr && task->phase != task_phase::kElsewhere;
   // The run was started after its job was accepted or its task delegated, so
--- a/src/skylarkbridge/jobs/fleet_scheduler_unmatched_runs_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_unmatched_runs_test.cpp
@@ -212,5 +212,20 @@
   EXPECT_TRUE(driver.starts.empty());
 }
 
+// Guards against an end that is kept for good, as its occurrence is complete
+// and its state was dropped.
+TEST(UnmatchedRunsTest, AnEndOfACompleteOccurrenceIsAcknowledged) {
+  scheduler_driver driver;
+  driver.registry.Apply(RepeatingJob(), driver.now);
+  driver.Begin({kWorker});
+  driver.AddWorker(kWorker, 4000);
+  driver.reported_ends[kWorker] = {
+      {.number = 1, .run = {{kJob, 0, 0, 0}, 1}, .outcome = run_end::kDone},
+      {.number = 2, .run = {{kJob, 0, 0, 0}, 2}, .outcome = run_end::kStopped}};
+  driver.Pass(milliseconds(500));
+  driver.Pass(milliseconds(500));
+  EXPECT_EQ(driver.acknowledged[kWorker], 2U);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/job_limits.cpp
+++ b/src/skylarkbridge/jobs/job_limits.cpp
@@ -78,4 +78,15 @@
   return FindScheduleFault(spec, tasks);
 }
 
+std::optional<std::string_view> FindStorageFault(const job_spec& spec) {
+  std::uint64_t long_running = 0;
+  for (const step_spec& step : spec.steps) {
+    long_running += step.long_running ? step.count : 0;
+  }
+  if (long_running * std::max(spec.repeat_count, 1U) > kMaxLongRunningTasks) {
+    return "too many long-running tasks";
+  }
+  return std::nullopt;
+}
+
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/job_limits_test.cpp
+++ b/src/skylarkbridge/jobs/job_limits_test.cpp
@@ -79,5 +79,19 @@
       std::nullopt);
 }
 
+// Guards against a job that is accepted and whose progress then outgrows a
+// record.
+TEST(JobLimitsTest, LimitsTheLongRunningTasksOfAJob) {
+  job_spec spec{.steps = {{.count = 4000, .long_running = true}}};
+  EXPECT_FALSE(FindStorageFault(spec));
+  spec.steps[0].count = 4001;
+  EXPECT_TRUE(FindStorageFault(spec));
+  spec.steps[0].long_running = false;
+  EXPECT_FALSE(FindStorageFault(spec));
+  spec.steps[0] = {.count = 200, .long_running = true};
+  spec.repeat_count = 21;
+  EXPECT_TRUE(FindStorageFault(spec));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -82,13 +82,48 @@
     StartOccurrence(id, job, 0, maybe_running);
     return;
   }
+  StartDueOccurrences(id, job, maybe_running, wall_now);
+  if (job.next_occurrence < job.spec.repeat_count) {
+    scheduled_.insert(id);
+  }
+}
+
+std::uint64_t open_job::TasksPerOccurrence() const {
+  std::uint64_t tasks = 0;
+  for (const step_spec& step : spec.steps) {
+    tasks += step.count;
+  }
+  return tasks;
+}
+
+void job_table::StartDueOccurrences(job_id id,
+                                    open_job& job,
+                                    bool maybe_running,
+                                    wall_time wall_now) {
+  // Occurrences with long-running tasks never complete.
+  const std::uint64_t most_open =
+      LongRunningMillicores(job.spec) > 0
+          ? job.spec.repeat_count
+          : std::max<std::uint64_t>(
+                1, options_.max_open_tasks / job.TasksPerOccurrence());
   while (job.next_occurrence < job.spec.repeat_count &&
+         job.due_occurrences.size() < most_open &&
          wall_now >=
              job.spec.first_due + job.next_occurrence * job.spec.interval) {
     StartOccurrence(id, job, job.next_occurrence++, maybe_running);
   }
-  if (job.next_occurrence < job.spec.repeat_count) {
-    scheduled_.insert(id);
+}
+
+void job_table::DropCompleteOccurrences(open_job& job) {
+  std::uint32_t& complete = job.progress.complete_occurrences;
+  for (auto first = job.due_occurrences.find(complete);
+       first != job.due_occurrences.end() && AllDone(first->second);
+       first = job.due_occurrences.find(complete)) {
+    std::erase_if(job.progress.steps, [complete](const step_progress& step) {
+      return step.occurrence == complete;
+    });
+    job.due_occurrences.erase(first);
+    ++complete;
   }
 }
 
@@ -101,11 +136,7 @@
       continue;
     }
     open_job& job = entry->second;
-    while (job.next_occurrence < job.spec.repeat_count &&
-           wall_now >=
-               job.spec.first_due + job.next_occurrence * job.spec.interval) {
-      StartOccurrence(id, job, job.next_occurrence++, false);
-    }
+    StartDueOccurrences(id, job, false, wall_now);
     next = job.next_occurrence < job.spec.repeat_count ? std::next(next)
                                                        : scheduled_.erase(next);
   }
@@ -128,6 +159,10 @@
                                 open_job& job,
                                 std::uint32_t occurrence,
                                 bool maybe_running) {
+  if (occurrence < job.progress.complete_occurrences) {
+    ++job.completed_occurrences;
+    return;
+  }
   std::vector<step_state>& steps = job.due_occurrences[occurrence];
   steps.resize(job.spec.steps.size());
   for (std::uint32_t step = 0; step < steps.size(); ++step) {
@@ -170,10 +205,12 @@
       }
     }
   }
-  if (AllDone(steps)) {
+  const bool complete = AllDone(steps);
+  ReleaseSteps(id, job, occurrence);
+  if (complete) {
     ++job.completed_occurrences;
+    DropCompleteOccurrences(job);
   }
-  ReleaseSteps(id, job, occurrence);
 }
 
 void job_table::ReleaseSteps(job_id id,
@@ -455,7 +492,8 @@
   const std::uint32_t count = job.spec.steps[run.task.step].count;
   for (std::uint32_t index = 0; index < count; ++index) {
     const run_ref member{TaskOf(StepOf(run.task), index), run.run};
-    if (Find(member.task)->phase != task_phase::kDone) {
+    const task_state* state = Find(member.task);
+    if (state != nullptr && state->phase != task_phase::kDone) {
       const std::vector<run_to_stop> others = MarkDone(job, member);
       runs_to_stop.insert(runs_to_stop.end(), others.begin(), others.end());
     }
@@ -480,15 +518,19 @@
   step_progress& progress = FindOrAddProgress(job, ref);
   progress.done.resize(step.tasks.size());
   progress.done[ref.index] = true;
+  progress.failures.erase(ref.index);
+  progress.crashes.erase(ref.index);
   changed_.insert(ref.job);
   RemoveIfNoneReady(StepOf(ref));
   if (step.done < step.tasks.size()) {
     return runs_to_stop;
   }
-  if (AllDone(steps)) {
+  const bool complete = AllDone(steps);
+  ReleaseSteps(ref.job, job, ref.occurrence);
+  if (complete) {
     ++job.completed_occurrences;
+    DropCompleteOccurrences(job);
   }
-  ReleaseSteps(ref.job, job, ref.occurrence);
   return runs_to_stop;
 }
 
@@ -557,6 +599,15 @@
                   static_cast<int>(attempts) * options_.retry_delay);
 }
 
+std::vector<run_to_stop> job_table::FailWithoutProgress(job_id id) {
+  const auto entry = jobs_.find(id);
+  if (entry == jobs_.end()) {
+    return {};
+  }
+  entry->second.progress.steps.clear();
+  return Finish(id, job_status::kFailed);
+}
+
 std::vector<run_to_stop> job_table::Finish(job_id id, job_status status) {
   open_job& job = jobs_.find(id)->second;
   job.progress.status = status;
--- a/src/skylarkbridge/jobs/job_table_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_test.cpp
@@ -555,5 +555,65 @@
   EXPECT_TRUE(table.CanDelegate(FirstRun(0).task));
 }
 
+/// A job whose occurrences are all due.
+job_state RecurringJob(std::uint32_t occurrences, std::uint32_t tasks) {
+  return {.queue = "batch",
+          .spec = {.steps = {{.count = tasks}},
+                   .repeat_count = occurrences,
+                   .first_due = kWall - seconds(100)}};
+}
+
+/// Completes an occurrence of kJob.
+void CompleteOccurrence(job_table& table,
+                        std::uint32_t occurrence,
+                        std::uint32_t tasks) {
+  for (std::uint32_t index = 0; index < tasks; ++index) {
+    const run_ref run{{kJob, occurrence, 0, index}, 1};
+    table.RecordStart(run, "w");
+    table.RecordEnd(run, run_end::kDone, "", 3, kNow);
+  }
+}
+
+// Guards against a record of the progress that grows with each occurrence.
+TEST(JobTableTest, DropsTheProgressOfCompleteOccurrences) {
+  job_table table{{}};
+  table.Add(kJob, RecurringJob(4, 2), false, kNow, kWall);
+  CompleteOccurrence(table, 1, 2);
+  EXPECT_EQ(table.Find(kJob)->progress.complete_occurrences, 0U);
+  CompleteOccurrence(table, 0, 2);
+  EXPECT_EQ(table.Find(kJob)->progress.complete_occurrences, 2U);
+  EXPECT_TRUE(table.Find(kJob)->progress.steps.empty());
+  CompleteOccurrence(table, 2, 2);
+  CompleteOccurrence(table, 3, 2);
+  EXPECT_EQ(table.Find(kJob), nullptr);
+}
+
+// Guards against a successor that runs complete occurrences again, or that
+// never completes the job.
+TEST(JobTableTest, ASuccessorGoesOnAfterTheCompleteOccurrences) {
+  job_state state = RecurringJob(3, 1);
+  state.progress.complete_occurrences = 2;
+  job_table table{{}};
+  table.Add(kJob, state, false, kNow, kWall);
+  EXPECT_EQ(table.ReadySteps(), (std::set<step_ref>{{kJob, 2, 0}}));
+  CompleteOccurrence(table, 2, 1);
+  EXPECT_EQ(table.Find(kJob), nullptr);
+}
+
+// Guards against a record that is too large, and a table that is, because all
+// occurrences of a large job are due.
+TEST(JobTableTest, StartsOccurrencesOnlyUpToTheLimitOfOpenTasks) {
+  job_table table{{.max_open_tasks = 5}};
+  table.Add(kJob, RecurringJob(4, 2), false, kNow, kWall);
+  EXPECT_EQ(table.ReadySteps().size(), 2U);
+  CompleteOccurrence(table, 0, 2);
+  table.StartDue(kWall);
+  EXPECT_EQ(table.ReadySteps().size(), 2U);
+  // An occurrence that is larger than the limit runs alone.
+  job_table large{{.max_open_tasks = 5}};
+  large.Add(kJob, RecurringJob(2, 9), false, kNow, kWall);
+  EXPECT_EQ(large.ReadySteps().size(), 1U);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -53,6 +53,13 @@
 /// Column of ownership_record::room, which earlier versions neither write nor
 /// read.
 constexpr std::size_t kRoomColumn = 6;
+/// Flags of up to so many tasks are written as digits.
+constexpr std::size_t kMaxFlagDigits = 64;
+constexpr std::size_t kFlagsPerCharacter = 6;
+constexpr char kFirstFlagCharacter = '0';
+/// Column of job_progress::complete_occurrences, which earlier versions neither
+/// write nor read.
+constexpr std::size_t kCompleteOccurrencesColumn = 3;
 /// Column of job_accepted::settings, under the same rules.
 constexpr std::size_t kSettingsColumn = 8;
 /// Stands for settings without queue_configuration::max_attempts.
@@ -174,18 +181,46 @@
   return {.key = Key(kCancelledKind, record.job), .value = Pack(json(true))};
 }
 
-std::string ToDigits(const std::vector<bool>& flags) {
-  std::string digits;
-  for (const bool flag : flags) {
-    digits.push_back(flag ? '1' : '0');
+/// A few flags are a string of the digits 0 and 1. More are an array of their
+/// number and a string of characters from '0' on, each of which holds six.
+json ToJson(const std::vector<bool>& flags) {
+  std::string text;
+  if (flags.size() <= kMaxFlagDigits) {
+    for (const bool flag : flags) {
+      text.push_back(flag ? '1' : '0');
+    }
+    return text;
+  }
+  text.assign((flags.size() + kFlagsPerCharacter - 1) / kFlagsPerCharacter,
+              kFirstFlagCharacter);
+  for (std::size_t index = 0; index < flags.size(); ++index) {
+    if (flags[index]) {
+      const unsigned bit = 1U << (index % kFlagsPerCharacter);
+      char& character = text[index / kFlagsPerCharacter];
+      character = static_cast<char>(static_cast<unsigned>(character) + bit);
+    }
   }
-  return digits;
+  return json::array({flags.size(), std::move(text)});
 }
 
-std::vector<bool> ToFlags(const std::string& digits) {
+std::vector<bool> ToFlags(const json& value) {
   std::vector<bool> flags;
-  for (const char digit : digits) {
-    flags.push_back(digit == '1');
+  if (value.is_string()) {
+    for (const char digit : value.get<std::string>()) {
+      flags.push_back(digit == '1');
+    }
+    return flags;
+  }
+  const auto count = ToInteger<std::size_t>(
+      value.at(0), {0, static_cast<std::size_t>(kMaxTasksPerJob)});
+  const std::string text = value.at(1);
+  if (text.size() != (count + kFlagsPerCharacter - 1) / kFlagsPerCharacter) {
+    encoding::ThrowInvalid("the flags have another number than stated");
+  }
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto character = static_cast<unsigned char>(
+        text[index / kFlagsPerCharacter] - kFirstFlagCharacter);
+    flags.push_back((character >> (index % kFlagsPerCharacter) & 1U) != 0);
   }
   return flags;
 }
@@ -290,13 +325,13 @@
     failures.push_back(json::array({index, runs}));
   }
   json row = json::array(
-      {step.occurrence, step.step, ToDigits(step.done), std::move(failures)});
+      {step.occurrence, step.step, ToJson(step.done), std::move(failures)});
   // A column is written when it or a later one is not empty.
   const bool has_delegations = !step.delegations.empty();
   const bool has_ended_runs = !step.last_ended_runs.empty() || has_delegations;
   const bool has_crashes = !step.crashes.empty() || has_ended_runs;
   if (!step.started.empty() || has_crashes) {
-    row.push_back(ToDigits(step.started));
+    row.push_back(ToJson(step.started));
   }
   if (has_crashes) {
     row.push_back(CrashesToJson(step));
@@ -317,13 +352,13 @@
 step_progress ToStepProgress(const json& row) {
   step_progress step{.occurrence = ToInteger<std::uint32_t>(row.at(0)),
                      .step = ToInteger<std::uint32_t>(row.at(1)),
-                     .done = ToFlags(row.at(2).get<std::string>())};
+                     .done = ToFlags(row.at(2))};
   for (const json& failure_row : RequireArray(row.at(3))) {
     step.failures[ToInteger<std::uint32_t>(failure_row.at(0))] =
         ToFailedRuns(failure_row.at(1));
   }
   if (row.size() > kStartedColumn) {
-    step.started = ToFlags(row.at(kStartedColumn).get<std::string>());
+    step.started = ToFlags(row.at(kStartedColumn));
   }
   if (row.size() > kCrashesColumn) {
     for (const json& crash_row : RequireArray(row.at(kCrashesColumn))) {
@@ -359,10 +394,13 @@
   for (const step_progress& step : record.progress.steps) {
     steps.push_back(ToJson(step));
   }
-  return {.key = Key(kAdvancedKind, record.job),
-          .value = Pack(json::array({record.progress.started,
-                                     static_cast<int>(record.progress.status),
-                                     std::move(steps)}))};
+  json row =
+      json::array({record.progress.started,
+                   static_cast<int>(record.progress.status), std::move(steps)});
+  if (record.progress.complete_occurrences > 0) {
+    row.push_back(record.progress.complete_occurrences);
+  }
+  return {.key = Key(kAdvancedKind, record.job), .value = Pack(row)};
 }
 
 keyed_record ToRecord(const job_dropped& record) {
@@ -443,6 +481,10 @@
   for (const json& row : RequireArray(value.at(2))) {
     record.progress.steps.push_back(ToStepProgress(row));
   }
+  if (value.size() > kCompleteOccurrencesColumn) {
+    record.progress.complete_occurrences =
+        ToInteger<std::uint32_t>(value.at(kCompleteOccurrencesColumn));
+  }
   return record;
 }
 
@@ -533,6 +575,12 @@
   return Key(kAcceptedKind, job);
 }
 
+std::optional<job_id> JobOfProgress(const keyed_record& record) {
+  return record.key.starts_with(kAdvancedKind)
+             ? ParseJobId(std::string_view(record.key).substr(1))
+             : std::nullopt;
+}
+
 std::vector<keyed_record> EncodeDrop(job_id job) {
   return {{.key = Key(kAcceptedKind, job)},
           {.key = Key(kCancelledKind, job)},
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -144,6 +144,39 @@
   EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
 }
 
+// Guards against lost or shifted flags of large steps, which are written
+// densely, and against completed occurrences that run again.
+TEST(JobRecordCodecTest, KeepsTheProgressOfLargeSteps) {
+  std::mt19937 random(1);
+  for (const std::size_t tasks : {64U, 65U, 66U, 71U, 72U, 1000U}) {
+    job_advanced advanced{.job = job_id{1},
+                          .progress = {.started = true,
+                                       .steps = {{.occurrence = 7}},
+                                       .complete_occurrences = 7}};
+    for (std::size_t task = 0; task < tasks; ++task) {
+      advanced.progress.steps[0].done.push_back(random() % 2 == 0);
+      advanced.progress.steps[0].started.push_back(random() % 2 == 0);
+    }
+    const auto decoded = RoundTrip(advanced);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
+  }
+}
+
+// Guards against flags that other writers leave in a record.
+TEST(JobRecordCodecTest, RejectsOddFlags) {
+  using nlohmann::json;
+  EXPECT_TRUE(DecodeOrNothing(ProgressRecord(
+      json::array({0, 0, json::array({7, "00"}), json::array()}))));
+  for (const json& flags :
+       {json::array({7, "0"}), json::array({7, "000"}), json::array({-1, ""}),
+        json::array({100'000'000, "0"}), json::array({7}), json(7)}) {
+    EXPECT_FALSE(DecodeOrNothing(
+        ProgressRecord(json::array({0, 0, flags, json::array()}))))
+        << flags;
+  }
+}
+
 // Guards against a successor that starts a task again which crashes its
 // workers: the crashes have to be kept, also without the column before theirs.
 TEST(JobRecordCodecTest, KeepsTheCrashes) {
--- a/src/skylarkbridge/service/fleet_service.cpp
+++ b/src/skylarkbridge/service/fleet_service.cpp
@@ -178,6 +178,8 @@
   options.ownership.incarnation = incarnation;
   options.ownership.processor_share = jobs::UsableProcessorShare(capacity);
   options.store_writes_per_second = settings.store_writes_per_second;
+  options.max_record_bytes = settings.store_record_bytes;
+  options.owner_writer.max_append_bytes = settings.store_append_bytes;
   options.has_machine_list = !settings.machines_address.empty();
   // Random, so that two claims of one epoch use different sequence numbers.
   options.first_sequence = incarnation;
