Delete the records of an ended job in its home cell first

Where the home cell's owner has started later, the progress is deleted before the acceptance, and a VM that starts in between takes the job for open.

Change: the running cell deletes the progress once the home cell has dropped the job, or once the home cell's log, read since the progress was seen, has no such job. EndedBefore loses its limit, which jobs that wait for their home cell would have used up; the writer applies it, and the checks of JobRegistryTest only lose the argument.

--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -103,6 +103,7 @@
   }
   /// @brief See fleet_scheduler::SetOtherLogsReadUntil.
   void SetOtherLogsReadUntil(std::optional<time_point> until) {
+    other_logs_read_until_ = until;
     scheduler_.SetOtherLogsReadUntil(until);
   }
   /// @brief The delegated tasks that this cell has given back, by its log.
@@ -276,6 +277,10 @@
   void BeginOwnership(time_point now, wall_time wall);
   void LoseOwnership(std::string_view reason);
   void WriteOwnerRecords(std::size_t other_owned_cells, time_point now);
+  /// The jobs whose records this cell's log needs no more. A job is dropped by
+  /// its home cell first: a VM that finds its acceptance and no progress would
+  /// run it again.
+  std::vector<jobs::job_id> JobsToDrop(time_point now) const;
   /// Handles a record that the store never takes; to repeat it would hold up
   /// all others for good. The job whose progress it is fails. Returns the
   /// record of that, to be written with the others.
@@ -308,6 +313,11 @@
   owner_writer writer_;
   std::vector<jobs::log_record> cross_cell_records_;
   std::set<jobs::job_id> changed_delegating_jobs_;
+  /// Ended jobs of other home cells whose progress stands in this cell's log
+  /// while their acceptance is not known, each with the time since when. Either
+  /// it has not been read yet, or the home cell has dropped the job.
+  std::map<jobs::job_id, time_point> progress_without_job_;
+  std::optional<time_point> other_logs_read_until_;
   bool refresh_requested_ = false;
   /// The snapshot of this cell waits for that of another cell.
   bool snapshot_deferred_ = false;
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -169,6 +169,7 @@
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Apply(const jobs::job_dropped& record) {
   NoteDelegatingJob(record.job);
+  progress_without_job_.erase(record.job);
   if (const jobs::job_state* const state = registry_.Find(record.job);
       state != nullptr && !registry_.RunsHere(*state)) {
     cross_cell_records_.emplace_back(record);
@@ -182,6 +183,7 @@
                                                 wall_time wall) {
   if (auto* const accepted = std::get_if<jobs::job_accepted>(&record)) {
     const jobs::job_id job = accepted->job;
+    progress_without_job_.erase(job);
     if (registry_.Apply(std::move(*accepted), now)) {
       scheduler_.JobAccepted(job, *registry_.Find(job), true, now, wall);
       NoteDelegatingJob(job);
@@ -197,6 +199,10 @@
   } else if (const auto* const dropped =
                  std::get_if<jobs::job_dropped>(&record)) {
     NoteDelegatingJob(dropped->job);
+    if (const jobs::job_state* const state = registry_.Find(dropped->job);
+        state != nullptr && registry_.RunsHere(*state)) {
+      progress_without_job_.try_emplace(dropped->job, now);
+    }
     registry_.Apply(*dropped);
   }
 }
@@ -259,6 +265,9 @@
     cross_cell_records_.emplace_back(record);
   }
   registry_.Apply(std::move(record), now);
+  if (ended && map_.HomeOf(job) != cell_ && registry_.Find(job) == nullptr) {
+    progress_without_job_.try_emplace(job, now);
+  }
   NoteDelegatingJob(job);
   if (ended) {
     const auto state =
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -110,6 +110,27 @@
   follower_.Reader().SetPause(follower_pause_);
 }
 
+template <fleet_platform Platform>
+std::vector<jobs::job_id> fleet_cell<Platform>::JobsToDrop(
+    time_point now) const {
+  std::vector<jobs::job_id> drops;
+  for (const jobs::job_id job :
+       registry_.EndedBefore(now - options_.ended_job_retention)) {
+    if (map_.HomeOf(job) == cell_) {
+      drops.push_back(job);
+    }
+  }
+  for (const auto& [job, since] : progress_without_job_) {
+    // An acceptance is written before any progress, so that a log read since
+    // shows it unless the job was dropped.
+    if (other_logs_read_until_ && since < *other_logs_read_until_) {
+      drops.push_back(job);
+    }
+  }
+  drops.resize(std::min(drops.size(), options_.max_drops_per_write));
+  return drops;
+}
+
 template <fleet_platform Platform>
 void fleet_cell<Platform>::WriteOwnerRecords(std::size_t other_owned_cells,
                                              time_point now) {
@@ -123,9 +144,7 @@
       confirmation->room = scheduler_.RoomForOtherCells(now);
     }
     batch.push_back(records::Encode(*confirmation));
-    for (const jobs::job_id job :
-         registry_.EndedBefore(now - options_.ended_job_retention,
-                               options_.max_drops_per_write)) {
+    for (const jobs::job_id job : JobsToDrop(now)) {
       for (records::keyed_record& record : records::EncodeDrop(job)) {
         batch.push_back(std::move(record));
       }
--- a/include/skylarkbridge/jobs/job_registry.hpp
+++ b/include/skylarkbridge/jobs/job_registry.hpp
@@ -93,10 +93,9 @@
   /// task has started.
   std::size_t CountUnstarted(std::string_view queue) const;
 
-  /// @brief Returns up to @p max_count jobs that ended before @p limit, the
-  /// earliest first. Includes cancelled jobs that were never accepted.
-  std::vector<job_id> EndedBefore(time_point limit,
-                                  std::size_t max_count) const;
+  /// @brief Returns the jobs that ended before @p limit, the earliest first.
+  /// Includes cancelled jobs that were never accepted.
+  std::vector<job_id> EndedBefore(time_point limit) const;
 
   /// @brief The jobs whose newest record names another running cell than the
   /// first one, which holds. A VM that reads only the newest record of each key
--- a/src/skylarkbridge/jobs/job_registry.cpp
+++ b/src/skylarkbridge/jobs/job_registry.cpp
@@ -153,11 +153,10 @@
       }));
 }
 
-std::vector<job_id> job_registry::EndedBefore(time_point limit,
-                                              std::size_t max_count) const {
+std::vector<job_id> job_registry::EndedBefore(time_point limit) const {
   std::vector<job_id> found;
   for (const auto& [ended, job] : ended_) {
-    if (ended >= limit || found.size() >= max_count) {
+    if (ended >= limit) {
       break;
     }
     const job_state* const state = Find(job);
--- a/src/skylarkbridge/jobs/job_registry_test.cpp
+++ b/src/skylarkbridge/jobs/job_registry_test.cpp
@@ -11,7 +11,6 @@
 
 constexpr time_point kNow{seconds(100)};
 constexpr job_id kJob{1};
-constexpr std::size_t kMaxCount = 10;
 
 // Guards against a cancellation that stays in the log for ever because its job
 // was never accepted.
@@ -19,11 +18,10 @@
   job_registry registry;
   EXPECT_FALSE(registry.Apply(job_cancelled{kJob}, kNow));
   registry.Apply(job_cancelled{kJob}, kNow + seconds(1));
-  EXPECT_TRUE(registry.EndedBefore(kNow, kMaxCount).empty());
-  EXPECT_EQ(registry.EndedBefore(kNow + seconds(2), kMaxCount),
-            std::vector<job_id>{kJob});
+  EXPECT_TRUE(registry.EndedBefore(kNow).empty());
+  EXPECT_EQ(registry.EndedBefore(kNow + seconds(2)), std::vector<job_id>{kJob});
   registry.Apply(job_dropped{kJob});
-  EXPECT_TRUE(registry.EndedBefore(kNow + seconds(2), kMaxCount).empty());
+  EXPECT_TRUE(registry.EndedBefore(kNow + seconds(2)).empty());
 }
 
 // Guards against removing the records of an open job from the log because an
@@ -33,7 +31,7 @@
   registry.Apply(job_cancelled{kJob}, kNow);
   registry.Apply(job_dropped{kJob});
   ASSERT_TRUE(registry.Apply(job_accepted{.job = kJob}, kNow));
-  EXPECT_TRUE(registry.EndedBefore(kNow + seconds(2), kMaxCount).empty());
+  EXPECT_TRUE(registry.EndedBefore(kNow + seconds(2)).empty());
 }
 
 // Guards against a job that runs although it was cancelled before it was
@@ -71,7 +69,7 @@
   other.ApplyDelegated(kJob, *running.Find(kJob), kNow);
   EXPECT_TRUE(other.Find(kJob)->Ended());
   EXPECT_TRUE(other.Find(kJob)->ended_at);
-  EXPECT_TRUE(other.EndedBefore(kNow + seconds(2), kMaxCount).empty());
+  EXPECT_TRUE(other.EndedBefore(kNow + seconds(2)).empty());
 }
 
 }  // namespace
