Split the job table and the types of a placement pass

Each call of Run looked at every run for unmatched ones, a new configuration looked up the queue of every job, and the list of ended jobs kept those that were dropped.

Runs are looked at only while one is unmatched, and queues only of jobs with failed runs. Dropped jobs leave the list of ended ones. job_table::NextDue, which nothing called, is gone.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -27,6 +27,7 @@
 #include "skylarkbridge/jobs/orders.hpp"
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
+#include "skylarkbridge/jobs/placement_pass.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
 #include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
@@ -443,109 +444,12 @@
   time_point LatestLeaseExpiry(time_point now) const;
 
   // Placement.
-  enum class job_lateness {
-    /// The job can meet its objective.
-    kInTime,
-    /// It can only complete late, with some value.
-    kLate,
-    /// Its completion has no value any more.
-    kWithoutValue,
-  };
-  struct ready_step {
-    int priority = 0;
-    job_lateness lateness = job_lateness::kInTime;
-    /// Remaining work per unit of the job's value.
-    double cost = 0;
-    /// The step is long-running and its job has begun: its tasks are placed
-    /// before others of their priority, and room is reserved for them.
-    bool begun_long_running = false;
-    /// No task of the job runs although the fleet is underused: one of its
-    /// tasks is placed first, regardless of best_effort_share.
-    bool starving = false;
-    step_ref ref;
-  };
   ready_step Rank(const open_job& job,
                   const queue_configuration& queue,
                   const step_ref& ref,
                   time_point now) const;
   std::vector<ready_step> OrderedReadySteps(time_point now) const;
   void PlaceReadySteps(time_point now);
-  /// Demand for best-effort tasks of one image.
-  struct image_demand {
-    std::string_view image;
-    /// Resources of one of its tasks, used to estimate its interference.
-    resources need;
-    /// Share in all best-effort tasks that wait or run.
-    double share = 0;
-    /// Number of workers on which its tasks interfere little with serving
-    /// tasks.
-    std::size_t suitable_workers = 0;
-  };
-  /// The strings belong to runs and jobs, so it is valid for one pass only.
-  struct best_effort_demand {
-    /// Ordered by image.
-    std::vector<image_demand> images;
-    /// Positions in `images` of those that the worker suits.
-    absl::flat_hash_map<const worker_session*, std::vector<std::size_t>>
-        images_by_worker;
-  };
-  /// What the interference of further tasks on a worker depends on. The strings
-  /// belong to runs, so it is valid for one pass only.
-  struct interference_view {
-    struct serving_run {
-      std::string_view image;
-      /// Expected logarithm of the ratio of its tail latency to its target.
-      double log_ratio = 0;
-    };
-
-    /// Number of runs on the worker when the view was computed. A pass only
-    /// adds runs, so that a view with this number is up to date.
-    std::size_t runs = 0;
-    /// The best-effort tasks at their declared load.
-    std::vector<neighbour> neighbours;
-    std::vector<serving_run> serving_runs;
-  };
-  using interference_views =
-      absl::flat_hash_map<const worker_session*, interference_view>;
-  /// Why a placement pass did not start a restart.
-  struct blocked_restart {
-    restart_obstacle obstacle = restart_obstacle::kNone;
-    /// Number of the pass.
-    std::uint64_t pass = 0;
-  };
-  /// When a waiting restart could first have started in this cell if there had
-  /// been room.
-  struct restart_wait {
-    /// End of the last run, which tells one wait from the next.
-    time_point run_ended_at;
-    time_point may_start_since;
-  };
-  /// State of one placement pass, shared by its steps.
-  struct placement_pass {
-    /// Candidates by service, image and whether the step is best-effort.
-    std::map<std::tuple<std::string, std::string, bool>,
-             std::vector<placement_candidate>>
-        by_kind;
-    std::optional<best_effort_demand> demand;
-    interference_views views;
-    /// Room reserved for tasks that found none yet, by worker.
-    absl::flat_hash_map<std::string, resources> reserved_room;
-    /// Worker on which room is reserved, by task.
-    std::map<task_ref, std::string> reserved_workers;
-    /// The restarts that were not placed.
-    std::map<task_ref, blocked_restart> blocked_restarts;
-    /// Room by worker that first starts of long-running tasks leave for the
-    /// restarts to come. Other tasks may use it, as they can be stopped.
-    absl::flat_hash_map<std::string, resources> expected_restart_room;
-    /// Whether expected_restart_room has been computed.
-    bool expects_restarts = false;
-    /// Restarts for which a run to relocate was searched.
-    int relocation_searches = 0;
-
-    /// Room on the worker that is kept from a step.
-    resources ReservedRoom(const std::string& worker,
-                           bool with_expected_restarts) const;
-  };
   best_effort_demand ComputeDemand(interference_views& views) const;
   /// The best-effort images that wait or run, without the workers they suit.
   std::vector<image_demand> BestEffortImages() const;
@@ -760,15 +664,6 @@
                                          time_point now) const;
 
   // Relocation of long-running runs.
-  /// A long-running run that is stopped so that a larger waiting task gets its
-  /// room. Room is reserved for its own task on another worker before.
-  struct relocation {
-    run_ref run;
-    std::string from;
-    std::string to;
-    /// From then on no room is kept for the relocation.
-    time_point give_up_at;
-  };
   /// The run while it is on its first worker; null after that.
   const worker_run* FindRelocatedRun(const relocation& move) const;
   /// Whether the run is to be stopped for the waiting task, or its task waits
@@ -827,12 +722,6 @@
                         time_point now);
 
   // Evacuation of draining workers.
-  /// A long-running run on a draining worker.
-  struct leaving_run {
-    run_ref run;
-    worker_session* session = nullptr;
-    worker_run* state = nullptr;
-  };
   /// Updates evacuation_state of a worker that was listed.
   /// @param added whether it was not known before.
   void UpdateEvacuation(worker_session& session,
@@ -922,15 +811,6 @@
   const job_registry* registry_ = nullptr;
   job_table jobs_;
   session_map workers_;
-  /// A worker leased by an earlier owner that has not sent a report yet.
-  struct unreported_worker {
-    /// Latest expiry of its lease.
-    time_point leased_until;
-    /// As in leased_workers::addresses; empty when it is not known.
-    std::string address;
-    /// Its process has ended.
-    bool ended = false;
-  };
   std::map<std::string, unreported_worker> unreported_workers_;
   /// Workers that were stored as leased_workers::unreported.
   std::set<std::string> stored_unreported_;
@@ -985,6 +865,8 @@
   std::map<task_ref, time_point> searched_until_;
   late_starts late_starts_;
   unmatched_ends unmatched_ends_;
+  /// Some worker_run::unmatched may be set.
+  bool has_unmatched_runs_ = false;
   /// By worker.
   std::map<std::string, presumed_crash> presumed_crashes_;
   std::optional<time_point> other_logs_read_until_;
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -94,6 +94,9 @@
   bool dependencies_done = false;
 };
 
+/// @brief Whether all tasks of an occurrence are done.
+bool AllDone(const std::vector<step_state>& steps);
+
 /// @brief An open job with the state of its tasks.
 struct open_job {
   std::string queue;
@@ -231,8 +234,6 @@
 
   /// @brief Starts the occurrences that are due.
   void StartDue(wall_time wall_now);
-  /// @brief Returns the time of the next occurrence; nullopt without one.
-  std::optional<wall_time> NextDue() const;
 
   /// @brief Allows tasks that no worker has reported to start. Called when
   /// every worker has reported its runs or its lease has expired.
--- a/include/skylarkbridge/jobs/relocation.hpp
+++ b/include/skylarkbridge/jobs/relocation.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/job_spec.hpp"
 
@@ -21,6 +22,16 @@
   resources missing;
 };
 
+/// @brief A long-running run that is stopped so that a larger waiting task gets
+/// its room. Room is reserved for its own task on another worker before.
+struct relocation {
+  run_ref run;
+  std::string from;
+  std::string to;
+  /// From then on no room is kept for the relocation.
+  time_point give_up_at;
+};
+
 /// @brief Returns the runs of which one alone frees what is missing: the
 /// smallest first, among equal ones those on the workers that lack least.
 std::vector<relocatable_run> RankRunsToRelocate(
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -258,6 +258,23 @@
   }
 };
 
+/// @brief A worker leased by an earlier owner that has not sent a report yet.
+struct unreported_worker {
+  /// Latest expiry of its lease.
+  time_point leased_until;
+  /// As in leased_workers::addresses; empty when it is not known.
+  std::string address;
+  /// Its process has ended.
+  bool ended = false;
+};
+
+/// @brief A long-running run on a draining worker.
+struct leaving_run {
+  run_ref run;
+  worker_session* session = nullptr;
+  worker_run* state = nullptr;
+};
+
 }  // namespace skylarkbridge::jobs
 
 #endif  // SKYLARKBRIDGE_JOBS_WORKER_SESSION_HPP
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -13,6 +13,12 @@
 /// Longest time between two calls of Run.
 constexpr std::chrono::milliseconds kMaxRunInterval{100};
 
+bool HasFailures(const job_progress& progress) {
+  return std::any_of(
+      progress.steps.begin(), progress.steps.end(),
+      [](const step_progress& step) { return !step.failures.empty(); });
+}
+
 }  // namespace
 
 fleet_scheduler::fleet_scheduler(fleet_scheduler_options options)
@@ -97,6 +103,7 @@
   searched_until_.clear();
   late_starts_.Clear();
   unmatched_ends_.Clear();
+  has_unmatched_runs_ = false;
   presumed_crashes_.clear();
   start_limit_.Clear();
   permits_.Clear();
@@ -392,7 +399,9 @@
   }
   std::vector<job_id> ids;
   for (const auto& [id, job] : jobs_.Jobs()) {
-    ids.push_back(id);
+    if (HasFailures(job.progress)) {
+      ids.push_back(id);
+    }
   }
   for (const job_id id : ids) {
     if (const auto max_attempts = MaxAttempts(id)) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_evacuation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_evacuation.cpp
@@ -74,7 +74,7 @@
   }
 }
 
-std::vector<fleet_scheduler::leaving_run> fleet_scheduler::LeavingRuns() {
+std::vector<leaving_run> fleet_scheduler::LeavingRuns() {
   std::vector<leaving_run> leaving;
   for (auto& [id, session] : workers_) {
     if (!session.evacuation_state) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -108,7 +108,7 @@
   }
 }
 
-fleet_scheduler::interference_view fleet_scheduler::ComputeView(
+interference_view fleet_scheduler::ComputeView(
     const worker_session& session) const {
   interference_view view{.runs = session.runs.size(),
                          .neighbours = DeclaredNeighbours(session)};
@@ -128,7 +128,7 @@
   return view;
 }
 
-const fleet_scheduler::interference_view& fleet_scheduler::ViewOf(
+const interference_view& fleet_scheduler::ViewOf(
     const worker_session& session,
     interference_views& views) const {
   const auto [entry, added] = views.try_emplace(&session);
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -68,8 +68,7 @@
   return competing_demand * static_cast<double>(workers_.size());
 }
 
-std::vector<fleet_scheduler::image_demand> fleet_scheduler::BestEffortImages()
-    const {
+std::vector<image_demand> fleet_scheduler::BestEffortImages() const {
   std::map<std::string_view, image_demand> by_image;
   double total = 0;
   const auto add = [&](std::string_view image, const resources& need,
@@ -104,7 +103,7 @@
   return images;
 }
 
-fleet_scheduler::best_effort_demand fleet_scheduler::ComputeDemand(
+best_effort_demand fleet_scheduler::ComputeDemand(
     interference_views& views) const {
   best_effort_demand demand{.images = BestEffortImages()};
   for (const auto& [id, session] : workers_) {
@@ -231,9 +230,8 @@
   ++candidate.siblings;
 }
 
-resources fleet_scheduler::placement_pass::ReservedRoom(
-    const std::string& worker,
-    bool with_expected_restarts) const {
+resources placement_pass::ReservedRoom(const std::string& worker,
+                                       bool with_expected_restarts) const {
   resources reserved;
   if (const auto room = reserved_room.find(worker);
       room != reserved_room.end()) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_ranking.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_ranking.cpp
@@ -76,11 +76,10 @@
   return job.added_at + path_time + allowance;
 }
 
-fleet_scheduler::ready_step fleet_scheduler::Rank(
-    const open_job& job,
-    const queue_configuration& queue,
-    const step_ref& ref,
-    time_point now) const {
+ready_step fleet_scheduler::Rank(const open_job& job,
+                                 const queue_configuration& queue,
+                                 const step_ref& ref,
+                                 time_point now) const {
   const std::vector<step_state>& steps =
       job.due_occurrences.find(ref.occurrence)->second;
   const time_point objective = Objective(job, &queue);
@@ -104,7 +103,7 @@
   return ranked;
 }
 
-std::vector<fleet_scheduler::ready_step> fleet_scheduler::OrderedReadySteps(
+std::vector<ready_step> fleet_scheduler::OrderedReadySteps(
     time_point now) const {
   std::vector<ready_step> steps;
   for (const step_ref& ref : jobs_.ReadySteps()) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -142,7 +142,7 @@
   return nullptr;
 }
 
-std::optional<fleet_scheduler::relocation> fleet_scheduler::PlanRelocation(
+std::optional<relocation> fleet_scheduler::PlanRelocation(
     const waiting_restart& restart,
     const step_spec& step,
     const queue_configuration& queue,
--- a/src/skylarkbridge/jobs/fleet_scheduler_unmatched_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_unmatched_runs.cpp
@@ -4,6 +4,7 @@
 // earlier owner has started may not be due. What it doesn't know it neither
 // stops nor acknowledges.
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
@@ -64,11 +65,15 @@
       AcknowledgeAppliedEnds(worker->second);
     }
   }
+  if (!std::exchange(has_unmatched_runs_, false)) {
+    return;
+  }
   for (auto& [id, session] : workers_) {
     for (auto& [run, state] : session.runs) {
       if (state.unmatched) {
         ResolveUnmatchedRun(session, run, state, now);
       }
+      has_unmatched_runs_ |= state.unmatched;
     }
   }
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -325,6 +325,7 @@
   run.detached = true;
   if (MayBecomeKnown(task.run, now)) {
     run.unmatched = true;
+    has_unmatched_runs_ = true;
     AddNote(scheduling_event::kRunUnmatched, task.run, session.entry.worker);
     return;
   }
--- a/src/skylarkbridge/jobs/job_registry.cpp
+++ b/src/skylarkbridge/jobs/job_registry.cpp
@@ -102,6 +102,10 @@
   }
   early_records_.erase(record.job);
   overwritten_.erase(record.job);
+  while (!ended_.empty() && !jobs_.contains(ended_.front().second) &&
+         !early_records_.contains(ended_.front().second)) {
+    ended_.pop_front();
+  }
 }
 
 std::int64_t job_registry::LongRunningMillicoresOf(
