--- a/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
@@ -27,7 +27,7 @@
     const worker_session& session,
     const absl::flat_hash_set<run_ref>& surviving,
     crash_proof proof) {
-  const std::vector<run_ref> suspects = CrashSuspects(session, surviving);
+  std::vector<run_ref> suspects = CrashSuspects(session, surviving);
   const std::vector<run_ref> culprits = CrashCulprits(session, suspects);
   for (const run_ref& run : suspects) {
     if (jobs_.Find(run.task.job) == nullptr) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_gangs_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_gangs_test.cpp
@@ -30,17 +30,16 @@
     driver.AddWorker("w1", 1000);
     driver.RunRounds();
     driver.registry.Apply(
-        job_accepted{
-            .job = kGang,
-            .queue = "batch",
-            .spec = {.payload = "p",
-                     .steps = {{.count = 2,
-                                .need = {.millicores = 800},
-                                .gang = true,
-                                .long_running = long_running},
-                               {.count = 1,
-                                .need = {.millicores = 100},
-                                .depends_on = {0}}}}},
+        job_accepted{.job = kGang,
+                     .queue = "batch",
+                     .spec = {.payload = "p",
+                              .steps = {{.count = 2,
+                                         .need = {.millicores = 800},
+                                         .gang = true,
+                                         .long_running = long_running},
+                                        {.count = 1,
+                                         .need = {.millicores = 100},
+                                         .depends_on = {0}}}}},
         driver.now);
     driver.scheduler.JobAccepted(kGang, *driver.registry.Find(kGang), false,
                                  driver.now, driver.wall);
@@ -92,9 +91,9 @@
 TEST(FleetSchedulerGangsTest, AStoredEndSaysThatAllMembersAreDone) {
   running_gang day(false);
   day.driver.registry.Apply(
-      job_advanced{.job = kGang,
-                   .progress = {.started = true,
-                                .steps = {{.done = {false, true}}}}},
+      job_advanced{
+          .job = kGang,
+          .progress = {.started = true, .steps = {{.done = {false, true}}}}},
       day.driver.now);
   day.driver.starts.clear();
   day.driver.Begin(3);
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -15,8 +15,8 @@
   for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
     const step_ref ref = StepOf(restart.task);
     if (jobs_.Spec(ref)->gang) {
-      all_placed &= !gangs.insert(ref).second ||
-                    PlaceGangRestart(restart, pass, now);
+      all_placed &=
+          !gangs.insert(ref).second || PlaceGangRestart(restart, pass, now);
       continue;
     }
     ReleaseKeptRoom(restart.task, pass);
@@ -115,8 +115,8 @@
       CandidatesForStep(ref, step, *queue, pass, now);
   const std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
   const bool complete = ready.size() == step.count;
-  if (complete && PlaceOnCandidates({.ref = ref}, step, *queue, ready,
-                                    candidates, now)) {
+  if (complete &&
+      PlaceOnCandidates({.ref = ref}, step, *queue, ready, candidates, now)) {
     return true;
   }
   if (queue->HasPlacementPolicy()) {
