Confirm the ownership only by appends that the store has taken

Cause: since a rejected record is left out of a write, a write that holds nothing else counted as written, and its reply extended the time until which the owner may send orders. A rejection does not show that the VM is still the owner.

Change: only an append that the store has taken confirms the ownership and lets the ends of a write be acknowledged.

--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -352,9 +352,12 @@
         writer_.Add(std::move(*end));
       }
     }
-    if (writer_.Idle()) {
+    // A rejected append does not show that this VM is still the owner.
+    if (reply.result == store_result::kDone) {
       ownership_.Confirmed(writer_.SentAt());
-      scheduler_.RecordsStored(written_batch_number_, now);
+      if (writer_.Idle()) {
+        scheduler_.RecordsStored(written_batch_number_, now);
+      }
     }
   }
   return {};
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -234,8 +234,8 @@
                      time_point now);
   /// Records the end of a run that is on no worker any more.
   void RecordEnd(const ended_task& end, time_point now);
-  /// Lets the log write after the next one acknowledge the ends of the worker
-  /// up to the first one that is unmatched.
+  /// Lets the ends of the worker, up to the first unmatched one, be
+  /// acknowledged once the next log write is durable.
   void AcknowledgeAppliedEnds(worker_session& session);
   /// Whether the task of a reported run is not known, but may become known
   /// without a further event at its worker: its job by a log of another cell,
