Name the review's stand-ins like those of the first review

Cause: the formatter and the linter take all .cpp and .hpp files of the tree, and the stand-ins of a review are no part of the product.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/kit-2"
 mkdir -p bin
-for trial in *.cpp; do
-  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -o "bin/${trial%.cpp}" "$trial" -lpthread
+for trial in *.cc; do
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -o "bin/${trial%.cc}" "$trial" -lpthread
 done
--- a/review/kit-2/incomplete_entry.cpp
+++ b/review/kit-2/incomplete_entry.cc
@@ -1,6 +1,6 @@
 // An entry in the list of workers by another writer, with fields missing, under
 // the id of a worker of another service.
-#include "trial.hpp"
+#include "trial.h"
 
 using namespace trial;
 
--- a/review/kit-2/late_pace.cpp
+++ b/review/kit-2/late_pace.cc
@@ -1,6 +1,6 @@
 // Batch tasks that are paced down to nothing, and orders on pace that get no
 // answer and are carried out late.
-#include "trial.hpp"
+#include "trial.h"
 
 using namespace trial;
 
--- a/review/kit-2/paced_task.cpp
+++ b/review/kit-2/paced_task.cc
@@ -1,5 +1,5 @@
 // A batch task that its owner has paced down to nothing, and an owner that dies.
-#include "trial.hpp"
+#include "trial.h"
 
 using namespace trial;
 
--- a/review/kit-2/trial.hpp
+++ b/review/kit-2/trial.h
@@ -2,8 +2,8 @@
 // clients, for the scripts in review/6 and later. They follow PROTOCOL.md and
 // DEPLOY.md; where a page is silent they behave like a sound server. Everything
 // listens on loopback addresses.
-#ifndef REVIEW_KIT_2_TRIAL_HPP
-#define REVIEW_KIT_2_TRIAL_HPP
+#ifndef REVIEW_KIT_2_TRIAL_H
+#define REVIEW_KIT_2_TRIAL_H
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -1295,4 +1295,4 @@
 
 }  // namespace trial
 
-#endif  // REVIEW_KIT_2_TRIAL_HPP
+#endif  // REVIEW_KIT_2_TRIAL_H
--- a/review/kit-2/unplaceable_jobs.cpp
+++ b/review/kit-2/unplaceable_jobs.cc
@@ -1,5 +1,5 @@
 // Jobs that can never be done, and an ordinary job of a less urgent queue.
-#include "trial.hpp"
+#include "trial.h"
 
 using namespace trial;
 
