--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 binary=../../target/src/skylarkbridge/skylarkbridge
-trial=../kit-2/bin/crashed_workers
+trial=../kit-2/bin/late_start
 if [ ! -x "$binary" ] || [ ! -x "$trial" ]; then
   echo "build the deploy file's program and run review/build-2.sh first" >&2
   exit 2
