Choose the cell of a long-running job by what is left of each cell

Cause: the VM that accepts a long-running job gave it to the cell with the least long-running work, whatever the cell's capacity, while all other jobs are dealt to the cells in equal parts.

Change: the cell with the most processor time that no long-running step has requested gets the job. Each VM sums up the capacity of the listed workers of each cell; it decodes the entries of workers that another VM schedules only while their capacity is not known.

ControlStateTest and the delegation and cancel tests pass.

--- a/include/skylarkbridge/control/control_state.hpp
+++ b/include/skylarkbridge/control/control_state.hpp
@@ -28,8 +28,10 @@
 #include "skylarkbridge/control/rejected_entries.hpp"
 #include "skylarkbridge/control/text_format.hpp"
 #include "skylarkbridge/control/topic_follower.hpp"
+#include "skylarkbridge/jobs/cell_choice.hpp"
 #include "skylarkbridge/jobs/fleet_bootstrap.hpp"
 #include "skylarkbridge/jobs/job_limits.hpp"
+#include "skylarkbridge/jobs/worker_cells.hpp"
 #include "skylarkbridge/records/fleet_map_codec.hpp"
 
 namespace skylarkbridge::control {
@@ -207,6 +209,10 @@
   void ApplyFleetMap(const jobs::reader_update& update, time_point now);
   void ApplyWorkerList(const jobs::reader_update& update, time_point now);
   void ApplyWorkerEntry(const jobs::topic_record& record, time_point now);
+  /// Decodes the entry of a worker that another VM schedules only while its
+  /// capacity is not known: entries are frequent, and it rarely changes.
+  void CountWorkerOfOtherOwner(const jobs::topic_record& record,
+                               jobs::cell_id holder);
   /// Takes a worker out of use whose entry could not be decoded.
   void RejectWorkerEntry(const jobs::topic_record& record,
                          const failure& error,
@@ -273,8 +279,7 @@
   std::optional<jobs::fleet_map> map_;
   /// The cells keep a reference to map_.
   std::vector<std::unique_ptr<cell>> cells_;
-  /// The cell to which the last entry of each worker was passed on.
-  absl::flat_hash_map<std::string, jobs::cell_id> worker_cells_;
+  jobs::worker_cells worker_cells_;
   rejected_entries rejected_entries_;
   /// A long-running job that was submitted here and has not been read from a
   /// log yet. ChooseCell counts it as load of its cell.
--- a/include/skylarkbridge/control/control_state_cells.hpp
+++ b/include/skylarkbridge/control/control_state_cells.hpp
@@ -121,23 +121,17 @@
   if (jobs::LongRunningMillicores(spec) == 0) {
     return home;
   }
-  std::vector<std::int64_t> load;
-  load.reserve(cells_.size());
-  for (const auto& each_cell : cells_) {
-    load.push_back(each_cell->Registry().LongRunningMillicores());
+  std::vector<jobs::cell_load> loads;
+  loads.reserve(cells_.size());
+  for (jobs::cell_id number = 0; number < cells_.size(); ++number) {
+    loads.push_back(
+        {.capacity = worker_cells_.Millicores(number),
+         .long_running = cells_[number]->Registry().LongRunningMillicores()});
   }
   for (const auto& [submitted_job, submission] : unconfirmed_submissions_) {
-    load[submission.cell] += submission.millicores;
-  }
-  // A tie goes to the home cell: jobs have different home cells, so a burst of
-  // jobs is spread over the cells.
-  jobs::cell_id least = home;
-  for (jobs::cell_id number = 0; number < load.size(); ++number) {
-    if (load[number] < load[least]) {
-      least = number;
-    }
+    loads[submission.cell].long_running += submission.millicores;
   }
-  return least;
+  return jobs::ChooseCellForLongRunning(loads, home);
 }
 
 }  // namespace skylarkbridge::control
--- a/include/skylarkbridge/control/control_state_store.hpp
+++ b/include/skylarkbridge/control/control_state_store.hpp
@@ -141,8 +141,8 @@
 template <fleet_platform Platform, caller_port Callers>
 auto control_state<Platform, Callers>::CellOfWorker(const std::string& worker)
     -> cell* {
-  const auto known = worker_cells_.find(worker);
-  return known == worker_cells_.end() ? nullptr : cells_[known->second].get();
+  const auto known = worker_cells_.Find(worker);
+  return known ? cells_[*known].get() : nullptr;
 }
 
 template <fleet_platform Platform, caller_port Callers>
@@ -163,10 +163,9 @@
     return *holder;
   }
   // A worker that has not reported yet is in no list of leased workers.
-  if (const auto known = worker_cells_.find(entry.worker);
-      known != worker_cells_.end() &&
-      cells_[known->second]->Scheduler().Workers().contains(entry.worker)) {
-    return known->second;
+  if (const auto known = worker_cells_.Find(entry.worker);
+      known && cells_[*known]->Scheduler().Workers().contains(entry.worker)) {
+    return *known;
   }
   return map_->CellOfRack(entry.rack);
 }
@@ -180,11 +179,13 @@
       ApplyWorkerEntry(record, now);
       continue;
     }
+    worker_cells_.Unlist(record.key);
     for (const auto& each_cell : cells_) {
       each_cell->WorkerUnlisted(record.key, now);
     }
   }
   if (update.snapshot_complete) {
+    worker_cells_.UnlistMissing(update.snapshot_keys);
     for (const auto& each_cell : cells_) {
       each_cell->UnlistMissingWorkers(update.snapshot_keys, now);
     }
@@ -197,6 +198,7 @@
     time_point now) {
   if (const auto holder = CellThatHolds(record.key);
       holder && !cells_[*holder]->Active()) {
+    CountWorkerOfOtherOwner(record, *holder);
     return;
   }
   boost::leaf::try_handle_all(
@@ -208,7 +210,7 @@
           return {};
         }
         const jobs::cell_id number = CellFor(entry);
-        worker_cells_[entry.worker] = number;
+        worker_cells_.Set(entry, number);
         cells_[number]->WorkerListed(entry, now);
         return {};
       },
@@ -216,6 +218,24 @@
       [] {});
 }
 
+template <fleet_platform Platform, caller_port Callers>
+void control_state<Platform, Callers>::CountWorkerOfOtherOwner(
+    const jobs::topic_record& record,
+    jobs::cell_id holder) {
+  if (worker_cells_.Counts(record.key)) {
+    return;
+  }
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(entry,
+                        Platform::DecodeWorker(record.key, *record.value));
+        worker_cells_.Set(entry, holder);
+        return {};
+      },
+      // The owner of the cell reports a fault.
+      [](const failure&) {}, [] {});
+}
+
 template <fleet_platform Platform, caller_port Callers>
 void control_state<Platform, Callers>::RejectWorkerEntry(
     const jobs::topic_record& record,
