State each second what an owner has to do and what holds it up

Change: fleet_scheduler::State computes the backlog with its oldest task, why the last pass ended and how many steps it did not reach, the starts in flight with their limit, the room, the runs that do no work, the ends that are not stored, and the waiting restarts. The owner of each cell logs it once a second as event 5026 (owner_state). The gauge skylarkbridge_oldest_ready_milliseconds shows the oldest wait.

--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -41,6 +41,9 @@
                                   "Jobs in the fold of the log")),
         steps_ready(registry.Gauge("skylarkbridge_steps_ready",
                                    "Steps with tasks that wait for room")),
+        oldest_ready_ms(
+            registry.Gauge("skylarkbridge_oldest_ready_milliseconds",
+                           "Longest wait of a task that may start now")),
         restarts_waiting(
             registry.Gauge("skylarkbridge_restarts_waiting",
                            "Long-running tasks that wait for their restart")),
@@ -121,6 +124,7 @@
   telemetry::gauge& configuration_version;
   telemetry::gauge& jobs_known;
   telemetry::gauge& steps_ready;
+  telemetry::gauge& oldest_ready_ms;
   telemetry::gauge& restarts_waiting;
   telemetry::gauge& longest_restart_wait_ms;
   telemetry::gauge& workers_usable;
--- a/include/skylarkbridge/control/control_state_gauges.hpp
+++ b/include/skylarkbridge/control/control_state_gauges.hpp
@@ -15,6 +15,7 @@
   jobs::epoch epochs = 0;
   std::size_t jobs_known = 0;
   std::size_t steps_ready = 0;
+  std::chrono::milliseconds oldest_ready{};
   std::size_t restarts_waiting = 0;
   std::chrono::milliseconds longest_restart_wait{};
   std::size_t workers_usable = 0;
@@ -29,6 +30,8 @@
     epochs += each_cell->NewestEpoch();
     jobs_known += each_cell->Registry().Jobs().size();
     steps_ready += each_cell->Scheduler().Jobs().ReadySteps().size();
+    oldest_ready = std::max(
+        oldest_ready, each_cell->Scheduler().ReadyBacklog(now).oldest_wait);
     restarts_waiting += each_cell->Scheduler().WaitingRestarts();
     longest_restart_wait = std::max(
         longest_restart_wait, each_cell->Scheduler().LongestRestartWait(now));
@@ -57,6 +60,7 @@
       static_cast<std::int64_t>(ConfigurationVersion()));
   metrics_.jobs_known.Set(static_cast<std::int64_t>(jobs_known));
   metrics_.steps_ready.Set(static_cast<std::int64_t>(steps_ready));
+  metrics_.oldest_ready_ms.Set(oldest_ready.count());
   metrics_.restarts_waiting.Set(static_cast<std::int64_t>(restarts_waiting));
   metrics_.longest_restart_wait_ms.Set(longest_restart_wait.count());
   metrics_.workers_usable.Set(static_cast<std::int64_t>(workers_usable));
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -53,6 +53,17 @@
 /// An append of a new fleet map is sent; another VM's map may be stored first.
 inline constexpr event_definition kFleetMapWritten{
     5025, event_severity::kInfo, "fleet_map_written", "cells racks"};
+/// Once a second for each cell that this VM owns. `passes`, `cut_by_room`,
+/// `cut_by_limit` and `starts` count since the line before; `last_pass` is why
+/// the last placement pass ended. `oldest_ms` counts from the end of the last
+/// run of the task `oldest`, or else from the time at which this owner added
+/// its job.
+inline constexpr event_definition kOwnerState{
+    5026, event_severity::kInfo, "owner_state",
+    "cell epoch jobs steps tasks oldest_ms oldest passes cut_by_room "
+    "cut_by_limit last_pass not_reached starts in_flight limit workers usable "
+    "free largest_free total runs unconfirmed at_zero unstored_ends restarts "
+    "restart_ms"};
 inline constexpr event_definition kWorkerListed{
     5030, event_severity::kInfo, "worker_listed", "worker address state rack"};
 inline constexpr event_definition kWorkerUnlisted{5031, event_severity::kInfo,
@@ -91,6 +102,7 @@
                                                kOwnerSeen,
                                                kFleetDivided,
                                                kFleetMapWritten,
+                                               kOwnerState,
                                                kWorkerListed,
                                                kWorkerUnlisted,
                                                kWorkerEntryRejected,
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -242,6 +242,8 @@
   /// Age at which a statement of room is not used any more. An owner confirms
   /// it every 400 ms.
   static constexpr std::chrono::milliseconds kMaxRoomAge{2000};
+  /// Interval of the lines on the state of the owner.
+  static constexpr std::chrono::milliseconds kStateInterval{1000};
 
   // Following the log.
   void ApplyRecords(const jobs::reader_update& update,
@@ -287,6 +289,7 @@
   std::optional<records::keyed_record> FailUnstorable(
       const records::keyed_record& record);
   void LogSchedulingNotes();
+  void LogState(time_point now);
   void SendOrders(time_point now);
   time_point OrderDeadline(const jobs::order& order, time_point now) const;
   void Send(append_call append, time_point now);
@@ -346,6 +349,9 @@
   /// The release, held back while an earlier write is under way.
   std::optional<records::keyed_record> pending_release_;
   bool stopping_ = false;
+  time_point next_state_line_;
+  /// The counts of the last line on the state of the owner.
+  jobs::placement_counts logged_counts_;
 };
 
 }  // namespace skylarkbridge::control
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -91,6 +91,8 @@
   scheduler_.BeginOwnership(ownership_.OwnEpoch(), registry_, leased_,
                             leased_read_at_,
                             ownership_.PredecessorOrdersUntil(now), now, wall);
+  logged_counts_ = {};
+  next_state_line_ = now + kStateInterval;
   scheduler_.BeginReturns(returned_);
   scheduler_.Configure(configuration_);
   worker_list_needed_ = true;
@@ -208,6 +210,7 @@
     scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
     LogSchedulingNotes();
+    LogState(now);
     SendOrders(now);
     WriteOwnerRecords(other_owned_cells, now);
   }
@@ -239,6 +242,45 @@
   }
 }
 
+template <fleet_platform Platform>
+void fleet_cell<Platform>::LogState(time_point now) {
+  if (now < next_state_line_) {
+    return;
+  }
+  next_state_line_ = now + kStateInterval;
+  const jobs::owner_state state = scheduler_.State(now);
+  const jobs::placement_counts counts = state.counts.Since(logged_counts_);
+  logged_counts_ = state.counts;
+  const auto text = [](auto number) { return absl::StrCat(number); };
+  LogEvent(kOwnerState,
+           {{"cell", FormatCell()},
+            {"epoch", text(ownership_.OwnEpoch())},
+            {"jobs", text(state.open_jobs)},
+            {"steps", text(state.ready.steps)},
+            {"tasks", text(state.ready.tasks)},
+            {"oldest_ms", text(state.ready.oldest_wait.count())},
+            {"oldest", Format(jobs::run_ref{state.ready.oldest, 0})},
+            {"passes", text(counts.passes)},
+            {"cut_by_room", text(counts.cut_by_unplaced_steps)},
+            {"cut_by_limit", text(counts.cut_by_start_limit)},
+            {"last_pass", std::string(Name(state.pass.end))},
+            {"not_reached", text(state.pass.steps_not_reached)},
+            {"starts", text(counts.starts)},
+            {"in_flight", text(state.starts_in_flight)},
+            {"limit", text(state.start_limit)},
+            {"workers", text(state.workers)},
+            {"usable", text(state.usable_workers)},
+            {"free", text(state.free_millicores)},
+            {"largest_free", text(state.largest_free_millicores)},
+            {"total", text(state.total_millicores)},
+            {"runs", text(state.runs.all)},
+            {"unconfirmed", text(state.runs.unconfirmed)},
+            {"at_zero", text(state.runs.at_zero_speed)},
+            {"unstored_ends", text(state.runs.unstored_ends)},
+            {"restarts", text(state.waiting_restarts)},
+            {"restart_ms", text(state.longest_restart_wait.count())}});
+}
+
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Send(append_call append, time_point now) {
   ++last_append_number_;
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "skylarkbridge/control/ports.hpp"
+#include "skylarkbridge/jobs/owner_state.hpp"
 #include "skylarkbridge/jobs/ownership.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 
@@ -19,6 +20,7 @@
 std::string_view Name(jobs::claim_reason reason);
 std::string_view Name(jobs::restart_obstacle obstacle);
 std::string_view Name(jobs::restart_release release);
+std::string_view Name(jobs::pass_end end);
 std::string_view Name(jobs::delegation_obstacle obstacle);
 /// @brief "jobs.CELL" for the jobs of a cell, else the name of the kind.
 std::string Format(const topic& source);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -25,6 +25,7 @@
 #include "skylarkbridge/jobs/late_starts.hpp"
 #include "skylarkbridge/jobs/machine_list.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
+#include "skylarkbridge/jobs/owner_state.hpp"
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/placement_pass.hpp"
@@ -207,6 +208,10 @@
   std::chrono::milliseconds TakeoverWait(time_point now) const;
   /// @brief The free room of the workers that can get new tasks.
   cell_room FreeRoom(time_point now) const;
+  /// @brief The backlog, the last placement pass and the use of the workers.
+  owner_state State(time_point now) const;
+  /// @brief The tasks that may start now.
+  ready_backlog ReadyBacklog(time_point now) const;
   /// @brief The limit on starts that wait for an answer.
   const start_limit& StartLimit() const { return start_limit_; }
   const job_table& Jobs() const { return jobs_; }
@@ -563,6 +568,9 @@
   void CountSiblings(const step_ref& ref,
                      const placement_pass& pass,
                      std::vector<placement_candidate>& candidates) const;
+  /// Counts the placement pass that has ended.
+  void RecordPass(std::size_t steps_not_reached);
+  run_counts CountRuns() const;
   /// Whether less than half of the capacity of the usable workers is in use.
   bool IsUnderused(time_point now) const;
   /// Updates waiting_jobs_since_.
@@ -840,6 +848,8 @@
   time_point next_pass_;
   /// Number of the last placement pass.
   std::uint64_t last_pass_ = 0;
+  last_pass last_pass_state_;
+  placement_counts placement_counts_;
   /// Worker on which the last pass reserved room, by task. The next pass
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -164,6 +164,19 @@
   return "unknown";
 }
 
+std::string_view Name(jobs::pass_end end) {
+  using jobs::pass_end;
+  switch (end) {
+    case pass_end::kComplete:
+      return "complete";
+    case pass_end::kUnplacedSteps:
+      return "unplaced_steps";
+    case pass_end::kStartLimit:
+      return "start_limit";
+  }
+  return "unknown";
+}
+
 std::string_view Name(answer_kind kind) {
   switch (kind) {
     case answer_kind::kAccepted:
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -106,6 +106,8 @@
   has_unmatched_runs_ = false;
   presumed_crashes_.clear();
   start_limit_.Clear();
+  last_pass_state_ = {};
+  placement_counts_ = {};
   permits_.Clear();
   registration_writes_.clear();
   leased_workers_changed_ = false;
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -32,13 +32,17 @@
   restart_room_ = pass.reserved_room;
   const bool late_tasks_placed = PlaceTasksWithLateStarts(pass, now);
   int unplaced_steps = 0;
-  for (const ready_step& step : OrderedReadySteps(now)) {
+  const std::vector<ready_step> ordered = OrderedReadySteps(now);
+  std::size_t steps_reached = 0;
+  for (const ready_step& step : ordered) {
+    ++steps_reached;
     unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
     if (unplaced_steps >= options_.max_unplaced_steps ||
         start_limit_.Reached()) {
       break;
     }
   }
+  RecordPass(ordered.size() - steps_reached);
   reserved_workers_ = std::move(pass.reserved_workers);
   blocked_restarts_ = std::move(pass.blocked_restarts);
   // While steps are ready, each call of Run starts a pass. After a pass that
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -118,6 +118,7 @@
   IsolateSuspect(session, run, state, now);
   jobs_.RecordStart(run, session.entry.worker);
   start_limit_.Sent(run, now);
+  ++placement_counts_.starts;
   first_start_deadlines_.erase(run.task);
   SendStart(session, run, state);
   AddNote(scheduling_event::kStartOrdered, run, session.entry.worker,
