Drop an owner's decisions last when the log exceeds its volume

Cause: all infos shared one budget of 400 lines a second.

Change: events have a class. The volume stays bounded, nothing waits, and drops are counted by kind as before.

Result: EventLogTest.KeepsRoomForDecisions writes 0 of 1,000 decisions after a flood of bulk lines on the unchanged writer, and all now.

--- a/include/skylarkbridge/base/event_log.hpp
+++ b/include/skylarkbridge/base/event_log.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "skylarkbridge/base/log_budget.hpp"
 #include "skylarkbridge/base/time.hpp"
 
 namespace skylarkbridge {
@@ -20,6 +21,8 @@
   /// Names of the fields, separated by spaces, in the order in which they are
   /// written.
   std::string_view fields;
+  /// Of an info; warnings and errors are always log_class::kRare.
+  log_class line_class = log_class::kBulk;
 };
 
 /// @brief One field of a log event.
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -36,11 +36,13 @@
 /// This VM sends a claim, which fails if the claim of another VM is stored
 /// first.
 inline constexpr event_definition kOwnershipClaimed{
-    5020, event_severity::kInfo, "ownership_claimed", "cell epoch reason"};
+    5020, event_severity::kInfo, "ownership_claimed", "cell epoch reason",
+    log_class::kRare};
 /// This VM has read its own claim from the log and owns the cell. `leased` is
 /// the number of workers on which an earlier owner may have started tasks.
 inline constexpr event_definition kOwnershipTaken{
-    5021, event_severity::kInfo, "ownership_taken", "cell epoch jobs leased"};
+    5021, event_severity::kInfo, "ownership_taken", "cell epoch jobs leased",
+    log_class::kRare};
 inline constexpr event_definition kOwnershipLost{5022, event_severity::kWarning,
                                                  "ownership_lost",
                                                  "cell epoch newest owner"};
@@ -63,7 +65,8 @@
     "cell epoch jobs steps tasks oldest_ms oldest passes cut_by_room "
     "cut_by_limit last_pass not_reached starts in_flight limit workers usable "
     "free largest_free total runs unconfirmed at_zero unstored_ends restarts "
-    "restart_ms"};
+    "restart_ms",
+    log_class::kRare};
 inline constexpr event_definition kWorkerListed{
     5030, event_severity::kInfo, "worker_listed", "worker address state rack"};
 inline constexpr event_definition kWorkerUnlisted{5031, event_severity::kInfo,
@@ -79,7 +82,7 @@
     5033, event_severity::kInfo, "machines_listed", "machines took_ms"};
 inline constexpr event_definition kScheduling{
     5040, event_severity::kInfo, "scheduling",
-    "what run worker detail cell epoch"};
+    "what run worker detail cell epoch", log_class::kDecision};
 
 /// A run of a cancelled job is still on its worker.
 inline constexpr event_definition kCancelDelayed{
--- a/src/skylarkbridge/base/base_test.cpp
+++ b/src/skylarkbridge/base/base_test.cpp
@@ -1,5 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/base/event_log.hpp"
 #include "skylarkbridge/base/ip_address.hpp"
@@ -11,6 +16,16 @@
 namespace skylarkbridge {
 namespace {
 
+/// How often the text occurs in the log.
+int Count(std::string_view log, std::string_view text) {
+  int found = 0;
+  for (std::size_t at = log.find(text); at != std::string_view::npos;
+       at = log.find(text, at + 1)) {
+    ++found;
+  }
+  return found;
+}
+
 // A full mailbox must refuse instead of blocking a traffic thread.
 TEST(MailboxTest, RefusesWhenFull) {
   mailbox<int> box(2);
@@ -131,16 +146,26 @@
     LogEvent(kRare, {});
   }
   const std::string log = testing::internal::GetCapturedStdout();
-  const auto count = [&log](std::string_view text) {
-    int found = 0;
-    for (std::size_t at = log.find(text); at != std::string::npos;
-         at = log.find(text, at + 1)) {
-      ++found;
-    }
-    return found;
-  };
-  EXPECT_LT(count("\"name\":\"frequent\""), 5000);
-  EXPECT_EQ(count("\"rare\""), 20);
+  EXPECT_LT(Count(log, "\"name\":\"frequent\""), 5000);
+  EXPECT_EQ(Count(log, "\"rare\""), 20);
+}
+
+// Guards against the decisions of an owner that are dropped for lines which
+// all VMs write.
+TEST(EventLogTest, KeepsRoomForDecisions) {
+  constexpr event_definition kFrequent{1, event_severity::kInfo, "frequent",
+                                       ""};
+  constexpr event_definition kDecided{2, event_severity::kInfo, "decided", "",
+                                      log_class::kDecision};
+  testing::internal::CaptureStdout();
+  for (int line = 0; line < 5000; ++line) {
+    LogEvent(kFrequent, {});
+  }
+  for (int line = 0; line < 1000; ++line) {
+    LogEvent(kDecided, {});
+  }
+  const std::string log = testing::internal::GetCapturedStdout();
+  EXPECT_EQ(Count(log, "\"decided\""), 1000);
 }
 
 // Guards against a log that does not tell which lines it lacks: among those
--- a/src/skylarkbridge/base/event_log.cpp
+++ b/src/skylarkbridge/base/event_log.cpp
@@ -19,6 +19,7 @@
 #include "absl/strings/str_join.h"
 #include "absl/synchronization/mutex.h"
 #include "skylarkbridge/base/events.hpp"
+#include "skylarkbridge/base/log_budget.hpp"
 #include "skylarkbridge/base/string_view.hpp"
 #include "skylarkbridge/base/time.hpp"
 
@@ -28,16 +29,11 @@
 /// A write of at most so many bytes to a pipe that polls as writable does not
 /// block.
 constexpr std::size_t kMaxLineBytes = 4096;
-/// Lines that may be written at once, and in each second on average.
-constexpr double kBurstLines = 2000;
-constexpr double kLinesPerSecond = 400;
 /// The field of an event that divides its lines into kinds.
 constexpr std::string_view kKindField = "what";
 /// Kinds of dropped lines that are counted apart until the next notice.
 constexpr std::size_t kMaxDroppedKinds = 32;
 constexpr std::string_view kOtherKinds = "other";
-/// Lines of the budget that are left to warnings and errors.
-constexpr double kReservedLines = 100;
 
 /// Time of the lines of this thread; empty for that of the machine's clock.
 thread_local std::optional<wall_time> scoped_time;
@@ -125,49 +121,48 @@
              std::initializer_list<event_field> fields)
       ABSL_LOCKS_EXCLUDED(mutex_) {
     std::string line = FormatEvent(event, fields);
+    const log_class line_class = event.severity == event_severity::kInfo
+                                     ? event.line_class
+                                     : log_class::kRare;
     absl::MutexLock lock(&mutex_);
-    Refill();
-    const double reserved =
-        event.severity == event_severity::kInfo ? kReservedLines : 0;
-    if (budget_ < 1 + reserved || !Writable()) {
+    const time_point now = boot_clock::now();
+    if (!budget_.Has(line_class, now) || !Writable()) {
       dropped_.Add(KindOf(event, fields));
       return;
     }
-    if (!dropped_.Empty() && !WriteLine(dropped_.TakeNotice())) {
-      dropped_.Add(KindOf(base::kLogLinesDropped, {}));
+    if (!dropped_.Empty()) {
+      WriteNotice();
     }
+    budget_.Take(line_class);
     if (!WriteLine(std::move(line))) {
       dropped_.Add(KindOf(event, fields));
     }
   }
 
  private:
-  void Refill() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
-    const time_point now = boot_clock::now();
-    const double seconds =
-        std::chrono::duration<double>(now - refilled_).count();
-    refilled_ = now;
-    budget_ = std::min(kBurstLines, budget_ + seconds * kLinesPerSecond);
-  }
-
   static bool Writable() {
     pollfd descriptor{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
     return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
   }
 
+  void WriteNotice() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    budget_.Take(log_class::kRare);
+    if (!WriteLine(dropped_.TakeNotice())) {
+      dropped_.Add(KindOf(base::kLogLinesDropped, {}));
+    }
+  }
+
   /// Returns false when the line could not be written.
   bool WriteLine(std::string line) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
     if (line.size() >= kMaxLineBytes) {
       line.resize(kMaxLineBytes - 1);
     }
     line += '\n';
-    budget_ -= 1;
     return write(STDOUT_FILENO, line.data(), line.size()) >= 0;
   }
 
   absl::Mutex mutex_;
-  double budget_ ABSL_GUARDED_BY(mutex_) = kBurstLines;
-  time_point refilled_ ABSL_GUARDED_BY(mutex_) = boot_clock::now();
+  log_budget budget_ ABSL_GUARDED_BY(mutex_){boot_clock::now()};
   dropped_lines dropped_ ABSL_GUARDED_BY(mutex_);
 };
 
