Write one notice of dropped lines a second, not one a line

Change: between infos there is one notice a second; a warning still follows the notice of what was dropped before it.

Result: EventLogTest.WritesFewNoticesOfDroppedLines failed before.

--- a/src/skylarkbridge/base/base_test.cpp
+++ b/src/skylarkbridge/base/base_test.cpp
@@ -168,6 +168,23 @@
   EXPECT_EQ(Count(log, "\"decided\""), 1000);
 }
 
+// Guards against a log of which a third are notices of dropped lines: one
+// preceded each line that was written while the budget was used up.
+TEST(EventLogTest, WritesFewNoticesOfDroppedLines) {
+  constexpr event_definition kFrequent{1, event_severity::kInfo, "frequent",
+                                       ""};
+  testing::internal::CaptureStdout();
+  const time_point begin = boot_clock::now();
+  const time_point end = begin + std::chrono::milliseconds(300);
+  while (boot_clock::now() < end) {
+    LogEvent(kFrequent, {});
+  }
+  const auto seconds =
+      std::chrono::floor<std::chrono::seconds>(boot_clock::now() - begin);
+  const std::string log = testing::internal::GetCapturedStdout();
+  EXPECT_LE(Count(log, "\"log_lines_dropped\""), seconds.count() + 1);
+}
+
 // Guards against a log that does not tell which lines it lacks: among those
 // left out were the decisions on restarts, and only their number was known.
 // Also against a notice that grows with the number of kinds.
--- a/src/skylarkbridge/base/event_log.cpp
+++ b/src/skylarkbridge/base/event_log.cpp
@@ -34,6 +34,9 @@
 /// Kinds of dropped lines that are counted apart until the next notice.
 constexpr std::size_t kMaxDroppedKinds = 32;
 constexpr std::string_view kOtherKinds = "other";
+/// Interval of the notices of dropped lines between infos. A warning always
+/// follows the notice of the lines dropped before it.
+constexpr std::chrono::seconds kNoticeInterval{1};
 
 /// Time of the lines of this thread; empty for that of the machine's clock.
 thread_local std::optional<wall_time> scoped_time;
@@ -130,7 +133,9 @@
       dropped_.Add(KindOf(event, fields));
       return;
     }
-    if (!dropped_.Empty()) {
+    if (!dropped_.Empty() &&
+        (event.severity != event_severity::kInfo || now >= next_notice_)) {
+      next_notice_ = now + kNoticeInterval;
       WriteNotice();
     }
     budget_.Take(line_class);
@@ -163,6 +168,7 @@
 
   absl::Mutex mutex_;
   log_budget budget_ ABSL_GUARDED_BY(mutex_){boot_clock::now()};
+  time_point next_notice_ ABSL_GUARDED_BY(mutex_);
   dropped_lines dropped_ ABSL_GUARDED_BY(mutex_);
 };
 
