Log a job only on the VM that owns its cell

Change: the owner of the cell that runs the job writes both, and a VM that claims the cell while it has no owner. An end is written once. All others count what they read: skylarkbridge_jobs_read_total and skylarkbridge_job_ends_read_total. A cancellation that is stored in the log of another cell is now written by the owner that stops the runs.

--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -39,6 +39,11 @@
                            "Version in force on this VM")),
         jobs_known(registry.Gauge("skylarkbridge_jobs_known",
                                   "Jobs in the fold of the log")),
+        jobs_read(registry.Counter("skylarkbridge_jobs_read_total",
+                                   "Jobs that were read from the logs")),
+        job_ends_read(
+            registry.Counter("skylarkbridge_job_ends_read_total",
+                             "Ends of jobs that were read from the logs")),
         steps_ready(registry.Gauge("skylarkbridge_steps_ready",
                                    "Steps with tasks that wait for room")),
         oldest_ready_ms(
@@ -123,6 +128,8 @@
   telemetry::gauge& epoch_sum;
   telemetry::gauge& configuration_version;
   telemetry::gauge& jobs_known;
+  telemetry::counter& jobs_read;
+  telemetry::counter& job_ends_read;
   telemetry::gauge& steps_ready;
   telemetry::gauge& oldest_ready_ms;
   telemetry::gauge& restarts_waiting;
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -29,8 +29,12 @@
 inline constexpr event_definition kRequestAnswered{
     5010, event_severity::kInfo, "request_answered",
     "job method answer reason version"};
+/// The owner of the cell that runs a job, or a VM that claims the cell, has
+/// read its acceptance. `offset` is empty if that stands in the log of another
+/// cell.
 inline constexpr event_definition kJobKnown{
     5011, event_severity::kInfo, "job_known", "job queue cell offset"};
+/// The same for the end of the job.
 inline constexpr event_definition kJobEnded{5012, event_severity::kInfo,
                                             "job_ended", "job state offset"};
 /// This VM sends a claim, which fails if the claim of another VM is stored
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -265,6 +265,12 @@
   void Apply(const jobs::ownership_record& record, time_point now);
   /// The record with which a known job was accepted.
   jobs::job_accepted AcceptedRecord(jobs::job_id job) const;
+  /// Counts a job that this cell runs, and logs it if this VM owns or claims
+  /// the cell: the lines of all VMs would be more than those of all decisions.
+  /// @param offset in the cell's log; nullopt in that of another cell.
+  void LogJobKnown(jobs::job_id job, std::optional<std::uint64_t> offset);
+  /// The same for the end of such a job.
+  void LogJobEnded(jobs::job_id job, std::optional<std::uint64_t> offset);
   void DropMissingJobs(const std::set<std::string>& keys);
   /// Records that the state of a job changes, if this cell runs the job and has
   /// delegated tasks of it.
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -118,15 +118,10 @@
                                  time_point now,
                                  wall_time wall) {
   const jobs::job_id job = record.job;
-  const std::string queue = record.queue;
-  const jobs::cell_id cell = record.cell;
   if (registry_.Apply(std::move(record), now)) {
-    LogEvent(kJobKnown, {{"job", jobs::Format(job)},
-                         {"queue", queue},
-                         {"cell", absl::StrCat(cell)},
-                         {"offset", absl::StrCat(offset)}});
     const jobs::job_state& state = *registry_.Find(job);
     if (registry_.RunsHere(state)) {
+      LogJobKnown(job, offset);
       scheduler_.JobAccepted(job, state, false, now, wall);
       NoteDelegatingJob(job);
       return;
@@ -155,17 +150,44 @@
                                  std::uint64_t offset,
                                  time_point now) {
   if (registry_.Apply(record, now)) {
-    LogEvent(kJobEnded, {{"job", jobs::Format(record.job)},
-                         {"state", "cancelled"},
-                         {"offset", absl::StrCat(offset)}});
     scheduler_.JobCancelled(record.job, now);
     NoteDelegatingJob(record.job);
-    if (!registry_.RunsHere(*registry_.Find(record.job))) {
+    if (registry_.RunsHere(*registry_.Find(record.job))) {
+      LogJobEnded(record.job, offset);
+    } else {
       cross_cell_records_.emplace_back(record);
     }
   }
 }
 
+template <fleet_platform Platform>
+void fleet_cell<Platform>::LogJobKnown(jobs::job_id job,
+                                       std::optional<std::uint64_t> offset) {
+  metrics_.jobs_read.Add();
+  if (!IsOwnerOrClaiming()) {
+    return;
+  }
+  const jobs::job_state& state = *registry_.Find(job);
+  LogEvent(kJobKnown, {{"job", jobs::Format(job)},
+                       {"queue", state.queue},
+                       {"cell", FormatCell()},
+                       {"offset", offset ? absl::StrCat(*offset) : ""}});
+}
+
+template <fleet_platform Platform>
+void fleet_cell<Platform>::LogJobEnded(jobs::job_id job,
+                                       std::optional<std::uint64_t> offset) {
+  metrics_.job_ends_read.Add();
+  if (!IsOwnerOrClaiming()) {
+    return;
+  }
+  const auto state =
+      registry_.ReportedState(job).value_or(jobs::reported_state::kFailed);
+  LogEvent(kJobEnded, {{"job", jobs::Format(job)},
+                       {"state", std::string(Name(state))},
+                       {"offset", offset ? absl::StrCat(*offset) : ""}});
+}
+
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Apply(const jobs::job_dropped& record) {
   NoteDelegatingJob(record.job);
@@ -185,12 +207,14 @@
     const jobs::job_id job = accepted->job;
     progress_without_job_.erase(job);
     if (registry_.Apply(std::move(*accepted), now)) {
+      LogJobKnown(job, std::nullopt);
       scheduler_.JobAccepted(job, *registry_.Find(job), true, now, wall);
       NoteDelegatingJob(job);
     }
   } else if (const auto* const cancelled =
                  std::get_if<jobs::job_cancelled>(&record)) {
     if (registry_.Apply(*cancelled, now)) {
+      LogJobEnded(cancelled->job, std::nullopt);
       scheduler_.JobCancelled(cancelled->job, now);
       NoteDelegatingJob(cancelled->job);
     }
@@ -261,6 +285,8 @@
                                  time_point now) {
   const jobs::job_id job = record.job;
   const bool ended = record.progress.status != jobs::job_status::kOpen;
+  const jobs::job_state* const known = registry_.Find(job);
+  const bool was_ended = known != nullptr && known->Ended();
   if (map_.HomeOf(job) != cell_) {
     cross_cell_records_.emplace_back(record);
   }
@@ -269,12 +295,8 @@
     progress_without_job_.try_emplace(job, now);
   }
   NoteDelegatingJob(job);
-  if (ended) {
-    const auto state =
-        registry_.ReportedState(job).value_or(jobs::reported_state::kFailed);
-    LogEvent(kJobEnded, {{"job", jobs::Format(job)},
-                         {"state", std::string(Name(state))},
-                         {"offset", absl::StrCat(offset)}});
+  if (ended && !was_ended) {
+    LogJobEnded(job, offset);
   }
 }
 
