--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -265,12 +265,6 @@
   void Apply(const jobs::ownership_record& record, time_point now);
   /// The record with which a known job was accepted.
   jobs::job_accepted AcceptedRecord(jobs::job_id job) const;
-  /// Counts a job that this cell runs, and logs it if this VM owns or claims
-  /// the cell: the lines of all VMs would be more than those of all decisions.
-  /// @param offset in the cell's log; nullopt in that of another cell.
-  void LogJobKnown(jobs::job_id job, std::optional<std::uint64_t> offset);
-  /// The same for the end of such a job.
-  void LogJobEnded(jobs::job_id job, std::optional<std::uint64_t> offset);
   void DropMissingJobs(const std::set<std::string>& keys);
   /// Records that the state of a job changes, if this cell runs the job and has
   /// delegated tasks of it.
@@ -294,11 +288,20 @@
   /// record of that, to be written with the others.
   std::optional<records::keyed_record> FailUnstorable(
       const records::keyed_record& record);
-  void LogSchedulingNotes();
-  void LogState(time_point now);
   void SendOrders(time_point now);
   time_point OrderDeadline(const jobs::order& order, time_point now) const;
   void Send(append_call append, time_point now);
+
+  // The event log.
+  /// Counts a job that this cell runs, and logs it if this VM owns or claims
+  /// the cell: the lines of all VMs would be more than those of all decisions.
+  /// @param offset in the cell's log; nullopt in that of another cell.
+  void LogJobKnown(jobs::job_id job, std::optional<std::uint64_t> offset);
+  /// The same for the end of such a job.
+  void LogJobEnded(jobs::job_id job, std::optional<std::uint64_t> offset);
+  void LogSchedulingNotes();
+  /// Logs the state of the owner once a second.
+  void LogState(time_point now);
   std::string FormatCell() const { return absl::StrCat(cell_); }
 
   const control_options options_;
@@ -362,6 +365,7 @@
 
 }  // namespace skylarkbridge::control
 
+#include "skylarkbridge/control/fleet_cell_lines.hpp"
 #include "skylarkbridge/control/fleet_cell_log.hpp"
 #include "skylarkbridge/control/fleet_cell_owner.hpp"
 
--- a/include/skylarkbridge/control/fleet_cell_log.hpp
+++ b/include/skylarkbridge/control/fleet_cell_log.hpp
@@ -160,34 +160,6 @@
   }
 }
 
-template <fleet_platform Platform>
-void fleet_cell<Platform>::LogJobKnown(jobs::job_id job,
-                                       std::optional<std::uint64_t> offset) {
-  metrics_.jobs_read.Add();
-  if (!IsOwnerOrClaiming()) {
-    return;
-  }
-  const jobs::job_state& state = *registry_.Find(job);
-  LogEvent(kJobKnown, {{"job", jobs::Format(job)},
-                       {"queue", state.queue},
-                       {"cell", FormatCell()},
-                       {"offset", offset ? absl::StrCat(*offset) : ""}});
-}
-
-template <fleet_platform Platform>
-void fleet_cell<Platform>::LogJobEnded(jobs::job_id job,
-                                       std::optional<std::uint64_t> offset) {
-  metrics_.job_ends_read.Add();
-  if (!IsOwnerOrClaiming()) {
-    return;
-  }
-  const auto state =
-      registry_.ReportedState(job).value_or(jobs::reported_state::kFailed);
-  LogEvent(kJobEnded, {{"job", jobs::Format(job)},
-                       {"state", std::string(Name(state))},
-                       {"offset", offset ? absl::StrCat(*offset) : ""}});
-}
-
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Apply(const jobs::job_dropped& record) {
   NoteDelegatingJob(record.job);
