--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -39,8 +39,16 @@
                            "Version in force on this VM")),
         jobs_known(registry.Gauge("skylarkbridge_jobs_known",
                                   "Jobs in the fold of the log")),
+        jobs_read(registry.Counter("skylarkbridge_jobs_read_total",
+                                   "Jobs that were read from the logs")),
+        job_ends_read(
+            registry.Counter("skylarkbridge_job_ends_read_total",
+                             "Ends of jobs that were read from the logs")),
         steps_ready(registry.Gauge("skylarkbridge_steps_ready",
                                    "Steps with tasks that wait for room")),
+        oldest_ready_ms(
+            registry.Gauge("skylarkbridge_oldest_ready_milliseconds",
+                           "Longest wait of a task that may start now")),
         restarts_waiting(
             registry.Gauge("skylarkbridge_restarts_waiting",
                            "Long-running tasks that wait for their restart")),
@@ -120,7 +128,10 @@
   telemetry::gauge& epoch_sum;
   telemetry::gauge& configuration_version;
   telemetry::gauge& jobs_known;
+  telemetry::counter& jobs_read;
+  telemetry::counter& job_ends_read;
   telemetry::gauge& steps_ready;
+  telemetry::gauge& oldest_ready_ms;
   telemetry::gauge& restarts_waiting;
   telemetry::gauge& longest_restart_wait_ms;
   telemetry::gauge& workers_usable;
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -29,18 +29,24 @@
 inline constexpr event_definition kRequestAnswered{
     5010, event_severity::kInfo, "request_answered",
     "job method answer reason version"};
+/// The owner of the cell that runs a job, or a VM that claims the cell, has
+/// read its acceptance. `offset` is empty if that stands in the log of another
+/// cell.
 inline constexpr event_definition kJobKnown{
     5011, event_severity::kInfo, "job_known", "job queue cell offset"};
+/// The same for the end of the job.
 inline constexpr event_definition kJobEnded{5012, event_severity::kInfo,
                                             "job_ended", "job state offset"};
 /// This VM sends a claim, which fails if the claim of another VM is stored
 /// first.
 inline constexpr event_definition kOwnershipClaimed{
-    5020, event_severity::kInfo, "ownership_claimed", "cell epoch reason"};
+    5020, event_severity::kInfo, "ownership_claimed", "cell epoch reason",
+    log_class::kRare};
 /// This VM has read its own claim from the log and owns the cell. `leased` is
 /// the number of workers on which an earlier owner may have started tasks.
 inline constexpr event_definition kOwnershipTaken{
-    5021, event_severity::kInfo, "ownership_taken", "cell epoch jobs leased"};
+    5021, event_severity::kInfo, "ownership_taken", "cell epoch jobs leased",
+    log_class::kRare};
 inline constexpr event_definition kOwnershipLost{5022, event_severity::kWarning,
                                                  "ownership_lost",
                                                  "cell epoch newest owner"};
@@ -53,6 +59,18 @@
 /// An append of a new fleet map is sent; another VM's map may be stored first.
 inline constexpr event_definition kFleetMapWritten{
     5025, event_severity::kInfo, "fleet_map_written", "cells racks"};
+/// Once a second for each cell that this VM owns. `passes`, `cut_by_room`,
+/// `cut_by_limit` and `starts` count since the line before; `last_pass` is why
+/// the last placement pass ended. `oldest_ms` counts from the end of the last
+/// run of the task `oldest`, or else from the time at which this owner added
+/// its job.
+inline constexpr event_definition kOwnerState{
+    5026, event_severity::kInfo, "owner_state",
+    "cell epoch jobs steps tasks oldest_ms oldest passes cut_by_room "
+    "cut_by_limit last_pass not_reached starts in_flight limit workers usable "
+    "free largest_free total runs unconfirmed at_zero unstored_ends restarts "
+    "restart_ms",
+    log_class::kRare};
 inline constexpr event_definition kWorkerListed{
     5030, event_severity::kInfo, "worker_listed", "worker address state rack"};
 inline constexpr event_definition kWorkerUnlisted{5031, event_severity::kInfo,
@@ -68,7 +86,7 @@
     5033, event_severity::kInfo, "machines_listed", "machines took_ms"};
 inline constexpr event_definition kScheduling{
     5040, event_severity::kInfo, "scheduling",
-    "what run worker detail cell epoch"};
+    "what run worker detail cell epoch", log_class::kDecision};
 
 /// A run of a cancelled job is still on its worker.
 inline constexpr event_definition kCancelDelayed{
@@ -91,6 +109,7 @@
                                                kOwnerSeen,
                                                kFleetDivided,
                                                kFleetMapWritten,
+                                               kOwnerState,
                                                kWorkerListed,
                                                kWorkerUnlisted,
                                                kWorkerEntryRejected,
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -242,6 +242,8 @@
   /// Age at which a statement of room is not used any more. An owner confirms
   /// it every 400 ms.
   static constexpr std::chrono::milliseconds kMaxRoomAge{2000};
+  /// Interval of the lines on the state of the owner.
+  static constexpr std::chrono::milliseconds kStateInterval{1000};
 
   // Following the log.
   void ApplyRecords(const jobs::reader_update& update,
@@ -286,10 +288,20 @@
   /// record of that, to be written with the others.
   std::optional<records::keyed_record> FailUnstorable(
       const records::keyed_record& record);
-  void LogSchedulingNotes();
   void SendOrders(time_point now);
   time_point OrderDeadline(const jobs::order& order, time_point now) const;
   void Send(append_call append, time_point now);
+
+  // The event log.
+  /// Counts a job that this cell runs, and logs it if this VM owns or claims
+  /// the cell: the lines of all VMs would be more than those of all decisions.
+  /// @param offset in the cell's log; nullopt in that of another cell.
+  void LogJobKnown(jobs::job_id job, std::optional<std::uint64_t> offset);
+  /// The same for the end of such a job.
+  void LogJobEnded(jobs::job_id job, std::optional<std::uint64_t> offset);
+  void LogSchedulingNotes();
+  /// Logs the state of the owner once a second.
+  void LogState(time_point now);
   std::string FormatCell() const { return absl::StrCat(cell_); }
 
   const control_options options_;
@@ -346,10 +358,14 @@
   /// The release, held back while an earlier write is under way.
   std::optional<records::keyed_record> pending_release_;
   bool stopping_ = false;
+  time_point next_state_line_;
+  /// The counts of the last line on the state of the owner.
+  jobs::placement_counts logged_counts_;
 };
 
 }  // namespace skylarkbridge::control
 
+#include "skylarkbridge/control/fleet_cell_lines.hpp"
 #include "skylarkbridge/control/fleet_cell_log.hpp"
 #include "skylarkbridge/control/fleet_cell_owner.hpp"
 
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -91,6 +91,8 @@
   scheduler_.BeginOwnership(ownership_.OwnEpoch(), registry_, leased_,
                             leased_read_at_,
                             ownership_.PredecessorOrdersUntil(now), now, wall);
+  logged_counts_ = {};
+  next_state_line_ = now + kStateInterval;
   scheduler_.BeginReturns(returned_);
   scheduler_.Configure(configuration_);
   worker_list_needed_ = true;
@@ -208,37 +210,12 @@
     scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
     LogSchedulingNotes();
+    LogState(now);
     SendOrders(now);
     WriteOwnerRecords(other_owned_cells, now);
   }
 }
 
-template <fleet_platform Platform>
-void fleet_cell<Platform>::LogSchedulingNotes() {
-  for (const jobs::scheduling_note& note : scheduler_.TakeNotes()) {
-    metrics_.Count(note.event);
-    std::string detail = note.detail;
-    if (note.restart_wait) {
-      metrics_.restart_seconds.Record(*note.restart_wait);
-      metrics_.Count(*note.restart_cause);
-      absl::StrAppend(&detail, " waited_ms ", note.restart_wait->count());
-    }
-    if (note.restart_cause) {
-      absl::StrAppend(&detail, " ", Format(*note.restart_cause));
-    }
-    if (note.delegation_obstacle) {
-      absl::StrAppend(&detail, " stays_for ",
-                      ToAbsl(Name(*note.delegation_obstacle)));
-    }
-    LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
-                           {"run", Format(note.run)},
-                           {"worker", note.worker},
-                           {"detail", std::move(detail)},
-                           {"cell", FormatCell()},
-                           {"epoch", absl::StrCat(ownership_.OwnEpoch())}});
-  }
-}
-
 template <fleet_platform Platform>
 void fleet_cell<Platform>::Send(append_call append, time_point now) {
   ++last_append_number_;
