State what long-running tasks hold of a cell

Change: owner_state has their reserved millicores, of the usable workers.

Result: FleetSchedulerStateTest.TellsWhatLongRunningTasksHold.

--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -68,7 +68,8 @@
     5026, event_severity::kInfo, "owner_state",
     "cell epoch jobs steps tasks oldest_ms oldest passes cut_by_room "
     "cut_by_limit last_pass not_reached starts in_flight limit workers usable "
-    "free largest_free total runs unconfirmed at_zero unstored_ends restarts "
+    "free largest_free total long_running runs unconfirmed at_zero "
+    "unstored_ends restarts "
     "restart_ms",
     log_class::kRare};
 inline constexpr event_definition kWorkerListed{
--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -92,6 +92,7 @@
             {"free", text(state.free_millicores)},
             {"largest_free", text(state.largest_free_millicores)},
             {"total", text(state.total_millicores)},
+            {"long_running", text(state.long_running_millicores)},
             {"runs", text(state.runs.all)},
             {"unconfirmed", text(state.runs.unconfirmed)},
             {"at_zero", text(state.runs.at_zero_speed)},
--- a/include/skylarkbridge/jobs/owner_state.hpp
+++ b/include/skylarkbridge/jobs/owner_state.hpp
@@ -82,6 +82,8 @@
   std::int64_t free_millicores = 0;
   std::int64_t largest_free_millicores = 0;
   std::int64_t total_millicores = 0;
+  /// What long-running tasks hold of it. Batch tasks can use the rest at most.
+  std::int64_t long_running_millicores = 0;
   run_counts runs;
   /// Long-running tasks that wait for their restart.
   std::size_t waiting_restarts = 0;
--- a/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
@@ -73,6 +73,7 @@
   for (const auto& [id, session] : workers_) {
     if (Usable(session, now)) {
       state.total_millicores += session.entry.capacity.millicores;
+      state.long_running_millicores += session.used_by_long_running.millicores;
     }
   }
   return state;
--- a/src/skylarkbridge/jobs/fleet_scheduler_state_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_state_test.cpp
@@ -130,6 +130,21 @@
   EXPECT_EQ(driver.scheduler.State(driver.now).runs.unstored_ends, 0U);
 }
 
+// Guards against a cell that looks stuck although long-running tasks hold what
+// its batch tasks wait for.
+TEST(FleetSchedulerStateTest, TellsWhatLongRunningTasksHold) {
+  scheduler_driver driver = DriverWithWorker();
+  driver.Submit(
+      job_id{1},
+      {.count = 1, .need = {.millicores = 3000}, .long_running = true});
+  driver.Submit(job_id{2}, Step(500));
+  driver.Submit(job_id{3}, Step(1000));
+  driver.Pass(milliseconds(100));
+  const owner_state state = driver.scheduler.State(driver.now);
+  EXPECT_EQ(state.long_running_millicores, 3000);
+  EXPECT_EQ(state.ready.tasks, 1U);
+}
+
 TEST(FleetSchedulerStateTest, CountsWaitingRestarts) {
   scheduler_driver driver = DriverWithWorker();
   driver.Submit(
