--- a/src/skylarkbridge/base/log_budget.cpp
+++ b/src/skylarkbridge/base/log_budget.cpp
@@ -10,8 +10,8 @@
 /// average.
 constexpr double kSharedLines = 2000;
 constexpr double kSharedLinesPerSecond = 400;
-/// The same for decisions, in addition. An owner of a cell with 1,000 workers
-/// orders 500 starts a second, and logs the end of each run as well.
+/// The same for decisions, in addition. Each run of a batch task takes two
+/// lines, and a busy owner orders 500 starts a second.
 constexpr double kDecisionLines = 2000;
 constexpr double kDecisionLinesPerSecond = 1000;
 /// Shared lines that are left to rare ones.
