Tell what a placement pass did

A log line on an owner's backlog needs the number of waiting steps and why the last pass ended. The loop over the steps becomes a function of its own, which returns both. No change of placement.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -28,6 +28,7 @@
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/placement_pass.hpp"
+#include "skylarkbridge/jobs/placement_summary.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
 #include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
@@ -175,6 +176,8 @@
 
   /// @brief Earliest time of the next placement pass.
   time_point NextPass() const { return next_pass_; }
+  /// @brief What the last placement pass did.
+  const placement_summary& LastPass() const { return last_summary_; }
 
   /// @brief Returns the orders since the last call.
   std::vector<order> TakeOrders();
@@ -450,6 +453,8 @@
                   time_point now) const;
   std::vector<ready_step> OrderedReadySteps(time_point now) const;
   void PlaceReadySteps(time_point now);
+  /// Looks for room for the waiting steps.
+  placement_summary PlaceSteps(placement_pass& pass, time_point now);
   best_effort_demand ComputeDemand(interference_views& views) const;
   /// The best-effort images that wait or run, without the workers they suit.
   std::vector<image_demand> BestEffortImages() const;
@@ -840,6 +845,7 @@
   time_point next_pass_;
   /// Number of the last placement pass.
   std::uint64_t last_pass_ = 0;
+  placement_summary last_summary_;
   /// Worker on which the last pass reserved room, by task. The next pass
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -83,7 +83,7 @@
   /// Minimum interval of the placement passes while some tasks find no room.
   std::chrono::milliseconds pass_interval{20};
   /// A placement pass ends after this many steps with tasks that found no room.
-  int max_unplaced_steps = 40;
+  std::size_t max_unplaced_steps = 40;
   /// A task of a long-running step that has begun waits this long for its first
   /// start; after that it waits as a restart does. A step that its cell has no
   /// room for would otherwise stay incomplete for good.
--- /dev/null
+++ b/include/skylarkbridge/jobs/placement_summary.hpp
@@ -0,0 +1,31 @@
+#ifndef SKYLARKBRIDGE_JOBS_PLACEMENT_SUMMARY_HPP
+#define SKYLARKBRIDGE_JOBS_PLACEMENT_SUMMARY_HPP
+
+#include <cstddef>
+
+namespace skylarkbridge::jobs {
+
+/// @brief Why a placement pass ended.
+enum class pass_end {
+  /// Each waiting step was looked at.
+  kAllLookedAt,
+  /// fleet_scheduler_options::max_unplaced_steps was reached.
+  kUnplacedLimit,
+  /// The limit on starts that wait for an answer was reached.
+  kStartLimit,
+};
+
+/// @brief What a placement pass did.
+struct placement_summary {
+  /// Steps with ready tasks when the pass began.
+  std::size_t waiting_steps = 0;
+  /// Steps for which the pass looked for room.
+  std::size_t looked_at = 0;
+  /// Those of them with a ready task that found no room.
+  std::size_t unplaced = 0;
+  pass_end ended_by = pass_end::kAllLookedAt;
+};
+
+}  // namespace skylarkbridge::jobs
+
+#endif  // SKYLARKBRIDGE_JOBS_PLACEMENT_SUMMARY_HPP
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -91,6 +91,7 @@
   last_machine_list_.reset();
   never_reported_.clear();
   waiting_jobs_since_.clear();
+  last_summary_ = {};
   reserved_workers_.clear();
   restart_room_.clear();
   delegation_targets_.Clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -31,25 +31,37 @@
   restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
   restart_room_ = pass.reserved_room;
   const bool late_tasks_placed = PlaceTasksWithLateStarts(pass, now);
-  int unplaced_steps = 0;
-  for (const ready_step& step : OrderedReadySteps(now)) {
-    unplaced_steps += PlaceStep(step, pass, now) ? 0 : 1;
-    if (unplaced_steps >= options_.max_unplaced_steps ||
-        start_limit_.Reached()) {
-      break;
-    }
-  }
+  last_summary_ = PlaceSteps(pass, now);
   reserved_workers_ = std::move(pass.reserved_workers);
   blocked_restarts_ = std::move(pass.blocked_restarts);
   // While steps are ready, each call of Run starts a pass. After a pass that
   // left steps or restarts unplaced, the next one waits for pass_interval,
   // which limits the cost of a long backlog.
-  const bool all_placed = unplaced_steps == 0 && restarts_placed &&
+  const bool all_placed = last_summary_.unplaced == 0 && restarts_placed &&
                           late_tasks_placed && !start_limit_.Reached();
   next_pass_ = all_placed ? now : now + options_.pass_interval;
   placement_pending_ = !jobs_.ReadySteps().empty() || !leaving.empty();
 }
 
+placement_summary fleet_scheduler::PlaceSteps(placement_pass& pass,
+                                              time_point now) {
+  const std::vector<ready_step> steps = OrderedReadySteps(now);
+  placement_summary summary{.waiting_steps = steps.size()};
+  for (const ready_step& step : steps) {
+    ++summary.looked_at;
+    summary.unplaced += PlaceStep(step, pass, now) ? 0 : 1;
+    if (start_limit_.Reached()) {
+      summary.ended_by = pass_end::kStartLimit;
+      break;
+    }
+    if (summary.unplaced >= options_.max_unplaced_steps) {
+      summary.ended_by = pass_end::kUnplacedLimit;
+      break;
+    }
+  }
+  return summary;
+}
+
 double fleet_scheduler::CompetingDemand(
     const step_spec& spec,
     const worker_session& session,
