Look at each waiting step within a stated number of passes

Seen: accepted work never started on free workers.

Cause: a placement pass ended after 40 steps without room, in the order of rank, and the next pass began with the same 40.

Change: a pass leaves out a step without a search when one of its kind that needs no more was refused in the same pass, as room only shrinks meanwhile. What was refused for a policy, for a limit of tasks per worker, to a gang or to a task that is bound to a worker says nothing of others. Steps that wait as suspects of a crash count as searches; suspects of the same kind are refused at once. A task that is not suspected takes one search instead of two.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -29,6 +29,7 @@
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/placement_pass.hpp"
 #include "skylarkbridge/jobs/placement_summary.hpp"
+#include "skylarkbridge/jobs/placement_sweep.hpp"
 #include "skylarkbridge/jobs/preemption.hpp"
 #include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
@@ -465,10 +466,13 @@
   double CompetingDemand(const step_spec& spec,
                          const worker_session& session,
                          const best_effort_demand& demand) const;
-  /// Returns false when tasks of the step found no room.
-  bool PlaceStep(const ready_step& ranked,
-                 placement_pass& pass,
-                 time_point now);
+  /// Whether an earlier step of the pass shows that this one has no room. False
+  /// for a step that has to be looked at for other reasons.
+  bool IsKnownWithoutRoom(const ready_step& ranked,
+                          const placement_pass& pass) const;
+  step_outcome PlaceStep(const ready_step& ranked,
+                         placement_pass& pass,
+                         time_point now);
   /// Places the tasks with late starts that PlaceRestarts does not handle,
   /// ahead of others that could start on any worker. Returns false when some
   /// have to wait.
@@ -515,6 +519,15 @@
                          const std::vector<std::uint32_t>& ready,
                          std::vector<placement_candidate>& candidates,
                          time_point now);
+  /// The same.
+  /// @param refused what was refused on these candidates in the same pass.
+  step_outcome PlaceReadyTasks(const ready_step& ranked,
+                               const step_spec& step,
+                               const queue_configuration& queue,
+                               const std::vector<std::uint32_t>& ready,
+                               std::vector<placement_candidate>& candidates,
+                               refused_shapes& refused,
+                               time_point now);
   /// Starts all tasks of the gang or none; returns false for none.
   bool PlaceGang(const step_ref& ref,
                  const step_spec& step,
@@ -536,11 +549,13 @@
                       const std::vector<placement_candidate>& candidates,
                       time_point now);
   /// Returns false when tasks of the step found no room.
-  bool PlaceTasks(const ready_step& ranked,
-                  const step_spec& step,
-                  const std::vector<std::uint32_t>& ready,
-                  std::vector<placement_candidate>& candidates,
-                  time_point now);
+  step_outcome PlaceTasks(const ready_step& ranked,
+                          const step_spec& step,
+                          const queue_configuration& queue,
+                          const std::vector<std::uint32_t>& ready,
+                          std::vector<placement_candidate>& candidates,
+                          refused_shapes& refused,
+                          time_point now);
   /// As jobs::ChooseWorker, for one task. Keeps a task that is suspected of
   /// crashing its workers away from those on which another one was started
   /// shortly before.
@@ -846,6 +861,7 @@
   /// Number of the last placement pass.
   std::uint64_t last_pass_ = 0;
   placement_summary last_summary_;
+  placement_sweep sweep_;
   /// Worker on which the last pass reserved room, by task. The next pass
   /// prefers the same worker, so that enough room can accumulate there.
   std::map<task_ref, std::string> reserved_workers_;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -82,8 +82,12 @@
   std::chrono::milliseconds over_target_renewal_wait{400};
   /// Minimum interval of the placement passes while some tasks find no room.
   std::chrono::milliseconds pass_interval{20};
-  /// A placement pass ends after this many steps with tasks that found no room.
+  /// A placement pass ends after it has searched the workers in vain for this
+  /// many steps.
   std::size_t max_unplaced_steps = 40;
+  /// After this many of them a pass leaves out the steps that earlier passes of
+  /// the same sweep have looked at; see placement_sweep.
+  std::size_t max_unplaced_in_front = 20;
   /// A task of a long-running step that has begun waits this long for its first
   /// start; after that it waits as a restart does. A step that its cell has no
   /// room for would otherwise stay incomplete for good.
--- a/include/skylarkbridge/jobs/placement_pass.hpp
+++ b/include/skylarkbridge/jobs/placement_pass.hpp
@@ -16,6 +16,7 @@
 #include "skylarkbridge/jobs/job_table.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
+#include "skylarkbridge/jobs/unplaced_shapes.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
 
 /// @brief What a fleet_scheduler keeps during one placement pass, and from one
@@ -47,6 +48,17 @@
   step_ref ref;
 };
 
+/// @brief What a placement pass did for a step.
+enum class step_outcome {
+  /// All ready tasks were started, or none is ready.
+  kPlaced,
+  /// The workers were searched for a task that is suspected of crashes. It
+  /// waits for one without another suspect.
+  kWaitsAsSuspect,
+  /// Tasks were not started, most often because there is no room.
+  kUnplaced,
+};
+
 /// @brief Demand for best-effort tasks of one image.
 struct image_demand {
   std::string_view image;
@@ -124,6 +136,8 @@
   bool expects_restarts = false;
   /// Restarts for which a run to relocate was searched.
   int relocation_searches = 0;
+  /// The needs of steps that could start on any candidate of their kind.
+  refused_shapes refused;
 
   /// Room on the worker that is kept from a step.
   resources ReservedRoom(const std::string& worker,
--- a/include/skylarkbridge/jobs/placement_summary.hpp
+++ b/include/skylarkbridge/jobs/placement_summary.hpp
@@ -7,7 +7,8 @@
 
 /// @brief Why a placement pass ended.
 enum class pass_end {
-  /// Each waiting step was looked at.
+  /// Each waiting step was looked at, in this pass or in earlier ones that were
+  /// cut short.
   kAllLookedAt,
   /// fleet_scheduler_options::max_unplaced_steps was reached.
   kUnplacedLimit,
@@ -19,10 +20,13 @@
 struct placement_summary {
   /// Steps with ready tasks when the pass began.
   std::size_t waiting_steps = 0;
-  /// Steps for which the pass looked for room.
+  /// Steps that the pass came to.
   std::size_t looked_at = 0;
   /// Those of them with a ready task that found no room.
   std::size_t unplaced = 0;
+  /// Those of the unplaced ones for which the workers were not searched, as
+  /// another step that needs no more had found no room.
+  std::size_t known_without_room = 0;
   pass_end ended_by = pass_end::kAllLookedAt;
 };
 
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -24,6 +24,8 @@
 fleet_scheduler::fleet_scheduler(fleet_scheduler_options options)
     : options_(options),
       jobs_(options.jobs),
+      sweep_({.total = options.max_unplaced_steps,
+              .in_front = options.max_unplaced_in_front}),
       start_limit_(options.start_limit),
       permits_(options.permits) {}
 
@@ -92,6 +94,7 @@
   never_reported_.clear();
   waiting_jobs_since_.clear();
   last_summary_ = {};
+  sweep_.Clear();
   reserved_workers_.clear();
   restart_room_.clear();
   delegation_targets_.Clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -15,53 +15,6 @@
 
 }  // namespace
 
-void fleet_scheduler::PlaceReadySteps(time_point now) {
-  if (!placement_pending_ || configuration_ == nullptr || now < next_pass_) {
-    return;
-  }
-  placement_pending_ = false;
-  ++last_pass_;
-  UpdateWaitingJobs(now);
-  permits_.DropClosedSteps(jobs_);
-  placement_pass pass;
-  const std::vector<leaving_run> leaving = LeavingRuns();
-  KeepRoomOfLeavingRuns(leaving, pass, now);
-  KeepRoomOfRelocatedRuns(pass, now);
-  bool restarts_placed = PlaceRestarts(pass, now);
-  restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
-  restart_room_ = pass.reserved_room;
-  const bool late_tasks_placed = PlaceTasksWithLateStarts(pass, now);
-  last_summary_ = PlaceSteps(pass, now);
-  reserved_workers_ = std::move(pass.reserved_workers);
-  blocked_restarts_ = std::move(pass.blocked_restarts);
-  // While steps are ready, each call of Run starts a pass. After a pass that
-  // left steps or restarts unplaced, the next one waits for pass_interval,
-  // which limits the cost of a long backlog.
-  const bool all_placed = last_summary_.unplaced == 0 && restarts_placed &&
-                          late_tasks_placed && !start_limit_.Reached();
-  next_pass_ = all_placed ? now : now + options_.pass_interval;
-  placement_pending_ = !jobs_.ReadySteps().empty() || !leaving.empty();
-}
-
-placement_summary fleet_scheduler::PlaceSteps(placement_pass& pass,
-                                              time_point now) {
-  const std::vector<ready_step> steps = OrderedReadySteps(now);
-  placement_summary summary{.waiting_steps = steps.size()};
-  for (const ready_step& step : steps) {
-    ++summary.looked_at;
-    summary.unplaced += PlaceStep(step, pass, now) ? 0 : 1;
-    if (start_limit_.Reached()) {
-      summary.ended_by = pass_end::kStartLimit;
-      break;
-    }
-    if (summary.unplaced >= options_.max_unplaced_steps) {
-      summary.ended_by = pass_end::kUnplacedLimit;
-      break;
-    }
-  }
-  return summary;
-}
-
 double fleet_scheduler::CompetingDemand(
     const step_spec& spec,
     const worker_session& session,
@@ -304,18 +257,18 @@
   return candidates;
 }
 
-bool fleet_scheduler::PlaceStep(const ready_step& ranked,
-                                placement_pass& pass,
-                                time_point now) {
+step_outcome fleet_scheduler::PlaceStep(const ready_step& ranked,
+                                        placement_pass& pass,
+                                        time_point now) {
   const step_ref& ref = ranked.ref;
   const step_spec* step = jobs_.Spec(ref);
   const queue_configuration* queue = Queue(ref.job);
   if (step == nullptr || queue == nullptr) {
-    return true;
+    return step_outcome::kPlaced;
   }
   std::vector<std::uint32_t> ready = TasksToPlace(ref, *step, now);
   if (ready.empty()) {
-    return true;
+    return step_outcome::kPlaced;
   }
   // The members of a gang start together, whatever the limit leaves.
   const std::size_t allowed = step->gang && !start_limit_.Reached()
@@ -331,10 +284,14 @@
   }
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
-  const bool placed =
-      !ready.empty() &&
-      PlaceOnCandidates(ranked, *step, *queue, ready, candidates, now) &&
-      !limited;
+  step_outcome outcome = step_outcome::kUnplaced;
+  if (!ready.empty()) {
+    outcome = PlaceReadyTasks(ranked, *step, *queue, ready, candidates,
+                              pass.refused, now);
+  }
+  if (limited) {
+    outcome = step_outcome::kUnplaced;
+  }
   if (ranked.begun_long_running && !step->gang &&
       !queue->HasPlacementPolicy()) {
     for (const std::uint32_t index : TasksToPlace(ref, *step, now)) {
@@ -343,10 +300,11 @@
       }
     }
   }
-  if (!placed && ranked.begun_long_running && !step->gang) {
+  if (outcome == step_outcome::kUnplaced && ranked.begun_long_running &&
+      !step->gang) {
     WaitAsRestarts(ref, *step, now);
   }
-  return placed;
+  return outcome;
 }
 
 bool fleet_scheduler::PlaceOnCandidates(
@@ -356,19 +314,37 @@
     const std::vector<std::uint32_t>& ready,
     std::vector<placement_candidate>& candidates,
     time_point now) {
+  refused_shapes refused;
+  return PlaceReadyTasks(ranked, step, queue, ready, candidates, refused,
+                         now) != step_outcome::kUnplaced;
+}
+
+step_outcome fleet_scheduler::PlaceReadyTasks(
+    const ready_step& ranked,
+    const step_spec& step,
+    const queue_configuration& queue,
+    const std::vector<std::uint32_t>& ready,
+    std::vector<placement_candidate>& candidates,
+    refused_shapes& refused,
+    time_point now) {
+  const auto place = [&](std::vector<placement_candidate>& on) {
+    if (!step.gang) {
+      return PlaceTasks(ranked, step, queue, ready, on, refused, now);
+    }
+    return PlaceGang(ranked.ref, step, ready, on, now)
+               ? step_outcome::kPlaced
+               : step_outcome::kUnplaced;
+  };
   if (!queue.HasPlacementPolicy()) {
-    return step.gang ? PlaceGang(ranked.ref, step, ready, candidates, now)
-                     : PlaceTasks(ranked, step, ready, candidates, now);
+    return place(candidates);
   }
   std::vector<placement_candidate> permitted =
       Permitted(ranked.ref, candidates, now);
-  const bool placed = step.gang
-                          ? PlaceGang(ranked.ref, step, ready, permitted, now)
-                          : PlaceTasks(ranked, step, ready, permitted, now);
-  if (!placed) {
+  const step_outcome outcome = place(permitted);
+  if (outcome == step_outcome::kUnplaced) {
     RequestPermits(ranked.ref, queue.policy, candidates, now);
   }
-  return placed;
+  return outcome;
 }
 
 std::vector<placement_candidate> fleet_scheduler::Permitted(
@@ -410,25 +386,45 @@
   }
 }
 
-bool fleet_scheduler::PlaceTasks(const ready_step& ranked,
-                                 const step_spec& step,
-                                 const std::vector<std::uint32_t>& ready,
-                                 std::vector<placement_candidate>& candidates,
-                                 time_point now) {
+step_outcome fleet_scheduler::PlaceTasks(
+    const ready_step& ranked,
+    const step_spec& step,
+    const queue_configuration& queue,
+    const std::vector<std::uint32_t>& ready,
+    std::vector<placement_candidate>& candidates,
+    refused_shapes& refused,
+    time_point now) {
   placement_options options = options_.placement;
   if (ranked.starving) {
     options.best_effort_share = 0;
   }
+  const step_kind kind = KindOf(step, queue.service, ranked.starving);
+  // Otherwise the step may be refused where other steps of its kind are not.
+  const bool decided_by_room =
+      step.max_per_worker == 0 && !queue.HasPlacementPolicy();
+  step_outcome outcome = step_outcome::kPlaced;
   for (const std::uint32_t index : ready) {
-    if (!ChooseWorker(step, candidates, "", options)) {
-      return false;
-    }
     const task_ref task = TaskOf(ranked.ref, index);
+    const bool suspected = IsSuspected(task);
+    if (suspected && !step.long_running && decided_by_room &&
+        refused.without_separate_worker.HasNoRoom(kind, step.need)) {
+      continue;
+    }
     const std::optional<std::size_t> chosen =
         ChooseWorkerFor(task, step, candidates, options, now);
-    if (!chosen) {
+    if (!chosen && suspected && ChooseWorker(step, candidates, "", options)) {
+      if (decided_by_room) {
+        refused.without_separate_worker.Add(kind, step.need);
+      }
+      outcome = step_outcome::kWaitsAsSuspect;
       continue;
     }
+    if (!chosen) {
+      if (decided_by_room) {
+        refused.without_room.Add(kind, step.need);
+      }
+      return step_outcome::kUnplaced;
+    }
     placement_candidate& candidate = candidates[*chosen];
     worker_session& session =
         workers_.find(candidate.session->entry.worker)->second;
@@ -439,10 +435,10 @@
       candidate.reserved += session.entry.capacity;
     }
     if (ranked.starving) {
-      break;
+      return step_outcome::kPlaced;
     }
   }
-  return true;
+  return outcome;
 }
 
 bool fleet_scheduler::PlaceGang(const step_ref& ref,
