--- a/bench/fleet_cost_bench.cpp
+++ b/bench/fleet_cost_bench.cpp
@@ -231,11 +231,16 @@
   state.counters["ready_steps"] =
       static_cast<double>(driver.scheduler.Jobs().ReadySteps().size());
   state.counters["decisions"] = static_cast<double>(decisions % 1'000'000);
+  const placement_summary& last = driver.scheduler.LastPass();
+  state.counters["searches"] =
+      static_cast<double>(last.looked_at - last.known_without_room);
 }
 BENCHMARK(PlacementPassBenchmark)
     ->Arg(20)
     ->Arg(60)
     ->Arg(120)
+    ->Arg(1000)
+    ->Arg(10'000)
     ->Iterations(400)
     ->Unit(benchmark::kMicrosecond);
 
