--- a/include/skylarkbridge/jobs/owner_state.hpp
+++ b/include/skylarkbridge/jobs/owner_state.hpp
@@ -6,19 +6,10 @@
 #include <cstdint>
 
 #include "skylarkbridge/jobs/ids.hpp"
+#include "skylarkbridge/jobs/placement_summary.hpp"
 
 namespace skylarkbridge::jobs {
 
-/// @brief Why a placement pass ended.
-enum class pass_end {
-  /// It has looked at all steps with ready tasks.
-  kComplete,
-  /// fleet_scheduler_options::max_unplaced_steps steps found no room.
-  kUnplacedSteps,
-  /// start_limit was reached.
-  kStartLimit,
-};
-
 /// @brief Placement passes and start orders of an owner since its ownership
 /// began.
 struct placement_counts {
@@ -39,13 +30,6 @@
   }
 };
 
-/// @brief The last placement pass of an owner.
-struct last_pass {
-  pass_end end = pass_end::kComplete;
-  /// Steps with ready tasks that the pass did not look at.
-  std::size_t steps_not_reached = 0;
-};
-
 /// @brief The tasks of a cell that may start now.
 struct ready_backlog {
   std::size_t steps = 0;
@@ -72,7 +56,8 @@
 struct owner_state {
   std::size_t open_jobs = 0;
   ready_backlog ready;
-  last_pass pass;
+  /// The last placement pass.
+  placement_summary pass;
   placement_counts counts;
   std::size_t starts_in_flight = 0;
   std::size_t start_limit = 0;
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -167,9 +167,9 @@
 std::string_view Name(jobs::pass_end end) {
   using jobs::pass_end;
   switch (end) {
-    case pass_end::kComplete:
+    case pass_end::kAllLookedAt:
       return "complete";
-    case pass_end::kUnplacedSteps:
+    case pass_end::kUnplacedLimit:
       return "unplaced_steps";
     case pass_end::kStartLimit:
       return "start_limit";
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -24,6 +24,8 @@
 fleet_scheduler::fleet_scheduler(fleet_scheduler_options options)
     : options_(options),
       jobs_(options.jobs),
+      sweep_({.total = options.max_unplaced_steps,
+              .in_front = options.max_unplaced_in_front}),
       start_limit_(options.start_limit),
       permits_(options.permits) {}
 
@@ -91,6 +93,8 @@
   last_machine_list_.reset();
   never_reported_.clear();
   waiting_jobs_since_.clear();
+  last_summary_ = {};
+  sweep_.Clear();
   reserved_workers_.clear();
   restart_room_.clear();
   delegation_targets_.Clear();
@@ -106,7 +110,6 @@
   has_unmatched_runs_ = false;
   presumed_crashes_.clear();
   start_limit_.Clear();
-  last_pass_state_ = {};
   placement_counts_ = {};
   permits_.Clear();
   registration_writes_.clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
@@ -4,17 +4,14 @@
 
 namespace skylarkbridge::jobs {
 
-void fleet_scheduler::RecordPass(std::size_t steps_not_reached) {
-  last_pass_state_ = {.steps_not_reached = steps_not_reached};
+void fleet_scheduler::CountPass(const placement_summary& pass) {
   ++placement_counts_.passes;
-  if (steps_not_reached == 0) {
+  if (pass.not_reached == 0) {
     return;
   }
-  if (start_limit_.Reached()) {
-    last_pass_state_.end = pass_end::kStartLimit;
+  if (pass.ended_by == pass_end::kStartLimit) {
     ++placement_counts_.cut_by_start_limit;
   } else {
-    last_pass_state_.end = pass_end::kUnplacedSteps;
     ++placement_counts_.cut_by_unplaced_steps;
   }
 }
@@ -59,7 +56,7 @@
   const cell_room room = FreeRoom(now);
   owner_state state{.open_jobs = jobs_.Jobs().size(),
                     .ready = ReadyBacklog(now),
-                    .pass = last_pass_state_,
+                    .pass = last_summary_,
                     .counts = placement_counts_,
                     .starts_in_flight = start_limit_.InFlight(),
                     .start_limit = start_limit_.Limit(),
