Order the share of adopted batch runs

Cause: a successor supposed that adopted runs work at their full speed, as worker_run had 100 percent by default.

Change: run_pace holds the share as a value that may be unknown. An unknown share is ordered at the next report: a pause beside a violated target, else the full speed. A paused run is not resumed while a report is over its target.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -35,6 +35,7 @@
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/start_limit.hpp"
 #include "skylarkbridge/jobs/stated_room.hpp"
+#include "skylarkbridge/jobs/target_violation.hpp"
 #include "skylarkbridge/jobs/task_returns.hpp"
 #include "skylarkbridge/jobs/unmatched_ends.hpp"
 #include "skylarkbridge/jobs/worker_session.hpp"
@@ -789,10 +790,18 @@
                                  const worker_run& state) const;
   /// Stops the best-effort task that contributes most to a violated target.
   void EvictWorstInterferer(worker_session& session, time_point now);
+  /// Whether the predicted tail latencies stay below their targets when the
+  /// best-effort task works at its full speed.
+  bool CanResume(const worker_session& session, const worker_run& state) const;
+  /// The speed that a best-effort run is to have; nullopt to leave it as it is.
+  std::optional<int> WantedSpeed(const worker_session& session,
+                                 const worker_run& state,
+                                 const target_violation& violation,
+                                 time_point now) const;
   void AdjustPace(worker_session& session,
                   const run_ref& run,
                   worker_run& state,
-                  std::optional<time_point> over_since,
+                  const target_violation& violation,
                   time_point now);
 
   void AddNote(scheduling_event event,
--- /dev/null
+++ b/include/skylarkbridge/jobs/run_pace.hpp
@@ -0,0 +1,22 @@
+#ifndef SKYLARKBRIDGE_JOBS_RUN_PACE_HPP
+#define SKYLARKBRIDGE_JOBS_RUN_PACE_HPP
+
+#include <optional>
+
+namespace skylarkbridge::jobs {
+
+/// @brief Speed of a best-effort run, as far as its owner knows.
+struct run_pace {
+  /// Percentage of the run's full speed; empty while unknown, as in a run that
+  /// was started by an earlier owner.
+  std::optional<int> speed_percent;
+  /// An order on pace awaits its answer.
+  bool order_under_way = false;
+
+  /// @brief Whether the run may stand still.
+  bool MayBePaused() const { return speed_percent.value_or(0) == 0; }
+};
+
+}  // namespace skylarkbridge::jobs
+
+#endif  // SKYLARKBRIDGE_JOBS_RUN_PACE_HPP
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -16,6 +16,7 @@
 #include "skylarkbridge/jobs/job_spec.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
+#include "skylarkbridge/jobs/run_pace.hpp"
 #include "skylarkbridge/jobs/worker_lease.hpp"
 #include "skylarkbridge/jobs/worker_report.hpp"
 
@@ -85,9 +86,7 @@
   time_point progressed_at;
   /// As in running_task.
   std::optional<std::int64_t> measurement;
-  /// Percentage of its full speed that the worker last confirmed.
-  int speed_percent = 100;
-  bool pace_under_way = false;
+  run_pace pace;
   /// Smoothed difference between the log ratio of a serving task's tail latency
   /// to its target and the prediction of the interference model.
   double tail_residual = 0;
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -191,30 +191,31 @@
 }
 
 void fleet_scheduler::AdjustPaces(worker_session& session, time_point now) {
-  std::optional<time_point> over_since;
-  std::optional<time_point> violation_since;
+  target_violation violation;
   const auto earlier = [](std::optional<time_point> left,
                           std::optional<time_point> right) {
     return left && right ? std::min(left, right) : left ? left : right;
   };
   for (auto& [run, state] : session.runs) {
     TrackTargetViolation(state, now);
-    over_since = earlier(over_since, state.over_target_since);
-    violation_since = earlier(violation_since, state.violation_since);
+    violation.over_since =
+        earlier(violation.over_since, state.over_target_since);
+    violation.since = earlier(violation.since, state.violation_since);
   }
-  session.over_target_since = over_since;
+  session.over_target_since = violation.over_since;
   // The reports are noisy, so a long violation counts from its start although
   // single reports were below the target.
-  if (over_since && now >= *violation_since + kIntermittentViolationTime) {
-    over_since = violation_since;
+  if (violation.over_since &&
+      now >= *violation.since + kIntermittentViolationTime) {
+    violation.over_since = violation.since;
   }
-  if (over_since && now >= session.earliest_eviction) {
+  if (violation.over_since && now >= session.earliest_eviction) {
     EvictWorstInterferer(session, now);
   }
   for (auto& [run, state] : session.runs) {
     if (state.best_effort_millicores > 0 && !state.stop_wanted &&
         state.phase == run_phase::kRunning) {
-      AdjustPace(session, run, state, over_since, now);
+      AdjustPace(session, run, state, violation, now);
     }
   }
 }
@@ -264,44 +265,63 @@
                        worst_impact));
 }
 
-void fleet_scheduler::AdjustPace(worker_session& session,
-                                 const run_ref& run,
-                                 worker_run& state,
-                                 std::optional<time_point> over_since,
-                                 time_point now) {
+bool fleet_scheduler::CanResume(const worker_session& session,
+                                const worker_run& state) const {
   const double load = DeclaredLoad(state, session);
   const double load_added_by_resuming =
-      load * (1 - static_cast<double>(state.speed_percent) / 100);
-  const double impact_on_violated = ImpactOnViolatedTargets(session, state);
-  bool can_resume = true;
-  for (const auto& [victim_run, victim] : session.runs) {
-    if (!HasTailReport(victim)) {
-      continue;
-    }
-    const double impact = interference_.TailImpact(victim.image, state.image);
-    can_resume &= impact * load < kNegligibleImpact ||
-                  LogTailRatio(victim) + impact * load_added_by_resuming <
-                      kMaxResumeLogRatio;
-  }
-  int new_speed_percent = state.speed_percent;
-  const auto violation_time =
-      over_since ? now - *over_since : time_point::duration{};
+      load * (1 - state.pace.speed_percent.value_or(0) / 100.0);
+  return std::all_of(
+      session.runs.begin(), session.runs.end(), [&](const auto& entry) {
+        const worker_run& victim = entry.second;
+        if (!HasTailReport(victim)) {
+          return true;
+        }
+        const double impact =
+            interference_.TailImpact(victim.image, state.image);
+        return impact * load < kNegligibleImpact ||
+               LogTailRatio(victim) + impact * load_added_by_resuming <
+                   kMaxResumeLogRatio;
+      });
+}
+
+std::optional<int> fleet_scheduler::WantedSpeed(
+    const worker_session& session,
+    const worker_run& state,
+    const target_violation& violation,
+    time_point now) const {
+  const auto violation_time = violation.over_since ? now - *violation.over_since
+                                                   : time_point::duration{};
   if (violation_time >= kGeneralPauseDelay ||
       (violation_time >= kInterfererPauseDelay &&
-       impact_on_violated >= kNegligibleImpact)) {
-    new_speed_percent = 0;
-  } else if (can_resume) {
-    new_speed_percent = 100;
+       ImpactOnViolatedTargets(session, state) >= kNegligibleImpact)) {
+    return 0;
+  }
+  if (!state.pace.speed_percent) {
+    // The owner doesn't know for how long the run has disturbed the task that
+    // is over its target.
+    return violation.since ? 0 : 100;
+  }
+  if (!violation.over_since && CanResume(session, state)) {
+    return 100;
   }
-  if (new_speed_percent == state.speed_percent || state.pace_under_way) {
+  return std::nullopt;
+}
+
+void fleet_scheduler::AdjustPace(worker_session& session,
+                                 const run_ref& run,
+                                 worker_run& state,
+                                 const target_violation& violation,
+                                 time_point now) {
+  const std::optional<int> wanted = WantedSpeed(session, state, violation, now);
+  if (!wanted || wanted == state.pace.speed_percent ||
+      state.pace.order_under_way) {
     return;
   }
-  state.pace_under_way = true;
-  orders_.emplace_back(pace_order{.target = Target(session),
-                                  .run = run,
-                                  .speed_percent = new_speed_percent});
+  state.pace.order_under_way = true;
+  orders_.emplace_back(pace_order{
+      .target = Target(session), .run = run, .speed_percent = *wanted});
   AddNote(scheduling_event::kPaceOrdered, run, session.entry.worker,
-          absl::StrCat(new_speed_percent));
+          absl::StrCat(*wanted));
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -98,6 +98,8 @@
   worker_run& state = AddRun(session, run, step);
   state.ordered_at = now;
   state.progressed_at = now;
+  // Runs start at full speed.
+  state.pace.speed_percent = 100;
   state.start_by =
       session.lease.EstimateWorkerTime(now, options_.start_validity);
   if (const std::string* const ticket =
@@ -307,21 +309,6 @@
   }
 }
 
-void fleet_scheduler::Handle(const pace_reply& reply, time_point /*now*/) {
-  const auto worker = workers_.find(reply.worker);
-  if (worker == workers_.end()) {
-    return;
-  }
-  const auto found = worker->second.runs.find(reply.run);
-  if (found == worker->second.runs.end()) {
-    return;
-  }
-  found->second.pace_under_way = false;
-  if (reply.result == order_result::kDone) {
-    found->second.speed_percent = reply.speed_percent;
-  }
-}
-
 void fleet_scheduler::Handle(const permit_reply& reply, time_point now) {
   permits_.Handle(reply, now);
   placement_pending_ = true;
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -132,6 +132,9 @@
           stops.push_back(*stop);
         } else if (const auto* pace = std::get_if<pace_order>(&sent_order)) {
           paces.push_back(*pace);
+          scheduler.Handle(pace_reply{pace->target.worker, pace->run,
+                                      pace->speed_percent, pace_result},
+                           now);
         } else if (const auto* permit_call =
                        std::get_if<permit_request>(&sent_order)) {
           permit_requests.push_back(*permit_call);
@@ -210,6 +213,8 @@
   std::vector<start_order> starts;
   std::vector<stop_order> stops;
   std::vector<pace_order> paces;
+  /// Result with which the workers answer orders on pace.
+  order_result pace_result = order_result::kDone;
   std::vector<permit_request> permit_requests;
   /// The last list of leased workers that was stored.
   leased_workers stored_list;
