Fence an unanswered order on pace

Cause: an order on pace without an answer was taken for one that was not carried out.

Change: such an order leaves the share unknown, so that it is ordered again, and raises the fencing token of the worker. Answers to orders of an earlier ownership are ignored. To confirm the share again 15 s later was weighed: a run would stand until then.

--- a/bench/fleet_cost_bench.cpp
+++ b/bench/fleet_cost_bench.cpp
@@ -109,9 +109,10 @@
         renewals[renewal->target.worker] = renewal->renewal_number;
       } else if (const auto* pace = std::get_if<pace_order>(&sent)) {
         ++paces;
-        scheduler.Handle(pace_reply{pace->target.worker, pace->run,
-                                    pace->speed_percent, order_result::kDone},
-                         now);
+        scheduler.Handle(
+            pace_reply{pace->target.worker, pace->run, pace->speed_percent,
+                       order_result::kDone, pace->target.fence},
+            now);
       }
     }
     AnswerRenewals();
--- a/include/skylarkbridge/jobs/orders.hpp
+++ b/include/skylarkbridge/jobs/orders.hpp
@@ -134,6 +134,7 @@
   run_ref run;
   int speed_percent = 100;
   order_result result = order_result::kNoAnswer;
+  fencing_token fence;
 };
 
 /// @brief Permission of the placement policy to start tasks of a step on a
--- a/include/skylarkbridge/jobs/run_pace.hpp
+++ b/include/skylarkbridge/jobs/run_pace.hpp
@@ -8,7 +8,7 @@
 /// @brief Speed of a best-effort run, as far as its owner knows.
 struct run_pace {
   /// Percentage of the run's full speed; empty while unknown, as in a run that
-  /// was started by an earlier owner.
+  /// was started by an earlier owner, or after an order without an answer.
   std::optional<int> speed_percent;
   /// An order on pace awaits its answer.
   bool order_under_way = false;
--- a/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
+++ b/src/skylarkbridge/jobs/scheduler_driver_fake.hpp
@@ -132,9 +132,10 @@
           stops.push_back(*stop);
         } else if (const auto* pace = std::get_if<pace_order>(&sent_order)) {
           paces.push_back(*pace);
-          scheduler.Handle(pace_reply{pace->target.worker, pace->run,
-                                      pace->speed_percent, pace_result},
-                           now);
+          scheduler.Handle(
+              pace_reply{pace->target.worker, pace->run, pace->speed_percent,
+                         pace_result, pace->target.fence},
+              now);
         } else if (const auto* permit_call =
                        std::get_if<permit_request>(&sent_order)) {
           permit_requests.push_back(*permit_call);
