Bound the time for which a batch run is paused

Cause: a paused run was resumed only when the predicted tail latencies fell below 82% of the targets, which need not happen: a tail just below its target, a target that stays violated, or smaller batch tasks that kept coming to the worker held the run at 0 percent without a bound.

Change: after a pause of 4 s (max_pause) a run is resumed if no target on its worker is violated, else stopped if it has checkpoints, so that its task starts elsewhere. After 8 s (max_pause_before_stop) every paused run is stopped, but for long-running ones. No best-effort task starts on a worker with a paused run.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -798,6 +798,21 @@
                                  const worker_run& state,
                                  const target_violation& violation,
                                  time_point now) const;
+  /// Whether a best-effort run on the worker may stand still.
+  static bool HasPausedRun(const worker_session& session);
+  /// Whether the run may have stood still for longer than
+  /// fleet_scheduler_options::max_pause.
+  bool PausedTooLong(const worker_run& run, time_point now) const;
+  /// Whether the run is to be stopped because it stands still, so that its task
+  /// can start elsewhere.
+  bool StopsPausedRun(const run_ref& run,
+                      const worker_run& state,
+                      const target_violation& violation,
+                      time_point now) const;
+  void StopPausedRun(const worker_session& session,
+                     const run_ref& run,
+                     worker_run& state,
+                     time_point now);
   void AdjustPace(worker_session& session,
                   const run_ref& run,
                   worker_run& state,
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -78,6 +78,12 @@
   /// Best-effort tasks with this progress or more are not evicted for
   /// interference.
   int max_evict_percent = 70;
+  /// A best-effort run that is paused for longer is resumed if no target on its
+  /// worker is violated. Otherwise it is stopped, if it has checkpoints.
+  std::chrono::milliseconds max_pause{4000};
+  /// A best-effort run that is paused for longer is stopped in any case, unless
+  /// it is long-running.
+  std::chrono::milliseconds max_pause_before_stop{8000};
   /// Replaces renewal_wait while a serving task is over its target.
   std::chrono::milliseconds over_target_renewal_wait{400};
   /// Minimum interval of the placement passes while some tasks find no room.
--- a/include/skylarkbridge/jobs/run_pace.hpp
+++ b/include/skylarkbridge/jobs/run_pace.hpp
@@ -3,6 +3,8 @@
 
 #include <optional>
 
+#include "skylarkbridge/base/time.hpp"
+
 namespace skylarkbridge::jobs {
 
 /// @brief Speed of a best-effort run, as far as its owner knows.
@@ -12,6 +14,8 @@
   std::optional<int> speed_percent;
   /// An order on pace awaits its answer.
   bool order_under_way = false;
+  /// Since when the run may stand still; empty while it is known to work.
+  std::optional<time_point> paused_since;
 
   /// @brief Whether the run may stand still.
   bool MayBePaused() const { return speed_percent.value_or(0) == 0; }
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -215,7 +215,11 @@
   for (auto& [run, state] : session.runs) {
     if (state.best_effort_millicores > 0 && !state.stop_wanted &&
         state.phase == run_phase::kRunning) {
-      AdjustPace(session, run, state, violation, now);
+      if (StopsPausedRun(run, state, violation, now)) {
+        StopPausedRun(session, run, state, now);
+      } else {
+        AdjustPace(session, run, state, violation, now);
+      }
     }
   }
 }
@@ -301,7 +305,9 @@
     // is over its target.
     return violation.since ? 0 : 100;
   }
-  if (!violation.over_since && CanResume(session, state)) {
+  if (!violation.over_since &&
+      (CanResume(session, state) ||
+       (!violation.since && PausedTooLong(state, now)))) {
     return 100;
   }
   return std::nullopt;
@@ -318,6 +324,7 @@
     return;
   }
   state.pace.order_under_way = true;
+  state.pace.paused_since = state.pace.paused_since.value_or(now);
   orders_.emplace_back(pace_order{
       .target = Target(session), .run = run, .speed_percent = *wanted});
   AddNote(scheduling_event::kPaceOrdered, run, session.entry.worker,
--- a/src/skylarkbridge/jobs/fleet_scheduler_paces.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_paces.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <chrono>
+
+#include "absl/strings/str_cat.h"
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
@@ -24,6 +28,50 @@
   } else if (reply.result == order_result::kNoAnswer) {
     pace.speed_percent.reset();
   }
+  if (!pace.MayBePaused()) {
+    pace.paused_since.reset();
+  }
+}
+
+bool fleet_scheduler::HasPausedRun(const worker_session& session) {
+  return session.best_effort_millicores > 0 &&
+         std::any_of(session.runs.begin(), session.runs.end(),
+                     [](const auto& entry) {
+                       const worker_run& run = entry.second;
+                       return run.best_effort_millicores > 0 &&
+                              !run.stop_wanted && run.pace.MayBePaused();
+                     });
+}
+
+bool fleet_scheduler::PausedTooLong(const worker_run& run,
+                                    time_point now) const {
+  return run.pace.paused_since &&
+         now >= *run.pace.paused_since + options_.max_pause;
+}
+
+bool fleet_scheduler::StopsPausedRun(const run_ref& run,
+                                     const worker_run& state,
+                                     const target_violation& violation,
+                                     time_point now) const {
+  if (state.long_running || !PausedTooLong(state, now)) {
+    return false;
+  }
+  const step_spec* step = jobs_.Spec(StepOf(run.task));
+  const bool loses_no_work = step != nullptr && step->checkpoints;
+  return (violation.since && loses_no_work) ||
+         now >= *state.pace.paused_since + options_.max_pause_before_stop;
+}
+
+void fleet_scheduler::StopPausedRun(const worker_session& session,
+                                    const run_ref& run,
+                                    worker_run& state,
+                                    time_point now) {
+  state.stop_wanted = true;
+  AddNote(scheduling_event::kStopOrdered, run, session.entry.worker,
+          absl::StrCat("paused for too long; milliseconds: ",
+                       std::chrono::floor<std::chrono::milliseconds>(
+                           now - *state.pace.paused_since)
+                           .count()));
 }
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_paces_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_paces_test.cpp
@@ -14,11 +14,16 @@
 
 constexpr milliseconds kTarget{100};
 constexpr milliseconds kFarBelowTarget{10};
+constexpr milliseconds kJustBelowTarget{95};
 constexpr milliseconds kOverTarget{180};
 constexpr milliseconds kReportInterval{100};
 /// Time over the target after which the batch task is paused.
 constexpr milliseconds kPauseDelay{1500};
 
+constexpr milliseconds kMaxPause = fleet_scheduler_options{}.max_pause;
+constexpr milliseconds kMaxPauseBeforeStop =
+    fleet_scheduler_options{}.max_pause_before_stop;
+
 /// One worker with a serving task and a batch task that fills beside it.
 class PaceTest : public testing::Test {
  protected:
@@ -194,5 +199,121 @@
   EXPECT_EQ(LastShare(), 100);
 }
 
+// Guards against a resume that waits for a predicted tail latency which need
+// not come: a run beside a task just below its target stood until the end.
+TEST_F(PaceTest, ARunBesideATailJustBelowItsTargetIsResumed) {
+  StartTasks(Batch());
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  Report(kJustBelowTarget, kMaxPause - kReportInterval);
+  ASSERT_EQ(driver_.paces.size(), 1U);
+  ASSERT_EQ(LastShare(), 0);
+  Report(kJustBelowTarget, 2 * kReportInterval);
+  EXPECT_EQ(LastShare(), 100);
+  EXPECT_FALSE(BatchRunIsStopped());
+}
+
+// Guards against a run that disturbs a task over its target for 4 s on end
+// because it was resumed after the longest pause.
+TEST_F(PaceTest, AResumedRunIsPausedAgainBesideAViolatedTarget) {
+  StartTasks(Batch());
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  Report(kJustBelowTarget, kMaxPause + 2 * kReportInterval);
+  ASSERT_EQ(LastShare(), 100);
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  EXPECT_EQ(LastShare(), 0);
+}
+
+// Guards against a paused run that stands for as long as its worker's target is
+// violated, while its task could go on elsewhere.
+TEST_F(PaceTest, APausedRunBesideAViolatedTargetIsStopped) {
+  StartTasks(Batch());
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  Report(kOverTarget, kMaxPause - kReportInterval);
+  ASSERT_FALSE(BatchRunIsStopped());
+  Report(kOverTarget, 2 * kReportInterval);
+  EXPECT_TRUE(BatchRunIsStopped());
+}
+
+// Guards against a single report below the target after which a run is resumed
+// for a moment, and its pause begins anew.
+TEST_F(PaceTest, OneReportBelowTheTargetDoesNotEndAPause) {
+  StartTasks(Batch());
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  Report(kOverTarget, kMaxPause - kReportInterval);
+  Report(kJustBelowTarget, kReportInterval);
+  Report(kOverTarget, kReportInterval);
+  EXPECT_EQ(driver_.paces.size(), 1U);
+  EXPECT_TRUE(BatchRunIsStopped());
+}
+
+// Guards against lost work of a run that could go on where it is after a short
+// wait, and against one without checkpoints that stands for good.
+TEST_F(PaceTest, ARunWithoutCheckpointsIsStoppedLater) {
+  step_spec batch = Batch();
+  batch.checkpoints = false;
+  StartTasks(batch);
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  Report(kOverTarget, kMaxPauseBeforeStop - kReportInterval);
+  ASSERT_FALSE(BatchRunIsStopped());
+  Report(kOverTarget, 2 * kReportInterval);
+  EXPECT_TRUE(BatchRunIsStopped());
+}
+
+// Guards against a run that stands for good on a worker that refuses orders on
+// pace.
+TEST_F(PaceTest, ARunThatCannotBeResumedIsStopped) {
+  StartTasks(Batch());
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  driver_.pace_result = order_result::kUnhealthy;
+  Report(kFarBelowTarget, kMaxPauseBeforeStop + kReportInterval);
+  EXPECT_TRUE(BatchRunIsStopped());
+}
+
+// Guards against a stop of a run that works because its worker refused to pause
+// it.
+TEST_F(PaceTest, ARunThatWasNotPausedIsNotStopped) {
+  StartTasks(Batch());
+  driver_.pace_result = order_result::kUnhealthy;
+  Report(kOverTarget, 2 * kMaxPauseBeforeStop);
+  EXPECT_FALSE(BatchRunIsStopped());
+}
+
+// Guards against a pause that begins anew with each takeover and never ends.
+TEST_F(PaceTest, AnAdoptedRunBesideAViolatedTargetIsStopped) {
+  StartTasks(Batch());
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  TakeOver(kOverTarget);
+  Report(kOverTarget, kMaxPause + kReportInterval);
+  EXPECT_TRUE(BatchRunIsStopped());
+}
+
+// Guards against a stop that uses up the disruption budget of a long-running
+// step.
+TEST_F(PaceTest, APausedLongRunningTaskIsNotStopped) {
+  step_spec batch = Batch();
+  batch.long_running = true;
+  StartTasks(batch);
+  Report(kOverTarget, kPauseDelay + 2 * kMaxPauseBeforeStop);
+  EXPECT_FALSE(BatchRunIsStopped());
+}
+
+// Guards against new batch work that keeps the tail latency up beside a run
+// that waits to be resumed.
+TEST_F(PaceTest, NoBatchTaskStartsBesideAPausedRun) {
+  StartTasks(Batch());
+  Report(kOverTarget, kPauseDelay + kReportInterval);
+  Report(kJustBelowTarget, milliseconds(1000));
+  step_spec other = Batch();
+  other.image = "other";
+  other.need.millicores = 500;
+  driver_.Submit(job_id{9}, other);
+  Report(kJustBelowTarget, milliseconds(1000));
+  ASSERT_EQ(LastShare(), 0);
+  EXPECT_TRUE(driver_.starts.empty());
+  Report(kJustBelowTarget, kMaxPause);
+  EXPECT_EQ(LastShare(), 100);
+  EXPECT_EQ(driver_.starts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -152,7 +152,9 @@
   const bool violates_target =
       session.over_target_since &&
       now >= *session.over_target_since + options_.over_target_grace;
-  if (spec.best_effort && (violates_target || risk > kMaxInterferenceRisk)) {
+  // What a new task adds to the tail latency would prolong the pause.
+  if (spec.best_effort && (violates_target || risk > kMaxInterferenceRisk ||
+                           HasPausedRun(session))) {
     return std::nullopt;
   }
   placement_candidate candidate{.session = &session, .penalty = risk};
