--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -82,8 +82,6 @@
   std::optional<time_point> first_reported_at;
   /// Progress, 0 to 100.
   int progress_percent = 0;
-  /// When `percent` last changed.
-  time_point progressed_at;
   /// As in running_task.
   std::optional<std::int64_t> measurement;
   run_pace pace;
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -97,7 +97,6 @@
                                 time_point now) {
   worker_run& state = AddRun(session, run, step);
   state.ordered_at = now;
-  state.progressed_at = now;
   // Runs start at full speed.
   state.pace.speed_percent = 100;
   state.start_by =
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -292,10 +292,7 @@
     // The worker has acknowledged the stop order, but still lists the run.
     run.phase = run_phase::kRunning;
   }
-  if (task.progress_percent != run.progress_percent) {
-    run.progress_percent = task.progress_percent;
-    run.progressed_at = now;
-  }
+  run.progress_percent = task.progress_percent;
   run.measurement = task.measurement;
   if (run.checkpoint != task.checkpoint && !run.detached) {
     run.checkpoint = task.checkpoint;
@@ -313,7 +310,6 @@
   run.confirmed = true;
   run.first_conclusive_renewal = session.last_renewal;
   run.progress_percent = task.progress_percent;
-  run.progressed_at = now;
   run.ordered_at = now;
   run.first_reported_at = now;
   run.measurement = task.measurement;
