--- a/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
@@ -46,7 +46,7 @@
                                      session.last_durable_ended_run);
     for (const auto& [run, state] : session.runs) {
       counts.unconfirmed += state.confirmed ? 0 : 1;
-      counts.at_zero_speed += state.speed_percent == 0 ? 1 : 0;
+      counts.at_zero_speed += state.pace.speed_percent == 0 ? 1 : 0;
     }
   }
   return counts;
