--- a/include/skylarkbridge/jobs/placement_sweep.hpp
+++ b/include/skylarkbridge/jobs/placement_sweep.hpp
@@ -24,14 +24,16 @@
 /// step. A pass that is cut short has made search_limits::total searches, so
 /// that a sweep over n steps takes at most
 /// ceil(n / (search_limits::total - search_limits::in_front)) passes. n counts
-/// the steps that come while it goes on. A pass that the limit on starts ends
-/// does not count.
+/// the steps that come while it goes on. Passes that the limit on starts ends
+/// may prolong it; after twice as many passes it is over in any case, so that a
+/// step of high rank is not left out for longer.
 class placement_sweep {
  public:
   explicit placement_sweep(search_limits limits) : limits_(limits) {}
 
   /// @brief Begins the next pass, and the next sweep if the last one is over.
-  void BeginPass();
+  /// @param waiting number of steps that wait.
+  void BeginPass(std::size_t waiting);
   /// @brief Whether the pass has to end before the next step.
   bool LimitReached() const { return searches_ >= limits_.total; }
   /// @brief Whether the pass leaves out the step, as it is not among the first
@@ -49,8 +51,15 @@
   void Clear() { *this = placement_sweep(limits_); }
 
  private:
+  /// Passes after which the sweep is over in any case.
+  std::size_t MaxPasses() const;
+
   search_limits limits_;
   absl::flat_hash_set<step_ref> looked_at_;
+  /// Most steps that have waited in a pass of the sweep.
+  std::size_t most_waiting_ = 0;
+  /// Passes of the sweep.
+  std::size_t passes_ = 0;
   /// In vain, in this pass.
   std::size_t searches_ = 0;
   bool over_ = false;
--- a/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_interference.cpp
@@ -214,7 +214,7 @@
   }
   for (auto& [run, state] : session.runs) {
     if (state.best_effort_millicores > 0 && !state.stop_wanted &&
-        state.phase == run_phase::kRunning) {
+        !state.unmatched && state.phase == run_phase::kRunning) {
       if (StopsPausedRun(run, state, violation, now)) {
         StopPausedRun(session, run, state, now);
       } else {
--- a/src/skylarkbridge/jobs/fleet_scheduler_pass.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_pass.cpp
@@ -38,7 +38,7 @@
                                               time_point now) {
   const std::vector<ready_step> steps = OrderedReadySteps(now);
   placement_summary summary{.waiting_steps = steps.size()};
-  sweep_.BeginPass();
+  sweep_.BeginPass(steps.size());
   std::size_t remaining = steps.size();
   for (const ready_step& step : steps) {
     if (sweep_.LimitReached()) {
@@ -47,7 +47,9 @@
       return summary;
     }
     --remaining;
-    if (sweep_.PassesOver(step.ref)) {
+    // A long-running step that has begun renews its reservation in each pass.
+    // first_start_patience bounds how long such steps come before others.
+    if (!step.begun_long_running && sweep_.PassesOver(step.ref)) {
       continue;
     }
     sweep_.LookedAt(step.ref);
--- a/src/skylarkbridge/jobs/placement_sweep_test.cpp
+++ b/src/skylarkbridge/jobs/placement_sweep_test.cpp
@@ -20,7 +20,7 @@
 std::vector<step_ref> Pass(placement_sweep& sweep,
                            const std::vector<step_ref>& steps) {
   std::vector<step_ref> looked_at;
-  sweep.BeginPass();
+  sweep.BeginPass(steps.size());
   for (const step_ref& step : steps) {
     if (sweep.LimitReached()) {
       return looked_at;
@@ -88,5 +88,25 @@
   EXPECT_EQ(Pass(sweep, Steps(6)), Steps(6));
 }
 
+// Guards against a step of high rank that is left out for as long as the limit
+// on starts ends each pass before the last step.
+TEST(PlacementSweepTest, ASweepThatDoesNotReachTheEndBeginsAnew) {
+  constexpr std::uint64_t kSteps = 9;
+  constexpr int kPasses = 2 * (9 / 3 + 1);
+  const step_ref skipped = Step(kSteps);
+  placement_sweep sweep(kLimits);
+  sweep.BeginPass(kSteps);
+  sweep.LookedAt(skipped);
+  bool considered = false;
+  for (int pass = 0; pass < kPasses; ++pass) {
+    sweep.BeginPass(kSteps);
+    for (std::size_t search = 0; search < kLimits.in_front; ++search) {
+      sweep.SearchedInVain();
+    }
+    considered |= !sweep.PassesOver(skipped);
+  }
+  EXPECT_TRUE(considered);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
