--- a/src/skylarkbridge/jobs/placement_sweep.cpp
+++ b/src/skylarkbridge/jobs/placement_sweep.cpp
@@ -14,9 +14,8 @@
 }
 
 std::size_t placement_sweep::MaxPasses() const {
-  const std::size_t behind = limits_.total > limits_.in_front
-                                 ? limits_.total - limits_.in_front
-                                 : 1;
+  const std::size_t behind =
+      limits_.total > limits_.in_front ? limits_.total - limits_.in_front : 1;
   return 2 * (most_waiting_ / behind + 1);
 }
 
