Reach the next life of a worker at once while a late start may arrive there

Cause: the owner backed off from a worker that is down, up to 500 ms between two renewals, and waited up to 1.5 s for one that nobody answered, although an order without an answer may act on the next life until a renewal has reached it. A later start time in the list did not lead to an attempt either, and a successor backed off as well.

Change: a silent worker that may still carry out a late start is tried every 20 ms with jitter, all such workers together every 5 ms and never less often than before; a renewal without an answer is sent again beside it after 250 ms; an entry that names a new life makes the owner try at once. The watch survives a gap in the list, and a successor watches all workers for 15 s. The window can't be closed by an owner (LateStartModelTest); it is bounded by the way of one renewal now.

Tests: LateStartWindowTest measured one way of being down, with outages of one length and a bound of 600 ms. It now plays refused connections, swallowed ones and a cut, 17 lengths of outage each, with bounds of 50, 350 and 350 ms. LateStartWatchTest and RenewalRetryTest are new.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -22,6 +22,7 @@
 #include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
+#include "skylarkbridge/jobs/late_start_watch.hpp"
 #include "skylarkbridge/jobs/late_starts.hpp"
 #include "skylarkbridge/jobs/machine_list.hpp"
 #include "skylarkbridge/jobs/orders.hpp"
@@ -229,6 +230,20 @@
 
   // Workers and their reports.
   void Renew(worker_session& session, time_point now);
+  /// When the next renewal is due; nullopt while the answer to the last one is
+  /// awaited.
+  static std::optional<time_point> RenewalDue(const worker_session& session);
+  /// Whether the reply belongs to an open renewal and decides its outcome.
+  static bool IsOpenRenewal(const worker_session& session,
+                            const renew_reply& reply);
+  /// Schedules the next renewal of a worker that has left one unanswered.
+  void RetryRenewal(worker_session& session, time_point now);
+  /// The retries of the worker's renewals so far.
+  silent_worker SilentWorker(const worker_session& session,
+                             time_point now) const;
+  /// Whether a start without an answer, also one that is still under way, may
+  /// reach the worker.
+  bool MayReceiveLateStart(const worker_session& session, time_point now) const;
   /// The number up to which the next renewal acknowledges ended runs; zero for
   /// none.
   static std::uint64_t EndsToAcknowledge(const worker_session& session);
@@ -919,6 +934,7 @@
   /// with the time before which it is not searched again.
   std::map<task_ref, time_point> searched_until_;
   late_starts late_starts_;
+  late_start_watch late_start_watch_;
   unmatched_ends unmatched_ends_;
   /// Some worker_run::unmatched may be set.
   bool has_unmatched_runs_ = false;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -7,6 +7,7 @@
 #include "skylarkbridge/jobs/job_table.hpp"
 #include "skylarkbridge/jobs/permit_cache.hpp"
 #include "skylarkbridge/jobs/placement.hpp"
+#include "skylarkbridge/jobs/renewal_retry.hpp"
 #include "skylarkbridge/jobs/start_limit.hpp"
 
 namespace skylarkbridge::jobs {
@@ -28,8 +29,7 @@
   /// as the answers of a congested link are late but do arrive.
   std::chrono::milliseconds renewal_timeout{500};
   std::chrono::milliseconds max_renewal_timeout{1500};
-  /// Delay after the first unanswered renewal; grows to five times that.
-  std::chrono::milliseconds renewal_retry_delay{100};
+  renewal_retry_options renewal_retry;
   /// Interval of the renewals while ended runs are not durable yet.
   std::chrono::milliseconds unstored_renewal_interval{400};
   /// How long a batch task waits, after the lease of a listed worker has
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -145,7 +145,12 @@
   /// Number of the last renewal.
   std::uint64_t last_renewal = 0;
   bool renewal_under_way = false;
-  /// When and to which address the last renewal was sent.
+  /// Number of the first renewal whose answer counts; the others up to the last
+  /// one were sent again beside it.
+  std::uint64_t first_open_renewal = 1;
+  /// When the renewal under way is sent again; empty to wait for its answer.
+  std::optional<time_point> hedge_renewal_at;
+  /// When the first of the open renewals was sent, and their address.
   time_point renewed_at;
   std::string renewal_address;
   /// Address at which the worker sent its last report; empty before the first.
--- a/src/skylarkbridge/control/replies_fake.hpp
+++ b/src/skylarkbridge/control/replies_fake.hpp
@@ -35,6 +35,13 @@
   reply.result = jobs::order_result::kWrongWorker;
   return reply;
 }
+/// The reply to an order whose connection is refused.
+template <class Order>
+auto RefusedConnectionReply(const Order& order) {
+  auto reply = NoAnswerReply(order);
+  reply.result = jobs::order_result::kNotSent;
+  return reply;
+}
 /// Replaces a reply that is lost at the VM.
 inline platform_reply WithoutAnswer(const platform_reply& reply) {
   if (const auto* const append = std::get_if<append_reply>(&reply)) {
--- a/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
@@ -296,6 +296,15 @@
   const bool answer_lost = late || fleet_.DrawAnswerLost();
   const std::string& worker = order.target.worker;
   const worker_fake* const listener = fleet_.WorkerAt(order.target.address);
+  if (listener == nullptr && fleet_.RefusesConnections() &&
+      fleet_.WorkerReachable(vm_, worker)) {
+    fleet_.ScheduleAfter(fleet_.Delay() + fleet_.Delay(),
+                         [&fleet = fleet_, vm = vm_, incarnation = incarnation_,
+                          reply = RefusedConnectionReply(order)] {
+                           fleet.Deliver(vm, incarnation, reply);
+                         });
+    return;
+  }
   const bool reachable =
       listener != nullptr && fleet_.WorkerReachable(vm_, listener->Id());
   if (answer_lost || !reachable) {
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -268,6 +268,10 @@
     }
     return nullptr;
   }
+  /// @brief Sets whether connections to workers that are down are refused at
+  /// once. Otherwise orders to them get no answer until their deadline.
+  void SetRefuseConnections(bool refuse) { refuse_connections_ = refuse; }
+  bool RefusesConnections() const { return refuse_connections_; }
   /// @brief Sets whether requests for the list of machines get no answer.
   void SetMachineListDown(bool down) { machine_list_down_ = down; }
   /// @brief Number of pages of the list of machines that were served.
@@ -764,6 +768,7 @@
   bool store_down_ = false;
   bool store_refusing_ = false;
   bool machine_list_down_ = false;
+  bool refuse_connections_ = false;
   int machine_pages_served_ = 0;
   std::chrono::milliseconds store_delay_{};
   /// A fault occurred since the last observation of the checker.
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -46,6 +46,10 @@
   next_takeover_report_ = now + options_.takeover_report_interval;
   earlier_orders_until_ = earlier_orders_until;
   earlier_leases_until_ = LatestLeaseExpiry(earlier_orders_until);
+  if (!leased.workers.empty()) {
+    late_start_watch_.AddEarlierOwners(earlier_orders_until +
+                                       options_.max_order_delay);
+  }
   for (const std::string& worker : leased.workers) {
     unreported_workers_[worker].leased_until = earlier_leases_until_;
   }
@@ -106,6 +110,7 @@
   relocated_until_.clear();
   searched_until_.clear();
   late_starts_.Clear();
+  late_start_watch_.Clear();
   unmatched_ends_.Clear();
   has_unmatched_runs_ = false;
   presumed_crashes_.clear();
@@ -193,13 +198,14 @@
   ExpireLeases(now);
   ForgetUnprovedCrashes(now);
   RemoveEndedLateStarts(now);
+  late_start_watch_.RemoveOver(now);
   ReleaseTasksOfEarlierOwners(now);
   ReportDelayedTakeover(now);
   FailExhaustedJobs();
   for (auto& [id, session] : workers_) {
     StopOverdueRuns(session, now);
     SendStops(session, now);
-    if (!session.renewal_under_way && now >= session.next_renewal) {
+    if (const auto due = RenewalDue(session); due && now >= *due) {
       Renew(session, now);
     }
   }
@@ -213,8 +219,8 @@
     return next;
   }
   for (const auto& [id, session] : workers_) {
-    if (!session.renewal_under_way) {
-      next = std::min(next, session.next_renewal);
+    if (const auto due = RenewalDue(session)) {
+      next = std::min(next, *due);
     }
   }
   return next;
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -219,6 +219,7 @@
 void fleet_scheduler::HandleUnansweredStart(worker_session& session,
                                             const start_reply& reply,
                                             time_point now) {
+  late_start_watch_.Add(reply.worker, now + options_.max_order_delay);
   if (reply.fence == session.fence) {
     // Starts with the same token that fail together count once.
     ++session.unanswered_starts;
--- a/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_worker_lives.cpp
@@ -35,6 +35,7 @@
   if (session.confirmed_fence == session.fence) {
     session.fence = NextFence();
     session.first_renewal_of_fence = session.last_renewal + 1;
+    session.first_open_renewal = session.first_renewal_of_fence;
     session.fence_raised_at = now;
     // A renewal that is under way may wait for the end of a run.
     session.renewal_under_way = false;
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -26,6 +26,7 @@
   worker_session& session = position->second;
   const bool starts_draining =
       entry.draining && (added || !session.entry.draining);
+  const bool names_new_life = session.entry.start_time != entry.start_time;
   session.entry = entry;
   session.ReserveForUnknownNeeds();
   if (session.unlisted_since) {
@@ -41,6 +42,11 @@
   if (!session.EntryIsOfThisLife() && *entry.start_time > *session.start_time) {
     // Only the report of the new life shows which runs ended with the old one.
     RaiseFence(session, now);
+    if (names_new_life) {
+      // The last attempt may wait for an answer of the old life.
+      session.next_renewal = now;
+      session.hedge_renewal_at = now;
+    }
   }
   if (starts_draining) {
     Evacuate(session, now);
@@ -117,19 +123,75 @@
       now + renewal.wait +
       std::min(options_.renewal_timeout * (1 + session.failed_renewals),
                options_.max_renewal_timeout);
+  if (!session.renewal_under_way ||
+      session.renewal_address != renewal.target.address) {
+    session.first_open_renewal = renewal.renewal_number;
+    session.renewed_at = now;
+  }
   session.renewal_under_way = true;
-  session.renewed_at = now;
   session.renewal_address = renewal.target.address;
   session.ended_run_under_way = renewal.acknowledged;
+  session.hedge_renewal_at.reset();
+  if (session.failed_renewals > 0 && MayReceiveLateStart(session, now)) {
+    session.hedge_renewal_at =
+        now +
+        RenewalHedgeDelay(options_.renewal_retry, SilentWorker(session, now));
+  }
   orders_.emplace_back(std::move(renewal));
 }
 
+std::optional<time_point> fleet_scheduler::RenewalDue(
+    const worker_session& session) {
+  return session.renewal_under_way ? session.hedge_renewal_at
+                                   : std::optional(session.next_renewal);
+}
+
+bool fleet_scheduler::IsOpenRenewal(const worker_session& session,
+                                    const renew_reply& reply) {
+  if (!session.renewal_under_way || reply.fence != session.fence ||
+      reply.renewal_number < session.first_open_renewal ||
+      reply.renewal_number > session.last_renewal) {
+    return false;
+  }
+  // The failure of a renewal says nothing about one that was sent beside it.
+  return reply.renewal_number == session.last_renewal ||
+         reply.result == order_result::kDone ||
+         reply.result == order_result::kFenced ||
+         reply.result == order_result::kWrongWorker;
+}
+
+void fleet_scheduler::RetryRenewal(worker_session& session, time_point now) {
+  session.next_renewal = now + RenewalRetryDelay(options_.renewal_retry,
+                                                 SilentWorker(session, now));
+}
+
+silent_worker fleet_scheduler::SilentWorker(const worker_session& session,
+                                            time_point now) const {
+  silent_worker silent{.failed_renewals = session.failed_renewals,
+                       .renewal_number = session.last_renewal};
+  if (MayReceiveLateStart(session, now)) {
+    silent.watched = static_cast<std::size_t>(
+        std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
+          return entry.second.failed_renewals > 0 &&
+                 MayReceiveLateStart(entry.second, now);
+        }));
+  }
+  return silent;
+}
+
+bool fleet_scheduler::MayReceiveLateStart(const worker_session& session,
+                                          time_point now) const {
+  return late_start_watch_.IsWatched(session.entry.worker, now) ||
+         std::any_of(session.runs.begin(), session.runs.end(),
+                     [](const auto& run) {
+                       return run.second.phase == run_phase::kStarting;
+                     });
+}
+
 void fleet_scheduler::Handle(const renew_reply& reply, time_point now) {
   // Renewals are numbered from 1 in each ownership and for each session.
   const auto found = workers_.find(reply.worker);
-  if (found == workers_.end() || reply.fence != found->second.fence ||
-      reply.renewal_number != found->second.last_renewal ||
-      !found->second.renewal_under_way) {
+  if (found == workers_.end() || !IsOpenRenewal(found->second, reply)) {
     return;
   }
   worker_session& session = found->second;
@@ -147,8 +209,7 @@
       RaiseFence(session, now);
     }
     ++session.failed_renewals;
-    session.next_renewal = now + options_.renewal_retry_delay *
-                                     std::min(session.failed_renewals, 5);
+    RetryRenewal(session, now);
     if (session.failed_renewals == 1) {
       AddNote(scheduling_event::kWorkerQuiet, {}, reply.worker,
               absl::StrCat("runs ", session.runs.size()));
