Keep the room of tasks that late starts bind, and bound their wait

Cause: a placement pass placed restarts by their wait only, and bound tasks that are no restarts after them; a gang placed free members before bound ones. A bound task without room, or with two unanswered starts, had no way out for 15 s and a lease, although a restart has 6 s.

Change: the room of a bound task is reserved before restarts are placed and released only for the task itself; bound members of a gang choose first. A long-running task that can't start on its worker for 2.5 s is bound no more once the worker refuses its late starts.

Tests: four of LateStartTest are new.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -494,6 +494,21 @@
   step_outcome PlaceStep(const ready_step& ranked,
                          placement_pass& pass,
                          time_point now);
+  /// Keeps room for the ready tasks that late starts bind to their workers, so
+  /// that nothing else gets it before them.
+  void KeepRoomOfBoundTasks(placement_pass& pass, time_point now) const;
+  void KeepRoomOfBoundTask(const task_ref& task,
+                           placement_pass& pass,
+                           time_point now) const;
+  /// Makes the room that was kept for members of a gang available to it.
+  void ReleaseRoomOfGang(const step_ref& ref, placement_pass& pass) const;
+  void KeepRoomOfBoundMembers(const step_ref& ref,
+                              placement_pass& pass,
+                              time_point now) const;
+  /// Moves the members that late starts bind to their workers to the front, as
+  /// the others can start elsewhere.
+  void BoundMembersFirst(const step_ref& ref,
+                         std::vector<std::uint32_t>& members) const;
   /// Places the tasks with late starts that PlaceRestarts does not handle,
   /// ahead of others that could start on any worker. Returns false when some
   /// have to wait.
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -41,6 +41,11 @@
   std::chrono::milliseconds start_validity{1500};
   /// An unanswered order is carried out within this time or never.
   std::chrono::milliseconds max_order_delay{15'000};
+  /// How long a long-running task waits for the worker to which a late start
+  /// binds it.
+  /// With two starts of up to 0.7 s that got no answer it stays under the 6 s
+  /// that a restart may take.
+  std::chrono::milliseconds bound_task_patience{2500};
   /// Longest time that stopping a task takes.
   std::chrono::milliseconds stop_timeout{400};
   /// Delay after a stop order that failed.
--- a/include/skylarkbridge/jobs/late_starts.hpp
+++ b/include/skylarkbridge/jobs/late_starts.hpp
@@ -25,6 +25,10 @@
   time_point runs_until;
   /// Orders without an answer that were sent to this life of the worker.
   int unanswered = 1;
+  /// When the task may start on any worker that has room, if the life of its
+  /// worker that reports refuses the orders. Set once a long-running task
+  /// waits for room there.
+  std::optional<time_point> leaves_at;
   /// Set once the orders can have no effect any more, after so many that the
   /// worker is not chosen for the task before this time.
   std::optional<time_point> avoided_until;
@@ -48,6 +52,9 @@
   const late_start* Find(const task_ref& task) const;
   /// @brief The late start that binds a task to its worker; null without one.
   const late_start* FindBinding(const task_ref& task) const;
+  /// @brief Sets late_start::leaves_at of a task that a late start binds,
+  /// unless it is set.
+  void LeaveAt(const task_ref& task, time_point leaves_at);
   /// @brief Counts the unanswered orders to the worker anew, as its next life
   /// may answer.
   void WorkerRestarted(const std::string& worker);
--- a/include/skylarkbridge/jobs/placement.hpp
+++ b/include/skylarkbridge/jobs/placement.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -87,7 +88,7 @@
 /// @param previous worker of the last reservation; empty for none.
 std::optional<std::size_t> ChooseWorkerToReserve(
     const step_spec& step,
-    const std::vector<placement_candidate>& candidates,
+    std::span<const placement_candidate> candidates,
     const std::string& previous);
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
@@ -2,8 +2,10 @@
 // worker, although the life that has reported refuses it. Until it can arrive
 // no more, its task starts only on that worker. A worker that answers renewals
 // but no start would so keep the task without end: after kMaxUnanswered orders
-// it gets no more, and then the task starts elsewhere.
+// it gets no more, and then the task starts elsewhere. A long-running
+// task waits for its worker no longer than bound_task_patience.
 #include <algorithm>
+#include <cstdint>
 #include <vector>
 
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
@@ -62,8 +64,10 @@
   const bool answered_since =
       session.RefusesLateOrders() &&
       session.answered_renewal_sent_at >= start.arrives_by;
+  const bool leaves =
+      session.RefusesLateOrders() && start.leaves_at && now >= *start.leaves_at;
   // A worker that drains ends and does not start again.
-  return session.entry.draining || answered_since;
+  return session.entry.draining || answered_since || leaves;
 }
 
 bool fleet_scheduler::MayRepeatStart(const late_start& start,
@@ -106,6 +110,57 @@
   return candidates;
 }
 
+void fleet_scheduler::KeepRoomOfBoundTasks(placement_pass& pass,
+                                           time_point now) const {
+  for (const auto& entry : late_starts_.All()) {
+    KeepRoomOfBoundTask(entry.first, pass, now);
+  }
+}
+
+void fleet_scheduler::KeepRoomOfBoundTask(const task_ref& task,
+                                          placement_pass& pass,
+                                          time_point now) const {
+  const late_start* late = late_starts_.FindBinding(task);
+  const step_ref ref = StepOf(task);
+  const step_spec* step = jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  const task_state* state = jobs_.Find(task);
+  if (late == nullptr || step == nullptr || queue == nullptr ||
+      state == nullptr || state->phase != task_phase::kReady ||
+      pass.reserved_workers.contains(task)) {
+    return;
+  }
+  std::vector<placement_candidate> candidates =
+      LateStartCandidates(*late, ref, *step, *queue, pass, now);
+  ReserveRoom(task, *step, candidates, pass);
+}
+
+void fleet_scheduler::ReleaseRoomOfGang(const step_ref& ref,
+                                        placement_pass& pass) const {
+  for (std::uint32_t index = 0; index < jobs_.Find(ref)->tasks.size();
+       ++index) {
+    ReleaseKeptRoom(TaskOf(ref, index), pass);
+  }
+}
+
+void fleet_scheduler::KeepRoomOfBoundMembers(const step_ref& ref,
+                                             placement_pass& pass,
+                                             time_point now) const {
+  for (std::uint32_t index = 0; index < jobs_.Find(ref)->tasks.size();
+       ++index) {
+    KeepRoomOfBoundTask(TaskOf(ref, index), pass, now);
+  }
+}
+
+void fleet_scheduler::BoundMembersFirst(
+    const step_ref& ref,
+    std::vector<std::uint32_t>& members) const {
+  std::stable_partition(
+      members.begin(), members.end(), [this, &ref](std::uint32_t index) {
+        return late_starts_.FindBinding(TaskOf(ref, index)) != nullptr;
+      });
+}
+
 bool fleet_scheduler::PlaceTasksWithLateStarts(placement_pass& pass,
                                                time_point now) {
   bool all_placed = true;
@@ -122,10 +177,15 @@
         std::find(ready.begin(), ready.end(), task.index) == ready.end()) {
       continue;
     }
+    ReleaseKeptRoom(task, pass);
     std::vector<placement_candidate> candidates =
         LateStartCandidates(late, ref, *step, *queue, pass, now);
     all_placed &= PlaceOnCandidates({.ref = ref}, *step, *queue, {task.index},
                                     candidates, now);
+    if (step->long_running && state->phase == task_phase::kReady) {
+      late_starts_.LeaveAt(task, now + options_.bound_task_patience);
+    }
+    KeepRoomOfBoundTask(task, pass, now);
   }
   return all_placed;
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts_test.cpp
@@ -303,5 +303,106 @@
   EXPECT_EQ(driver.starts.size(), 4U);
 }
 
+// Guards against a long-running task that waits until its start can't arrive
+// any more (LOST after 15 s): in the pass that bound it to its worker, another
+// restart took the room there.
+TEST(LateStartTest, ABoundRestartKeepsItsRoomFromOtherRestarts) {
+  lives_driver driver;
+  driver.Join("w1", 1000);
+  const step_spec lasting{
+      .count = 1, .need = {.millicores = 600}, .long_running = true};
+  driver.Submit(job_id{2}, lasting);
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.Join("w0", 1000);
+  driver.Submit(kJob, lasting);
+  const sent_orders sent = driver.RunUnanswered();
+  ASSERT_EQ(sent.starts.size(), 1U);
+  ASSERT_EQ(sent.starts[0].target.worker, "w0");
+  for (const renew_order& renewal : sent.renewals) {
+    driver.AnswerRenewal(renewal);
+  }
+  driver.Answer(sent.starts[0], order_result::kNoAnswer);
+  // The other task has waited longer for room when w0 answers.
+  driver.silent_worker = "w0";
+  driver.List("w1", kFirstLife, 500);
+  driver.EndRun(driver.starts.front().run, run_end::kFailed);
+  for (int pass = 0; pass < 15; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  driver.silent_worker = "";
+  for (int pass = 0; pass < 5; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  EXPECT_EQ(driver.LastRun({kJob, 0, 0, 0}).run, sent.starts[0].run.run + 1);
+}
+
+// As above, where the room is gone in another way: the task waited 15 s for it
+// while another worker had room.
+TEST(LateStartTest, ABoundRestartLeavesAWorkerWithoutRoom) {
+  lives_driver driver;
+  driver.Join("w0", 1000);
+  driver.Submit(
+      kJob, {.count = 1, .need = {.millicores = 600}, .long_running = true});
+  const sent_orders sent = driver.RunUnanswered();
+  ASSERT_EQ(sent.starts.size(), 1U);
+  driver.Answer(sent.starts[0], order_result::kNoAnswer);
+  const time_point lost_at = driver.now;
+  driver.List("w0", kFirstLife, 500);
+  driver.Join("w1", 1000);
+  // A short wait is worth it, as the start may still arrive.
+  while (driver.now < lost_at + seconds(2)) {
+    ASSERT_TRUE(driver.starts.empty());
+    driver.Pass(milliseconds(100));
+  }
+  while (driver.starts.empty() && driver.now < lost_at + seconds(6)) {
+    driver.Pass(milliseconds(100));
+  }
+  ASSERT_EQ(driver.starts.size(), 1U);
+  EXPECT_EQ(driver.starts[0].target.worker, "w1");
+}
+
+// Guards against a long-running task that waits 15 s more for a worker which
+// has left two of its starts unanswered.
+TEST(LateStartTest, ABoundRestartLeavesAfterTwoUnansweredStarts) {
+  late_start_driver driver(
+      {.count = 1, .need = {.millicores = 600}, .long_running = true}, "",
+      "w0");
+  const time_point lost_at = driver.now;
+  while (driver.StartsOn("w1") == 0 && driver.now < lost_at + seconds(6)) {
+    driver.Pass(milliseconds(100));
+  }
+  EXPECT_EQ(driver.unanswered_starts.size(), 1U);
+  EXPECT_EQ(driver.StartsOn("w1"), 1U);
+}
+
+// Guards against a gang that waits 15 s as a member that may start anywhere is
+// put on the only worker of one that a late start binds.
+TEST(LateStartTest, AFreeMemberOfAGangLeavesTheRoomOfABoundOne) {
+  lives_driver driver;
+  driver.Join("w0", 1100);
+  driver.Join("w1", 1000);
+  driver.Submit(kJob, {.count = 2, .need = {.millicores = 600}, .gang = true});
+  const sent_orders sent = driver.RunUnanswered();
+  ASSERT_EQ(sent.starts.size(), 2U);
+  ASSERT_EQ(sent.starts[0].target.worker, "w0");
+  for (const renew_order& renewal : sent.renewals) {
+    driver.AnswerRenewal(renewal);
+  }
+  driver.Answer(sent.starts[0], order_result::kDone);
+  driver.Answer(sent.starts[1], order_result::kNoAnswer);
+  // So the first member prefers the idle worker of the other one.
+  driver.Submit(job_id{2}, {.count = 1, .need = {.millicores = 100}});
+  driver.Pass(milliseconds(100));
+  // A worker ends a member that waits for the others in vain.
+  driver.EndRun(sent.starts[0].run, run_end::kGangIncomplete);
+  for (int pass = 0; pass < 10; ++pass) {
+    driver.Pass(milliseconds(500));
+  }
+  EXPECT_EQ(driver.starts.size(), 4U);
+  EXPECT_EQ(driver.LastRun({kJob, 0, 0, 1}).run, sent.starts[1].run.run + 1);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/fleet_scheduler_pass.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_pass.cpp
@@ -17,6 +17,7 @@
   const std::vector<leaving_run> leaving = LeavingRuns();
   KeepRoomOfLeavingRuns(leaving, pass, now);
   KeepRoomOfRelocatedRuns(pass, now);
+  KeepRoomOfBoundTasks(pass, now);
   bool restarts_placed = PlaceRestarts(pass, now);
   restarts_placed &= PlaceLeavingRuns(leaving, pass, now);
   restart_room_ = pass.reserved_room;
--- a/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_placement.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <span>
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
@@ -174,16 +176,25 @@
     const step_spec& step,
     std::vector<placement_candidate>& candidates,
     placement_pass& pass) const {
+  std::span<placement_candidate> allowed = candidates;
+  if (const late_start* late = late_starts_.FindBinding(task)) {
+    const auto bound =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [late](const placement_candidate& candidate) {
+                       return candidate.session->entry.worker == late->worker;
+                     });
+    allowed = {bound, bound == candidates.end() ? bound : std::next(bound)};
+  }
   const auto previous_worker = reserved_workers_.find(task);
   const auto chosen = ChooseWorkerToReserve(
-      step, candidates,
+      step, allowed,
       previous_worker == reserved_workers_.end() ? ""
                                                  : previous_worker->second);
   if (!chosen) {
     return nullptr;
   }
-  ReserveRoomOn(candidates[*chosen], task, step, pass);
-  return &candidates[*chosen];
+  ReserveRoomOn(allowed[*chosen], task, step, pass);
+  return &allowed[*chosen];
 }
 
 void fleet_scheduler::ReserveRoomOn(placement_candidate& candidate,
@@ -284,6 +295,9 @@
     pass.expects_restarts = true;
     ReserveForExpectedRestarts(pass, now);
   }
+  if (step->gang) {
+    ReleaseRoomOfGang(ref, pass);
+  }
   std::vector<placement_candidate>& candidates =
       CandidatesForStep(ref, *step, *queue, pass, now);
   step_outcome outcome = step_outcome::kUnplaced;
@@ -294,6 +308,9 @@
   if (limited) {
     outcome = step_outcome::kUnplaced;
   }
+  if (step->gang) {
+    KeepRoomOfBoundMembers(ref, pass, now);
+  }
   if (ranked.begun_long_running && !step->gang &&
       !queue->HasPlacementPolicy()) {
     for (const std::uint32_t index : TasksToPlace(ref, *step, now)) {
@@ -459,9 +476,11 @@
     trial_sessions.push_back(*candidate.session);
     candidate.session = &trial_sessions.back();
   }
+  std::vector<std::uint32_t> members = ready;
+  BoundMembersFirst(ref, members);
   std::vector<std::string> chosen_workers;
   run_number run = 0;
-  for (const std::uint32_t index : ready) {
+  for (const std::uint32_t index : members) {
     const late_start* late = late_starts_.FindBinding(TaskOf(ref, index));
     if (late != nullptr) {
       const auto worker = workers_.find(late->worker);
@@ -484,9 +503,9 @@
     chosen_workers.push_back(trial_sessions[*chosen].entry.worker);
     run = std::max(run, jobs_.NextRun(TaskOf(ref, index), epoch_));
   }
-  for (std::size_t member = 0; member < ready.size(); ++member) {
+  for (std::size_t member = 0; member < members.size(); ++member) {
     StartTask(workers_.find(chosen_workers[member])->second, step,
-              {TaskOf(ref, ready[member]), run}, now);
+              {TaskOf(ref, members[member]), run}, now);
   }
   return true;
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -77,6 +77,9 @@
                                           : restart_obstacle::kUnstoredEnd;
   }
   pass.blocked_restarts[restart.task] = blocked;
+  if (may_restart) {
+    late_starts_.LeaveAt(restart.task, now + options_.bound_task_patience);
+  }
   const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
   const placement_candidate* reserved_on = ReserveRoom(
       restart.task, *step, permitted.empty() ? candidates : permitted, pass);
@@ -111,6 +114,7 @@
   if (queue == nullptr) {
     return true;
   }
+  ReleaseRoomOfGang(ref, pass);
   std::vector<placement_candidate> candidates =
       CandidatesForStep(ref, step, *queue, pass, now);
   const std::vector<std::uint32_t> ready = jobs_.ReadyTasks(ref, now);
@@ -119,6 +123,10 @@
       PlaceOnCandidates({.ref = ref}, step, *queue, ready, candidates, now)) {
     return true;
   }
+  for (const std::uint32_t index : ready) {
+    late_starts_.LeaveAt(TaskOf(ref, index),
+                         now + options_.bound_task_patience);
+  }
   if (queue->HasPlacementPolicy()) {
     candidates = Permitted(ref, candidates, now);
   }
@@ -137,13 +145,16 @@
     std::vector<placement_candidate>& candidates,
     placement_pass& pass) const {
   const std::vector<task_state>& tasks = jobs_.Find(ref)->tasks;
+  std::vector<std::uint32_t> members;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    if (tasks[index].phase == task_phase::kReady &&
-        ReserveRoom(TaskOf(ref, index), step, candidates, pass) == nullptr) {
-      return false;
+    if (tasks[index].phase == task_phase::kReady) {
+      members.push_back(index);
     }
   }
-  return true;
+  BoundMembersFirst(ref, members);
+  return std::all_of(members.begin(), members.end(), [&](std::uint32_t index) {
+    return ReserveRoom(TaskOf(ref, index), step, candidates, pass) != nullptr;
+  });
 }
 
 void fleet_scheduler::PreemptForGang(
--- a/src/skylarkbridge/jobs/late_starts.cpp
+++ b/src/skylarkbridge/jobs/late_starts.cpp
@@ -28,6 +28,14 @@
   return found != nullptr && found->Binds() ? found : nullptr;
 }
 
+void late_starts::LeaveAt(const task_ref& task, time_point leaves_at) {
+  const auto entry = starts_.find(task);
+  if (entry != starts_.end() && entry->second.Binds() &&
+      !entry->second.leaves_at) {
+    entry->second.leaves_at = leaves_at;
+  }
+}
+
 void late_starts::WorkerRestarted(const std::string& worker) {
   for (auto& [task, start] : starts_) {
     if (start.worker == worker) {
--- a/src/skylarkbridge/jobs/placement.cpp
+++ b/src/skylarkbridge/jobs/placement.cpp
@@ -118,7 +118,7 @@
 
 std::optional<std::size_t> ChooseWorkerToReserve(
     const step_spec& step,
-    const std::vector<placement_candidate>& candidates,
+    std::span<const placement_candidate> candidates,
     const std::string& previous) {
   const resources need = ReservedResources(step);
   // Orders the workers that qualify; the largest is chosen.
