--- a/src/skylarkbridge/jobs/late_start_watch_test.cpp
+++ b/src/skylarkbridge/jobs/late_start_watch_test.cpp
@@ -65,6 +65,7 @@
   }
 };
 
+// Guards against a watch that the end of an earlier late start cuts short.
 TEST(LateStartWatchTest, AWorkerIsWatchedUntilItsLastLateStartArrives) {
   late_start_watch watch;
   const time_point now{seconds(1000)};
