Keep the case of the letters of a job's id

Callers saw: a job whose id differs from that of another one only in the case of a letter was answered as known and never ran, and workers got the name of a task in small letters. Cause: an id was kept as its number only. Change: it also keeps which digits are capitals, so that it is formatted as its caller wrote it. Result: two of the three cases of IdsTest fail on the former code and pass; jobs_test and records_test pass.

--- a/include/skylarkbridge/jobs/ids.hpp
+++ b/include/skylarkbridge/jobs/ids.hpp
@@ -4,16 +4,27 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "skylarkbridge/base/strong_id.hpp"
-
 namespace skylarkbridge::jobs {
 
-/// @brief Identifier that the caller chose for a job.
-using job_id = strong_id<struct job_tag>;
+/// @brief Identifier that the caller chose for a job: sixteen hexadecimal
+/// digits. Two that differ only in the case of a letter are different.
+struct job_id {
+  std::uint64_t value = 0;
+  /// Bit N is set if the digit of weight 16^N is a capital letter.
+  std::uint16_t capitals = 0;
+
+  auto operator<=>(const job_id&) const = default;
+
+  template <class H>
+  friend H AbslHashValue(H hash, const job_id& id) {
+    return H::combine(std::move(hash), id.value, id.capitals);
+  }
+};
 
 /// @brief Number of a cell, which is a part of the fleet with its own owner.
 using cell_id = std::uint32_t;
@@ -56,9 +67,13 @@
   }
 };
 
-/// @brief Formats an identifier as sixteen lower-case hexadecimal digits.
+/// @brief Formats an identifier as its caller wrote it.
 std::string Format(job_id id);
 
+inline std::ostream& operator<<(std::ostream& out, job_id id) {
+  return out << Format(id);
+}
+
 /// @brief Parses sixteen hexadecimal digits; nullopt for any other text.
 std::optional<job_id> ParseJobId(std::string_view text);
 
--- a/src/skylarkbridge/jobs/ids.cpp
+++ b/src/skylarkbridge/jobs/ids.cpp
@@ -3,7 +3,9 @@
 #include <array>
 #include <charconv>
 #include <cstddef>
+#include <cstdint>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
 namespace skylarkbridge::jobs {
@@ -18,10 +20,21 @@
   return error == std::errc{} && stop == end && !text.empty();
 }
 
+/// The bit of job_id::capitals for the digit at a position of the text.
+std::uint16_t CapitalBit(std::size_t position) {
+  return static_cast<std::uint16_t>(1U << (kJobIdDigits - 1 - position));
+}
+
 }  // namespace
 
 std::string Format(job_id id) {
-  return absl::StrCat(absl::Hex(id.value, absl::kZeroPad16));
+  std::string text = absl::StrCat(absl::Hex(id.value, absl::kZeroPad16));
+  for (std::size_t position = 0; position < text.size(); ++position) {
+    if ((id.capitals & CapitalBit(position)) != 0) {
+      text[position] = absl::ascii_toupper(text[position]);
+    }
+  }
+  return text;
 }
 
 std::optional<job_id> ParseJobId(std::string_view text) {
@@ -29,6 +42,11 @@
   if (text.size() != kJobIdDigits || !ParseNumber(text, id.value, 16)) {
     return std::nullopt;
   }
+  for (std::size_t position = 0; position < text.size(); ++position) {
+    if (absl::ascii_isupper(text[position])) {
+      id.capitals |= CapitalBit(position);
+    }
+  }
   return id;
 }
 
