Name what a long-running gang waits for

A placement pass recorded nothing for the members of a gang that it did not place, so that restart_delayed of a gang had no waited_for, and its start_ordered said "nothing". PlaceGangRestart now records the obstacle of each waiting member: what ObstacleOf finds when all members are ready, the binding of a late start, and for a gang that is not complete yet the retry delay, the end that is not stored, or the new obstacle "gang", other members that can't start.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -653,6 +653,14 @@
   bool PlaceGangRestart(const waiting_restart& first,
                         placement_pass& pass,
                         time_point now);
+  /// Why a gang whose members are not all ready is not placed.
+  /// @param first the member that has waited longest.
+  static restart_obstacle ObstacleOfIncompleteGang(const waiting_restart& first,
+                                                   time_point now);
+  /// Records why the members of a gang that wait were not started.
+  void BlockGang(const step_ref& ref,
+                 restart_obstacle obstacle,
+                 placement_pass& pass) const;
   /// Returns false when some member of the gang can have no room.
   bool ReserveRoomForGang(const step_ref& ref,
                           const step_spec& step,
--- a/include/skylarkbridge/jobs/restart_cause.hpp
+++ b/include/skylarkbridge/jobs/restart_cause.hpp
@@ -32,6 +32,8 @@
   /// A start of the task got no answer, and its worker, on which alone the task
   /// may start, does not get new tasks or has no room.
   kLateStart,
+  /// Other members of its gang can't start yet.
+  kGangMembers,
 };
 
 /// @brief What has changed on the chosen worker since the last placement pass
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -112,6 +112,8 @@
       return "isolation";
     case restart_obstacle::kLateStart:
       return "late_start";
+    case restart_obstacle::kGangMembers:
+      return "gang";
   }
   return "unknown";
 }
--- a/src/skylarkbridge/jobs/fleet_scheduler_reports.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_reports.cpp
@@ -26,6 +26,32 @@
   return restart_obstacle::kRoom;
 }
 
+restart_obstacle fleet_scheduler::ObstacleOfIncompleteGang(
+    const waiting_restart& first,
+    time_point now) {
+  if (now < first.not_before) {
+    return restart_obstacle::kRetryDelay;
+  }
+  return first.end_stored ? restart_obstacle::kGangMembers
+                          : restart_obstacle::kUnstoredEnd;
+}
+
+void fleet_scheduler::BlockGang(const step_ref& ref,
+                                restart_obstacle obstacle,
+                                placement_pass& pass) const {
+  const std::vector<task_state>& tasks = jobs_.Find(ref)->tasks;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    if (tasks[index].phase != task_phase::kReady) {
+      continue;
+    }
+    const task_ref task = TaskOf(ref, index);
+    const bool bound = late_starts_.FindBinding(task) != nullptr;
+    pass.blocked_restarts[task] = {
+        .obstacle = bound ? restart_obstacle::kLateStart : obstacle,
+        .pass = last_pass_};
+  }
+}
+
 restart_cause fleet_scheduler::CauseOfRestart(
     const task_ref& task,
     const worker_session& session) const {
--- a/src/skylarkbridge/jobs/fleet_scheduler_reports_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_reports_test.cpp
@@ -195,6 +195,39 @@
   EXPECT_EQ(reported->obstacle, restart_obstacle::kPlacementPolicy);
 }
 
+// Guards against gangs whose lines name nothing that they wait for.
+TEST(FleetSchedulerReportsTest, NamesWhatAGangLacks) {
+  scheduler_driver driver;
+  driver.Begin();
+  driver.AddWorker("w0", 3000);
+  driver.AddWorker("w1", 3000);
+  driver.RunRounds();
+  driver.Submit(kRestartingJob, {.count = 2,
+                                 .need = {.millicores = 2000},
+                                 .gang = true,
+                                 .long_running = true});
+  driver.RunRounds();
+  ASSERT_EQ(driver.starts.size(), 2U);
+  driver.DrainWorker("w0", 3000);
+  for (const start_order& start : std::vector(driver.starts)) {
+    driver.EndRun(start.run, run_end::kStopped);
+  }
+  for (int pass = 0; pass < 20; ++pass) {
+    driver.Pass(milliseconds(100));
+  }
+  const std::vector<scheduling_note> delays =
+      NotesOf(driver, scheduling_event::kRestartDelayed);
+  ASSERT_EQ(delays.size(), 2U);
+  for (const scheduling_note& note : delays) {
+    ASSERT_TRUE(note.restart_cause);
+    EXPECT_EQ(note.restart_cause->obstacle, restart_obstacle::kRoom);
+  }
+  driver.AddWorker("w2", 3000);
+  const auto cause = CauseOfNextStart(driver);
+  ASSERT_TRUE(cause);
+  EXPECT_EQ(cause->obstacle, restart_obstacle::kRoom);
+}
+
 TEST(FleetSchedulerReportsTest, NamesTheUnreportedWorkersOfAnEarlierOwner) {
   scheduler_driver driver;
   driver.registry.Apply(
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -127,8 +127,16 @@
     late_starts_.LeaveAt(TaskOf(ref, index),
                          now + options_.bound_task_patience);
   }
+  std::vector<placement_candidate> permitted;
+  if (queue->HasPlacementPolicy()) {
+    permitted = Permitted(ref, candidates, now);
+  }
+  BlockGang(ref,
+            complete ? ObstacleOf(step, *queue, candidates, permitted)
+                     : ObstacleOfIncompleteGang(first, now),
+            pass);
   if (queue->HasPlacementPolicy()) {
-    candidates = Permitted(ref, candidates, now);
+    candidates = std::move(permitted);
   }
   const auto waited =
       complete ? WaitForRoom(first, now) : std::chrono::milliseconds(0);
