Account the wait of each long-running task to stages

The whole wait of a task that lasts had no account: waited_for names what the last pass lacked, and a wait made of several stages, or one that has not ended, could not be told from others.

restart_stages accounts each wait from the end of the run, or for a task that has never run from the first pass without room, until a worker confirms the next start. What a pass lacked is the stage until the next pass; a start order under way, a takeover and an owner that may give no orders are stages of their own. An account ends with a confirmed start, a cancelled or failed job, or a move to another cell.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -36,6 +36,7 @@
 #include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
+#include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/start_limit.hpp"
 #include "skylarkbridge/jobs/stated_room.hpp"
@@ -208,6 +209,15 @@
   std::size_t WaitingRestarts() const;
   /// @brief How long the one that waits longest has waited; zero without one.
   std::chrono::milliseconds LongestRestartWait(time_point now) const;
+  /// @brief By stage, the longest time that one of the long-running tasks that
+  /// wait has spent in it so far. During a takeover also those count of which
+  /// it is not known whether they run.
+  restart_stage_times LongestRestartStages(time_point now) const;
+  /// @brief Number of long-running tasks whose wait is accounted to stages.
+  std::size_t AccountedRestarts() const { return restart_stages_.Size(); }
+  /// @brief Returns the waits by stage that have ended since the last call, and
+  /// counts those that have exceeded a limit.
+  restart_stage_report TakeRestartStages() { return restart_stages_.Take(); }
   /// @brief Number of workers of an earlier owner that have not sent a report.
   std::size_t UnreportedWorkers() const { return unreported_workers_.size(); }
   /// @brief How long tasks have waited for these; zero without one.
@@ -707,6 +717,18 @@
                                const worker_session& session) const;
   restart_release ReleaseOf(const worker_session& session,
                             std::uint64_t blocked_pass) const;
+  /// Begins to account a wait to its stages, unless it is known.
+  /// @param since when the last run ended, as waiting_restart::since.
+  void BeginRestartStages(const task_ref& task, time_point since);
+  /// Enters the stages that the last placement pass has found.
+  void EnterBlockedStages(time_point now);
+  /// No task can start, as this owner may give no orders.
+  void EnterOwnershipStage(time_point now);
+  /// Counts the waits up to now and removes those that are over.
+  void UpdateRestartStages(time_point now);
+  restart_wait_outcome OutcomeOfWait(const task_ref& task) const;
+  /// Whether a worker has confirmed that it runs the task.
+  bool HasConfirmedRun(const task_ref& task, const task_state& state) const;
   /// Leaves room for the long-running tasks on silent workers, which have to
   /// restart elsewhere unless the worker comes back.
   void ReserveForExpectedRestarts(placement_pass& pass, time_point now) const;
@@ -945,6 +967,7 @@
   std::map<task_ref, blocked_restart> blocked_restarts_;
   /// Kept when a start is refused, as the wait goes on.
   std::map<task_ref, restart_wait> restart_waits_;
+  restart_stages restart_stages_;
   /// Tasks of long-running steps that have begun, without a run and without
   /// room, each with the time from which it waits as a restart does.
   std::map<task_ref, time_point> first_start_deadlines_;
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -8,6 +8,7 @@
 #include "skylarkbridge/jobs/delegation_obstacle.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
+#include "skylarkbridge/jobs/restart_stages.hpp"
 
 namespace skylarkbridge::jobs {
 
@@ -91,6 +92,8 @@
   std::optional<std::chrono::milliseconds> restart_wait;
   /// For the same, and for a restart that is delayed.
   std::optional<jobs::restart_cause> restart_cause;
+  /// For the same: the stage in which the task has waited longest so far.
+  std::optional<longest_restart_stage> longest_stage;
   /// For a restart that is delayed: why no other cell runs the task.
   std::optional<jobs::delegation_obstacle> delegation_obstacle;
   /// For the reported end of a run of a cancelled job: the time since this VM
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -105,6 +105,7 @@
   returns_.Clear();
   blocked_restarts_.clear();
   restart_waits_.clear();
+  restart_stages_.Clear();
   first_start_deadlines_.clear();
   relocations_.clear();
   relocated_until_.clear();
@@ -191,6 +192,7 @@
   }
   ReportDelayedCancels(now);
   if (now >= orders_until_) {
+    EnterOwnershipStage(now);
     return;
   }
   jobs_.StartDue(wall);
@@ -210,6 +212,7 @@
     }
   }
   PlaceReadySteps(now);
+  UpdateRestartStages(now);
   ReportDelayedRestarts(now);
 }
 
@@ -373,6 +376,9 @@
   for (const task_ref& task : released) {
     blocked_restarts_[task] = {.obstacle = restart_obstacle::kUnreportedWorkers,
                                .pass = last_pass_};
+    restart_stages_.Begin(task, *jobs_.Find(task)->last_run_ended_at,
+                          restart_stage::kTakeover);
+    restart_stages_.Enter(task, restart_stage::kNextPass, now);
   }
   const auto waited =
       std::chrono::floor<std::chrono::milliseconds>(now - ownership_begun_at_);
--- a/src/skylarkbridge/jobs/fleet_scheduler_pass.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_pass.cpp
@@ -26,6 +26,7 @@
   CountPass(last_summary_);
   reserved_workers_ = std::move(pass.reserved_workers);
   blocked_restarts_ = std::move(pass.blocked_restarts);
+  EnterBlockedStages(now);
   // While steps are ready, each call of Run starts a pass. After a pass that
   // left steps or restarts unplaced, the next one waits for pass_interval,
   // which limits the cost of a long backlog.
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -191,8 +191,12 @@
     const task_ref task = TaskOf(ref, index);
     const auto [deadline, added] = first_start_deadlines_.try_emplace(
         task, now + options_.first_start_patience);
+    if (added) {
+      restart_stages_.EnterFirstStart(task, now);
+    }
     if (now >= deadline->second) {
       jobs_.WaitAsRestart(task, now);
+      restart_stages_.ContinueAsRestart(task, now);
       first_start_deadlines_.erase(deadline);
       placement_pending_ = true;
     }
@@ -440,6 +444,7 @@
   if (blocked != blocked_restarts_.end()) {
     notes_.back().restart_cause = {.obstacle = blocked->second.obstacle};
   }
+  notes_.back().longest_stage = restart_stages_.Longest(restart.task);
   if (queue != nullptr) {
     notes_.back().delegation_obstacle =
         DelegationObstacle(restart, step, *queue, now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -114,8 +114,10 @@
       restart_wait = std::chrono::floor<std::chrono::milliseconds>(
           now - *task->last_run_ended_at);
       cause = CauseOfRestart(run.task, session);
+      BeginRestartStages(run.task, *task->last_run_ended_at);
     }
   }
+  restart_stages_.Enter(run.task, restart_stage::kStartOrder, now);
   IsolateSuspect(session, run, state, now);
   jobs_.RecordStart(run, session.entry.worker);
   start_limit_.Sent(run, now);
@@ -127,6 +129,9 @@
                        step.need.millicores));
   notes_.back().restart_wait = restart_wait;
   notes_.back().restart_cause = cause;
+  if (cause) {
+    notes_.back().longest_stage = restart_stages_.Longest(run.task);
+  }
 }
 
 void fleet_scheduler::SendStart(worker_session& session,
