--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -127,8 +127,16 @@
     late_starts_.LeaveAt(TaskOf(ref, index),
                          now + options_.bound_task_patience);
   }
+  std::vector<placement_candidate> permitted;
   if (queue->HasPlacementPolicy()) {
-    candidates = Permitted(ref, candidates, now);
+    permitted = Permitted(ref, candidates, now);
+  }
+  BlockGang(ref,
+            complete ? ObstacleOf(step, *queue, candidates, permitted)
+                     : ObstacleOfIncompleteGang(first, now),
+            pass);
+  if (queue->HasPlacementPolicy()) {
+    candidates = std::move(permitted);
   }
   const auto waited =
       complete ? WaitForRoom(first, now) : std::chrono::milliseconds(0);
@@ -183,8 +191,12 @@
     const task_ref task = TaskOf(ref, index);
     const auto [deadline, added] = first_start_deadlines_.try_emplace(
         task, now + options_.first_start_patience);
+    if (added) {
+      restart_stages_.EnterFirstStart(task, now);
+    }
     if (now >= deadline->second) {
       jobs_.WaitAsRestart(task, now);
+      restart_stages_.ContinueAsRestart(task, now);
       first_start_deadlines_.erase(deadline);
       placement_pending_ = true;
     }
@@ -432,6 +444,7 @@
   if (blocked != blocked_restarts_.end()) {
     notes_.back().restart_cause = {.obstacle = blocked->second.obstacle};
   }
+  notes_.back().longest_stage = restart_stages_.Longest(restart.task);
   if (queue != nullptr) {
     notes_.back().delegation_obstacle =
         DelegationObstacle(restart, step, *queue, now);
