Repeat refused connections to watched workers in the traffic thread

Cause: each attempt to reach the next life of a worker with a late start took a timer of the control thread, a pass of the whole control state, the way to the traffic thread, and the failure's way back, before the next pause began.

Change: a renewal to such a worker carries a time until which the HTTP client goes on trying to connect, beyond the next renewal. The attempts of all such requests share one turn per 5 ms, which runs from turn to turn. A renewal that extends a lease or acknowledges ends is not repeated so, and none is where its turns would be rarer than its usual retries. The control state's own retries are unchanged, so that the schedules of the explorers are, too.

--- a/include/skylarkbridge/jobs/orders.hpp
+++ b/include/skylarkbridge/jobs/orders.hpp
@@ -38,6 +38,9 @@
   std::chrono::milliseconds wait{};
   /// A later answer counts as none.
   time_point answer_by;
+  /// Until then the sender may go on trying to open a connection. Empty: the
+  /// renewal fails when the first attempt does.
+  std::optional<time_point> reconnect_until;
 };
 
 /// @brief Starts a run of a task.
--- a/include/skylarkbridge/jobs/renewal_retry.hpp
+++ b/include/skylarkbridge/jobs/renewal_retry.hpp
@@ -19,6 +19,9 @@
   /// A renewal to such a worker that has no answer after this time is sent
   /// again beside it, as its packets may have been lost while nobody listened.
   std::chrono::milliseconds hedge_delay{250};
+  /// How long the connection attempts of a renewal go on beside the next one,
+  /// so that a control thread which is late leaves no gap between the two.
+  std::chrono::milliseconds reconnect_overlap{100};
 };
 
 /// @brief A worker whose last renewal got no answer.
@@ -43,6 +46,12 @@
     const renewal_retry_options& options,
     const silent_worker& worker);
 
+/// @brief Whether the sender of a renewal to a watched worker repeats the
+/// connection attempts that fail. Not with so many of them that each would be
+/// tried less often than without the watch.
+bool ReconnectsForRenewal(const renewal_retry_options& options,
+                          const silent_worker& worker);
+
 }  // namespace skylarkbridge::jobs
 
 #endif  // SKYLARKBRIDGE_JOBS_RENEWAL_RETRY_HPP
--- a/include/skylarkbridge/transport/http_client.hpp
+++ b/include/skylarkbridge/transport/http_client.hpp
@@ -2,8 +2,10 @@
 #define SKYLARKBRIDGE_TRANSPORT_HTTP_CLIENT_HPP
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -26,6 +28,9 @@
   std::vector<std::pair<std::string, std::string>> headers;
   /// When the client stops waiting for the response and closes the connection.
   time_point deadline;
+  /// Until then a connection that can't be opened is tried again, in turn with
+  /// those of other such requests. Empty: the request fails at once.
+  std::optional<time_point> reconnect_until;
 };
 
 /// @brief Status and body of a response.
@@ -50,6 +55,9 @@
   std::size_t max_connections = 16;
   /// A response with a larger body counts as no response.
   std::size_t max_body_bytes = 16U << 20U;
+  /// Interval of the connection attempts of all requests with a
+  /// `reconnect_until` together.
+  std::chrono::milliseconds reconnect_interval{5};
 };
 
 /// @brief HTTP/1.1 client that keeps connections open and sends one request at
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -133,9 +133,16 @@
   session.ended_run_under_way = renewal.acknowledged;
   session.hedge_renewal_at.reset();
   if (session.failed_renewals > 0 && MayReceiveLateStart(session, now)) {
+    const silent_worker silent = SilentWorker(session, now);
     session.hedge_renewal_at =
-        now +
-        RenewalHedgeDelay(options_.renewal_retry, SilentWorker(session, now));
+        now + RenewalHedgeDelay(options_.renewal_retry, silent);
+    // A renewal that extends a lease or acknowledges ends is meant for the life
+    // before.
+    if (!session.RefusesLateOrders() &&
+        ReconnectsForRenewal(options_.renewal_retry, silent)) {
+      renewal.reconnect_until =
+          *session.hedge_renewal_at + options_.renewal_retry.reconnect_overlap;
+    }
   }
   orders_.emplace_back(std::move(renewal));
 }
--- a/src/skylarkbridge/jobs/late_start_watch_test.cpp
+++ b/src/skylarkbridge/jobs/late_start_watch_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -132,6 +133,38 @@
   }
 }
 
+// Guards against a next life that is reached late beside load (TWICE,
+// review/7): without attempts of the traffic thread, each one waited for the
+// control thread.
+TEST(LateStartWatchTest, AttemptsToConnectGoOnUntilTheNextRenewalIsSent) {
+  silent_worker_driver driver;
+  std::optional<time_point> attempts_until;
+  for (const time_point end = driver.now + seconds(2); driver.now < end;
+       driver.now += milliseconds(1)) {
+    for (const renew_order& renewal : driver.RunUnanswered().renewals) {
+      ASSERT_TRUE(renewal.reconnect_until);
+      EXPECT_LE(driver.now, attempts_until.value_or(driver.now));
+      attempts_until = renewal.reconnect_until;
+    }
+  }
+  ASSERT_TRUE(attempts_until);
+  EXPECT_LE(driver.now, *attempts_until);
+}
+
+// Guards against attempts that go on for good, and against ones that carry what
+// is meant for the life before to the next one.
+TEST(LateStartWatchTest, OnlyRenewalsThatMayReachANextLifeKeepConnecting) {
+  silent_worker_driver driver;
+  for (const renew_order& renewal :
+       OpenRenewals(driver, kOptions.max_order_delay + seconds(10))) {
+    EXPECT_FALSE(renewal.reconnect_until &&
+                 (renewal.lease_until || renewal.acknowledged > 0));
+  }
+  for (const renew_order& renewal : OpenRenewals(driver, seconds(5))) {
+    EXPECT_FALSE(renewal.reconnect_until);
+  }
+}
+
 // Guards against a slow worker whose answers are dropped because a renewal was
 // sent again meanwhile.
 TEST(LateStartWatchTest, AnAnswerToAnEarlierOpenRenewalCounts) {
--- a/src/skylarkbridge/jobs/renewal_retry.cpp
+++ b/src/skylarkbridge/jobs/renewal_retry.cpp
@@ -25,12 +25,17 @@
          static_cast<milliseconds::rep>(std::max<std::size_t>(watched, 1));
 }
 
+/// Delay from a failed renewal to a worker that is not watched to the next one.
+milliseconds UsualDelay(const renewal_retry_options& options,
+                        const silent_worker& worker) {
+  return options.delay * std::clamp(worker.failed_renewals, 1, kMaxDelayFactor);
+}
+
 }  // namespace
 
 milliseconds RenewalRetryDelay(const renewal_retry_options& options,
                                const silent_worker& worker) {
-  const milliseconds usual =
-      options.delay * std::clamp(worker.failed_renewals, 1, kMaxDelayFactor);
+  const milliseconds usual = UsualDelay(options, worker);
   if (worker.watched == 0) {
     return usual;
   }
@@ -45,4 +50,10 @@
       worker.renewal_number);
 }
 
+bool ReconnectsForRenewal(const renewal_retry_options& options,
+                          const silent_worker& worker) {
+  return worker.watched > 0 &&
+         ShareOfBudget(options, worker.watched) < UsualDelay(options, worker);
+}
+
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/renewal_retry_test.cpp
+++ b/src/skylarkbridge/jobs/renewal_retry_test.cpp
@@ -57,6 +57,23 @@
   }
 }
 
+// Guards against a worker that is tried less often than without the watch, as
+// its turns to connect are rarer when many are down.
+TEST(RenewalRetryTest, ARenewalIsRepeatedInTurnOnlyWhereThatIsMoreOften) {
+  EXPECT_FALSE(ReconnectsForRenewal(kOptions, {.failed_renewals = 9}));
+  for (std::size_t watched = 1; watched <= 300; ++watched) {
+    for (int failed = 1; failed <= 9; ++failed) {
+      const milliseconds usual =
+          RenewalRetryDelay(kOptions, {.failed_renewals = failed});
+      const milliseconds turn =
+          kOptions.watched_interval * static_cast<int>(watched);
+      EXPECT_EQ(ReconnectsForRenewal(
+                    kOptions, {.failed_renewals = failed, .watched = watched}),
+                turn < usual);
+    }
+  }
+}
+
 // Guards against workers that crash together and are tried in step for good.
 TEST(RenewalRetryTest, ConsecutiveRetriesHaveDifferentDelays) {
   std::set<milliseconds> delays;
--- a/src/skylarkbridge/transport/http_client.cpp
+++ b/src/skylarkbridge/transport/http_client.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "skylarkbridge/transport/connect_turns.hpp"
 #include "skylarkbridge/transport/endpoint.hpp"
 
 namespace skylarkbridge::transport {
@@ -53,7 +54,10 @@
     : public std::enable_shared_from_this<connection_pool> {
  public:
   connection_pool(asio::io_context& context, http_client_options options)
-      : context_(context), options_(options) {}
+      : context_(context),
+        options_(options),
+        reconnects_(options.reconnect_interval),
+        reconnect_timer_(context) {}
 
   void Submit(pending_request pending) {
     asio::post(context_, [self = shared_from_this(),
@@ -83,9 +87,15 @@
   /// Closes the idle connections to the address.
   void CloseIdle(const std::string& address);
   void DispatchWaiting(const std::string& address);
+  /// Begins a connection attempt in its turn.
+  void ConnectInTurn(connect_turns::attempt begin);
+  /// Begins the attempts that are due, and waits for the next one.
+  void RunReconnects();
 
   asio::io_context& context_;
   const http_client_options options_;
+  connect_turns reconnects_;
+  asio::steady_timer reconnect_timer_;
   absl::flat_hash_map<std::string, address_connections> by_address_;
 };
 
@@ -107,6 +117,8 @@
     StartDeadlineTimer();
     if (socket_.is_open()) {
       Write();
+    } else if (pending_->request.reconnect_until) {
+      ConnectInTurn();
     } else {
       Connect();
     }
@@ -165,21 +177,52 @@
     };
   }
 
+  void ConnectInTurn() {
+    owner_->ConnectInTurn(
+        [weak = weak_from_this(), generation = generation_]() -> bool {
+          const auto self = weak.lock();
+          if (!self || generation != self->generation_ || !self->pending_) {
+            return false;
+          }
+          self->Connect();
+          return true;
+        });
+  }
+
+  bool MayReconnect() const {
+    const std::optional<time_point>& until = pending_->request.reconnect_until;
+    return until && boot_clock::now() < *until;
+  }
+
   void Connect() {
     const std::optional<tcp::endpoint> endpoint = ParseEndpoint(address_);
     if (!endpoint) {
       Fail();
       return;
     }
-    socket_.async_connect(*endpoint, ThenUnlessEnded([this] {
-      if (pending_->request.deadline <= boot_clock::now()) {
-        Fail();
-        return;
-      }
-      error_code ignored;  // A socket without the option still works.
-      socket_.set_option(tcp::no_delay(true), ignored);
-      Write();
-    }));
+    socket_.async_connect(
+        *endpoint, [self = shared_from_this(),
+                    generation = generation_](const error_code& error) {
+          if (generation == self->generation_ && self->pending_) {
+            self->OnConnected(error);
+          }
+        });
+  }
+
+  void OnConnected(const error_code& error) {
+    error_code ignored;  // A socket that can't be closed is replaced as well.
+    if (error && MayReconnect()) {
+      socket_.close(ignored);
+      ConnectInTurn();
+      return;
+    }
+    if (error || pending_->request.deadline <= boot_clock::now()) {
+      Fail();
+      return;
+    }
+    // A socket without the option still works.
+    socket_.set_option(tcp::no_delay(true), ignored);
+    Write();
   }
 
   void Write() {
@@ -345,6 +388,26 @@
   }
 }
 
+void http_client::connection_pool::ConnectInTurn(connect_turns::attempt begin) {
+  reconnects_.Add(std::move(begin));
+  RunReconnects();
+}
+
+void http_client::connection_pool::RunReconnects() {
+  reconnects_.Run(boot_clock::now());
+  const std::optional<time_point> next = reconnects_.NextTurn();
+  if (!next) {
+    return;
+  }
+  StartTimer(reconnect_timer_, *next);
+  reconnect_timer_.async_wait(
+      [weak = weak_from_this()](const error_code& error) {
+        if (const auto self = weak.lock(); self && !error) {
+          self->RunReconnects();
+        }
+      });
+}
+
 http_client::http_client(asio::io_context& context, http_client_options options)
     : pool_(std::make_shared<connection_pool>(context, options)) {}
 
