Let OwnerWriterTest compile with -O3

Cause: GCC 12 reports -Wrestrict for a literal plus a temporary string at -O3, which -Werror makes an error. Change: the name of the record is put together with absl::StrCat. Measured: control_test builds with CMAKE_BUILD_TYPE=Release on x86-64, where it failed in this file before.

--- a/src/skylarkbridge/control/owner_writer_test.cpp
+++ b/src/skylarkbridge/control/owner_writer_test.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
+
 namespace skylarkbridge::control {
 namespace {
 
@@ -17,7 +19,7 @@
   std::vector<records::keyed_record> batch;
   for (std::size_t index = 0; index < count; ++index) {
     batch.push_back(
-        {.key = "p" + std::to_string(index), .value = std::string(100, 'v')});
+        {.key = absl::StrCat("p", index), .value = std::string(100, 'v')});
   }
   return batch;
 }
