Add an explorer of the waits of long-running tasks

Change: WaitExplorerTest plays seeded schedules on one to three cells of three to six workers that long-running tasks fill, with drained, lost and restarted workers, takeovers beside a store in trouble, and workers that leave starts unanswered. LongWaitTest has three short scenarios. The fake store refuses a share of its calls, and late orders may concern one worker and starts only; without these settings the fakes draw as before. fleet_scheduler::RestartObstacle returns what a task waited for in the last pass; no logic changes.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -206,6 +206,9 @@
   std::size_t UsableWorkers(time_point now) const;
   /// @brief Number of long-running tasks that wait for their restart.
   std::size_t WaitingRestarts() const;
+  /// @brief What kept a long-running task from starting in the last placement
+  /// pass; kNone for one that did not wait then.
+  restart_obstacle RestartObstacle(const task_ref& task) const;
   /// @brief How long the one that waits longest has waited; zero without one.
   std::chrono::milliseconds LongestRestartWait(time_point now) const;
   /// @brief Number of workers of an earlier owner that have not sent a report.
--- a/src/skylarkbridge/control/platform_fake.hpp
+++ b/src/skylarkbridge/control/platform_fake.hpp
@@ -195,6 +195,8 @@
   double share = 0;
   std::chrono::milliseconds min_delay{2000};
   std::chrono::milliseconds max_delay{12'000};
+  /// Whether only start orders are late.
+  bool starts_only = false;
 };
 
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_calls_fake.hpp
@@ -61,7 +61,7 @@
     no_answer();
     return;
   }
-  if (fleet_.StoreRefusing()) {
+  if (fleet_.DrawStoreRefusal()) {
     fleet_.ScheduleAfter(
         fleet_.Delay(), [&fleet = fleet_, vm = vm_, incarnation = incarnation_,
                          target = call.target, number = call.number] {
@@ -115,7 +115,7 @@
     fail_at(deadline, store_result::kNoAnswer);
     return;
   }
-  if (fleet_.StoreRefusing()) {
+  if (fleet_.DrawStoreRefusal()) {
     fail_at(fleet_.Now() + fleet_.Delay(), store_result::kRefused);
     return;
   }
@@ -292,9 +292,10 @@
 
 template <class Order>
 void platform_fake::SendToWorker(const Order& order, time_point deadline) {
-  const std::optional<std::chrono::milliseconds> late = fleet_.DrawLateOrder();
-  const bool answer_lost = late || fleet_.DrawAnswerLost();
   const std::string& worker = order.target.worker;
+  const std::optional<std::chrono::milliseconds> late =
+      fleet_.DrawLateOrder(worker, std::is_same_v<Order, jobs::start_order>);
+  const bool answer_lost = late || fleet_.DrawAnswerLost();
   const worker_fake* const listener = fleet_.WorkerAt(order.target.address);
   if (listener == nullptr && fleet_.RefusesConnections() &&
       fleet_.WorkerReachable(vm_, worker)) {
--- a/src/skylarkbridge/control/virtual_fleet_fake.hpp
+++ b/src/skylarkbridge/control/virtual_fleet_fake.hpp
@@ -202,13 +202,20 @@
   void SetStoreDown(bool down) { store_down_ = down; }
   /// @brief Sets whether the store refuses all calls at once.
   void SetStoreRefusing(bool refusing) { store_refusing_ = refusing; }
+  /// @brief Sets the fraction of its calls, from 0 to 1, that it refuses.
+  void SetStoreRefusalShare(double share) { store_refusal_share_ = share; }
   /// @brief Sets the additional delay of calls to the store, in each direction.
   void SetStoreDelay(std::chrono::milliseconds delay) { store_delay_ = delay; }
   /// @brief Sets how many answers to appends and orders are lost. The calls are
   /// still executed.
   /// @param share fraction of the calls whose answer is lost, from 0 to 1.
   void SetLostAnswerShare(double share) { lost_answer_share_ = share; }
-  void SetLateOrders(const late_orders& late) { late_orders_ = late; }
+  /// @param workers those whose orders are late; empty for all.
+  void SetLateOrders(const late_orders& late,
+                     std::set<std::string> workers = {}) {
+    late_orders_ = late;
+    late_workers_ = std::move(workers);
+  }
   void StartWorker(const std::string& id) {
     fault_occurred_ = true;
     draining_workers_.erase(id);
@@ -322,6 +329,9 @@
         absl::StrCat(version, " ", options_.max_attempts, " without=", queue));
   }
   worker_fake& Worker(const std::string& id) { return workers_.at(id); }
+  bool Draining(const std::string& id) const {
+    return draining_workers_.contains(id);
+  }
 
   // Callers.
   std::uint64_t Submit(std::size_t vm, jobs::job_id job, std::string body) {
@@ -460,8 +470,13 @@
   bool DrawAnswerLost() { return Draw() < lost_answer_share_; }
   /// @brief Draws the delay of the next order to a worker; empty when it is not
   /// late.
-  std::optional<std::chrono::milliseconds> DrawLateOrder() {
-    if (late_orders_.share == 0 || Draw() >= late_orders_.share) {
+  std::optional<std::chrono::milliseconds> DrawLateOrder(
+      const std::string& worker,
+      bool is_start) {
+    const bool concerned =
+        (late_workers_.empty() || late_workers_.contains(worker)) &&
+        (is_start || !late_orders_.starts_only);
+    if (late_orders_.share == 0 || !concerned || Draw() >= late_orders_.share) {
       return std::nullopt;
     }
     late_orders_until_ = now_ + late_orders_.max_delay;
@@ -503,7 +518,11 @@
     }
     return page;
   }
-  bool StoreRefusing() const { return store_refusing_; }
+  /// @brief Draws whether the store refuses the next call.
+  bool DrawStoreRefusal() {
+    return store_refusing_ ||
+           (store_refusal_share_ > 0 && Draw() < store_refusal_share_);
+  }
   /// @brief Whether an answer of the store to a call that is sent now may
   /// arrive after @p deadline.
   bool StoreTooSlow(time_point deadline) const {
@@ -654,8 +673,9 @@
       return vm.store_cut || !vm.silent_topics.empty() || vm.workers_cut ||
              !vm.cut_workers.empty();
     };
-    return store_down_ || store_refusing_ || store_delay_.count() > 0 ||
-           lost_answer_share_ > 0 || now_ < late_orders_until_ ||
+    return store_down_ || store_refusing_ || store_refusal_share_ > 0 ||
+           store_delay_.count() > 0 || lost_answer_share_ > 0 ||
+           now_ < late_orders_until_ ||
            std::all_of(vms_.begin(), vms_.end(), unavailable) ||
            std::any_of(vms_.begin(), vms_.end(), cut);
   }
@@ -767,6 +787,7 @@
   std::multimap<time_point, std::function<void()>> pending_events_;
   bool store_down_ = false;
   bool store_refusing_ = false;
+  double store_refusal_share_ = 0;
   bool machine_list_down_ = false;
   bool refuse_connections_ = false;
   int machine_pages_served_ = 0;
@@ -779,6 +800,7 @@
   std::map<jobs::job_id, std::string> queues_;
   double lost_answer_share_ = 0;
   late_orders late_orders_;
+  std::set<std::string> late_workers_;
   /// When all late orders have been carried out.
   time_point late_orders_until_;
   std::uint64_t last_token_ = 0;
--- a/src/skylarkbridge/jobs/fleet_scheduler_reports.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_reports.cpp
@@ -26,6 +26,12 @@
   return restart_obstacle::kRoom;
 }
 
+restart_obstacle fleet_scheduler::RestartObstacle(const task_ref& task) const {
+  const auto blocked = blocked_restarts_.find(task);
+  return blocked == blocked_restarts_.end() ? restart_obstacle::kNone
+                                            : blocked->second.obstacle;
+}
+
 restart_cause fleet_scheduler::CauseOfRestart(
     const task_ref& task,
     const worker_session& session) const {
