Show the waits of long-running tasks by stage

restart_seconds is one histogram over the restarts that did start: it names no stage, and misses the task that waits longest because it never starts.

- skylarkbridge_restart_stage_seconds{stage}: the waits that ended with a confirmed start or a move to another cell.
- skylarkbridge_restart_stage_longest_milliseconds{stage}: the tasks that still wait.
- restart_delayed, and start_ordered of a restart, end with "longest_stage STAGE stage_ms N" after the fields that they had.

--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -8,6 +8,7 @@
 #include "skylarkbridge/control/text_format.hpp"
 #include "skylarkbridge/jobs/cell_room.hpp"
 #include "skylarkbridge/jobs/fleet_map.hpp"
+#include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/telemetry/metrics.hpp"
 
@@ -100,6 +101,30 @@
                {"released_by", std::string(Name(cause.release))}})
         .Add();
   }
+  /// @brief Counts the waits of long-running tasks by stage.
+  void Count(const jobs::restart_stage_report& report) {
+    for (const jobs::restart_stage_bound& bound : jobs::kRestartStageBounds) {
+      const std::string stage(Name(bound.stage));
+      for (const jobs::restart_stage_times& times : report.ended) {
+        RecordStage(stage, times[bound.stage]);
+      }
+      CountOverLimit(stage,
+                     report.over_limit[static_cast<std::size_t>(bound.stage)]);
+    }
+    CountOverLimit("all", report.over_total);
+  }
+  /// @brief Sets the longest wait by stage of the tasks that still wait.
+  void SetLongestStages(const jobs::restart_stage_times& longest) {
+    for (const jobs::restart_stage_bound& bound : jobs::kRestartStageBounds) {
+      registry_
+          .Gauge("skylarkbridge_restart_stage_longest_milliseconds",
+                 "Longest time that a waiting task has spent in the stage",
+                 {{"stage", std::string(Name(bound.stage))}})
+          .Set(std::chrono::floor<std::chrono::milliseconds>(
+                   longest[bound.stage])
+                   .count());
+    }
+  }
   /// @brief Sets the gauges of a cell's free room.
   void SetRoom(jobs::cell_id cell, const jobs::cell_room& room) {
     SetRoom(cell, "free", room.largest, room.total);
@@ -150,6 +175,23 @@
                           {{"topic", topic}});
   }
 
+  void RecordStage(const std::string& stage, time_point::duration time) {
+    if (time > time_point::duration::zero()) {
+      registry_
+          .Latency("skylarkbridge_restart_stage_seconds",
+                   "Waits of long-running tasks by stage", {{"stage", stage}})
+          .Record(time);
+    }
+  }
+  void CountOverLimit(const std::string& stage, std::uint64_t waits) {
+    if (waits > 0) {
+      FindOrAdd(over_limit_, "skylarkbridge_restart_stage_exceeded_total",
+                "Waits of long-running tasks over the limit of a stage",
+                {{"stage", stage}})
+          .Add(waits);
+    }
+  }
+
   /// @param kind what counts as room: what no run holds, or also what runs hold
   /// that can be preempted.
   void SetRoom(jobs::cell_id cell,
@@ -186,6 +228,7 @@
   counters answers_;
   counters events_;
   counters restarts_;
+  counters over_limit_;
   counters calls_;
 };
 
--- a/include/skylarkbridge/control/control_state_gauges.hpp
+++ b/include/skylarkbridge/control/control_state_gauges.hpp
@@ -18,6 +18,7 @@
   std::chrono::milliseconds oldest_ready{};
   std::size_t restarts_waiting = 0;
   std::chrono::milliseconds longest_restart_wait{};
+  jobs::restart_stage_times longest_stages;
   std::size_t workers_usable = 0;
   std::size_t workers_unreported = 0;
   std::chrono::milliseconds takeover_wait{};
@@ -35,6 +36,8 @@
     restarts_waiting += each_cell->Scheduler().WaitingRestarts();
     longest_restart_wait = std::max(
         longest_restart_wait, each_cell->Scheduler().LongestRestartWait(now));
+    longest_stages.IncludeLongest(
+        each_cell->Scheduler().LongestRestartStages(now));
     workers_usable += each_cell->Scheduler().UsableWorkers(now);
     workers_unreported += each_cell->Scheduler().UnreportedWorkers();
     takeover_wait =
@@ -63,6 +66,7 @@
   metrics_.oldest_ready_ms.Set(oldest_ready.count());
   metrics_.restarts_waiting.Set(static_cast<std::int64_t>(restarts_waiting));
   metrics_.longest_restart_wait_ms.Set(longest_restart_wait.count());
+  metrics_.SetLongestStages(longest_stages);
   metrics_.workers_usable.Set(static_cast<std::int64_t>(workers_usable));
   metrics_.workers_unreported.Set(
       static_cast<std::int64_t>(workers_unreported));
--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -52,6 +52,9 @@
       absl::StrAppend(&detail, " stays_for ",
                       ToAbsl(Name(*note.delegation_obstacle)));
     }
+    if (note.longest_stage) {
+      absl::StrAppend(&detail, " ", Format(*note.longest_stage));
+    }
     LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
                            {"run", Format(note.run)},
                            {"worker", note.worker},
@@ -59,6 +62,7 @@
                            {"cell", FormatCell()},
                            {"epoch", absl::StrCat(ownership_.OwnEpoch())}});
   }
+  metrics_.Count(scheduler_.TakeRestartStages());
 }
 
 template <fleet_platform Platform>
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -7,6 +7,7 @@
 #include "skylarkbridge/control/ports.hpp"
 #include "skylarkbridge/jobs/owner_state.hpp"
 #include "skylarkbridge/jobs/ownership.hpp"
+#include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 
 namespace skylarkbridge::control {
@@ -20,6 +21,7 @@
 std::string_view Name(jobs::claim_reason reason);
 std::string_view Name(jobs::restart_obstacle obstacle);
 std::string_view Name(jobs::restart_release release);
+std::string_view Name(jobs::restart_stage stage);
 std::string_view Name(jobs::pass_end end);
 std::string_view Name(jobs::delegation_obstacle obstacle);
 /// @brief "jobs.CELL" for the jobs of a cell, else the name of the kind.
@@ -30,6 +32,8 @@
 /// @brief "waited_for OBSTACLE", with "released_by RELEASE" where it applies,
 /// and the run that left the worker.
 std::string Format(const jobs::restart_cause& cause);
+/// @brief "longest_stage STAGE stage_ms N".
+std::string Format(const jobs::longest_restart_stage& longest);
 
 }  // namespace skylarkbridge::control
 
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -118,6 +118,39 @@
   return "unknown";
 }
 
+std::string_view Name(jobs::restart_stage stage) {
+  using jobs::restart_stage;
+  switch (stage) {
+    case restart_stage::kFirstStart:
+      return "first_start";
+    case restart_stage::kOwnership:
+      return "ownership";
+    case restart_stage::kTakeover:
+      return "takeover";
+    case restart_stage::kNextPass:
+      return "next_pass";
+    case restart_stage::kRetryDelay:
+      return "retry_delay";
+    case restart_stage::kUnstoredEnd:
+      return "unstored_end";
+    case restart_stage::kWorker:
+      return "worker";
+    case restart_stage::kPlacementPolicy:
+      return "placement_policy";
+    case restart_stage::kRoom:
+      return "room";
+    case restart_stage::kIsolation:
+      return "isolation";
+    case restart_stage::kGang:
+      return "gang";
+    case restart_stage::kLateStart:
+      return "late_start";
+    case restart_stage::kStartOrder:
+      return "start_order";
+  }
+  return "unknown";
+}
+
 std::string_view Name(jobs::restart_release release) {
   using jobs::restart_release;
   switch (release) {
@@ -280,4 +313,9 @@
   return text;
 }
 
+std::string Format(const jobs::longest_restart_stage& longest) {
+  return absl::StrCat("longest_stage ", ToAbsl(Name(longest.stage)),
+                      " stage_ms ", longest.time.count());
+}
+
 }  // namespace skylarkbridge::control
