Blame no task for its first crash

Cause: workers crash by themselves, and a task that restarts soon is then the only one that was started shortly before.

Change: a task is blamed only if it was suspected of an earlier crash. A task that crashes each worker is blamed for its second and third, so that it is given up after three crashes as before.

Measured: ATaskIsNotBlamedForItsFirstCrash fails before the change.

--- a/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_crashes.cpp
@@ -91,15 +91,17 @@
   if (!started) {
     return {};
   }
-  if (AreOneUnit(suspects)) {
-    return suspects;
-  }
+  // Workers also crash by themselves, and a task that was started just before
+  // is then the only suspect: a single crash is no evidence.
   std::vector<run_ref> suspected_before;
   for (const run_ref& run : suspects) {
     if (IsSuspected(run.task)) {
       suspected_before.push_back(run);
     }
   }
+  if (AreOneUnit(suspects)) {
+    return suspected_before;
+  }
   const bool isolated =
       !suspected_before.empty() &&
       session.runs.find(suspected_before.front())->second.isolated;
