Say why no run is relocated for a waiting task

PlanRelocation returns a relocation or a relocation_refusal with the number of runs by what kept each in place. restart_delayed carries it as no_relocation_for, as stays_for, and adds the shortage where the room of the eligible workers, with batch work stopped, is less than the need of the task and of those that have waited longer. explain prints the detail as it is.

--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -52,6 +52,9 @@
       absl::StrAppend(&detail, " stays_for ",
                       ToAbsl(Name(*note.delegation_obstacle)));
     }
+    if (note.relocation_refusal) {
+      absl::StrAppend(&detail, " ", Format(*note.relocation_refusal));
+    }
     LogEvent(kScheduling, {{"what", std::string(Name(note.event))},
                            {"run", Format(note.run)},
                            {"worker", note.worker},
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -22,6 +22,7 @@
 std::string_view Name(jobs::restart_release release);
 std::string_view Name(jobs::pass_end end);
 std::string_view Name(jobs::delegation_obstacle obstacle);
+std::string_view Name(jobs::relocation_obstacle obstacle);
 /// @brief "jobs.CELL" for the jobs of a cell, else the name of the kind.
 std::string Format(const topic& source);
 
@@ -30,6 +31,9 @@
 /// @brief "waited_for OBSTACLE", with "released_by RELEASE" where it applies,
 /// and the run that left the worker.
 std::string Format(const jobs::restart_cause& cause);
+/// @brief "no_relocation_for OBSTACLE", followed by "runs" and the number of
+/// runs for each obstacle where a search has looked at runs.
+std::string Format(const jobs::relocation_refusal& refusal);
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <variant>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -35,6 +36,7 @@
 #include "skylarkbridge/jobs/preemption.hpp"
 #include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
+#include "skylarkbridge/jobs/relocation_obstacle.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/jobs/start_limit.hpp"
@@ -715,7 +717,11 @@
                                                time_point now) const;
   /// Adds notes on the tasks that have waited long for their restart.
   void ReportDelayedRestarts(time_point now);
-  void ReportDelayedRestart(const waiting_restart& restart, time_point now);
+  /// @param needed by this restart and those of its service that have waited
+  /// longer.
+  void ReportDelayedRestart(const waiting_restart& restart,
+                            const resources& needed,
+                            time_point now);
   /// Why the task has not been moved to another cell.
   delegation_obstacle DelegationObstacle(const waiting_restart& restart,
                                          const step_spec& step,
@@ -747,20 +753,37 @@
       const queue_configuration& queue,
       placement_pass& pass,
       time_point now);
-  /// Chooses a run to relocate; nullopt when the move of one run does not
-  /// suffice.
-  std::optional<relocation> PlanRelocation(const waiting_restart& restart,
+  /// Searches a run to relocate, unless the task has been searched for lately
+  /// or the pass has no search left. Keeps the reason when it finds none.
+  std::optional<relocation> FindRelocation(const waiting_restart& restart,
                                            const step_spec& step,
                                            const queue_configuration& queue,
                                            placement_pass& pass,
                                            time_point now);
+  /// Chooses a run to relocate, or says why the move of one run does not do.
+  std::variant<relocation, relocation_refusal> PlanRelocation(
+      const waiting_restart& restart,
+      const step_spec& step,
+      const queue_configuration& queue,
+      placement_pass& pass,
+      time_point now);
   /// The smaller runs on the workers that the waiting task may use.
+  /// @param refusal counts those that cannot be relocated.
   std::vector<relocatable_run> RelocatableRuns(const task_ref& waiting,
                                                const step_spec& step,
                                                const queue_configuration& queue,
                                                placement_pass& pass,
+                                               relocation_refusal& refusal,
                                                time_point now) const;
-  bool MayRelocate(const run_ref& run, const worker_run& state) const;
+  /// What keeps the run on its worker; kNone when it may be relocated.
+  relocation_obstacle ObstacleToRelocate(const run_ref& run,
+                                         const worker_run& state,
+                                         const placement_pass& pass) const;
+  /// Why no run is relocated for a restart that waits.
+  relocation_refusal RelocationRefusal(const waiting_restart& restart,
+                                       const step_spec& step,
+                                       const queue_configuration& queue,
+                                       time_point now) const;
   /// Whether the stop of the task's run leaves no more tasks of its step
   /// unavailable than the step allows for stops of the system.
   bool IsWithinDisruptionBudget(const task_ref& task, time_point now) const;
@@ -945,9 +968,8 @@
   /// The tasks that were relocated lately, each with the time before which it
   /// is not relocated again.
   std::map<task_ref, time_point> relocated_until_;
-  /// Waiting restarts for which a run to relocate was searched lately, each
-  /// with the time before which it is not searched again.
-  std::map<task_ref, time_point> searched_until_;
+  /// Waiting restarts for which a run to relocate was searched in vain lately.
+  std::map<task_ref, relocation_search> relocation_searches_;
   late_starts late_starts_;
   late_start_watch late_start_watch_;
   unmatched_ends unmatched_ends_;
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -7,6 +7,7 @@
 
 #include "skylarkbridge/jobs/delegation_obstacle.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
+#include "skylarkbridge/jobs/relocation_obstacle.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 
 namespace skylarkbridge::jobs {
@@ -93,6 +94,8 @@
   std::optional<jobs::restart_cause> restart_cause;
   /// For a restart that is delayed: why no other cell runs the task.
   std::optional<jobs::delegation_obstacle> delegation_obstacle;
+  /// For the same: why no smaller run makes room for the task.
+  std::optional<jobs::relocation_refusal> relocation_refusal;
   /// For the reported end of a run of a cancelled job: the time since this VM
   /// read the cancellation.
   std::optional<std::chrono::milliseconds> cancel_wait;
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -164,6 +164,47 @@
   return "unknown";
 }
 
+std::string_view Name(jobs::relocation_obstacle obstacle) {
+  using jobs::relocation_obstacle;
+  switch (obstacle) {
+    case relocation_obstacle::kNone:
+      return "nothing";
+    case relocation_obstacle::kGang:
+      return "gang";
+    case relocation_obstacle::kPlacementPolicy:
+      return "placement_policy";
+    case relocation_obstacle::kLateStart:
+      return "late_start";
+    case relocation_obstacle::kFirstStart:
+      return "first_start";
+    case relocation_obstacle::kReservedRoom:
+      return "reserved_room";
+    case relocation_obstacle::kShortWait:
+      return "short_wait";
+    case relocation_obstacle::kSearchLimit:
+      return "search_limit";
+    case relocation_obstacle::kNoSmallerRun:
+      return "no_smaller_run";
+    case relocation_obstacle::kTooLittleRoom:
+      return "too_little_room";
+    case relocation_obstacle::kGangRun:
+      return "gang_run";
+    case relocation_obstacle::kImmovableRun:
+      return "immovable_run";
+    case relocation_obstacle::kKeptRoom:
+      return "kept_room";
+    case relocation_obstacle::kMovedLately:
+      return "moved_lately";
+    case relocation_obstacle::kRunLimit:
+      return "run_limit";
+    case relocation_obstacle::kDisruptionBudget:
+      return "disruption_budget";
+    case relocation_obstacle::kNoTarget:
+      return "no_target";
+  }
+  return "unknown";
+}
+
 std::string_view Name(jobs::pass_end end) {
   using jobs::pass_end;
   switch (end) {
@@ -278,4 +319,16 @@
   return text;
 }
 
+std::string Format(const jobs::relocation_refusal& refusal) {
+  std::string text =
+      absl::StrCat("no_relocation_for ", ToAbsl(Name(refusal.obstacle)));
+  if (!refusal.runs.empty()) {
+    absl::StrAppend(&text, " runs");
+  }
+  for (const auto& [obstacle, count] : refusal.runs) {
+    absl::StrAppend(&text, " ", ToAbsl(Name(obstacle)), " ", count);
+  }
+  return text;
+}
+
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/text_format_test.cpp
+++ b/src/skylarkbridge/control/text_format_test.cpp
@@ -39,5 +39,36 @@
   EXPECT_FALSE(names.contains("unknown"));
 }
 
+// The same for the reasons why no smaller run is relocated.
+TEST(TextFormatTest, NamesEachRelocationObstacleDifferently) {
+  using jobs::relocation_obstacle;
+  std::set<std::string_view> names;
+  const int last = static_cast<int>(relocation_obstacle::kNoTarget);
+  for (int obstacle = 0; obstacle <= last; ++obstacle) {
+    names.insert(Name(static_cast<relocation_obstacle>(obstacle)));
+  }
+  EXPECT_EQ(names.size(), static_cast<std::size_t>(last) + 1);
+  EXPECT_FALSE(names.contains("unknown"));
+}
+
+// Guards against a line on a search that does not say what its runs lacked.
+TEST(TextFormatTest, ListsTheRunsOfASearchByObstacle) {
+  using jobs::relocation_obstacle;
+  jobs::relocation_refusal refusal;
+  refusal.Add(relocation_obstacle::kDisruptionBudget);
+  refusal.Add(relocation_obstacle::kTooLittleRoom);
+  refusal.Add(relocation_obstacle::kTooLittleRoom);
+  EXPECT_EQ(Format(refusal),
+            "no_relocation_for disruption_budget runs too_little_room 2 "
+            "disruption_budget 1");
+}
+
+// Guards against a count of runs where none was looked at.
+TEST(TextFormatTest, ListsNoRunsWithoutASearch) {
+  EXPECT_EQ(Format(jobs::relocation_refusal{
+                .obstacle = jobs::relocation_obstacle::kShortWait}),
+            "no_relocation_for short_wait");
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -108,7 +108,7 @@
   first_start_deadlines_.clear();
   relocations_.clear();
   relocated_until_.clear();
-  searched_until_.clear();
+  relocation_searches_.clear();
   late_starts_.Clear();
   late_start_watch_.Clear();
   unmatched_ends_.Clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <utility>
+#include <variant>
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
@@ -63,8 +64,10 @@
                                               time_point now) {
   std::erase_if(relocated_until_,
                 [now](const auto& entry) { return now >= entry.second; });
-  std::erase_if(searched_until_,
-                [now](const auto& entry) { return now >= entry.second; });
+  std::erase_if(relocation_searches_, [this, now](const auto& entry) {
+    return now >=
+           entry.second.search_again_at + options_.restart_report_interval;
+  });
   std::erase_if(relocations_, [this, now](const auto& entry) {
     const relocation& move = entry.second;
     if (now >= move.give_up_at) {
@@ -123,7 +126,7 @@
   auto move = relocations_.find(restart.task);
   if (move == relocations_.end()) {
     std::optional<relocation> planned =
-        PlanRelocation(restart, step, queue, pass, now);
+        FindRelocation(restart, step, queue, pass, now);
     if (!planned) {
       return nullptr;
     }
@@ -142,28 +145,53 @@
   return nullptr;
 }
 
-std::optional<relocation> fleet_scheduler::PlanRelocation(
+std::optional<relocation> fleet_scheduler::FindRelocation(
     const waiting_restart& restart,
     const step_spec& step,
     const queue_configuration& queue,
     placement_pass& pass,
     time_point now) {
-  if (pass.relocation_searches >= kMaxSearches ||
-      searched_until_.contains(restart.task)) {
+  const auto [search, added] = relocation_searches_.try_emplace(
+      restart.task,
+      relocation_search{now, {.obstacle = relocation_obstacle::kSearchLimit}});
+  if (now < search->second.search_again_at ||
+      pass.relocation_searches >= kMaxSearches) {
     return std::nullopt;
   }
   ++pass.relocation_searches;
-  searched_until_[restart.task] = now + options_.relocation_search_interval;
-  const std::vector<relocatable_run> ranked =
-      RankRunsToRelocate(RelocatableRuns(restart.task, step, queue, pass, now));
-  const std::size_t tried = std::min(ranked.size(), kMaxRunsTried);
-  for (std::size_t index = 0; index < tried; ++index) {
+  std::variant<relocation, relocation_refusal> result =
+      PlanRelocation(restart, step, queue, pass, now);
+  if (auto* planned = std::get_if<relocation>(&result)) {
+    relocation_searches_.erase(search);
+    return std::move(*planned);
+  }
+  search->second = {now + options_.relocation_search_interval,
+                    std::get<relocation_refusal>(std::move(result))};
+  return std::nullopt;
+}
+
+std::variant<relocation, relocation_refusal> fleet_scheduler::PlanRelocation(
+    const waiting_restart& restart,
+    const step_spec& step,
+    const queue_configuration& queue,
+    placement_pass& pass,
+    time_point now) {
+  relocation_refusal refusal{.obstacle = relocation_obstacle::kNoSmallerRun};
+  const std::vector<relocatable_run> ranked = RankRunsToRelocate(
+      RelocatableRuns(restart.task, step, queue, pass, refusal, now));
+  for (std::size_t index = 0; index < ranked.size(); ++index) {
     const relocatable_run& run = ranked[index];
+    if (index >= kMaxRunsTried) {
+      refusal.Add(relocation_obstacle::kRunLimit);
+      continue;
+    }
     if (!IsWithinDisruptionBudget(run.run.task, now)) {
+      refusal.Add(relocation_obstacle::kDisruptionBudget);
       continue;
     }
     const std::string to = FindRelocationTarget(run, pass, now);
     if (to.empty()) {
+      refusal.Add(relocation_obstacle::kNoTarget);
       continue;
     }
     AddNote(scheduling_event::kRelocationPlanned, run.run, to,
@@ -175,7 +203,7 @@
                       .to = to,
                       .give_up_at = now + options_.relocation_timeout};
   }
-  return std::nullopt;
+  return refusal;
 }
 
 std::vector<relocatable_run> fleet_scheduler::RelocatableRuns(
@@ -183,6 +211,7 @@
     const step_spec& step,
     const queue_configuration& queue,
     placement_pass& pass,
+    relocation_refusal& refusal,
     time_point now) const {
   const resources need = ReservedResources(step);
   std::vector<relocatable_run> runs;
@@ -194,31 +223,81 @@
     resources missing = need;
     missing -= PreemptibleRoom(candidate);
     for (const auto& [run, state] : candidate.session->runs) {
-      if (state.reserved.millicores < need.millicores &&
-          !pass.reserved_workers.contains(run.task) &&
-          MayRelocate(run, state)) {
-        runs.push_back({.run = run,
-                        .worker = candidate.session->entry.worker,
-                        .held = state.reserved,
-                        .missing = missing});
+      if (!state.long_running || state.reserved.millicores >= need.millicores) {
+        continue;
       }
+      const relocation_obstacle obstacle =
+          Fits(missing, state.reserved) ? ObstacleToRelocate(run, state, pass)
+                                        : relocation_obstacle::kTooLittleRoom;
+      if (obstacle != relocation_obstacle::kNone) {
+        refusal.Add(obstacle);
+        continue;
+      }
+      runs.push_back({.run = run,
+                      .worker = candidate.session->entry.worker,
+                      .held = state.reserved,
+                      .missing = missing});
     }
   }
   return runs;
 }
 
-bool fleet_scheduler::MayRelocate(const run_ref& run,
-                                  const worker_run& state) const {
-  if (state.phase != run_phase::kRunning || !state.long_running || state.gang ||
-      state.detached || state.stop_wanted) {
-    return false;
+relocation_obstacle fleet_scheduler::ObstacleToRelocate(
+    const run_ref& run,
+    const worker_run& state,
+    const placement_pass& pass) const {
+  if (state.gang) {
+    return relocation_obstacle::kGangRun;
   }
   const queue_configuration* queue = Queue(run.task.job);
   const task_state* task = jobs_.Find(run.task);
-  return queue != nullptr && task != nullptr && !queue->HasPlacementPolicy() &&
-         task->active_runs.size() == 1 && task->suspected_crashes == 0 &&
-         late_starts_.Find(run.task) == nullptr &&
-         !relocated_until_.contains(run.task);
+  const bool movable =
+      state.phase == run_phase::kRunning && !state.detached &&
+      !state.stop_wanted && queue != nullptr && task != nullptr &&
+      !queue->HasPlacementPolicy() && task->active_runs.size() == 1 &&
+      task->suspected_crashes == 0 && late_starts_.Find(run.task) == nullptr;
+  if (!movable) {
+    return relocation_obstacle::kImmovableRun;
+  }
+  if (pass.reserved_workers.contains(run.task)) {
+    return relocation_obstacle::kKeptRoom;
+  }
+  return relocated_until_.contains(run.task) ? relocation_obstacle::kMovedLately
+                                             : relocation_obstacle::kNone;
+}
+
+relocation_refusal fleet_scheduler::RelocationRefusal(
+    const waiting_restart& restart,
+    const step_spec& step,
+    const queue_configuration& queue,
+    time_point now) const {
+  if (step.gang) {
+    return {.obstacle = relocation_obstacle::kGang};
+  }
+  if (queue.HasPlacementPolicy()) {
+    return {.obstacle = relocation_obstacle::kPlacementPolicy};
+  }
+  if (late_starts_.FindBinding(restart.task) != nullptr) {
+    return {.obstacle = relocation_obstacle::kLateStart};
+  }
+  if (relocations_.contains(restart.task)) {
+    return {.obstacle = relocation_obstacle::kNone};
+  }
+  if (reserved_workers_.contains(restart.task)) {
+    return {.obstacle = relocation_obstacle::kReservedRoom};
+  }
+  if (!restart.has_run) {
+    return {.obstacle = relocation_obstacle::kFirstStart};
+  }
+  const auto wait = restart_waits_.find(restart.task);
+  if (wait == restart_waits_.end() ||
+      now < wait->second.may_start_since + options_.relocation_delay) {
+    return {.obstacle = relocation_obstacle::kShortWait};
+  }
+  const auto search = relocation_searches_.find(restart.task);
+  return search == relocation_searches_.end()
+             ? relocation_refusal{.obstacle = relocation_obstacle::kSearchLimit}
+             : search->second.refusal;
 }
 
 bool fleet_scheduler::IsWithinDisruptionBudget(const task_ref& task,
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation_test.cpp
@@ -4,8 +4,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "skylarkbridge/jobs/scheduler_driver_fake.hpp"
 
@@ -129,6 +132,18 @@
     }
     return stopped;
   }
+  /// The last report on the restarting task since the last call; nullopt
+  /// without one.
+  std::optional<scheduling_note> LastReport() {
+    std::optional<scheduling_note> last;
+    for (scheduling_note& note : driver.scheduler.TakeNotes()) {
+      if (note.event == scheduling_event::kRestartDelayed &&
+          note.run.task == SingleTask(kRestartingJob)) {
+        last = std::move(note);
+      }
+    }
+    return last;
+  }
   /// The worker of the task's present run; empty while it does not run.
   std::string WorkerOf(job_id job) const {
     const run_ref last = driver.LastRun(SingleTask(job));
@@ -244,6 +259,50 @@
   EXPECT_TRUE(fleet.PassFor(seconds(4)).empty());
 }
 
+/// What the fleet reports about the restarting task after the time.
+relocation_refusal RefusalAfter(restart_beside_small_pieces& fleet,
+                                milliseconds time) {
+  fleet.driver.progress_percent = 100;
+  fleet.EndRestartingRun();
+  fleet.PassFor(time);
+  const std::optional<scheduling_note> report = fleet.LastReport();
+  return report && report->relocation_refusal ? *report->relocation_refusal
+                                              : relocation_refusal{};
+}
+
+// Guards against a wait whose cause an operator cannot tell: no other worker
+// has room for any of the smaller tasks.
+TEST(RelocationSchedulerTest, ReportsThatASmallerTaskHasNoOtherRoom) {
+  restart_beside_small_pieces fleet(1600, 2800);
+  const relocation_refusal refusal = RefusalAfter(fleet, seconds(5));
+  EXPECT_EQ(refusal.obstacle, relocation_obstacle::kNoTarget);
+  EXPECT_EQ(refusal.runs, (std::map<relocation_obstacle, std::size_t>{
+                              {relocation_obstacle::kTooLittleRoom, 2},
+                              {relocation_obstacle::kNoTarget, 2}}));
+}
+
+// The same where the steps allow no stop.
+TEST(RelocationSchedulerTest, ReportsThatABudgetKeepsTheRunsInPlace) {
+  restart_beside_small_pieces fleet(disruption_budget{0});
+  const relocation_refusal refusal = RefusalAfter(fleet, seconds(5));
+  EXPECT_EQ(refusal.obstacle, relocation_obstacle::kDisruptionBudget);
+  EXPECT_EQ(refusal.runs, (std::map<relocation_obstacle, std::size_t>{
+                              {relocation_obstacle::kDisruptionBudget, 2}}));
+}
+
+// Guards against an operator who looks for a move where the cell is too small.
+TEST(RelocationSchedulerTest, ReportsAShortageOnlyWhereTheCellLacksRoom) {
+  restart_beside_small_pieces pieces(1600, 2800);
+  RefusalAfter(pieces, seconds(5));
+  pieces.PassFor(seconds(1));
+  EXPECT_EQ(pieces.LastReport()->detail.find("shortage"), std::string::npos);
+  restart_beside_small_pieces shortage(1600, 3400);
+  RefusalAfter(shortage, seconds(5));
+  shortage.PassFor(seconds(1));
+  EXPECT_NE(shortage.LastReport()->detail.find(" total_room 3000 shortage 400"),
+            std::string::npos);
+}
+
 // Guards against a task that is stopped again and again for others.
 TEST(RelocationSchedulerTest, ATaskIsNotRelocatedTwiceWithinTheInterval) {
   restart_beside_small_pieces fleet;
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -370,14 +371,20 @@
   const std::vector<waiting_restart> waiting = jobs_.WaitingRestarts();
   const std::size_t most =
       std::min(waiting.size(), options_.max_restart_reports);
+  std::map<std::string, resources> needed;
   for (std::size_t index = 0; index < most; ++index) {
+    const step_ref ref = StepOf(waiting[index].task);
+    const queue_configuration* queue = Queue(ref.job);
+    resources& of_service = needed[queue == nullptr ? "" : queue->service];
+    of_service += ReservedResources(*jobs_.Spec(ref));
     if (now >= waiting[index].since + options_.restart_report_delay) {
-      ReportDelayedRestart(waiting[index], now);
+      ReportDelayedRestart(waiting[index], of_service, now);
     }
   }
 }
 
 void fleet_scheduler::ReportDelayedRestart(const waiting_restart& restart,
+                                           const resources& needed,
                                            time_point now) {
   const step_ref ref = StepOf(restart.task);
   const step_spec& step = *jobs_.Spec(ref);
@@ -403,10 +410,13 @@
       });
   const auto reserved = reserved_workers_.find(restart.task);
   std::int64_t most_preemptible = 0;
+  std::int64_t total_preemptible = 0;
   std::int64_t total_room = 0;
   for (const placement_candidate& candidate : candidates) {
-    most_preemptible = std::max(
-        most_preemptible, candidate.session->PreemptibleRoom().millicores);
+    const std::int64_t preemptible =
+        candidate.session->PreemptibleRoom().millicores;
+    most_preemptible = std::max(most_preemptible, preemptible);
+    total_preemptible += preemptible;
     total_room += candidate.Room().millicores;
   }
   std::string detail = absl::StrCat(
@@ -424,6 +434,10 @@
             .count(),
         " most_preemptible ", most_preemptible, " total_room ", total_room);
   }
+  if (needed.millicores > total_preemptible) {
+    absl::StrAppend(&detail, " shortage ",
+                    needed.millicores - total_preemptible);
+  }
   AddNote(scheduling_event::kRestartDelayed,
           {restart.task, jobs_.Find(restart.task)->last_run},
           reserved == reserved_workers_.end() ? "" : reserved->second,
@@ -435,6 +449,8 @@
   if (queue != nullptr) {
     notes_.back().delegation_obstacle =
         DelegationObstacle(restart, step, *queue, now);
+    notes_.back().relocation_refusal =
+        RelocationRefusal(restart, step, *queue, now);
   }
 }
 
