Check the counters and names of the stages on a virtual fleet

RestartReleaseTest.ACancelledJobReleasesBoth also asserts that both waits are counted once over the limit of "room" and over the limit of all stages, and none under "takeover". TextFormatTest: each stage has a name of its own, which is not the label "all".

--- a/src/skylarkbridge/control/restart_release_test.cpp
+++ b/src/skylarkbridge/control/restart_release_test.cpp
@@ -51,6 +51,14 @@
       .Value();
 }
 
+/// Number of waits over the limit of the stage so far, over all VMs.
+std::uint64_t CountOverLimit(virtual_fleet& fleet, const std::string& stage) {
+  return fleet.Metrics()
+      .Counter("skylarkbridge_restart_stage_exceeded_total", "",
+               {{"stage", stage}})
+      .Value();
+}
+
 void SubmitAndStart(virtual_fleet& fleet,
                     jobs::job_id job,
                     const std::string& body) {
@@ -125,6 +133,9 @@
   EXPECT_EQ(CountRestarts(*fleet, jobs::restart_obstacle::kRoom,
                           jobs::restart_release::kCancelledRun),
             2U);
+  EXPECT_EQ(CountOverLimit(*fleet, "room"), 2U);
+  EXPECT_EQ(CountOverLimit(*fleet, "all"), 2U);
+  EXPECT_EQ(CountOverLimit(*fleet, "takeover"), 0U);
   EXPECT_EQ(Violations(*fleet), "");
 }
 
--- a/src/skylarkbridge/control/text_format_test.cpp
+++ b/src/skylarkbridge/control/text_format_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstddef>
 #include <set>
 #include <string_view>
@@ -39,5 +40,23 @@
   EXPECT_FALSE(names.contains("unknown"));
 }
 
+// Guards against two stages that share a label of the metrics.
+TEST(TextFormatTest, NamesEachRestartStageDifferently) {
+  std::set<std::string_view> names;
+  for (const jobs::restart_stage_bound& bound : jobs::kRestartStageBounds) {
+    names.insert(Name(bound.stage));
+  }
+  EXPECT_EQ(names.size(), jobs::kRestartStageCount);
+  EXPECT_FALSE(names.contains("unknown"));
+  EXPECT_FALSE(names.contains("all"));
+}
+
+TEST(TextFormatTest, NamesTheLongestStage) {
+  EXPECT_EQ(
+      Format(jobs::longest_restart_stage{jobs::restart_stage::kUnstoredEnd,
+                                         std::chrono::milliseconds(1250)}),
+      "longest_stage unstored_end stage_ms 1250");
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
