Bound the wait for a silent worker by the end of the run

Cause: a late start binds a long-running task to its worker for 2.5 s from the first pass that could not start it there. While each start went out at once, no pass set that time, and a worker that confirms the starts of others gets this one again and again. What a takeover, the store or a wait for room had used up did not count, and the time of one wait ended the binding in the next one, while the late start could still arrive.

Change: late_start::leaves_at is set when a report rules a start out, 3.7 s after the end of the last run. It belongs to one wait, and to a task that waits. A task that leaves avoids the worker, and has no run relocated there. Its waits for room count from the end of its run; one that has never run waits as a restart. The stage of a late start gets that limit.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -466,7 +466,15 @@
   void RecordLateStart(const worker_session& session,
                        const task_ref& task,
                        const worker_run& run);
-  /// Removes the late starts that can have no effect any more.
+  /// Whether the task has left the worker after starts without an answer and
+  /// does not choose it again yet.
+  bool Avoids(const task_ref& task, const std::string& worker) const;
+  /// Whether a task that a late start binds may start elsewhere now, although
+  /// the late start may have an effect.
+  bool Leaves(const task_ref& task,
+              const late_start& start,
+              time_point now) const;
+  /// Removes the late starts that bind their task no more.
   void RemoveEndedLateStarts(time_point now);
   /// Whether the late start can have no effect any more.
   bool IsOver(const late_start& start, time_point now) const;
@@ -688,7 +696,9 @@
                       time_point now);
   /// How long the task could have started here. Waits for the end of its run
   /// to be stored, for a takeover and for the retry delay do not count.
+  /// @param may_start_since when this began, unless it is known already.
   std::chrono::milliseconds WaitForRoom(const waiting_restart& restart,
+                                        time_point may_start_since,
                                         time_point now);
   /// Lets the unplaced tasks of a long-running step that has begun wait as
   /// restarts do, once they have waited for first_start_patience.
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -41,11 +41,11 @@
   std::chrono::milliseconds start_validity{1500};
   /// An unanswered order is carried out within this time or never.
   std::chrono::milliseconds max_order_delay{15'000};
-  /// How long a long-running task waits for the worker to which a late start
-  /// binds it.
-  /// With two starts of up to 0.7 s that got no answer it stays under the 6 s
-  /// that a restart may take.
-  std::chrono::milliseconds bound_task_patience{2500};
+  /// A long-running task that a late start binds to its worker may start
+  /// elsewhere this long after the end of its last run, but not while a start
+  /// of it is under way. Of the 6 s that a restart may take, this leaves 2.3 s
+  /// for a delegation to another cell or for the stops of a relocation.
+  std::chrono::milliseconds bound_restart_limit{3700};
   /// Longest time that stopping a task takes.
   std::chrono::milliseconds stop_timeout{400};
   /// Delay after a stop order that failed.
--- a/include/skylarkbridge/jobs/late_starts.hpp
+++ b/include/skylarkbridge/jobs/late_starts.hpp
@@ -25,13 +25,17 @@
   time_point runs_until;
   /// Orders without an answer that were sent to this life of the worker.
   int unanswered = 1;
-  /// When the task may start on any worker that has room, if the life of its
-  /// worker that reports refuses the orders. Set once a long-running task
-  /// waits for room there.
+  /// When a long-running task that waits may start on any worker that has room,
+  /// if the life of its worker that reports refuses the orders.
   std::optional<time_point> leaves_at;
-  /// Set once the orders can have no effect any more, after so many that the
-  /// worker is not chosen for the task before this time.
+  /// End of the run after which the task waits until `leaves_at`; nothing for a
+  /// task that has not run.
+  std::optional<time_point> waits_since;
+  /// Set once the task is bound no more but the worker is not chosen for it
+  /// before this time.
   std::optional<time_point> avoided_until;
+  /// When `avoided_until` was set.
+  time_point avoided_from;
 
   /// @brief Whether the task may start only on the worker.
   bool Binds() const { return !avoided_until; }
@@ -53,8 +57,10 @@
   /// @brief The late start that binds a task to its worker; null without one.
   const late_start* FindBinding(const task_ref& task) const;
   /// @brief Sets late_start::leaves_at of a task that a late start binds,
-  /// unless it is set.
-  void LeaveAt(const task_ref& task, time_point leaves_at);
+  /// unless it is set for the wait that began at @p waits_since.
+  void LeaveAt(const task_ref& task,
+               std::optional<time_point> waits_since,
+               time_point leaves_at);
   /// @brief Counts the unanswered orders to the worker anew, as its next life
   /// may answer.
   void WorkerRestarted(const std::string& worker);
@@ -64,7 +70,8 @@
   template <class Predicate>
   void RemoveIf(Predicate is_over) {
     for (auto entry = starts_.begin(); entry != starts_.end();) {
-      entry = is_over(entry->second) ? starts_.erase(entry) : std::next(entry);
+      entry = is_over(entry->first, entry->second) ? starts_.erase(entry)
+                                                   : std::next(entry);
     }
   }
   void Clear() { starts_.clear(); }
--- a/include/skylarkbridge/jobs/restart_stages.hpp
+++ b/include/skylarkbridge/jobs/restart_stages.hpp
@@ -90,8 +90,8 @@
         {restart_stage::kRoom, std::chrono::milliseconds(4000), true},
         {restart_stage::kIsolation, std::nullopt, false},
         {restart_stage::kGang, std::nullopt, false},
-        // bound_task_patience and a pass.
-        {restart_stage::kLateStart, std::chrono::milliseconds(2600), false},
+        // bound_restart_limit and a pass.
+        {restart_stage::kLateStart, std::chrono::milliseconds(3800), false},
         // One order without an answer and the report that rules it out.
         {restart_stage::kStartOrder, std::chrono::milliseconds(700), true},
     }};
--- a/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_late_starts.cpp
@@ -2,8 +2,8 @@
 // worker, although the life that has reported refuses it. Until it can arrive
 // no more, its task starts only on that worker. A worker that answers renewals
 // but no start would so keep the task without end: after kMaxUnanswered orders
-// it gets no more, and then the task starts elsewhere. A long-running
-// task waits for its worker no longer than bound_task_patience.
+// it gets no more, and then the task starts elsewhere. A long-running task
+// waits for its worker no longer than bound_restart_limit after its last run.
 #include <algorithm>
 #include <cstdint>
 #include <vector>
@@ -34,26 +34,63 @@
        .last_sent_at = run.ordered_at,
        .arrives_by = run.ordered_at + options_.max_order_delay,
        .runs_until = LatestLeaseExpiry(last_order + options_.max_order_delay)});
+  // Here and not in the next pass, which may start the task on the same worker
+  // again at once.
+  if (jobs_.Spec(StepOf(task))->long_running) {
+    const std::optional<time_point> waits_since =
+        jobs_.Find(task)->last_run_ended_at;
+    late_starts_.LeaveAt(
+        task, waits_since,
+        waits_since.value_or(run.ordered_at) + options_.bound_restart_limit);
+  }
 }
 
 void fleet_scheduler::RemoveEndedLateStarts(time_point now) {
-  late_starts_.RemoveIf([this, now](late_start& start) {
-    if (start.Binds() && !IsOver(start, now)) {
-      return false;
-    }
+  late_starts_.RemoveIf([this, now](const task_ref& task, late_start& start) {
     const auto worker = workers_.find(start.worker);
-    if (worker == workers_.end() || worker->second.entry.draining ||
-        MayRepeatStart(start, worker->second)) {
+    if (worker == workers_.end() || worker->second.entry.draining) {
       return true;
     }
-    if (start.Binds()) {
-      start.avoided_until = now + options_.unanswered_start_avoidance;
-      placement_pending_ = true;
+    if (!start.Binds()) {
+      const bool has_restarted = start.unanswered == 0;
+      return now >= *start.avoided_until || has_restarted ||
+             worker->second.last_confirmed_start > start.avoided_from;
+    }
+    const bool leaves = Leaves(task, start, now);
+    if (!leaves && !IsOver(start, now)) {
+      return false;
+    }
+    // A task that leaves has waited long enough for a worker that answers the
+    // starts of others only.
+    if (!leaves && MayRepeatStart(start, worker->second)) {
+      return true;
     }
-    return now >= *start.avoided_until;
+    start.avoided_from = now;
+    start.avoided_until = now + (start.unanswered < kMaxUnanswered
+                                     ? options_.fault_backoff
+                                     : options_.unanswered_start_avoidance);
+    placement_pending_ = true;
+    return false;
   });
 }
 
+bool fleet_scheduler::Avoids(const task_ref& task,
+                             const std::string& worker) const {
+  const late_start* const late = late_starts_.Find(task);
+  return late != nullptr && !late->Binds() && late->worker == worker;
+}
+
+bool fleet_scheduler::Leaves(const task_ref& task,
+                             const late_start& start,
+                             time_point now) const {
+  const auto worker = workers_.find(start.worker);
+  const task_state* state = jobs_.Find(task);
+  return worker != workers_.end() && worker->second.RefusesLateOrders() &&
+         state != nullptr && state->phase == task_phase::kReady &&
+         start.leaves_at && start.waits_since == state->last_run_ended_at &&
+         now >= *start.leaves_at;
+}
+
 bool fleet_scheduler::IsOver(const late_start& start, time_point now) const {
   const auto worker = workers_.find(start.worker);
   if (worker == workers_.end() || now >= start.runs_until) {
@@ -64,10 +101,8 @@
   const bool answered_since =
       session.RefusesLateOrders() &&
       session.answered_renewal_sent_at >= start.arrives_by;
-  const bool leaves =
-      session.RefusesLateOrders() && start.leaves_at && now >= *start.leaves_at;
   // A worker that drains ends and does not start again.
-  return session.entry.draining || answered_since || leaves;
+  return session.entry.draining || answered_since;
 }
 
 bool fleet_scheduler::MayRepeatStart(const late_start& start,
@@ -182,8 +217,11 @@
         LateStartCandidates(late, ref, *step, *queue, pass, now);
     all_placed &= PlaceOnCandidates({.ref = ref}, *step, *queue, {task.index},
                                     candidates, now);
-    if (step->long_running && state->phase == task_phase::kReady) {
-      late_starts_.LeaveAt(task, now + options_.bound_task_patience);
+    if (step->long_running && !late.Binds() &&
+        state->phase == task_phase::kReady &&
+        jobs_.Find(ref.job)->progress.started) {
+      jobs_.WaitAsRestart(task, now);
+      restart_stages_.ContinueAsRestart(task, now);
     }
     KeepRoomOfBoundTask(task, pass, now);
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -135,7 +135,8 @@
   }
   for (placement_candidate& candidate :
        CandidatesForStep(StepOf(restart.task), step, queue, pass, now)) {
-    if (candidate.session->entry.worker == move->second.from) {
+    if (candidate.session->entry.worker == move->second.from &&
+        !Avoids(restart.task, move->second.from)) {
       ReserveRoomOn(candidate, restart.task, step, pass);
       return StopRelocatedRun(restart.task, move->second, pass, now)
                  ? &candidate
@@ -217,7 +218,8 @@
   std::vector<relocatable_run> runs;
   for (const placement_candidate& candidate :
        CandidatesForStep(StepOf(waiting), step, queue, pass, now)) {
-    if (!IsEligible(step, candidate)) {
+    if (!IsEligible(step, candidate) ||
+        Avoids(waiting, candidate.session->entry.worker)) {
       continue;
     }
     resources missing = need;
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -51,8 +51,12 @@
   const bool may_restart = now >= restart.not_before && restart.end_stored;
   const bool waits_for_room =
       may_restart && (late == nullptr || !candidates.empty());
+  // A task that has left a silent worker has waited for room at any other.
+  const bool has_left = known != nullptr && late == nullptr &&
+                        known->avoided_from > restart.since;
   const std::chrono::milliseconds waited =
-      waits_for_room ? WaitForRoom(restart, now) : std::chrono::milliseconds(0);
+      waits_for_room ? WaitForRoom(restart, has_left ? restart.since : now, now)
+                     : std::chrono::milliseconds(0);
   if (may_restart && PlaceOnCandidates(ranked, *step, *queue,
                                        {restart.task.index}, candidates, now)) {
     if (jobs_.Find(restart.task)->phase == task_phase::kReady) {
@@ -79,7 +83,8 @@
   }
   pass.blocked_restarts[restart.task] = blocked;
   if (may_restart) {
-    late_starts_.LeaveAt(restart.task, now + options_.bound_task_patience);
+    late_starts_.LeaveAt(restart.task, restart.since,
+                         restart.since + options_.bound_restart_limit);
   }
   const bool may_start = !queue->HasPlacementPolicy() || !permitted.empty();
   const placement_candidate* reserved_on = ReserveRoom(
@@ -125,8 +130,12 @@
     return true;
   }
   for (const std::uint32_t index : ready) {
-    late_starts_.LeaveAt(TaskOf(ref, index),
-                         now + options_.bound_task_patience);
+    const task_ref member = TaskOf(ref, index);
+    const std::optional<time_point> waits_since =
+        jobs_.Find(member)->last_run_ended_at;
+    late_starts_.LeaveAt(
+        member, waits_since,
+        waits_since.value_or(now) + options_.bound_restart_limit);
   }
   std::vector<placement_candidate> permitted;
   if (queue->HasPlacementPolicy()) {
@@ -140,7 +149,7 @@
     candidates = std::move(permitted);
   }
   const auto waited =
-      complete ? WaitForRoom(first, now) : std::chrono::milliseconds(0);
+      complete ? WaitForRoom(first, now, now) : std::chrono::milliseconds(0);
   const bool reserved = ReserveRoomForGang(ref, step, candidates, pass);
   if (reserved && waited >= options_.preemption_delay) {
     PreemptForGang(ref, candidates, pass, now);
@@ -206,11 +215,12 @@
 
 std::chrono::milliseconds fleet_scheduler::WaitForRoom(
     const waiting_restart& restart,
+    time_point may_start_since,
     time_point now) {
   const auto [entry, added] = restart_waits_.try_emplace(
-      restart.task, restart_wait{restart.since, now});
+      restart.task, restart_wait{restart.since, may_start_since});
   if (entry->second.run_ended_at != restart.since) {
-    entry->second = {restart.since, now};
+    entry->second = {restart.since, may_start_since};
   }
   return std::chrono::floor<std::chrono::milliseconds>(
       now - entry->second.may_start_since);
--- a/src/skylarkbridge/jobs/late_starts.cpp
+++ b/src/skylarkbridge/jobs/late_starts.cpp
@@ -28,11 +28,17 @@
   return found != nullptr && found->Binds() ? found : nullptr;
 }
 
-void late_starts::LeaveAt(const task_ref& task, time_point leaves_at) {
+void late_starts::LeaveAt(const task_ref& task,
+                          std::optional<time_point> waits_since,
+                          time_point leaves_at) {
   const auto entry = starts_.find(task);
-  if (entry != starts_.end() && entry->second.Binds() &&
-      !entry->second.leaves_at) {
-    entry->second.leaves_at = leaves_at;
+  if (entry == starts_.end() || !entry->second.Binds()) {
+    return;
+  }
+  late_start& start = entry->second;
+  if (!start.leaves_at || start.waits_since != waits_since) {
+    start.leaves_at = leaves_at;
+    start.waits_since = waits_since;
   }
 }
 
