Relocate runs only after all restarts have had their turn in a pass

Callers saw LOST in a shortage: two long-running tasks, the smallest that waited, were not started although places for them came free.

Cause: a relocation was planned in the turn of the restart that it makes room for. An older and larger restart so took a place that a newer one fitted for a run that it had stopped first: one restart more, and none started that would not have. A target also stayed kept for up to 4 s for a run that was not being stopped yet.

Change: a pass plans relocations, and begins planned ones, after each restart has got or reserved the place that it fits. A target is kept from other restarts only once the run is being stopped.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -785,6 +785,14 @@
   void ReserveRoomOnTarget(const relocation& move,
                            placement_pass& pass,
                            time_point now) const;
+  /// Whether the run is being stopped or has ended.
+  bool HasBegun(const relocation& move) const;
+  /// Whether a relocation for the waiting task has begun.
+  bool HasBegunRelocation(const task_ref& waiting) const;
+  /// Relocates a run for a restart that fits no place.
+  void RelocateForRestart(const restart_without_room& waiting,
+                          placement_pass& pass,
+                          time_point now);
   /// Makes the room that was kept for a waiting restart available to it.
   void ReleaseKeptRoom(const task_ref& task, placement_pass& pass) const;
   /// Reserves room on a worker from which a smaller run is relocated, for a
@@ -796,6 +804,11 @@
       const queue_configuration& queue,
       placement_pass& pass,
       time_point now);
+  /// Whether the target still has room for the run, or can have it once batch
+  /// work is stopped.
+  bool TargetHasRoom(const relocation& move,
+                     placement_pass& pass,
+                     time_point now) const;
   /// Searches a run to relocate, unless the task has been searched for lately
   /// or the pass has no search left. Keeps the reason when it finds none.
   std::optional<relocation> FindRelocation(const waiting_restart& restart,
--- a/include/skylarkbridge/jobs/placement_pass.hpp
+++ b/include/skylarkbridge/jobs/placement_pass.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_JOBS_PLACEMENT_PASS_HPP
 #define SKYLARKBRIDGE_JOBS_PLACEMENT_PASS_HPP
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -115,6 +116,14 @@
   time_point may_start_since;
 };
 
+/// @brief A restart for which no worker of the cell can have room by stopping
+/// batch work.
+struct restart_without_room {
+  waiting_restart restart;
+  /// How long it could have started here.
+  std::chrono::milliseconds waited{};
+};
+
 /// @brief State of one placement pass, shared by its steps.
 struct placement_pass {
   /// Candidates by service, image and whether the step is best-effort.
@@ -134,6 +143,9 @@
   absl::flat_hash_map<std::string, resources> expected_restart_room;
   /// Whether expected_restart_room has been computed.
   bool expects_restarts = false;
+  /// The restarts that a relocation may make room for, once all restarts have
+  /// had their turn.
+  std::vector<restart_without_room> restarts_without_room;
   /// Restarts for which a run to relocate was searched.
   int relocation_searches = 0;
   /// The needs of steps that could start on any candidate of their kind.
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -36,6 +36,28 @@
   return run == from->second.runs.end() ? nullptr : &run->second;
 }
 
+bool fleet_scheduler::HasBegun(const relocation& move) const {
+  const worker_run* run = FindRelocatedRun(move);
+  return run == nullptr || run->stop_wanted;
+}
+
+bool fleet_scheduler::HasBegunRelocation(const task_ref& waiting) const {
+  const auto move = relocations_.find(waiting);
+  return move != relocations_.end() && HasBegun(move->second);
+}
+
+void fleet_scheduler::RelocateForRestart(const restart_without_room& waiting,
+                                         placement_pass& pass,
+                                         time_point now) {
+  const waiting_restart& restart = waiting.restart;
+  const step_ref ref = StepOf(restart.task);
+  const placement_candidate* const reserved_on = ReserveRoomByRelocation(
+      restart, *jobs_.Spec(ref), *Queue(ref.job), pass, now);
+  if (reserved_on != nullptr && waiting.waited >= options_.preemption_delay) {
+    PreemptRuns(restart.task, *reserved_on, now);
+  }
+}
+
 bool fleet_scheduler::IsUnderWay(const task_ref& waiting,
                                  const relocation& move,
                                  time_point now) const {
@@ -76,13 +98,34 @@
     }
     return !IsUnderWay(entry.first, move, now);
   });
+  // Until the run is being stopped, a waiting restart may take the place.
   for (const auto& [waiting, move] : relocations_) {
-    if (!pass.reserved_workers.contains(move.run.task)) {
+    if (HasBegun(move) && !pass.reserved_workers.contains(move.run.task)) {
       ReserveRoomOnTarget(move, pass, now);
     }
   }
 }
 
+bool fleet_scheduler::TargetHasRoom(const relocation& move,
+                                    placement_pass& pass,
+                                    time_point now) const {
+  const step_ref ref = StepOf(move.run.task);
+  const step_spec* step = jobs_.Spec(ref);
+  const queue_configuration* queue = Queue(ref.job);
+  if (step == nullptr || queue == nullptr) {
+    return false;
+  }
+  const std::vector<placement_candidate>& candidates =
+      CandidatesForStep(ref, *step, *queue, pass, now);
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&](const placement_candidate& candidate) {
+                       return candidate.session->entry.worker == move.to &&
+                              IsEligible(*step, candidate) &&
+                              Fits(ReservedResources(*step),
+                                   PreemptibleRoom(candidate));
+                     });
+}
+
 void fleet_scheduler::ReserveRoomOnTarget(const relocation& move,
                                           placement_pass& pass,
                                           time_point now) const {
@@ -124,6 +167,14 @@
     return nullptr;
   }
   auto move = relocations_.find(restart.task);
+  if (move != relocations_.end() && !HasBegun(move->second)) {
+    if (TargetHasRoom(move->second, pass, now)) {
+      ReserveRoomOnTarget(move->second, pass, now);
+    } else {
+      relocations_.erase(move);
+      move = relocations_.end();
+    }
+  }
   if (move == relocations_.end()) {
     std::optional<relocation> planned =
         FindRelocation(restart, step, queue, pass, now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -23,6 +23,12 @@
     ReleaseKeptRoom(restart.task, pass);
     all_placed &= PlaceRestart(restart, pass, now);
   }
+  // Now each restart that fits a place has got or reserved it, so that no
+  // relocation takes a place from one of them.
+  for (const restart_without_room& restart :
+       std::exchange(pass.restarts_without_room, {})) {
+    RelocateForRestart(restart, pass, now);
+  }
   return all_placed;
 }
 
@@ -102,6 +108,10 @@
   }
   if (reserved_on == nullptr && late == nullptr && restart.has_run &&
       waited >= options_.relocation_delay) {
+    if (!HasBegunRelocation(restart.task)) {
+      pass.restarts_without_room.push_back({restart, waited});
+      return false;
+    }
     reserved_on = ReserveRoomByRelocation(restart, *step, *queue, pass, now);
   }
   if (reserved_on != nullptr && may_start &&
