Keep the beginning of a wait over a delegation, a return and a takeover

Callers saw LOST: a long-running task that was offered to another cell and given back waited 24.9 s, while restarts that had ended later came before it.

Change: the job's progress has the time for each long-running task that waits, and a return names it. Readers bound it, as it comes from another VM's clock. The accounts by stage, and the delays before a delegation or a relocation, count from when the present owner learned of the wait. The start of a task writes nothing, as before.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -733,8 +733,9 @@
   restart_release ReleaseOf(const worker_session& session,
                             std::uint64_t blocked_pass) const;
   /// Begins to account a wait to its stages, unless it is known.
-  /// @param since when the last run ended, as waiting_restart::since.
-  void BeginRestartStages(const task_ref& task, time_point since);
+  /// @param known_since as waiting_restart::known_since: the time before it is
+  /// accounted by the owner and the cell in which the task waited then.
+  void BeginRestartStages(const task_ref& task, time_point known_since);
   /// Enters the stages that the last placement pass has found.
   void EnterBlockedStages(time_point now);
   /// No task can start, as this owner may give no orders.
--- a/include/skylarkbridge/jobs/job_record.hpp
+++ b/include/skylarkbridge/jobs/job_record.hpp
@@ -82,6 +82,11 @@
   /// Tasks that were given to another cell, by index. An entry is replaced by
   /// that of the next delegation, and never removed.
   std::map<std::uint32_t, delegated_task> delegations;
+  /// When the last run of a long-running task ended, by index, for each task
+  /// that waited for its next run when the record was written, here or in the
+  /// cell that it was delegated to. In milliseconds; empty in records of
+  /// versions that didn't store it.
+  std::map<std::uint32_t, wall_time> waiting_since;
 
   bool operator==(const step_progress&) const = default;
 };
@@ -195,6 +200,9 @@
   /// The crashes that are held against the task, those before the delegation
   /// included. Empty in records of versions that didn't store it.
   crashed_runs crashes = {};
+  /// When its last run ended, in milliseconds. Nullopt in records of versions
+  /// that didn't store it.
+  std::optional<wall_time> waiting_since = std::nullopt;
 
   bool operator==(const returned_task&) const = default;
 };
--- a/include/skylarkbridge/jobs/job_table.hpp
+++ b/include/skylarkbridge/jobs/job_table.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "skylarkbridge/base/clock_reading.hpp"
 #include "skylarkbridge/base/time.hpp"
 #include "skylarkbridge/jobs/delegation_obstacle.hpp"
 #include "skylarkbridge/jobs/fleet_configuration.hpp"
@@ -68,10 +69,13 @@
   /// The task is not started before this time, after a failed or lost run.
   time_point not_before;
   /// When its last run ended or was lost; empty while this owner knows of no
-  /// earlier run. For a task that an earlier owner started, the time at which
-  /// this owner added its job, until the end of a run is known. For a task
-  /// without a run, the time of WaitAsRestart.
+  /// earlier run. It is kept over a delegation, its return and a takeover. For
+  /// a task that an earlier owner started and that did not wait by its records,
+  /// the time at which this owner added its job, until the end of a run is
+  /// known. For a task without a run, the time of WaitAsRestart.
   std::optional<time_point> last_run_ended_at;
+  /// When this owner learned that the task waits; set with last_run_ended_at.
+  std::optional<time_point> wait_known_since;
   /// Whether last_run_ended_at is the time of WaitAsRestart.
   bool waits_for_first_run = false;
   /// Workers of earlier owners that have not reported yet may have run it.
@@ -83,6 +87,14 @@
   /// Number of the call of TakeChanges whose changes have to be stored before
   /// the task starts again.
   std::uint64_t start_after_write = 0;
+
+  /// A run that ended at @p since, which this owner learned at @p known, leaves
+  /// the task waiting.
+  void BeginWait(time_point since, time_point known) {
+    last_run_ended_at = since;
+    wait_known_since = known;
+    waits_for_first_run = false;
+  }
 };
 
 /// @brief State of the tasks of one occurrence of a step.
@@ -139,6 +151,8 @@
   bool has_run = true;
   /// When its last run ended or was lost.
   time_point since;
+  /// When this owner learned that it waits.
+  time_point known_since;
   /// It is not started before this time.
   time_point not_before;
   /// The end of its last run is stored; it is not started before.
@@ -234,6 +248,9 @@
 
   /// @brief Starts the occurrences that are due.
   void StartDue(wall_time wall_now);
+  /// @brief Sets the clocks by which times are stored and read. Without them
+  /// none is stored, and a wait begins when this owner learns of it.
+  void SetClocks(const clock_reading& clocks) { clocks_ = clocks; }
 
   /// @brief Allows tasks that no worker has reported to start. Called when
   /// every worker has reported its runs or its lease has expired.
@@ -369,6 +386,16 @@
   /// Records that a run of a long-running task and all runs before it have
   /// ended.
   void RecordLastEndedRun(open_job& job, const run_ref& run);
+  /// Records in the progress since when the task waits for its next run.
+  void RecordWait(open_job& job, const task_ref& task);
+  /// Records in the progress that the task waits no more. That is no reason to
+  /// write it: a successor learns of the run from its worker.
+  void RecordWaitOver(open_job& job, const task_ref& task);
+  /// When a wait that a record tells of began, on the clock of this process.
+  /// Another VM wrote the time, so that it is never later than @p now and at
+  /// most kMaxStoredWait earlier.
+  time_point BeginOfWait(std::optional<wall_time> waiting_since,
+                         time_point now) const;
   /// Whether a reported end shows that no run of the task is left, although
   /// workers of earlier owners have not reported yet.
   bool EndReleases(const task_state& task, const run_ref& run) const;
@@ -409,6 +436,7 @@
                                        const task_ref& task) const;
 
   job_table_options options_;
+  std::optional<clock_reading> clocks_;
   cell_id cell_;
   epoch own_epoch_;
   std::map<job_id, open_job> jobs_;
--- a/include/skylarkbridge/jobs/placement_pass.hpp
+++ b/include/skylarkbridge/jobs/placement_pass.hpp
@@ -111,8 +111,8 @@
 /// @brief When a waiting restart could first have started in this cell if there
 /// had been room.
 struct restart_wait {
-  /// End of the last run, which tells one wait from the next.
-  time_point run_ended_at;
+  /// As waiting_restart::known_since, which tells one wait from the next.
+  time_point known_since;
   time_point may_start_since;
 };
 
--- a/include/skylarkbridge/jobs/task_returns.hpp
+++ b/include/skylarkbridge/jobs/task_returns.hpp
@@ -14,7 +14,7 @@
 
 namespace skylarkbridge::jobs {
 
-/// @brief Most tasks of one returned_tasks record. Each takes up to 70 bytes.
+/// @brief Most tasks of one returned_tasks record. Each takes up to 80 bytes.
 inline constexpr std::size_t kMaxReturnedTasks = 200;
 
 /// @brief Whether the return needs no record any more: the cell that runs the
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -195,6 +195,7 @@
     EnterOwnershipStage(now);
     return;
   }
+  jobs_.SetClocks({.now = now, .wall = wall});
   jobs_.StartDue(wall);
   ResolveUnmatchedRuns(now);
   ExpireLeases(now);
@@ -376,7 +377,7 @@
   for (const task_ref& task : released) {
     blocked_restarts_[task] = {.obstacle = restart_obstacle::kUnreportedWorkers,
                                .pass = last_pass_};
-    restart_stages_.Begin(task, *jobs_.Find(task)->last_run_ended_at,
+    restart_stages_.Begin(task, *jobs_.Find(task)->wait_known_since,
                           restart_stage::kTakeover);
     restart_stages_.Enter(task, restart_stage::kNextPass, now);
   }
--- a/src/skylarkbridge/jobs/fleet_scheduler_restart_stages.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restart_stages.cpp
@@ -7,14 +7,14 @@
 namespace skylarkbridge::jobs {
 
 void fleet_scheduler::BeginRestartStages(const task_ref& task,
-                                         time_point since) {
-  // A task that an earlier owner has started counts as waiting from the time
-  // at which its job was added. So does one that was delegated to this owner
-  // with its job, which waits for no worker.
+                                         time_point known_since) {
+  // This owner learns that a task which an earlier owner has started may wait
+  // when its job is added. So it does of one that was delegated to it with its
+  // job, which waits for no worker.
   const open_job& job = *jobs_.Find(task.job);
-  const bool taken_over = !job.is_delegated && since == job.added_at;
+  const bool taken_over = !job.is_delegated && known_since == job.added_at;
   restart_stages_.Begin(
-      task, since,
+      task, known_since,
       taken_over ? restart_stage::kTakeover : restart_stage::kNextPass);
 }
 
@@ -22,10 +22,10 @@
   for (const auto& [task, blocked] : blocked_restarts_) {
     const task_state* state = jobs_.Find(task);
     if (state == nullptr || state->phase != task_phase::kReady ||
-        !state->last_run_ended_at) {
+        !state->wait_known_since) {
       continue;
     }
-    BeginRestartStages(task, *state->last_run_ended_at);
+    BeginRestartStages(task, *state->wait_known_since);
     restart_obstacle obstacle = blocked.obstacle;
     // The pass keeps the takeover as the cause of a restart that may not start
     // for another reason by now.
@@ -39,7 +39,7 @@
 
 void fleet_scheduler::EnterOwnershipStage(time_point now) {
   for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
-    BeginRestartStages(restart.task, restart.since);
+    BeginRestartStages(restart.task, restart.known_since);
     restart_stages_.Enter(restart.task, restart_stage::kOwnership, now);
   }
   UpdateRestartStages(now);
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -228,9 +228,9 @@
     time_point may_start_since,
     time_point now) {
   const auto [entry, added] = restart_waits_.try_emplace(
-      restart.task, restart_wait{restart.since, may_start_since});
-  if (entry->second.run_ended_at != restart.since) {
-    entry->second = {restart.since, may_start_since};
+      restart.task, restart_wait{restart.known_since, may_start_since});
+  if (entry->second.known_since != restart.known_since) {
+    entry->second = {restart.known_since, may_start_since};
   }
   return std::chrono::floor<std::chrono::milliseconds>(
       now - entry->second.may_start_since);
--- a/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_runs.cpp
@@ -114,7 +114,7 @@
       restart_wait = std::chrono::floor<std::chrono::milliseconds>(
           now - *task->last_run_ended_at);
       cause = CauseOfRestart(run.task, session);
-      BeginRestartStages(run.task, *task->last_run_ended_at);
+      BeginRestartStages(run.task, *task->wait_known_since);
     }
   }
   restart_stages_.Enter(run.task, restart_stage::kStartOrder, now);
--- a/src/skylarkbridge/jobs/job_progress_queries.hpp
+++ b/src/skylarkbridge/jobs/job_progress_queries.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "skylarkbridge/jobs/job_record.hpp"
 
@@ -21,6 +22,17 @@
   return nullptr;
 }
 
+/// @brief step_progress::waiting_since of a task; nullopt when there is none.
+inline std::optional<wall_time> WaitingSince(const step_progress* progress,
+                                             std::uint32_t index) {
+  if (progress == nullptr) {
+    return std::nullopt;
+  }
+  const auto since = progress->waiting_since.find(index);
+  return since == progress->waiting_since.end() ? std::nullopt
+                                                : std::optional(since->second);
+}
+
 /// @brief Number of the runs with this evidence of a crash or stronger one.
 inline std::size_t CountCrashes(const crashed_runs& crashes,
                                 crash_evidence at_least) {
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -13,6 +13,9 @@
 /// that no worker has reported to it.
 constexpr run_number kRunsPerEpoch = 10'000;
 
+/// Bounds what the clock of another VM can do to the age of a wait.
+constexpr std::chrono::minutes kMaxStoredWait{10};
+
 /// Lowest number of a run that the owner of this epoch starts.
 run_number FirstRunOfEpoch(const task_state& task, epoch owner_epoch) {
   return (owner_epoch - 1) * kRunsPerEpoch + task.first_run;
@@ -29,6 +32,7 @@
   if (!added) {
     return;
   }
+  clocks_ = {.now = now, .wall = wall_now};
   open_job& job = entry->second;
   job.queue = state.queue;
   job.settings = state.settings;
@@ -115,6 +119,7 @@
   RemoveIfNoneReady(StepOf(run.task));
   open_job& job = jobs_.find(run.task.job)->second;
   SetStarted(job, run.task, true);
+  RecordWaitOver(job, run.task);
   if (task->suspected_crashes > 0) {
     AddPendingRun(job, run, *task);
   }
@@ -151,8 +156,8 @@
   RemovePendingRun(run);
   if (EndRun(run, now)) {
     task_state& task = *MutableTask(run.task);
-    task.last_run_ended_at = now;
-    task.waits_for_first_run = false;
+    task.BeginWait(now, now);
+    RecordWait(jobs_.find(run.task.job)->second, run.task);
   }
 }
 
@@ -160,7 +165,7 @@
   task_state* task = MutableTask(ref);
   if (task != nullptr && task->phase == task_phase::kReady &&
       !task->last_run_ended_at && Spec(StepOf(ref))->long_running) {
-    task->last_run_ended_at = now;
+    task->BeginWait(now, now);
     task->waits_for_first_run = true;
   }
 }
@@ -259,8 +264,8 @@
   RecordLastEndedRun(job, run);
   // The end may be that of a run of an earlier owner, which isn't active here.
   if (EndRun(run, not_before) || !task->last_run_ended_at) {
-    task->last_run_ended_at = now;
-    task->waits_for_first_run = false;
+    task->BeginWait(now, now);
+    RecordWait(job, run.task);
   }
   return {};
 }
@@ -289,6 +294,30 @@
   changed_.insert(run.task.job);
 }
 
+void job_table::RecordWait(open_job& job, const task_ref& task) {
+  const task_state* state = Find(task);
+  if (!clocks_ || job.is_delegated || !state->last_run_ended_at ||
+      !job.spec.steps[task.step].long_running) {
+    return;
+  }
+  FindOrAddProgress(job, task).waiting_since[task.index] =
+      clocks_->ToWall(*state->last_run_ended_at);
+  deferred_changes_.insert(task.job);
+}
+
+void job_table::RecordWaitOver(open_job& job, const task_ref& task) {
+  if (!job.is_delegated && job.spec.steps[task.step].long_running) {
+    FindOrAddProgress(job, task).waiting_since.erase(task.index);
+  }
+}
+
+time_point job_table::BeginOfWait(std::optional<wall_time> waiting_since,
+                                  time_point now) const {
+  return waiting_since && clocks_ ? std::clamp(clocks_->ToLocal(*waiting_since),
+                                               now - kMaxStoredWait, now)
+                                  : now;
+}
+
 void job_table::SetStarted(open_job& job, const task_ref& task, bool started) {
   if (!job.spec.steps[task.step].long_running) {
     return;
--- a/src/skylarkbridge/jobs/job_table_delegations.cpp
+++ b/src/skylarkbridge/jobs/job_table_delegations.cpp
@@ -43,13 +43,15 @@
       const auto crashed = step.crashes.find(index);
       SetCrashes(ref, crashed == step.crashes.end() ? crashed_runs()
                                                     : crashed->second);
-      task->last_run_ended_at = now;
       // No earlier owner has started a task that was delegated to this one.
       const bool delegated_to_this_owner =
           delegation.owner_epoch > 0 && delegation.owner_epoch == own_epoch_;
       if (maybe_running && !delegated_to_this_owner) {
+        // It may have run here since, so that another wait may have begun.
+        task->BeginWait(now, now);
         task->phase = task_phase::kMaybeRunning;
       } else {
+        task->BeginWait(BeginOfWait(WaitingSince(&step, index), now), now);
         MakeReady(ref, *task);
       }
     }
@@ -103,8 +105,10 @@
       std::max(NextRun(ref, own_epoch), task.first_run + 1);
   task.phase = task_phase::kElsewhere;
   RemoveIfNoneReady(StepOf(ref));
-  FindOrAddProgress(jobs_.find(ref.job)->second, ref).delegations[ref.index] = {
+  open_job& job = jobs_.find(ref.job)->second;
+  FindOrAddProgress(job, ref).delegations[ref.index] = {
       .cell = to, .first_run = first_run, .owner_epoch = to_owner};
+  RecordWait(job, ref);
   changed_.insert(ref.job);
 }
 
--- a/src/skylarkbridge/jobs/job_table_occurrences.cpp
+++ b/src/skylarkbridge/jobs/job_table_occurrences.cpp
@@ -129,7 +129,8 @@
         task.may_have_unreported_runs = true;
       }
       if (IsStarted(progress, index)) {
-        task.last_run_ended_at = job.added_at;
+        task.BeginWait(BeginOfWait(WaitingSince(progress, index), job.added_at),
+                       job.added_at);
       }
       if (progress != nullptr) {
         if (const auto failed = progress->failures.find(index);
--- a/src/skylarkbridge/jobs/job_table_queries.cpp
+++ b/src/skylarkbridge/jobs/job_table_queries.cpp
@@ -37,6 +37,7 @@
             {.task = TaskOf(ref, index),
              .has_run = !task.waits_for_first_run,
              .since = *task.last_run_ended_at,
+             .known_since = *task.wait_known_since,
              .not_before = task.not_before,
              .end_stored = stored_writes_ >= task.start_after_write});
       }
--- a/src/skylarkbridge/jobs/job_table_returns.cpp
+++ b/src/skylarkbridge/jobs/job_table_returns.cpp
@@ -19,6 +19,9 @@
       .first_run = first_run,
       .next_run = std::max(NextRun(ref, own_epoch), first_run + 1),
       .crashes = crashes == nullptr ? crashed_runs() : *crashes};
+  if (clocks_) {
+    returned.waiting_since = clocks_->ToWall(*Find(ref)->last_run_ended_at);
+  }
   ApplyReturn(returned);
   return returned;
 }
@@ -54,10 +57,11 @@
   }
   present->second = {.cell = cell_, .first_run = returned.next_run};
   task->first_run = returned.next_run;
-  task->last_run_ended_at = now;
+  task->BeginWait(BeginOfWait(returned.waiting_since, now), now);
   task->not_before = now;
   // Also holds the start back until the new entry is stored.
   RecordLastEndedRun(job, {ref, returned.next_run - 1});
+  RecordWait(job, ref);
   SetCrashes(ref, returned.crashes);
   MakeReady(ref, *task);
   return true;
--- a/src/skylarkbridge/records/job_record_codec.cpp
+++ b/src/skylarkbridge/records/job_record_codec.cpp
@@ -44,12 +44,16 @@
 constexpr std::size_t kLastEndedRunsColumn = 6;
 /// Column of step_progress::delegations, under the same rules.
 constexpr std::size_t kDelegationsColumn = 7;
+/// Column of step_progress::waiting_since, under the same rules.
+constexpr std::size_t kWaitingSinceColumn = 8;
 /// Position of delegated_task::owner_epoch in a row of that column. Rows of
 /// earlier versions end before it.
 constexpr std::size_t kOwnerEpochOfDelegation = 3;
 /// Position of returned_task::crashes in a row. Rows of tasks without crashes,
 /// and those of earlier versions, end before it; earlier versions ignore it.
 constexpr std::size_t kCrashesOfReturn = 3;
+/// Position of returned_task::waiting_since, under the same rules.
+constexpr std::size_t kWaitingSinceOfReturn = 4;
 /// Column of ownership_record::room, which earlier versions neither write nor
 /// read.
 constexpr std::size_t kRoomColumn = 6;
@@ -258,6 +262,27 @@
   return rows;
 }
 
+std::int64_t ToMilliseconds(wall_time time) {
+  return std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch())
+      .count();
+}
+
+/// Returns a time from 1970 to kMaxDueTime.
+wall_time ToTimeOfMilliseconds(const json& value) {
+  const auto latest =
+      std::chrono::floor<std::chrono::milliseconds>(kMaxDueTime);
+  return wall_time(std::chrono::milliseconds(
+      ToInteger<std::int64_t>(value, {0, latest.count()})));
+}
+
+json WaitsToJson(const step_progress& step) {
+  json rows = json::array();
+  for (const auto& [index, since] : step.waiting_since) {
+    rows.push_back(json::array({index, ToMilliseconds(since)}));
+  }
+  return rows;
+}
+
 /// Each row holds a service and its pieces, largest first. Earlier versions
 /// write and read the first piece only.
 json RoomToJson(const room_pieces& room) {
@@ -327,7 +352,8 @@
   json row = json::array(
       {step.occurrence, step.step, ToJson(step.done), std::move(failures)});
   // A column is written when it or a later one is not empty.
-  const bool has_delegations = !step.delegations.empty();
+  const bool has_waits = !step.waiting_since.empty();
+  const bool has_delegations = !step.delegations.empty() || has_waits;
   const bool has_ended_runs = !step.last_ended_runs.empty() || has_delegations;
   const bool has_crashes = !step.crashes.empty() || has_ended_runs;
   if (!step.started.empty() || has_crashes) {
@@ -342,6 +368,9 @@
   if (has_delegations) {
     row.push_back(DelegationsToJson(step));
   }
+  if (has_waits) {
+    row.push_back(WaitsToJson(step));
+  }
   return row;
 }
 
@@ -386,6 +415,12 @@
       }
     }
   }
+  if (row.size() > kWaitingSinceColumn) {
+    for (const json& wait_row : RequireArray(row.at(kWaitingSinceColumn))) {
+      step.waiting_since[ToInteger<std::uint32_t>(wait_row.at(0))] =
+          ToTimeOfMilliseconds(wait_row.at(1));
+    }
+  }
   return step;
 }
 
@@ -433,9 +468,12 @@
   for (const returned_task& returned : record.tasks) {
     json row = json::array(
         {Format(returned.task), returned.first_run, returned.next_run});
-    if (!returned.crashes.empty()) {
+    if (!returned.crashes.empty() || returned.waiting_since) {
       row.push_back(ToJson(returned.crashes));
     }
+    if (returned.waiting_since) {
+      row.push_back(ToMilliseconds(*returned.waiting_since));
+    }
     rows.push_back(std::move(row));
   }
   return {.key = std::string(kReturnedTasksKey),
@@ -534,6 +572,10 @@
   if (row.size() > kCrashesOfReturn) {
     returned.crashes = ToCrashedRuns(row.at(kCrashesOfReturn));
   }
+  if (row.size() > kWaitingSinceOfReturn) {
+    returned.waiting_since =
+        ToTimeOfMilliseconds(row.at(kWaitingSinceOfReturn));
+  }
   return returned;
 }
 
--- a/src/skylarkbridge/records/job_record_codec_test.cpp
+++ b/src/skylarkbridge/records/job_record_codec_test.cpp
@@ -211,6 +211,18 @@
   EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
 }
 
+// Guards against a successor for which the waits of tasks begin anew.
+TEST(JobRecordCodecTest, KeepsTheBeginningsOfWaits) {
+  const wall_time since{std::chrono::milliseconds(1'700'000'000'123)};
+  const job_advanced advanced{
+      .job = job_id{1},
+      .progress = {.started = true,
+                   .steps = {{.step = 1, .waiting_since = {{4, since}}}}}};
+  const auto decoded = RoundTrip(advanced);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<job_advanced>(*decoded).progress, advanced.progress);
+}
+
 // Guards against losing the progress of jobs at an update: earlier versions
 // wrote no started tasks.
 TEST(JobRecordCodecTest, ReadsTheProgressThatEarlierVersionsWrote) {
--- a/src/skylarkbridge/records/returned_tasks_codec_test.cpp
+++ b/src/skylarkbridge/records/returned_tasks_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/leaf/handle_errors.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -45,7 +46,12 @@
            .next_run = 30'005,
            .crashes = {{2, crash_evidence::kSuspected},
                        {10'003, crash_evidence::kBlamed}}},
-          {.task = {.job = job_id{1}}, .first_run = 1, .next_run = 2}}};
+          {.task = {.job = job_id{1}},
+           .first_run = 1,
+           .next_run = 2,
+           .waiting_since =
+               wall_time(std::chrono::milliseconds(1'700'000'000'123))},
+          {.task = {.job = job_id{2}}, .first_run = 1, .next_run = 2}}};
   const keyed_record encoded = Encode(returned);
   const auto decoded = DecodeOrNothing(encoded.key, *encoded.value);
   ASSERT_TRUE(decoded);
@@ -80,6 +86,8 @@
   const json evidence_out_of_range = json::array({json::array({1, 3})});
   EXPECT_FALSE(DecodeRows(
       json::array({json::array({task, 1, 2, evidence_out_of_range})})));
+  EXPECT_FALSE(
+      DecodeRows(json::array({json::array({task, 1, 2, json::array(), -1})})));
 }
 
 }  // namespace
