End the lives of silent workers that two lists of machines do not name

Callers saw restarts of long-running tasks 5.7 to 7.3 s after their workers were gone for good: all of the 6 s that a restart may take.

Cause: an owner that stays waited for the lease of a worker that is gone.

Change: from 0.5 s after a renewal has failed the owner asks for the list until it names the worker. Two lists in a row without it, as they count in a takeover, end its life. A worker that may receive a start without an answer is left to its lease, since its id might come back and carry the start out.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -102,12 +102,12 @@
   }
 
   /// @brief Whether a list of machines, requested now, may show that a worker
-  /// is gone: one of an earlier owner for which tasks wait, or one that may
-  /// have crashed.
+  /// is gone: one of an earlier owner for which tasks wait, one that is silent,
+  /// or one that may have crashed.
   bool NeedsMachineList(time_point now) const;
-  /// @brief A list of machines was read. Workers of earlier owners that neither
-  /// this list nor the one before it names count as gone; both have to be
-  /// requested after the last order of earlier owners.
+  /// @brief A list of machines was read. Workers of earlier owners and silent
+  /// ones that neither this list nor the one before it names count as gone;
+  /// both have to be requested after the last order of earlier owners.
   void MachinesListed(const machine_list& list);
 
   /// @brief Adds a job.
@@ -335,7 +335,17 @@
   void EndReplacedLives(const worker_session& reporting, time_point now);
   /// Drops the runs of a worker whose process has ended, and its session. A
   /// later life under the same id gets a new one.
-  void EndLife(session_map::iterator ended, time_point now);
+  /// @param proof what shows that the process has ended.
+  void EndLife(session_map::iterator ended,
+               scheduling_event proof,
+               time_point now);
+  /// Whether a list of machines may show that the silent worker is gone before
+  /// its lease ends.
+  bool MayBeListedAsGone(const worker_session& session, time_point now) const;
+  /// Takes note of the silent workers that the list names.
+  void RecordListedWorkers(const machine_list& list);
+  /// Ends the lives of the silent workers that neither list names.
+  void EndGoneLives(const machine_list& list, const machine_list& earlier);
   /// As EndLife, for a worker of an earlier owner that has not reported.
   void EndUnreportedLife(const std::string& worker);
   /// Whether the worker has sent a report to this owner.
@@ -775,6 +785,14 @@
   // Relocation of long-running runs.
   /// The run while it is on its first worker; null after that.
   const worker_run* FindRelocatedRun(const relocation& move) const;
+  /// Whether the run is being stopped or has ended.
+  bool HasBegun(const relocation& move) const;
+  /// Whether a relocation for the waiting task has begun.
+  bool HasBegunRelocation(const task_ref& waiting) const;
+  /// Relocates a run for a restart that fits no place.
+  void RelocateForRestart(const restart_without_room& waiting,
+                          placement_pass& pass,
+                          time_point now);
   /// Whether the run is to be stopped for the waiting task, or its task waits
   /// for its restart.
   bool IsUnderWay(const task_ref& waiting,
@@ -786,14 +804,11 @@
   void ReserveRoomOnTarget(const relocation& move,
                            placement_pass& pass,
                            time_point now) const;
-  /// Whether the run is being stopped or has ended.
-  bool HasBegun(const relocation& move) const;
-  /// Whether a relocation for the waiting task has begun.
-  bool HasBegunRelocation(const task_ref& waiting) const;
-  /// Relocates a run for a restart that fits no place.
-  void RelocateForRestart(const restart_without_room& waiting,
-                          placement_pass& pass,
-                          time_point now);
+  /// Whether the target still has room for the run, or can have it once batch
+  /// work is stopped.
+  bool TargetHasRoom(const relocation& move,
+                     placement_pass& pass,
+                     time_point now) const;
   /// Makes the room that was kept for a waiting restart available to it.
   void ReleaseKeptRoom(const task_ref& task, placement_pass& pass) const;
   /// Reserves room on a worker from which a smaller run is relocated, for a
@@ -805,11 +820,6 @@
       const queue_configuration& queue,
       placement_pass& pass,
       time_point now);
-  /// Whether the target still has room for the run, or can have it once batch
-  /// work is stopped.
-  bool TargetHasRoom(const relocation& move,
-                     placement_pass& pass,
-                     time_point now) const;
   /// Searches a run to relocate, unless the task has been searched for lately
   /// or the pass has no search left. Keeps the reason when it finds none.
   std::optional<relocation> FindRelocation(const waiting_restart& restart,
--- a/include/skylarkbridge/jobs/worker_session.hpp
+++ b/include/skylarkbridge/jobs/worker_session.hpp
@@ -163,6 +163,11 @@
   time_point last_confirmed_start;
   /// Consecutive renewals without a usable answer.
   int failed_renewals = 0;
+  /// When the first of these failed; empty while there are none.
+  std::optional<time_point> silent_since;
+  /// A list of machines names the worker although it is silent, so that it runs
+  /// on.
+  bool listed_while_silent = false;
   /// The worker gets no new tasks before this time.
   time_point excluded_until;
   /// The same, after a start order without an answer. Tasks that can start only
--- a/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_machine_list.cpp
@@ -1,6 +1,9 @@
 // A worker is one life of a machine. A list of machines that was requested
 // after the last order of earlier owners, and that does not name a worker,
 // shows that its process has ended: a worker that is only cut off stays in it.
+//
+// A worker that may receive a start without an answer is not ended by a list:
+// it might come back under its id and carry the start out.
 #include <algorithm>
 #include <chrono>
 #include <map>
@@ -13,6 +16,9 @@
 namespace skylarkbridge::jobs {
 namespace {
 
+/// The list of machines shows within this time that a worker has ended.
+constexpr std::chrono::milliseconds kListingDelay{500};
+
 /// Whether workers report and the list names none of them, so that its ids may
 /// have nothing to do with those in the list of workers.
 /// @param max_silence a worker that has not answered for this long when the
@@ -46,7 +52,39 @@
       std::any_of(
           unreported_workers_.begin(), unreported_workers_.end(),
           [](const auto& unreported) { return !unreported.second.ended; });
-  return active_ && (crash_in_doubt || worker_unreported);
+  const bool worker_silent = std::any_of(
+      workers_.begin(), workers_.end(),
+      [&](const auto& entry) { return MayBeListedAsGone(entry.second, now); });
+  return active_ && (crash_in_doubt || worker_unreported || worker_silent);
+}
+
+bool fleet_scheduler::MayBeListedAsGone(const worker_session& session,
+                                        time_point now) const {
+  return session.has_reported && session.silent_since &&
+         now >= *session.silent_since + kListingDelay &&
+         !session.listed_while_silent && !session.runs.empty() &&
+         !MayReceiveLateStart(session, now);
+}
+
+void fleet_scheduler::RecordListedWorkers(const machine_list& list) {
+  for (auto& [worker, session] : workers_) {
+    if (session.silent_since &&
+        list.requested_at >= *session.silent_since + kListingDelay) {
+      session.listed_while_silent |= Names(list, worker);
+    }
+  }
+}
+
+void fleet_scheduler::EndGoneLives(const machine_list& list,
+                                   const machine_list& earlier) {
+  for (auto position = workers_.begin(); position != workers_.end();) {
+    const auto silent = position++;
+    if (MayBeListedAsGone(silent->second, earlier.requested_at) &&
+        silent->second.last_confirmed_start < earlier.requested_at &&
+        !Names(earlier, silent->first) && !Names(list, silent->first)) {
+      EndLife(silent, scheduling_event::kWorkerGone, list.requested_at);
+    }
+  }
 }
 
 void fleet_scheduler::MachinesListed(const machine_list& list) {
@@ -60,9 +98,11 @@
       std::exchange(last_machine_list_, list);
   const bool confirmed = earlier && Confirms(list, *earlier);
   ProveListedCrashes(list, confirmed ? &*earlier : nullptr);
+  RecordListedWorkers(list);
   if (!confirmed) {
     return;
   }
+  EndGoneLives(list, *earlier);
   for (auto& [worker, unreported] : unreported_workers_) {
     if (!unreported.ended && !HasReported(worker) && !Names(*earlier, worker) &&
         !Names(list, worker)) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_replaced_lives.cpp
@@ -53,7 +53,7 @@
       MayHaveStartedSince(session, session.renewed_at)) {
     return false;
   }
-  EndLife(refused, now);
+  EndLife(refused, scheduling_event::kWorkerReplaced, now);
   return true;
 }
 
@@ -75,15 +75,16 @@
         session.reported_address == address &&
         reporting.renewed_at > session.last_answer &&
         !MayHaveStartedSince(session, reporting.renewed_at)) {
-      EndLife(other, now);
+      EndLife(other, scheduling_event::kWorkerReplaced, now);
     }
   }
 }
 
-void fleet_scheduler::EndLife(session_map::iterator ended, time_point now) {
+void fleet_scheduler::EndLife(session_map::iterator ended,
+                              scheduling_event proof,
+                              time_point now) {
   worker_session& session = ended->second;
-  AddNote(scheduling_event::kWorkerReplaced, {}, ended->first,
-          absl::StrCat("runs ", session.runs.size()));
+  AddNote(proof, {}, ended->first, absl::StrCat("runs ", session.runs.size()));
   ProveCrash(ended->first);
   if (!session.entry.draining) {
     RecordCrash(session, {});
--- a/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_workers.cpp
@@ -218,6 +218,8 @@
     ++session.failed_renewals;
     RetryRenewal(session, now);
     if (session.failed_renewals == 1) {
+      session.silent_since = now;
+      session.listed_while_silent = false;
       AddNote(scheduling_event::kWorkerQuiet, {}, reply.worker,
               absl::StrCat("runs ", session.runs.size()));
     }
@@ -227,6 +229,7 @@
                        (!session.RefusesLateOrders() ||
                         now >= session.last_answer + options_.max_silence);
   session.failed_renewals = 0;
+  session.silent_since.reset();
   session.confirmed_fence = session.fence;
   session.last_acknowledged_ended_run = std::max(
       session.last_acknowledged_ended_run, session.ended_run_under_way);
