Keep the delegation tests at the time of a lease's end

Cause: the tests place their faults around the delegation of a task whose worker has crashed, which came once the lease had ended, 6 s later. Since two lists of machines end the wait sooner, six fixtures found the task running already, and the cuts at 6.0 to 7.6 s would come long after the delegation. Change: the fleet of these tests has no list of machines, so that they play the same times as before; no check is changed.

--- a/src/skylarkbridge/control/delegation_test.cpp
+++ b/src/skylarkbridge/control/delegation_test.cpp
@@ -79,7 +79,9 @@
 }
 
 /// A fleet of two cells with four workers each, of which kJob fills one. The
-/// worker of kTask has just crashed.
+/// worker of kTask has just crashed. Without a list of machines its owner waits
+/// for the lease, so that the delegation comes at the times around which the
+/// tests place their faults.
 std::unique_ptr<virtual_fleet> FleetAfterACrash() {
   auto fleet = std::make_unique<virtual_fleet>(
       virtual_fleet::options{.workers = 8, .cells = 2});
@@ -87,6 +89,7 @@
   fleet->Submit(0, kJob, "-2000 600000 0 8");
   fleet->Advance(seconds(3));
   EXPECT_TRUE(fleet->Checker().Running(kTask));
+  fleet->SetMachineListDown(true);
   fleet->CrashWorker(fleet->Checker().WorkerOf(kTask));
   return fleet;
 }
