Explore waits beside a place after the loss of a quarter of the workers

WaitExplorerTest tells room in pieces from a shortage in one cell only, after the limit of 6 s.

worker_loss_schedule plays three cells, 90 to 97 % full, that lose a quarter of all workers for good, with and without their entry in the list of workers, beside batch work and in a third of the schedules a slow store; jobs leave and come and runs fail meanwhile. place_waits counts the calm time for which some worker of any cell has a place for a waiting task, batch work and the owner's reservations left aside; over 3 s is a violation, with what both owners say. The cells and what fills them move from wait_schedule to filled_cells.

--- a/src/skylarkbridge/control/wait_explorer_test.cpp
+++ b/src/skylarkbridge/control/wait_explorer_test.cpp
@@ -83,31 +83,27 @@
 // Guards against a task that waits for room in one piece where the moves of up
 // to four runs off one worker would make it.
 TEST(WaitExplorerTest, RoomInPieces) {
-  PlayWaits({.max_cells = 3,
+  PlayWaits({.cells = {.max_cells = 3, .spare_worker = true, .batch_jobs = 1},
              .disturbances = {wait_disturbance::kFailRuns,
                               wait_disturbance::kDrainWorker,
                               wait_disturbance::kDrainWorker,
                               wait_disturbance::kLoseWorker,
-                              wait_disturbance::kReplaceJob},
-             .spare_worker = true,
-             .batch_work = true},
+                              wait_disturbance::kReplaceJob}},
             wait_class::kRoomInPieces);
 }
 
 // As above, for a task that has never run while others of its job run.
 TEST(WaitExplorerTest, FirstStartsOfBegunJobs) {
-  PlayWaits({.max_cells = 3,
+  PlayWaits({.cells = {.max_cells = 3, .min_percent = 70, .max_percent = 90},
              .disturbances = {wait_disturbance::kLargeJob,
-                              wait_disturbance::kReplaceJob},
-             .min_percent = 70,
-             .max_percent = 90},
+                              wait_disturbance::kReplaceJob}},
             wait_class::kFirstStart);
 }
 
 // Guards against a task that waits for its end to be known or stored, beside a
 // store that answers half of the calls or does not give the list of workers.
 TEST(WaitExplorerTest, EndsBesideATakeoverAndAFailingStore) {
-  PlayWaits({.max_cells = 3,
+  PlayWaits({.cells = {.max_cells = 3},
              .disturbances = {wait_disturbance::kTakeoverBesideFailingStore,
                               wait_disturbance::kTakeoverWithoutWorkerList}},
             wait_class::kUnstoredEnd);
@@ -116,25 +112,21 @@
 // Guards against a task that is started again and again on a worker that leaves
 // starts unanswered, while others have room for it.
 TEST(WaitExplorerTest, LateStarts) {
-  PlayWaits({.max_cells = 3,
-             .disturbances = {wait_disturbance::kUnansweredStarts},
-             .min_percent = 60,
-             .max_percent = 90},
+  PlayWaits({.cells = {.max_cells = 3, .min_percent = 60, .max_percent = 90},
+             .disturbances = {wait_disturbance::kUnansweredStarts}},
             wait_class::kLateStart);
 }
 
 // Guards against long waits under all of these together, of any class.
 TEST(WaitExplorerTest, AllTogether) {
-  PlayWaits({.max_cells = 3,
+  PlayWaits({.cells = {.max_cells = 3, .spare_worker = true, .batch_jobs = 1},
              .disturbances = {wait_disturbance::kFailRuns,
                               wait_disturbance::kDrainWorker,
                               wait_disturbance::kLoseWorker,
                               wait_disturbance::kReplaceJob,
                               wait_disturbance::kLargeJob,
                               wait_disturbance::kTakeoverBesideFailingStore,
-                              wait_disturbance::kUnansweredStarts},
-             .spare_worker = true,
-             .batch_work = true},
+                              wait_disturbance::kUnansweredStarts}},
             std::nullopt);
 }
 
--- a/src/skylarkbridge/control/wait_observer_fake.hpp
+++ b/src/skylarkbridge/control/wait_observer_fake.hpp
@@ -14,6 +14,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/control/move_search_fake.hpp"
+#include "skylarkbridge/control/owner_view_fake.hpp"
+#include "skylarkbridge/control/place_wait_fake.hpp"
 #include "skylarkbridge/control/task_wait_fake.hpp"
 #include "skylarkbridge/control/virtual_fleet_fake.hpp"
 
@@ -22,13 +24,24 @@
 /// @brief Most moves off one worker that count as a way to make room.
 constexpr std::size_t kMaxMovesForRoom = 4;
 
+/// @brief What a wait_observer looks for beside the tasks that wait.
+enum class wait_check {
+  /// Room for them in their cells, after moves if need be.
+  kRoomByMoves,
+  /// Places in all cells that they fit as they are. For schedules in which many
+  /// tasks wait, where the search for moves takes too long.
+  kPlaces,
+};
+
 /// @brief Watches the long-running tasks of a virtual fleet and tells
 /// task_waits of their waits: what the owner says that they wait for, and
 /// whether the workers of the cell have room for them.
 class wait_observer {
  public:
-  explicit wait_observer(virtual_fleet& fleet, std::size_t cells)
-      : fleet_(fleet), cells_(cells) {}
+  explicit wait_observer(virtual_fleet& fleet,
+                         std::size_t cells,
+                         wait_check check = wait_check::kRoomByMoves)
+      : fleet_(fleet), cells_(cells), check_(check) {}
 
   /// @brief A long-running job was submitted.
   void JobSubmitted(jobs::job_id job,
@@ -48,6 +61,7 @@
                   [job](const auto& entry) { return entry.first.job == job; });
     begun_.erase(job);
     waits_.Cancelled(job, fleet_.Now());
+    place_waits_.Cancelled(job, fleet_.Now());
   }
   /// @brief The schedule ends the run of a task as failed.
   void RunFailed(const jobs::task_ref& task) { failed_.insert(task); }
@@ -97,7 +111,11 @@
     const std::vector<task_wait> waits = waits_.InOrder();
     return !waits.empty() && waits.front().has_run;
   }
-  void Finish() { waits_.Finish(fleet_.Now()); }
+  const place_waits& PlaceWaits() const { return place_waits_; }
+  void Finish() {
+    waits_.Finish(fleet_.Now());
+    place_waits_.Finish(fleet_.Now());
+  }
 
  private:
   static constexpr std::chrono::milliseconds kPollInterval{20};
@@ -133,6 +151,7 @@
       if (!worker.empty()) {
         begun_.insert(task.job);
         waits_.Started(task, now);
+        place_waits_.Ended(task, now);
         state.has_run = true;
       } else if (!state.worker.empty()) {
         RunEnded(task, state);
@@ -173,6 +192,10 @@
         of_cells[cell->second].push_back(wait);
       }
     }
+    if (check_ == wait_check::kPlaces) {
+      ObservePlaces(stages);
+      return;
+    }
     for (const auto& [cell, waits] : of_cells) {
       const std::map<jobs::task_ref, std::string>& plans =
           FindRoom(cell, waits);
@@ -188,6 +211,52 @@
     }
   }
 
+  void ObservePlaces(const std::map<jobs::task_ref, wait_stage>& stages) {
+    const time_point now = fleet_.Now();
+    std::vector<worker_place> places;
+    for (jobs::cell_id cell = 0; cell < cells_; ++cell) {
+      for (filled_worker& worker : WorkersOf(cell)) {
+        places.push_back({.cell = cell, .worker = std::move(worker)});
+      }
+    }
+    for (const task_wait& wait : waits_.InOrder()) {
+      const wait_stage stage = stages.at(wait.task);
+      waits_.Observe(wait.task, {.stage = stage}, kObservationInterval, now);
+      const sized_task& task = tasks_.at(wait.task).size;
+      const worker_place* const place = FindPlace(task, places);
+      place_waits_.Observe(wait.task,
+                           {.calm = now >= calm_from_,
+                            .fits = place != nullptr,
+                            .counts_from = wait.counts_from},
+                           now, [&] {
+                             return absl::StrCat(Describe(wait, now), ", ",
+                                                 Name(stage), ", ",
+                                                 DescribeOwners(task, *place));
+                           });
+    }
+  }
+  static std::string Describe(const task_wait& wait, time_point now) {
+    return absl::StrCat(jobs::Format(wait.task),
+                        wait.has_run ? "" : ", which has never run,", " waits ",
+                        wait.Length(now).count(), " ms");
+  }
+  /// What the owners say of a waiting task and of a place that it fits.
+  std::string DescribeOwners(const sized_task& task,
+                             const worker_place& place) const {
+    std::string text =
+        absl::StrCat("needs ", task.need.millicores, ", fits ",
+                     place.worker.worker, " of cell ", place.cell,
+                     " with room for ", place.worker.room.millicores);
+    const auto cell = cell_of_.find(task.task);
+    if (cell != cell_of_.end()) {
+      absl::StrAppend(&text, "; owner of cell ", cell->second, ": ",
+                      DescribeQueue(fleet_, cell->second, task.task));
+    }
+    return absl::StrCat(
+        text, "; owner of the place: ",
+        DescribeRoom(fleet_, place.cell, place.worker.worker, task.need));
+  }
+
   /// Finds the cell that has to start the task, and what its owner says.
   wait_stage FindStage(const task_wait& wait) {
     for (jobs::cell_id cell = 0; cell < cells_; ++cell) {
@@ -331,6 +400,7 @@
 
   virtual_fleet& fleet_;
   const std::size_t cells_;
+  const wait_check check_;
   std::map<jobs::task_ref, watched_task> tasks_;
   /// Jobs of which a task has run.
   std::set<jobs::job_id> begun_;
@@ -345,6 +415,7 @@
   time_point outage_until_;
   time_point next_observation_;
   task_waits waits_;
+  place_waits place_waits_;
 };
 
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/wait_schedule_fake.hpp
+++ b/src/skylarkbridge/control/wait_schedule_fake.hpp
@@ -2,20 +2,15 @@
 #define SKYLARKBRIDGE_CONTROL_WAIT_SCHEDULE_FAKE_HPP
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
-#include "skylarkbridge/control/virtual_fleet_fake.hpp"
-#include "skylarkbridge/control/wait_observer_fake.hpp"
+#include "skylarkbridge/control/filled_cells_fake.hpp"
 
 /// @brief Seeded random schedules of long-running work that fills small cells,
 /// and of faults.
@@ -45,34 +40,16 @@
 
 /// @brief The schedules that a test draws from.
 struct wait_profile {
-  std::size_t max_cells = 1;
+  filling cells;
   std::vector<wait_disturbance> disturbances;
-  /// The share of the capacity that long-running work fills at first.
-  int min_percent = 85;
-  int max_percent = 97;
-  /// Whether a worker of each cell may stay empty at first, in terms of that
-  /// share, so that the others are as full once it has left.
-  bool spare_worker = false;
-  /// Whether short batch work runs beside it.
-  bool batch_work = false;
 };
 
 /// @brief One random schedule. All of its draws come from its seed alone.
-class wait_schedule {
+class wait_schedule : public filled_cells {
  public:
   wait_schedule(const wait_profile& profile, std::uint64_t seed)
-      : profile_(profile),
-        random_(seed),
-        cells_(1 + Draw(profile.max_cells)),
-        workers_of_cell_(3 + Draw(4)),
-        fleet_({.vms = kVms,
-                .workers = cells_ * workers_of_cell_,
-                .worker_millicores = kMillicores,
-                .seed = seed,
-                .cells = cells_}),
-        observer_(fleet_, cells_) {
-    Note(absl::StrCat(cells_, " cells of ", workers_of_cell_, " workers"));
-  }
+      : filled_cells(profile.cells, wait_check::kRoomByMoves, seed),
+        disturbances_(profile.disturbances) {}
 
   /// @brief Plays the whole schedule, so that it tells of all waits.
   void Play() {
@@ -81,8 +58,8 @@
     Run(std::chrono::seconds(4));
     constexpr int kRounds = 3;
     for (int round = 0; round < kRounds; ++round) {
-      const std::uint64_t chosen = Draw(profile_.disturbances.size());
-      Disturb(profile_.disturbances[chosen]);
+      const std::uint64_t chosen = Draw(disturbances_.size());
+      Disturb(disturbances_[chosen]);
       const std::chrono::milliseconds pause(Draw(4000));
       Run(pause);
       const bool judged = Draw(3) != 0;
@@ -95,86 +72,7 @@
     observer_.Finish();
   }
 
-  const task_waits& Waits() const { return observer_.Waits(); }
-  const job_invariant_checker& Checker() const { return fleet_.Checker(); }
-  /// @brief The disturbances with their times.
-  std::string History() const { return absl::StrJoin(history_, "\n"); }
-
  private:
-  static constexpr std::size_t kVms = 3;
-  static constexpr std::int64_t kMillicores = 4000;
-  /// A wait that begins with the last fault is judged after this time.
-  static constexpr std::chrono::milliseconds kJudgedWait =
-      kCalmTime + kMaxRestartTime + std::chrono::milliseconds(4000);
-
-  std::uint64_t Draw(std::uint64_t below) { return random_() % below; }
-  void Note(const std::string& what) {
-    const auto since_start = fleet_.Now() - time_point(std::chrono::hours(1));
-    history_.push_back(absl::StrCat(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since_start)
-            .count(),
-        " ms: ", what));
-  }
-
-  /// Advances the time, with batch work if the profile has it.
-  void Run(std::chrono::milliseconds time) {
-    constexpr std::chrono::milliseconds kBatchInterval{500};
-    for (const time_point end = fleet_.Now() + time; fleet_.Now() < end;) {
-      if (profile_.batch_work) {
-        const std::uint64_t millicores = 250 * (1 + Draw(4));
-        const std::uint64_t run_time = 200 + Draw(1500);
-        const std::uint64_t vm = Draw(kVms);
-        fleet_.Submit(vm, NextJob(),
-                      absl::StrCat(millicores, " ", run_time, " 0 1"));
-      }
-      observer_.Advance(std::min(
-          kBatchInterval,
-          std::chrono::ceil<std::chrono::milliseconds>(end - fleet_.Now())));
-    }
-  }
-
-  void FillCells() {
-    const bool spare = profile_.spare_worker && Draw(2) == 0;
-    const std::size_t filled =
-        cells_ * (spare ? workers_of_cell_ - 1 : workers_of_cell_);
-    const auto percent = static_cast<std::int64_t>(
-        profile_.min_percent +
-        Draw(profile_.max_percent - profile_.min_percent + 1));
-    const std::int64_t wanted =
-        static_cast<std::int64_t>(filled) * kMillicores * percent / 100;
-    constexpr std::int64_t kUnit = 50;
-    constexpr std::array<std::int64_t, 3> kLargest{1200, 2400, 3600};
-    const std::int64_t largest = kLargest.at(Draw(kLargest.size()));
-    Note(absl::StrCat("long-running work ", wanted, " of ",
-                      filled * kMillicores, ", tasks up to ", largest));
-    for (std::int64_t left = wanted; left >= 2 * kUnit;) {
-      const auto drawn =
-          static_cast<std::int64_t>(kUnit * (4 + Draw(largest / kUnit - 3)));
-      const std::int64_t need = std::min(drawn, left / kUnit * kUnit);
-      const auto most = static_cast<std::uint64_t>(left / need);
-      const std::uint64_t count = 1 + Draw(std::min<std::uint64_t>(most, 3));
-      SubmitLongRunningJob(need, static_cast<std::uint32_t>(count));
-      left -= need * static_cast<std::int64_t>(count);
-      observer_.Advance(std::chrono::milliseconds(60));
-    }
-  }
-
-  jobs::job_id SubmitLongRunningJob(std::int64_t need, std::uint32_t count) {
-    const std::uint32_t max_per_worker = Draw(5) == 0 ? 1 : 0;
-    std::string body = absl::StrCat("-", need, " 600000 0 ", count);
-    if (max_per_worker > 0) {
-      absl::StrAppend(&body, " max_per_worker=", max_per_worker);
-    }
-    const jobs::job_id job = NextJob();
-    const std::uint64_t vm = Draw(kVms);
-    Note(absl::StrCat("submit ", jobs::Format(job), ": ", body));
-    fleet_.Submit(vm, job, body);
-    observer_.JobSubmitted(job, {.millicores = need}, count, max_per_worker);
-    jobs_.push_back({.job = job, .need = need, .count = count});
-    return job;
-  }
-  jobs::job_id NextJob() { return jobs::job_id{random_()}; }
-
   void Disturb(wait_disturbance kind) {
     switch (kind) {
       case wait_disturbance::kFailRuns: {
@@ -209,24 +107,6 @@
     }
   }
 
-  void FailRuns(std::uint64_t count) {
-    for (; count > 0; --count) {
-      const std::vector<jobs::task_ref> running = observer_.RunningTasks();
-      if (running.empty()) {
-        return;
-      }
-      const std::uint64_t chosen = Draw(running.size());
-      Fail(running[chosen]);
-    }
-  }
-  void Fail(const jobs::task_ref& task) {
-    Note(absl::StrCat("fail ", jobs::Format(task), " on ",
-                      fleet_.Checker().WorkerOf(task)));
-    observer_.RunFailed(task);
-    fleet_.FailRun(task);
-    observer_.Advance(std::chrono::milliseconds(20));
-  }
-
   /// A worker that takes tasks; empty when the drawn one does not.
   std::string DrawWorker() {
     std::string id = absl::StrCat("w", Draw(cells_ * workers_of_cell_));
@@ -273,13 +153,7 @@
   }
 
   void ReplaceJob() {
-    const std::uint64_t chosen = Draw(jobs_.size());
-    const submitted_job replaced = jobs_[chosen];
-    jobs_.erase(jobs_.begin() + static_cast<std::ptrdiff_t>(chosen));
-    const std::uint64_t vm = Draw(kVms);
-    Note(absl::StrCat("cancel ", jobs::Format(replaced.job)));
-    fleet_.Send(vm, caller_method::kCancel, replaced.job);
-    observer_.JobCancelled(replaced.job);
+    const submitted_job replaced = CancelJob();
     const std::chrono::milliseconds pause(100 + Draw(1000));
     Run(pause);
     SubmitLongRunningJob(replaced.need, replaced.count);
@@ -422,20 +296,7 @@
     }
   }
 
-  struct submitted_job {
-    jobs::job_id job;
-    std::int64_t need = 0;
-    std::uint32_t count = 0;
-  };
-
-  const wait_profile profile_;
-  std::mt19937_64 random_;
-  const std::size_t cells_;
-  const std::size_t workers_of_cell_;
-  virtual_fleet fleet_;
-  wait_observer observer_;
-  std::vector<submitted_job> jobs_;
-  std::vector<std::string> history_;
+  const std::vector<wait_disturbance> disturbances_;
 };
 
 }  // namespace skylarkbridge::control
