Keep the target of a planned relocation from tasks other than restarts

Change: the room is kept while the other reservations are made, and released when the restarts have their turn.

--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -804,6 +804,9 @@
   void ReserveRoomOnTarget(const relocation& move,
                            placement_pass& pass,
                            time_point now) const;
+  /// Releases the room that is kept for runs which are not being stopped yet.
+  /// Restarts may take it; other tasks have been kept from reserving it.
+  void OfferTargetsToRestarts(placement_pass& pass) const;
   /// Whether the target still has room for the run, or can have it once batch
   /// work is stopped.
   bool TargetHasRoom(const relocation& move,
--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -98,14 +98,21 @@
     }
     return !IsUnderWay(entry.first, move, now);
   });
-  // Until the run is being stopped, a waiting restart may take the place.
   for (const auto& [waiting, move] : relocations_) {
-    if (HasBegun(move) && !pass.reserved_workers.contains(move.run.task)) {
+    if (!pass.reserved_workers.contains(move.run.task)) {
       ReserveRoomOnTarget(move, pass, now);
     }
   }
 }
 
+void fleet_scheduler::OfferTargetsToRestarts(placement_pass& pass) const {
+  for (const auto& [waiting, move] : relocations_) {
+    if (!HasBegun(move)) {
+      ReleaseKeptRoom(move.run.task, pass);
+    }
+  }
+}
+
 bool fleet_scheduler::TargetHasRoom(const relocation& move,
                                     placement_pass& pass,
                                     time_point now) const {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -11,6 +11,7 @@
 
 bool fleet_scheduler::PlaceRestarts(placement_pass& pass, time_point now) {
   ReturnTasksToGiveUp();
+  OfferTargetsToRestarts(pass);
   bool all_placed = true;
   std::set<step_ref> gangs;
   for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
