--- a/src/skylarkbridge/control/delegation_test.cpp
+++ b/src/skylarkbridge/control/delegation_test.cpp
@@ -21,6 +21,8 @@
 constexpr jobs::job_id kJob{0x20};
 constexpr jobs::task_ref kTask{.job = kJob, .index = 0};
 constexpr milliseconds kStep{20};
+/// After this time the owner has given up the lease of a worker that crashed.
+constexpr milliseconds kLeaseEnded{6500};
 
 std::string Violations(const virtual_fleet& fleet) {
   return absl::StrJoin(fleet.Checker().Violations(), "\n");
@@ -79,9 +81,9 @@
 }
 
 /// A fleet of two cells with four workers each, of which kJob fills one. The
-/// worker of kTask has just crashed. Without a list of machines its owner waits
-/// for the lease, so that the delegation comes at the times around which the
-/// tests place their faults.
+/// worker of kTask has just crashed. The list of machines can't be read before
+/// its lease has ended, so that the delegation comes at the times around which
+/// the tests place their faults.
 std::unique_ptr<virtual_fleet> FleetAfterACrash() {
   auto fleet = std::make_unique<virtual_fleet>(
       virtual_fleet::options{.workers = 8, .cells = 2});
@@ -90,6 +92,9 @@
   fleet->Advance(seconds(3));
   EXPECT_TRUE(fleet->Checker().Running(kTask));
   fleet->SetMachineListDown(true);
+  fleet->ScheduleAfter(kLeaseEnded, [list_of = fleet.get()] {
+    list_of->SetMachineListDown(false);
+  });
   fleet->CrashWorker(fleet->Checker().WorkerOf(kTask));
   return fleet;
 }
