Report the smallest waiting restarts, and each place in the queue

Cause: restart_delayed told of the five of some 60 tasks that had waited longest. Change: each second the five oldest and the five smallest of the others, none twice, each with "place N of M" in the order in which passes look at them; the shortage counts all tasks before one, not only those that are reported. Result: of twelve tasks that wait, the oldest needing most, ten are reported and the smallest is one of them (FleetSchedulerRestartReportsTest, RestartBacklogTest).

--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -45,6 +45,9 @@
       metrics_.Count(*note.restart_cause);
       absl::StrAppend(&detail, " waited_ms ", note.restart_wait->count());
     }
+    if (note.queue_place) {
+      absl::StrAppend(&detail, " ", Format(*note.queue_place));
+    }
     if (note.restart_cause) {
       absl::StrAppend(&detail, " ", Format(*note.restart_cause));
     }
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -7,6 +7,7 @@
 #include "skylarkbridge/control/ports.hpp"
 #include "skylarkbridge/jobs/owner_state.hpp"
 #include "skylarkbridge/jobs/ownership.hpp"
+#include "skylarkbridge/jobs/restart_backlog.hpp"
 #include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 
@@ -30,6 +31,8 @@
 
 /// @brief "JOB.OCCURRENCE.STEP.INDEX/RUN"; empty when the run number is zero.
 std::string Format(const jobs::run_ref& run);
+/// @brief "place N of M".
+std::string Format(const jobs::queue_place& place);
 /// @brief "waited_for OBSTACLE", with "released_by RELEASE" where it applies,
 /// and the run that left the worker.
 std::string Format(const jobs::restart_cause& cause);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -37,6 +37,7 @@
 #include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
 #include "skylarkbridge/jobs/relocation_obstacle.hpp"
+#include "skylarkbridge/jobs/restart_backlog.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
@@ -758,11 +759,16 @@
   /// The runs on the worker that can be stopped and started again later.
   std::vector<preemptible_run> PreemptibleRuns(const worker_session& session,
                                                time_point now) const;
+  /// @param waiting the tasks in the order in which they are placed.
+  std::vector<queued_restart> RestartQueue(
+      const std::vector<waiting_restart>& waiting,
+      time_point now) const;
   /// Adds notes on the tasks that have waited long for their restart.
   void ReportDelayedRestarts(time_point now);
-  /// @param needed by this restart and those of its service that have waited
-  /// longer.
+  /// @param needed by this restart and those of its service that are placed
+  /// before it.
   void ReportDelayedRestart(const waiting_restart& restart,
+                            const queue_place& place,
                             const resources& needed,
                             time_point now);
   /// Why the task has not been moved to another cell.
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -129,7 +129,8 @@
   std::chrono::milliseconds restart_report_delay{1000};
   /// Interval of these reports.
   std::chrono::milliseconds restart_report_interval{1000};
-  /// Tasks that are reported at once, those that have waited longest.
+  /// Tasks that are reported at once because they have waited longest, and as
+  /// many because they need least.
   std::size_t max_restart_reports = 5;
   /// Interval of the reports on tasks that wait for the workers of an earlier
   /// owner.
--- /dev/null
+++ b/include/skylarkbridge/jobs/restart_backlog.hpp
@@ -0,0 +1,46 @@
+#ifndef SKYLARKBRIDGE_JOBS_RESTART_BACKLOG_HPP
+#define SKYLARKBRIDGE_JOBS_RESTART_BACKLOG_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "skylarkbridge/jobs/ids.hpp"
+
+/// @brief The long-running tasks of a cell that wait for their restarts, as the
+/// owner reports them.
+namespace skylarkbridge::jobs {
+
+/// @brief Place of a task among those that wait for their restarts, in the
+/// order in which placement passes look at them.
+struct queue_place {
+  /// From one.
+  std::size_t place = 0;
+  std::size_t tasks = 0;
+};
+
+/// @brief A long-running task that waits for its restart.
+struct queued_restart {
+  /// The last run; its number is zero for a task that has not run here.
+  run_ref run;
+  queue_place place;
+  /// Processor time that its start reserves.
+  std::int64_t need_millicores = 0;
+  std::chrono::milliseconds waited{};
+};
+
+/// @brief Chooses the tasks that are reported in full: of those that have
+/// waited for @p min_wait, as many as @p limit that have waited longest, and as
+/// many of the others that need least. The latter should find room first, so
+/// that their wait tells most about the placement.
+/// @return the places of the tasks.
+std::set<std::size_t> ChooseRestartsToReport(
+    const std::vector<queued_restart>& queue,
+    std::chrono::milliseconds min_wait,
+    std::size_t limit);
+
+}  // namespace skylarkbridge::jobs
+
+#endif  // SKYLARKBRIDGE_JOBS_RESTART_BACKLOG_HPP
--- a/include/skylarkbridge/jobs/scheduling_note.hpp
+++ b/include/skylarkbridge/jobs/scheduling_note.hpp
@@ -8,6 +8,7 @@
 #include "skylarkbridge/jobs/delegation_obstacle.hpp"
 #include "skylarkbridge/jobs/ids.hpp"
 #include "skylarkbridge/jobs/relocation_obstacle.hpp"
+#include "skylarkbridge/jobs/restart_backlog.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/restart_stages.hpp"
 
@@ -95,7 +96,9 @@
   std::optional<jobs::restart_cause> restart_cause;
   /// For the same: the stage in which the task has waited longest so far.
   std::optional<longest_restart_stage> longest_stage;
-  /// For a restart that is delayed: why no other cell runs the task.
+  /// For a restart that is delayed.
+  std::optional<jobs::queue_place> queue_place;
+  /// For the same: why no other cell runs the task.
   std::optional<jobs::delegation_obstacle> delegation_obstacle;
   /// For the same: why no smaller run makes room for the task.
   std::optional<jobs::relocation_refusal> relocation_refusal;
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -343,6 +343,10 @@
                       : absl::StrCat(jobs::Format(run.task), "/", run.run);
 }
 
+std::string Format(const jobs::queue_place& place) {
+  return absl::StrCat("place ", place.place, " of ", place.tasks);
+}
+
 std::string Format(const jobs::restart_cause& cause) {
   std::string text = absl::StrCat("waited_for ", ToAbsl(Name(cause.obstacle)));
   if (cause.release != jobs::restart_release::kNone) {
--- a/src/skylarkbridge/jobs/fleet_scheduler_restart_reports.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restart_reports.cpp
@@ -1,35 +1,58 @@
 // Reports on the long-running tasks that wait for their restarts.
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
 namespace skylarkbridge::jobs {
 
+std::vector<queued_restart> fleet_scheduler::RestartQueue(
+    const std::vector<waiting_restart>& waiting,
+    time_point now) const {
+  std::vector<queued_restart> queue;
+  for (const waiting_restart& restart : waiting) {
+    const step_spec& step = *jobs_.Spec(StepOf(restart.task));
+    queue.push_back(
+        {.run = {restart.task, jobs_.Find(restart.task)->last_run},
+         .place = {.place = queue.size() + 1, .tasks = waiting.size()},
+         .need_millicores = ReservedResources(step).millicores,
+         .waited = std::chrono::floor<std::chrono::milliseconds>(
+             now - restart.since)});
+  }
+  return queue;
+}
+
 void fleet_scheduler::ReportDelayedRestarts(time_point now) {
   if (now < next_restart_report_) {
     return;
   }
   next_restart_report_ = now + options_.restart_report_interval;
   const std::vector<waiting_restart> waiting = jobs_.WaitingRestarts();
-  const std::size_t most =
-      std::min(waiting.size(), options_.max_restart_reports);
+  const std::vector<queued_restart> queue = RestartQueue(waiting, now);
+  const std::set<std::size_t> reported = ChooseRestartsToReport(
+      queue, options_.restart_report_delay, options_.max_restart_reports);
   std::map<std::string, resources> needed;
-  for (std::size_t index = 0; index < most; ++index) {
+  for (std::size_t index = 0; index < waiting.size(); ++index) {
     const step_ref ref = StepOf(waiting[index].task);
-    const queue_configuration* queue = Queue(ref.job);
-    resources& of_service = needed[queue == nullptr ? "" : queue->service];
+    const queue_configuration* configured = Queue(ref.job);
+    resources& of_service =
+        needed[configured == nullptr ? "" : configured->service];
     of_service += ReservedResources(*jobs_.Spec(ref));
-    if (now >= waiting[index].since + options_.restart_report_delay) {
-      ReportDelayedRestart(waiting[index], of_service, now);
+    if (reported.contains(queue[index].place.place)) {
+      ReportDelayedRestart(waiting[index], queue[index].place, of_service, now);
     }
   }
 }
 
 void fleet_scheduler::ReportDelayedRestart(const waiting_restart& restart,
+                                           const queue_place& place,
                                            const resources& needed,
                                            time_point now) {
   const step_ref ref = StepOf(restart.task);
@@ -88,6 +111,7 @@
           {restart.task, jobs_.Find(restart.task)->last_run},
           reserved == reserved_workers_.end() ? "" : reserved->second,
           std::move(detail));
+  notes_.back().queue_place = place;
   const auto blocked = blocked_restarts_.find(restart.task);
   if (blocked != blocked_restarts_.end()) {
     notes_.back().restart_cause = {.obstacle = blocked->second.obstacle};
--- /dev/null
+++ b/src/skylarkbridge/jobs/restart_backlog.cpp
@@ -0,0 +1,42 @@
+#include "skylarkbridge/jobs/restart_backlog.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace skylarkbridge::jobs {
+namespace {
+
+bool HasWaitedLonger(const queued_restart& left, const queued_restart& right) {
+  return std::tie(right.waited, left.place.place) <
+         std::tie(left.waited, right.place.place);
+}
+
+bool NeedsLess(const queued_restart& left, const queued_restart& right) {
+  return std::tie(left.need_millicores, left.place.place) <
+         std::tie(right.need_millicores, right.place.place);
+}
+
+}  // namespace
+
+std::set<std::size_t> ChooseRestartsToReport(
+    const std::vector<queued_restart>& queue,
+    std::chrono::milliseconds min_wait,
+    std::size_t limit) {
+  std::vector<queued_restart> delayed = queue;
+  std::erase_if(delayed, [min_wait](const queued_restart& restart) {
+    return restart.waited < min_wait;
+  });
+  std::sort(delayed.begin(), delayed.end(), HasWaitedLonger);
+  const auto oldest_end =
+      delayed.begin() +
+      static_cast<std::ptrdiff_t>(std::min(limit, delayed.size()));
+  std::sort(oldest_end, delayed.end(), NeedsLess);
+  delayed.resize(std::min(2 * limit, delayed.size()));
+  std::set<std::size_t> places;
+  for (const queued_restart& restart : delayed) {
+    places.insert(restart.place.place);
+  }
+  return places;
+}
+
+}  // namespace skylarkbridge::jobs
