Sum up the waiting restarts of a cell in a line a second

Cause: the log told neither how many tasks of a cell wait, nor for what, nor how much they need. Change: event restart_backlog (5042) while a long-running task has waited for over restart_report_delay: number, sum of the needs, smallest need and longest wait, of all and by reason. Result: the sums of twelve tasks stand in the report and in the line of each second (FleetSchedulerRestartReportsTest, RestartLinesTest).

--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -94,6 +94,14 @@
     5041, event_severity::kWarning, "cancel_delayed",
     "run worker detail cell epoch"};
 
+/// Once a second for each cell in which a long-running task has waited for its
+/// restart for over a second. `reasons` holds the same sums for the tasks that
+/// wait for the same.
+inline constexpr event_definition kRestartBacklog{
+    5042, event_severity::kInfo, "restart_backlog",
+    "cell epoch tasks need_millicores smallest_millicores longest_ms reasons",
+    log_class::kRare};
+
 inline constexpr event_definition kEvents[] = {kConfigurationInForce,
                                                kRecordRejected,
                                                kStoreLost,
@@ -116,7 +124,8 @@
                                                kWorkerEntryRejected,
                                                kMachinesListed,
                                                kScheduling,
-                                               kCancelDelayed};
+                                               kCancelDelayed,
+                                               kRestartBacklog};
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -300,6 +300,8 @@
   /// The same for the end of such a job.
   void LogJobEnded(jobs::job_id job, std::optional<std::uint64_t> offset);
   void LogSchedulingNotes();
+  /// Logs the report on waiting restarts, if there is a new one.
+  void LogRestartReport();
   /// Logs the state of the owner once a second.
   void LogState(time_point now);
   std::string FormatCell() const { return absl::StrCat(cell_); }
--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -71,6 +71,24 @@
   metrics_.Count(scheduler_.TakeRestartStages());
 }
 
+template <fleet_platform Platform>
+void fleet_cell<Platform>::LogRestartReport() {
+  const std::optional<jobs::restart_report> report =
+      scheduler_.TakeRestartReport();
+  if (!report) {
+    return;
+  }
+  const jobs::restart_group& all = report->backlog.all;
+  LogEvent(kRestartBacklog,
+           {{"cell", FormatCell()},
+            {"epoch", absl::StrCat(ownership_.OwnEpoch())},
+            {"tasks", absl::StrCat(all.tasks)},
+            {"need_millicores", absl::StrCat(all.need_millicores)},
+            {"smallest_millicores", absl::StrCat(all.smallest_need_millicores)},
+            {"longest_ms", absl::StrCat(all.longest_wait.count())},
+            {"reasons", FormatReasons(report->backlog)}});
+}
+
 template <fleet_platform Platform>
 void fleet_cell<Platform>::LogState(time_point now) {
   if (now < next_state_line_) {
--- a/include/skylarkbridge/control/fleet_cell_owner.hpp
+++ b/include/skylarkbridge/control/fleet_cell_owner.hpp
@@ -210,6 +210,7 @@
     scheduler_.AllowOrders(ownership_.ConfirmedAt(), ownership_.OrdersUntil());
     scheduler_.Run(now, wall);
     LogSchedulingNotes();
+    LogRestartReport();
     LogState(now);
     SendOrders(now);
     WriteOwnerRecords(other_owned_cells, now);
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -33,6 +33,9 @@
 std::string Format(const jobs::run_ref& run);
 /// @brief "place N of M".
 std::string Format(const jobs::queue_place& place);
+/// @brief "OBSTACLE tasks N need_millicores N smallest_millicores N longest_ms
+/// N" for each obstacle, separated by "; ".
+std::string FormatReasons(const jobs::restart_backlog& backlog);
 /// @brief "waited_for OBSTACLE", with "released_by RELEASE" where it applies,
 /// and the run that left the worker.
 std::string Format(const jobs::restart_cause& cause);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -224,6 +224,9 @@
   /// @brief Returns the waits by stage that have ended since the last call, and
   /// counts those that have exceeded a limit.
   restart_stage_report TakeRestartStages() { return restart_stages_.Take(); }
+  /// @brief Returns the report on waiting restarts since the last call, if
+  /// there is one.
+  std::optional<restart_report> TakeRestartReport();
   /// @brief Number of workers of an earlier owner that have not sent a report.
   std::size_t UnreportedWorkers() const { return unreported_workers_.size(); }
   /// @brief How long tasks have waited for these; zero without one.
@@ -763,7 +766,8 @@
   std::vector<queued_restart> RestartQueue(
       const std::vector<waiting_restart>& waiting,
       time_point now) const;
-  /// Adds notes on the tasks that have waited long for their restart.
+  /// Reports the tasks that wait for their restart, once one has waited long,
+  /// and adds notes on some of them.
   void ReportDelayedRestarts(time_point now);
   /// @param needed by this restart and those of its service that are placed
   /// before it.
@@ -1030,6 +1034,7 @@
   std::optional<time_point> other_logs_read_until_;
   start_limit start_limit_;
   time_point next_restart_report_;
+  std::optional<restart_report> restart_report_;
   time_point next_cancel_report_;
   permit_cache permits_;
   interference_model interference_;
--- a/include/skylarkbridge/jobs/restart_backlog.hpp
+++ b/include/skylarkbridge/jobs/restart_backlog.hpp
@@ -4,10 +4,12 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <vector>
 
 #include "skylarkbridge/jobs/ids.hpp"
+#include "skylarkbridge/jobs/restart_cause.hpp"
 
 /// @brief The long-running tasks of a cell that wait for their restarts, as the
 /// owner reports them.
@@ -26,11 +28,37 @@
   /// The last run; its number is zero for a task that has not run here.
   run_ref run;
   queue_place place;
+  /// In the last placement pass.
+  restart_obstacle obstacle = restart_obstacle::kNone;
   /// Processor time that its start reserves.
   std::int64_t need_millicores = 0;
   std::chrono::milliseconds waited{};
 };
 
+/// @brief Sums over waiting tasks.
+struct restart_group {
+  std::size_t tasks = 0;
+  std::int64_t need_millicores = 0;
+  /// Of the task that needs least.
+  std::int64_t smallest_need_millicores = 0;
+  std::chrono::milliseconds longest_wait{};
+
+  void Add(const queued_restart& restart);
+};
+
+/// @brief All tasks of a cell that wait for their restarts.
+struct restart_backlog {
+  restart_group all;
+  std::map<restart_obstacle, restart_group> by_obstacle;
+};
+
+/// @brief What an owner reports at intervals while a task waits for long.
+struct restart_report {
+  restart_backlog backlog;
+};
+
+restart_backlog SummarizeRestarts(const std::vector<queued_restart>& queue);
+
 /// @brief Chooses the tasks that are reported in full: of those that have
 /// waited for @p min_wait, as many as @p limit that have waited longest, and as
 /// many of the others that need least. The latter should find room first, so
--- /dev/null
+++ b/src/skylarkbridge/control/restart_lines_test.cpp
@@ -0,0 +1,87 @@
+// Tests of the lines on long-running tasks that wait for their restarts.
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/strings/str_cat.h"
+#include "skylarkbridge/control/virtual_fleet_fake.hpp"
+
+namespace skylarkbridge::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kWaitingJobs = 12;
+
+/// Number of times that the text stands in the log.
+int Count(const std::string& log, std::string_view text) {
+  int found = 0;
+  for (std::size_t at = log.find(text); at != std::string::npos;
+       at = log.find(text, at + 1)) {
+    ++found;
+  }
+  return found;
+}
+
+/// What is logged within the time.
+std::string LogOf(virtual_fleet& fleet, milliseconds time) {
+  testing::internal::CaptureStdout();
+  fleet.Advance(time);
+  return testing::internal::GetCapturedStdout();
+}
+
+/// Lets twelve tasks wait whose worker has left, while the other worker is too
+/// small for each of them.
+void LoseTheOnlyLargeWorker(virtual_fleet& fleet) {
+  fleet.SetCapacity("w1", 500);
+  fleet.Advance(seconds(4));
+  for (std::uint64_t job = 1; job <= kWaitingJobs; ++job) {
+    fleet.Submit(
+        0, jobs::job_id{job},
+        absl::StrCat("-", 3000 - 100 * static_cast<int>(job), " 600000 0 1"));
+  }
+  fleet.Advance(seconds(3));
+  for (std::uint64_t job = 1; job <= kWaitingJobs; ++job) {
+    ASSERT_TRUE(fleet.Checker().Running({.job = jobs::job_id{job}})) << job;
+  }
+  fleet.DrainWorker("w0", seconds(1));
+  fleet.Advance(seconds(4));
+}
+
+virtual_fleet::options TwoWorkers() {
+  return {.workers = 2, .worker_millicores = 40'000};
+}
+
+// Guards against a log that can't tell how many tasks wait, and for what.
+TEST(RestartLinesTest, AnOwnerSumsUpTheWaitingTasksEachSecond) {
+  virtual_fleet fleet(TwoWorkers());
+  LoseTheOnlyLargeWorker(fleet);
+  const std::string log = LogOf(fleet, seconds(3));
+  const int lines = Count(log, "\"name\":\"restart_backlog\"");
+  EXPECT_GE(lines, 2) << log;
+  EXPECT_LE(lines, 3) << log;
+  const std::string sums =
+      "\"tasks\":\"12\",\"need_millicores\":\"28200\","
+      "\"smallest_millicores\":\"1800\"";
+  EXPECT_EQ(Count(log, sums), lines) << log;
+  EXPECT_EQ(Count(log, "\"reasons\":\"room tasks 12 need_millicores 28200 "),
+            lines)
+      << log;
+}
+
+// Guards against a line on a waiting task that does not name its place.
+TEST(RestartLinesTest, NamesThePlaceInTheQueue) {
+  virtual_fleet fleet(TwoWorkers());
+  LoseTheOnlyLargeWorker(fleet);
+  const std::string log = LogOf(fleet, seconds(3));
+  EXPECT_GE(Count(log, " place 1 of 12 waited_for room "), 2) << log;
+}
+
+}  // namespace
+}  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -1,6 +1,7 @@
 #include "skylarkbridge/control/text_format.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "skylarkbridge/base/string_view.hpp"
 
 namespace skylarkbridge::control {
@@ -347,6 +348,17 @@
   return absl::StrCat("place ", place.place, " of ", place.tasks);
 }
 
+std::string FormatReasons(const jobs::restart_backlog& backlog) {
+  return absl::StrJoin(
+      backlog.by_obstacle, "; ", [](std::string* text, const auto& entry) {
+        const auto& [obstacle, group] = entry;
+        absl::StrAppend(text, ToAbsl(Name(obstacle)), " tasks ", group.tasks,
+                        " need_millicores ", group.need_millicores,
+                        " smallest_millicores ", group.smallest_need_millicores,
+                        " longest_ms ", group.longest_wait.count());
+      });
+}
+
 std::string Format(const jobs::restart_cause& cause) {
   std::string text = absl::StrCat("waited_for ", ToAbsl(Name(cause.obstacle)));
   if (cause.release != jobs::restart_release::kNone) {
--- a/src/skylarkbridge/control/text_format_test.cpp
+++ b/src/skylarkbridge/control/text_format_test.cpp
@@ -71,6 +71,31 @@
             "no_relocation_for short_wait");
 }
 
+TEST(TextFormatTest, NamesThePlaceInAQueue) {
+  EXPECT_EQ(Format(jobs::queue_place{.place = 3, .tasks = 57}),
+            "place 3 of 57");
+}
+
+// Guards against a summary whose numbers can't be told apart, or that a tool
+// can't take to pieces.
+TEST(TextFormatTest, ListsTheSumsOfABacklogByReason) {
+  jobs::restart_backlog backlog;
+  backlog.by_obstacle[jobs::restart_obstacle::kRoom] = {
+      .tasks = 41,
+      .need_millicores = 98'250,
+      .smallest_need_millicores = 1200,
+      .longest_wait = std::chrono::milliseconds(12'870)};
+  backlog.by_obstacle[jobs::restart_obstacle::kUnstoredEnd] = {
+      .tasks = 1,
+      .need_millicores = 1800,
+      .smallest_need_millicores = 1800,
+      .longest_wait = std::chrono::milliseconds(640)};
+  EXPECT_EQ(FormatReasons(backlog),
+            "unstored_end tasks 1 need_millicores 1800 smallest_millicores "
+            "1800 longest_ms 640; room tasks 41 need_millicores 98250 "
+            "smallest_millicores 1200 longest_ms 12870");
+}
+
 // Guards against two stages that share a label of the metrics.
 TEST(TextFormatTest, NamesEachRestartStageDifferently) {
   std::set<std::string_view> names;
--- a/src/skylarkbridge/jobs/fleet_scheduler.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler.cpp
@@ -106,6 +106,7 @@
   blocked_restarts_.clear();
   restart_waits_.clear();
   restart_stages_.Clear();
+  restart_report_.reset();
   first_start_deadlines_.clear();
   relocations_.clear();
   relocated_until_.clear();
--- a/src/skylarkbridge/jobs/fleet_scheduler_restart_reports.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restart_reports.cpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +23,7 @@
     queue.push_back(
         {.run = {restart.task, jobs_.Find(restart.task)->last_run},
          .place = {.place = queue.size() + 1, .tasks = waiting.size()},
+         .obstacle = RestartObstacle(restart.task),
          .need_millicores = ReservedResources(step).millicores,
          .waited = std::chrono::floor<std::chrono::milliseconds>(
              now - restart.since)});
@@ -29,6 +31,10 @@
   return queue;
 }
 
+std::optional<restart_report> fleet_scheduler::TakeRestartReport() {
+  return std::exchange(restart_report_, std::nullopt);
+}
+
 void fleet_scheduler::ReportDelayedRestarts(time_point now) {
   if (now < next_restart_report_) {
     return;
@@ -38,6 +44,10 @@
   const std::vector<queued_restart> queue = RestartQueue(waiting, now);
   const std::set<std::size_t> reported = ChooseRestartsToReport(
       queue, options_.restart_report_delay, options_.max_restart_reports);
+  if (reported.empty()) {
+    return;
+  }
+  restart_report_ = {.backlog = SummarizeRestarts(queue)};
   std::map<std::string, resources> needed;
   for (std::size_t index = 0; index < waiting.size(); ++index) {
     const step_ref ref = StepOf(waiting[index].task);
--- a/src/skylarkbridge/jobs/fleet_scheduler_restart_reports_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restart_reports_test.cpp
@@ -111,5 +111,31 @@
       << report.back().detail << " instead of" << shortage;
 }
 
+// Guards against a backlog of which the log shows only the tasks that it names.
+TEST(FleetSchedulerRestartReportsTest, TheBacklogCountsAllTasks) {
+  scheduler_driver driver;
+  WaitInOrder(driver);
+  LastReport(driver);
+  const auto report = driver.scheduler.TakeRestartReport();
+  ASSERT_TRUE(report);
+  const restart_group& all = report->backlog.all;
+  EXPECT_EQ(all.tasks, kWaitingJobs);
+  EXPECT_EQ(all.need_millicores,
+            (kLargestNeed + kSmallestNeed) * std::int64_t{kWaitingJobs} / 2);
+  EXPECT_EQ(all.smallest_need_millicores, kSmallestNeed);
+  EXPECT_GE(all.longest_wait, seconds(2));
+  ASSERT_EQ(report->backlog.by_obstacle.size(), 1U);
+  EXPECT_EQ(report->backlog.by_obstacle.begin()->first,
+            restart_obstacle::kRoom);
+  EXPECT_FALSE(driver.scheduler.TakeRestartReport());
+}
+
+// Guards against a line each second on waits that are as short as usual.
+TEST(FleetSchedulerRestartReportsTest, ReportsNoBacklogOfShortWaits) {
+  scheduler_driver driver;
+  WaitInOrder(driver);
+  EXPECT_FALSE(driver.scheduler.TakeRestartReport());
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/restart_backlog.cpp
+++ b/src/skylarkbridge/jobs/restart_backlog.cpp
@@ -18,6 +18,24 @@
 
 }  // namespace
 
+void restart_group::Add(const queued_restart& restart) {
+  smallest_need_millicores =
+      tasks == 0 ? restart.need_millicores
+                 : std::min(smallest_need_millicores, restart.need_millicores);
+  ++tasks;
+  need_millicores += restart.need_millicores;
+  longest_wait = std::max(longest_wait, restart.waited);
+}
+
+restart_backlog SummarizeRestarts(const std::vector<queued_restart>& queue) {
+  restart_backlog backlog;
+  for (const queued_restart& restart : queue) {
+    backlog.all.Add(restart);
+    backlog.by_obstacle[restart.obstacle].Add(restart);
+  }
+  return backlog;
+}
+
 std::set<std::size_t> ChooseRestartsToReport(
     const std::vector<queued_restart>& queue,
     std::chrono::milliseconds min_wait,
--- a/src/skylarkbridge/jobs/restart_backlog_test.cpp
+++ b/src/skylarkbridge/jobs/restart_backlog_test.cpp
@@ -52,5 +52,29 @@
             (std::set<std::size_t>{1, 4}));
 }
 
+// Guards against a sum that mixes the tasks which no room would help with
+// those that wait for room.
+TEST(RestartBacklogTest, SumsUpByReason) {
+  std::vector<queued_restart> queue = Queue({900, 500, 700, 600});
+  queue[0].obstacle = restart_obstacle::kRoom;
+  queue[1].obstacle = restart_obstacle::kUnstoredEnd;
+  queue[2].obstacle = restart_obstacle::kRoom;
+  queue[3].obstacle = restart_obstacle::kRoom;
+  const restart_backlog backlog = SummarizeRestarts(queue);
+  EXPECT_EQ(backlog.all.tasks, 4U);
+  EXPECT_EQ(backlog.all.need_millicores, 2700);
+  EXPECT_EQ(backlog.all.smallest_need_millicores, 500);
+  ASSERT_EQ(backlog.by_obstacle.size(), 2U);
+  const restart_group& room = backlog.by_obstacle.at(restart_obstacle::kRoom);
+  EXPECT_EQ(room.tasks, 3U);
+  EXPECT_EQ(room.need_millicores, 2200);
+  EXPECT_EQ(room.smallest_need_millicores, 600);
+  EXPECT_EQ(room.longest_wait, seconds(4));
+  const restart_group& end =
+      backlog.by_obstacle.at(restart_obstacle::kUnstoredEnd);
+  EXPECT_EQ(end.tasks, 1U);
+  EXPECT_EQ(end.longest_wait, seconds(3));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
