Let explain tell of any waiting long-running task

Cause: explain finds what the log names, and a task that is neither among the oldest nor among the smallest stood in no line. Change: event restart_queue (5043) lists the other waiting tasks, 24 in a line and 72 a second, in turn if more wait, each with its run, place, wait, need and reason; explain reads them, and takes a task in place of a job. Result: all tasks of a list of 50 are told of in three parts of 20 while others leave it (RestartBacklogTest); the line of each second lists the two of twelve that no other one names (RestartLinesTest).

--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -101,6 +101,11 @@
     5042, event_severity::kInfo, "restart_backlog",
     "cell epoch tasks need_millicores smallest_millicores longest_ms reasons",
     log_class::kRare};
+/// The waiting tasks for which no line of the same second tells more, several
+/// in a line. If there are too many for the second, they follow in turn.
+inline constexpr event_definition kRestartQueue{
+    5043, event_severity::kInfo, "restart_queue", "cell epoch restarts",
+    log_class::kDecision};
 
 inline constexpr event_definition kEvents[] = {kConfigurationInForce,
                                                kRecordRejected,
@@ -125,7 +130,8 @@
                                                kMachinesListed,
                                                kScheduling,
                                                kCancelDelayed,
-                                               kRestartBacklog};
+                                               kRestartBacklog,
+                                               kRestartQueue};
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -2,11 +2,13 @@
 #define SKYLARKBRIDGE_CONTROL_FLEET_CELL_HPP
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -302,6 +304,7 @@
   void LogSchedulingNotes();
   /// Logs the report on waiting restarts, if there is a new one.
   void LogRestartReport();
+  void LogQueuedRestarts(std::span<const jobs::queued_restart> restarts);
   /// Logs the state of the owner once a second.
   void LogState(time_point now);
   std::string FormatCell() const { return absl::StrCat(cell_); }
--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -87,6 +87,23 @@
             {"smallest_millicores", absl::StrCat(all.smallest_need_millicores)},
             {"longest_ms", absl::StrCat(all.longest_wait.count())},
             {"reasons", FormatReasons(report->backlog)}});
+  LogQueuedRestarts(report->others);
+}
+
+template <fleet_platform Platform>
+void fleet_cell<Platform>::LogQueuedRestarts(
+    std::span<const jobs::queued_restart> restarts) {
+  // A longer line could exceed the 4 KB that are written of one.
+  constexpr std::size_t kRestartsPerLine = 24;
+  for (std::size_t first = 0; first < restarts.size();
+       first += kRestartsPerLine) {
+    const std::size_t count =
+        std::min(kRestartsPerLine, restarts.size() - first);
+    LogEvent(kRestartQueue,
+             {{"cell", FormatCell()},
+              {"epoch", absl::StrCat(ownership_.OwnEpoch())},
+              {"restarts", FormatQueue(restarts.subspan(first, count))}});
+  }
 }
 
 template <fleet_platform Platform>
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_CONTROL_TEXT_FORMAT_HPP
 #define SKYLARKBRIDGE_CONTROL_TEXT_FORMAT_HPP
 
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,9 @@
 std::string Format(const jobs::run_ref& run);
 /// @brief "place N of M".
 std::string Format(const jobs::queue_place& place);
+/// @brief "RUN place N of M waited_ms N need_millicores N waited_for OBSTACLE"
+/// for each task, separated by "; ".
+std::string FormatQueue(std::span<const jobs::queued_restart> restarts);
 /// @brief "OBSTACLE tasks N need_millicores N smallest_millicores N longest_ms
 /// N" for each obstacle, separated by "; ".
 std::string FormatReasons(const jobs::restart_backlog& backlog);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -766,6 +766,11 @@
   std::vector<queued_restart> RestartQueue(
       const std::vector<waiting_restart>& waiting,
       time_point now) const;
+  /// The next part of the tasks that are not reported in full.
+  /// @param reported the places of those that are.
+  std::vector<queued_restart> ListOtherRestarts(
+      std::vector<queued_restart> queue,
+      const std::set<std::size_t>& reported);
   /// Reports the tasks that wait for their restart, once one has waited long,
   /// and adds notes on some of them.
   void ReportDelayedRestarts(time_point now);
@@ -1035,6 +1040,8 @@
   start_limit start_limit_;
   time_point next_restart_report_;
   std::optional<restart_report> restart_report_;
+  /// The last task in restart_report::others.
+  task_ref last_listed_restart_;
   time_point next_cancel_report_;
   permit_cache permits_;
   interference_model interference_;
--- a/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler_options.hpp
@@ -132,6 +132,9 @@
   /// Tasks that are reported at once because they have waited longest, and as
   /// many because they need least.
   std::size_t max_restart_reports = 5;
+  /// Other waiting tasks that are listed at once, with little more than the
+  /// reason of their wait. If more wait, they are listed in turn.
+  std::size_t max_listed_restarts = 72;
   /// Interval of the reports on tasks that wait for the workers of an earlier
   /// owner.
   std::chrono::milliseconds takeover_report_interval{1000};
--- a/include/skylarkbridge/jobs/restart_backlog.hpp
+++ b/include/skylarkbridge/jobs/restart_backlog.hpp
@@ -55,6 +55,9 @@
 /// @brief What an owner reports at intervals while a task waits for long.
 struct restart_report {
   restart_backlog backlog;
+  /// Some of the tasks that no note reports in full. Each is listed in one of
+  /// the next reports while it waits.
+  std::vector<queued_restart> others;
 };
 
 restart_backlog SummarizeRestarts(const std::vector<queued_restart>& queue);
@@ -69,6 +72,14 @@
     std::chrono::milliseconds min_wait,
     std::size_t limit);
 
+/// @brief Returns the next part of a list that is reported in parts: at most
+/// @p limit tasks in the order of their references, those behind @p last first.
+/// Tasks that leave or join the queue between two parts delay no other one.
+std::vector<queued_restart> NextRestartsToList(
+    std::vector<queued_restart> queue,
+    const task_ref& last,
+    std::size_t limit);
+
 }  // namespace skylarkbridge::jobs
 
 #endif  // SKYLARKBRIDGE_JOBS_RESTART_BACKLOG_HPP
--- a/src/skylarkbridge/cli/explain_command.cpp
+++ b/src/skylarkbridge/cli/explain_command.cpp
@@ -1,14 +1,18 @@
 #include <algorithm>
+#include <cstddef>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/string_view.h"
 #include "skylarkbridge/cli/commands.hpp"
 
 namespace skylarkbridge::cli {
@@ -16,12 +20,12 @@
 
 using nlohmann::json;
 
-/// A log line that concerns the job.
-struct log_line {
+/// What a log line tells of the job or the task.
+struct explanation {
   double time = 0;
   /// What stood before the JSON: the VM, where a collector adds it.
   std::string source;
-  json fields;
+  std::string sentence;
 };
 
 std::string Text(const json& fields, const char* name) {
@@ -31,6 +35,28 @@
              : field->get<std::string>();
 }
 
+/// The job that the command is asked about, or one of its tasks.
+class explained_subject {
+ public:
+  explicit explained_subject(std::string text)
+      : text_(std::move(text)), job_(text_.substr(0, text_.find('.'))) {}
+
+  const std::string& Text() const { return text_; }
+  /// @param run empty or "JOB.OCCURRENCE.STEP.INDEX/RUN", where "/RUN" may be
+  /// missing.
+  bool HasRun(std::string_view run) const {
+    return run.starts_with(text_) &&
+           (run.size() == text_.size() || run[text_.size()] == '.' ||
+            run[text_.size()] == '/');
+  }
+  bool IsOfJob(std::string_view job) const { return job == job_; }
+  bool IsJob(std::string_view job) const { return job == text_; }
+
+ private:
+  const std::string text_;
+  const std::string job_;
+};
+
 /// Events that concern every job of the fleet.
 bool ConcernsAll(const std::string& name) {
   return name == "ownership_taken" || name == "ownership_lost" ||
@@ -85,41 +111,76 @@
                       detail.empty() ? "" : ", ", detail);
 }
 
+/// The sentences on the waiting tasks of the subject in a list of several.
+std::vector<std::string> QueueSentences(const json& fields,
+                                        const explained_subject& subject) {
+  std::vector<std::string> sentences;
+  for (const absl::string_view restart :
+       absl::StrSplit(Text(fields, "restarts"), "; ")) {
+    const std::pair<std::string, std::string> parts =
+        absl::StrSplit(restart, absl::MaxSplits(' ', 1));
+    if (subject.HasRun(parts.first)) {
+      sentences.push_back(
+          absl::StrCat("run ", parts.first, ": waits for its restart in cell ",
+                       Text(fields, "cell"), ", ", parts.second));
+    }
+  }
+  return sentences;
+}
+
+/// What the line tells of the subject.
+/// @param found set if the line names the subject.
+std::vector<std::string> Sentences(const json& fields,
+                                   const explained_subject& subject,
+                                   bool& found) {
+  const std::string name = Text(fields, "name");
+  if (name == "restart_queue") {
+    std::vector<std::string> sentences = QueueSentences(fields, subject);
+    found |= !sentences.empty();
+    return sentences;
+  }
+  const std::string job = Text(fields, "job");
+  const bool own = subject.IsJob(job) || subject.HasRun(Text(fields, "run"));
+  found |= own;
+  if (own || subject.IsOfJob(job) || ConcernsAll(name)) {
+    return {Sentence(fields)};
+  }
+  return {};
+}
+
 }  // namespace
 
 int RunExplain(command_context& context) {
-  const std::string& job = context.operands.front();
-  std::vector<log_line> lines;
+  const explained_subject subject(context.operands.front());
+  std::vector<explanation> explanations;
   bool found = false;
   for (std::string text; std::getline(std::cin, text);) {
     const std::size_t start = text.find('{');
     if (start == std::string::npos) {
       continue;
     }
-    json fields = json::parse(text.substr(start), nullptr, false);
+    const json fields = json::parse(text.substr(start), nullptr, false);
     if (!fields.is_object() || !fields.contains("time") ||
         !fields["time"].is_number()) {
       continue;
     }
-    const bool own = Text(fields, "job") == job ||
-                     Text(fields, "run").starts_with(job + ".");
-    found |= own;
-    if (own || ConcernsAll(Text(fields, "name"))) {
-      lines.push_back(
-          {fields["time"], text.substr(0, start), std::move(fields)});
+    for (std::string& sentence : Sentences(fields, subject, found)) {
+      explanations.push_back(
+          {fields["time"], text.substr(0, start), std::move(sentence)});
     }
   }
   if (!found) {
-    context.errors << "no line names the job " << job << "\n";
+    context.errors << "no line names the job or task " << subject.Text()
+                   << "\n";
     return kExitRefused;
   }
-  std::stable_sort(lines.begin(), lines.end(),
-                   [](const log_line& left, const log_line& right) {
+  std::stable_sort(explanations.begin(), explanations.end(),
+                   [](const explanation& left, const explanation& right) {
                      return left.time < right.time;
                    });
-  for (const log_line& line : lines) {
-    context.out << absl::StrFormat("%.3f ", line.time) << line.source
-                << Sentence(line.fields) << "\n";
+  for (const explanation& each : explanations) {
+    context.out << absl::StrFormat("%.3f ", each.time) << each.source
+                << each.sentence << "\n";
   }
   return kExitDone;
 }
--- a/src/skylarkbridge/cli/subcommands.cpp
+++ b/src/skylarkbridge/cli/subcommands.cpp
@@ -22,9 +22,12 @@
                     "skylarkbridge fleet --boot boot.json --check_only"},
        .run = RunFleet},
       {.name = "explain",
-       .summary = "Tell from logs on standard input what happened to a job.",
-       .operands = {"JOB"},
-       .examples = {"skylarkbridge explain 5c0e7a21d94b36f8 < fleet.log"},
+       .summary = "Tell from logs on standard input what happened to a job or "
+                  "one of its tasks.",
+       .operands = {"JOB_OR_TASK"},
+       .examples = {"skylarkbridge explain 5c0e7a21d94b36f8 < fleet.log",
+                    "skylarkbridge explain 5c0e7a21d94b36f8.0.0.13 < "
+                    "fleet.log"},
        .run = RunExplain},
       {.name = "check",
        .summary = "Check a configuration file and report all findings.",
--- a/src/skylarkbridge/control/restart_lines_test.cpp
+++ b/src/skylarkbridge/control/restart_lines_test.cpp
@@ -83,5 +83,16 @@
   EXPECT_GE(Count(log, " place 1 of 12 waited_for room "), 2) << log;
 }
 
+// Guards against a task of which no line tells why it waits.
+TEST(RestartLinesTest, ListsTheTasksThatNoOtherLineNames) {
+  virtual_fleet fleet(TwoWorkers());
+  LoseTheOnlyLargeWorker(fleet);
+  const std::string log = LogOf(fleet, seconds(3));
+  const int lines = Count(log, "\"name\":\"restart_queue\",\"cell\":\"0\"");
+  EXPECT_GE(lines, 2) << log;
+  EXPECT_EQ(lines, Count(log, "\"name\":\"restart_backlog\"")) << log;
+  EXPECT_EQ(Count(log, " of 12 waited_ms "), 2 * lines) << log;
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/text_format.cpp
+++ b/src/skylarkbridge/control/text_format.cpp
@@ -348,6 +348,17 @@
   return absl::StrCat("place ", place.place, " of ", place.tasks);
 }
 
+std::string FormatQueue(std::span<const jobs::queued_restart> restarts) {
+  return absl::StrJoin(
+      restarts, "; ",
+      [](std::string* text, const jobs::queued_restart& restart) {
+        absl::StrAppend(text, Format(restart.run), " ", Format(restart.place),
+                        " waited_ms ", restart.waited.count(),
+                        " need_millicores ", restart.need_millicores,
+                        " waited_for ", ToAbsl(Name(restart.obstacle)));
+      });
+}
+
 std::string FormatReasons(const jobs::restart_backlog& backlog) {
   return absl::StrJoin(
       backlog.by_obstacle, "; ", [](std::string* text, const auto& entry) {
--- a/src/skylarkbridge/control/text_format_test.cpp
+++ b/src/skylarkbridge/control/text_format_test.cpp
@@ -96,6 +96,20 @@
             "smallest_millicores 1200 longest_ms 12870");
 }
 
+TEST(TextFormatTest, ListsWaitingTasks) {
+  const jobs::queued_restart restarts[] = {
+      {.run = {.task = kTask, .run = 2},
+       .place = {.place = 41, .tasks = 57},
+       .obstacle = jobs::restart_obstacle::kRoom,
+       .need_millicores = 2200,
+       .waited = std::chrono::milliseconds(13'100)},
+      {.run = {.task = kTask}, .place = {.place = 42, .tasks = 57}}};
+  EXPECT_EQ(FormatQueue(restarts),
+            "000000000000002a.0.0.3/2 place 41 of 57 waited_ms 13100 "
+            "need_millicores 2200 waited_for room; 000000000000002a.0.0.3 "
+            "place 42 of 57 waited_ms 0 need_millicores 0 waited_for nothing");
+}
+
 // Guards against two stages that share a label of the metrics.
 TEST(TextFormatTest, NamesEachRestartStageDifferently) {
   std::set<std::string_view> names;
--- a/src/skylarkbridge/jobs/fleet_scheduler_restart_reports.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restart_reports.cpp
@@ -35,6 +35,21 @@
   return std::exchange(restart_report_, std::nullopt);
 }
 
+std::vector<queued_restart> fleet_scheduler::ListOtherRestarts(
+    std::vector<queued_restart> queue,
+    const std::set<std::size_t>& reported) {
+  std::erase_if(queue, [this, &reported](const queued_restart& restart) {
+    return restart.waited < options_.restart_report_delay ||
+           reported.contains(restart.place.place);
+  });
+  std::vector<queued_restart> listed = NextRestartsToList(
+      std::move(queue), last_listed_restart_, options_.max_listed_restarts);
+  if (!listed.empty()) {
+    last_listed_restart_ = listed.back().run.task;
+  }
+  return listed;
+}
+
 void fleet_scheduler::ReportDelayedRestarts(time_point now) {
   if (now < next_restart_report_) {
     return;
@@ -47,7 +62,8 @@
   if (reported.empty()) {
     return;
   }
-  restart_report_ = {.backlog = SummarizeRestarts(queue)};
+  restart_report_ = {.backlog = SummarizeRestarts(queue),
+                     .others = ListOtherRestarts(queue, reported)};
   std::map<std::string, resources> needed;
   for (std::size_t index = 0; index < waiting.size(); ++index) {
     const step_ref ref = StepOf(waiting[index].task);
--- a/src/skylarkbridge/jobs/fleet_scheduler_restart_reports_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restart_reports_test.cpp
@@ -130,6 +130,23 @@
   EXPECT_FALSE(driver.scheduler.TakeRestartReport());
 }
 
+// Guards against a task of which no line tells why it waits.
+TEST(FleetSchedulerRestartReportsTest, ListsTheTasksThatAreNotReportedInFull) {
+  scheduler_driver driver;
+  WaitInOrder(driver);
+  LastReport(driver);
+  const auto report = driver.scheduler.TakeRestartReport();
+  ASSERT_TRUE(report);
+  ASSERT_EQ(report->others.size(), 2U);
+  for (const queued_restart& other : report->others) {
+    EXPECT_EQ(other.place.place, other.run.task.job.value);
+    EXPECT_EQ(other.obstacle, restart_obstacle::kRoom);
+    EXPECT_GE(other.waited, seconds(2));
+  }
+  EXPECT_EQ(report->others[0].run.task, TaskOfJob(6));
+  EXPECT_EQ(report->others[1].run.task, TaskOfJob(7));
+}
+
 // Guards against a line each second on waits that are as short as usual.
 TEST(FleetSchedulerRestartReportsTest, ReportsNoBacklogOfShortWaits) {
   scheduler_driver driver;
--- a/src/skylarkbridge/jobs/restart_backlog.cpp
+++ b/src/skylarkbridge/jobs/restart_backlog.cpp
@@ -57,4 +57,17 @@
   return places;
 }
 
+std::vector<queued_restart> NextRestartsToList(
+    std::vector<queued_restart> queue,
+    const task_ref& last,
+    std::size_t limit) {
+  std::sort(queue.begin(), queue.end(),
+            [&last](const queued_restart& left, const queued_restart& right) {
+              return std::make_tuple(left.run.task <= last, left.run.task) <
+                     std::make_tuple(right.run.task <= last, right.run.task);
+            });
+  queue.resize(std::min(limit, queue.size()));
+  return queue;
+}
+
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/jobs/restart_backlog_test.cpp
+++ b/src/skylarkbridge/jobs/restart_backlog_test.cpp
@@ -76,5 +76,27 @@
   EXPECT_EQ(end.longest_wait, seconds(3));
 }
 
+// Guards against a task that no part of a long list contains, because others
+// leave the queue before it between two parts.
+TEST(RestartBacklogTest, ListsEachTaskInTurn) {
+  std::vector<queued_restart> queue =
+      Queue(std::vector<std::int64_t>(50, 1000));
+  std::set<task_ref> listed;
+  task_ref last;
+  for (int part = 0; part < 3; ++part) {
+    for (const queued_restart& restart : NextRestartsToList(queue, last, 20)) {
+      EXPECT_TRUE(listed.insert(restart.run.task).second || part == 2);
+      last = restart.run.task;
+    }
+    queue.erase(queue.begin(), queue.begin() + 5);
+  }
+  EXPECT_EQ(listed.size(), 50U);
+}
+
+TEST(RestartBacklogTest, ListsAllTasksOfAShortQueueEachTime) {
+  const std::vector<queued_restart> queue = Queue({900, 800, 100});
+  EXPECT_EQ(NextRestartsToList(queue, queue[1].run.task, 20).size(), 3U);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::jobs
