Show the room that a cell keeps, by reason

Change: the millicores reserved for waiting restarts, for relocations and for other tasks, those left for the tasks of silent workers, and those held by runs that are to be stopped, in owner_state and as the gauge skylarkbridge_cell_kept_room_millicores by cell. They are computed once a second with owner_state.

--- a/include/skylarkbridge/control/control_metrics.hpp
+++ b/include/skylarkbridge/control/control_metrics.hpp
@@ -1,6 +1,7 @@
 #ifndef SKYLARKBRIDGE_CONTROL_CONTROL_METRICS_HPP
 #define SKYLARKBRIDGE_CONTROL_CONTROL_METRICS_HPP
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -8,6 +9,7 @@
 #include "skylarkbridge/control/text_format.hpp"
 #include "skylarkbridge/jobs/cell_room.hpp"
 #include "skylarkbridge/jobs/fleet_map.hpp"
+#include "skylarkbridge/jobs/kept_room.hpp"
 #include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 #include "skylarkbridge/telemetry/metrics.hpp"
@@ -131,6 +133,14 @@
     SetRoom(cell, "preemptible", room.largest_preemptible,
             room.total_preemptible);
   }
+  /// @brief Sets the gauges of the room that a cell keeps from new tasks.
+  void SetKeptRoom(jobs::cell_id cell, const jobs::kept_room& kept) {
+    SetKeptRoom(cell, "restarts", kept.for_restarts);
+    SetKeptRoom(cell, "relocations", kept.for_relocations);
+    SetKeptRoom(cell, "other_tasks", kept.for_other_tasks);
+    SetKeptRoom(cell, "silent_workers", kept.for_silent_workers);
+    SetKeptRoom(cell, "stops", kept.by_stops);
+  }
   /// @brief Counts a finished call to the store.
   void Count(topic_kind kind, std::string_view call, store_result result) {
     FindOrAdd(calls_, "skylarkbridge_store_calls_total",
@@ -210,6 +220,16 @@
         .Set(total);
   }
 
+  void SetKeptRoom(jobs::cell_id cell,
+                   const std::string& reason,
+                   std::int64_t millicores) {
+    registry_
+        .Gauge("skylarkbridge_cell_kept_room_millicores",
+               "Room of an owned cell that new tasks don't get",
+               {{"cell", std::to_string(cell)}, {"kept_for", reason}})
+        .Set(millicores);
+  }
+
   /// The counters of one metric, created when their labels are first used.
   using counters = std::map<telemetry::metric_labels, telemetry::counter*>;
 
--- a/include/skylarkbridge/control/control_state_gauges.hpp
+++ b/include/skylarkbridge/control/control_state_gauges.hpp
@@ -86,6 +86,7 @@
       cells_with_room_gauges_.insert(number);
     } else if (cells_with_room_gauges_.erase(number) > 0) {
       metrics_.SetRoom(number, {});
+      metrics_.SetKeptRoom(number, {});
     }
   }
 }
--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -63,14 +63,15 @@
 /// `cut_by_limit` and `starts` count since the line before; `last_pass` is why
 /// the last placement pass ended. `oldest_ms` counts from the end of the last
 /// run of the task `oldest`, or else from the time at which this owner added
-/// its job.
+/// its job. The `kept_` fields are millicores that new tasks don't get.
 inline constexpr event_definition kOwnerState{
     5026, event_severity::kInfo, "owner_state",
     "cell epoch jobs steps tasks oldest_ms oldest passes cut_by_room "
     "cut_by_limit last_pass not_reached starts in_flight limit workers usable "
     "free largest_free total long_running runs unconfirmed at_zero "
     "unstored_ends restarts "
-    "restart_ms",
+    "restart_ms kept_restarts kept_relocations kept_others kept_silent "
+    "kept_stops",
     log_class::kRare};
 inline constexpr event_definition kWorkerListed{
     5030, event_severity::kInfo, "worker_listed", "worker address state rack"};
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -305,7 +305,8 @@
   /// Logs the report on waiting restarts, if there is a new one.
   void LogRestartReport();
   void LogQueuedRestarts(std::span<const jobs::queued_restart> restarts);
-  /// Logs the state of the owner once a second.
+  /// Logs the state of the owner once a second, and sets the gauges of the room
+  /// that it keeps.
   void LogState(time_point now);
   std::string FormatCell() const { return absl::StrCat(cell_); }
 
--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -115,6 +115,7 @@
   const jobs::owner_state state = scheduler_.State(now);
   const jobs::placement_counts counts = state.counts.Since(logged_counts_);
   logged_counts_ = state.counts;
+  metrics_.SetKeptRoom(cell_, state.kept);
   const auto text = [](auto number) { return absl::StrCat(number); };
   LogEvent(kOwnerState,
            {{"cell", FormatCell()},
@@ -143,7 +144,12 @@
             {"at_zero", text(state.runs.at_zero_speed)},
             {"unstored_ends", text(state.runs.unstored_ends)},
             {"restarts", text(state.waiting_restarts)},
-            {"restart_ms", text(state.longest_restart_wait.count())}});
+            {"restart_ms", text(state.longest_restart_wait.count())},
+            {"kept_restarts", text(state.kept.for_restarts)},
+            {"kept_relocations", text(state.kept.for_relocations)},
+            {"kept_others", text(state.kept.for_other_tasks)},
+            {"kept_silent", text(state.kept.for_silent_workers)},
+            {"kept_stops", text(state.kept.by_stops)}});
 }
 
 }  // namespace skylarkbridge::control
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -23,6 +23,7 @@
 #include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
+#include "skylarkbridge/jobs/kept_room.hpp"
 #include "skylarkbridge/jobs/late_start_watch.hpp"
 #include "skylarkbridge/jobs/late_starts.hpp"
 #include "skylarkbridge/jobs/machine_list.hpp"
@@ -649,6 +650,9 @@
   /// Counts the placement pass that has ended.
   void CountPass(const placement_summary& pass);
   run_counts CountRuns() const;
+  kept_room KeptRoom(time_point now) const;
+  /// Adds the reservations of the last pass.
+  void AddReservations(kept_room& kept) const;
   /// Whether less than half of the capacity of the usable workers is in use.
   bool IsUnderused(time_point now) const;
   /// Updates waiting_jobs_since_.
--- a/include/skylarkbridge/jobs/owner_state.hpp
+++ b/include/skylarkbridge/jobs/owner_state.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "skylarkbridge/jobs/ids.hpp"
+#include "skylarkbridge/jobs/kept_room.hpp"
 #include "skylarkbridge/jobs/placement_summary.hpp"
 
 namespace skylarkbridge::jobs {
@@ -73,6 +74,7 @@
   /// Long-running tasks that wait for their restart.
   std::size_t waiting_restarts = 0;
   std::chrono::milliseconds longest_restart_wait{};
+  kept_room kept;
 };
 
 }  // namespace skylarkbridge::jobs
--- a/src/skylarkbridge/control/control_metrics_test.cpp
+++ b/src/skylarkbridge/control/control_metrics_test.cpp
@@ -59,5 +59,23 @@
   EXPECT_TRUE(Exposes(registry, gauge + "0"));
 }
 
+// Guards against room that is kept and stands in no metric.
+TEST(ControlMetricsTest, SetsTheKeptRoomOfACellByReason) {
+  telemetry::metrics_registry registry;
+  control_metrics metrics(registry);
+  metrics.SetKeptRoom(2, {.for_restarts = 1,
+                          .for_relocations = 2,
+                          .for_other_tasks = 3,
+                          .for_silent_workers = 4,
+                          .by_stops = 5});
+  const std::string gauge =
+      R"(skylarkbridge_cell_kept_room_millicores{cell="2",kept_for=)";
+  EXPECT_TRUE(Exposes(registry, gauge + R"("restarts"} 1)"));
+  EXPECT_TRUE(Exposes(registry, gauge + R"("relocations"} 2)"));
+  EXPECT_TRUE(Exposes(registry, gauge + R"("other_tasks"} 3)"));
+  EXPECT_TRUE(Exposes(registry, gauge + R"("silent_workers"} 4)"));
+  EXPECT_TRUE(Exposes(registry, gauge + R"("stops"} 5)"));
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/control/restart_lines_test.cpp
+++ b/src/skylarkbridge/control/restart_lines_test.cpp
@@ -94,5 +94,24 @@
   EXPECT_EQ(Count(log, " of 12 waited_ms "), 2 * lines) << log;
 }
 
+// Guards against gauges that are not set while a cell keeps room, or that stay
+// when it keeps none any more.
+TEST(RestartLinesTest, SetsTheGaugesOfTheKeptRoom) {
+  virtual_fleet fleet({});
+  fleet.Advance(seconds(4));
+  const jobs::job_id job{1};
+  fleet.Submit(0, job, "-3000 600000 0 1");
+  fleet.Advance(seconds(2));
+  const telemetry::gauge& kept =
+      fleet.Metrics().Gauge("skylarkbridge_cell_kept_room_millicores", "",
+                            {{"cell", "0"}, {"kept_for", "silent_workers"}});
+  EXPECT_EQ(kept.Value(), 0);
+  fleet.CutOffWorker(fleet.Checker().WorkerOf({.job = job}));
+  fleet.Advance(milliseconds(3500));
+  EXPECT_EQ(kept.Value(), 3000);
+  fleet.Advance(seconds(10));
+  EXPECT_EQ(kept.Value(), 0);
+}
+
 }  // namespace
 }  // namespace skylarkbridge::control
--- a/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_state.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "skylarkbridge/jobs/fleet_scheduler.hpp"
 
@@ -52,6 +53,52 @@
   return counts;
 }
 
+void fleet_scheduler::AddReservations(kept_room& kept) const {
+  std::set<task_ref> relocated;
+  for (const auto& [waiting, move] : relocations_) {
+    relocated.insert(move.run.task);
+  }
+  std::set<task_ref> restarting;
+  for (const waiting_restart& restart : jobs_.WaitingRestarts()) {
+    restarting.insert(restart.task);
+  }
+  for (const auto& [task, worker] : reserved_workers_) {
+    const step_spec* step = jobs_.Spec(StepOf(task));
+    if (step == nullptr) {
+      continue;
+    }
+    const std::int64_t need = ReservedResources(*step).millicores;
+    if (relocated.contains(task)) {
+      kept.for_relocations += need;
+    } else if (restarting.contains(task)) {
+      kept.for_restarts += need;
+    } else {
+      kept.for_other_tasks += need;
+    }
+  }
+}
+
+kept_room fleet_scheduler::KeptRoom(time_point now) const {
+  kept_room kept;
+  AddReservations(kept);
+  placement_pass pass;
+  pass.reserved_room = restart_room_;
+  pass.reserved_workers = reserved_workers_;
+  ReserveForExpectedRestarts(pass, now);
+  for (const auto& [worker, room] : pass.expected_restart_room) {
+    kept.for_silent_workers += room.millicores;
+  }
+  for (const auto& [id, session] : workers_) {
+    if (!Usable(session, now)) {
+      continue;
+    }
+    for (const auto& [run, state] : session.runs) {
+      kept.by_stops += state.stop_wanted ? state.reserved.millicores : 0;
+    }
+  }
+  return kept;
+}
+
 owner_state fleet_scheduler::State(time_point now) const {
   const cell_room room = FreeRoom(now);
   owner_state state{.open_jobs = jobs_.Jobs().size(),
@@ -66,7 +113,8 @@
                     .largest_free_millicores = room.largest,
                     .runs = CountRuns(),
                     .waiting_restarts = WaitingRestarts(),
-                    .longest_restart_wait = LongestRestartWait(now)};
+                    .longest_restart_wait = LongestRestartWait(now),
+                    .kept = KeptRoom(now)};
   for (const auto& [id, session] : workers_) {
     if (Usable(session, now)) {
       state.total_millicores += session.entry.capacity.millicores;
