--- a/include/skylarkbridge/control/events.hpp
+++ b/include/skylarkbridge/control/events.hpp
@@ -63,14 +63,15 @@
 /// `cut_by_limit` and `starts` count since the line before; `last_pass` is why
 /// the last placement pass ended. `oldest_ms` counts from the end of the last
 /// run of the task `oldest`, or else from the time at which this owner added
-/// its job.
+/// its job. The `kept_` fields are millicores that new tasks don't get.
 inline constexpr event_definition kOwnerState{
     5026, event_severity::kInfo, "owner_state",
     "cell epoch jobs steps tasks oldest_ms oldest passes cut_by_room "
     "cut_by_limit last_pass not_reached starts in_flight limit workers usable "
     "free largest_free total long_running runs unconfirmed at_zero "
     "unstored_ends restarts "
-    "restart_ms",
+    "restart_ms kept_restarts kept_relocations kept_others kept_silent "
+    "kept_stops",
     log_class::kRare};
 inline constexpr event_definition kWorkerListed{
     5030, event_severity::kInfo, "worker_listed", "worker address state rack"};
@@ -94,6 +95,19 @@
     5041, event_severity::kWarning, "cancel_delayed",
     "run worker detail cell epoch"};
 
+/// Once a second for each cell in which a long-running task has waited for its
+/// restart for over a second. `reasons` holds the same sums for the tasks that
+/// wait for the same.
+inline constexpr event_definition kRestartBacklog{
+    5042, event_severity::kInfo, "restart_backlog",
+    "cell epoch tasks need_millicores smallest_millicores longest_ms reasons",
+    log_class::kRare};
+/// The waiting tasks for which no line of the same second tells more, several
+/// in a line. If there are too many for the second, they follow in turn.
+inline constexpr event_definition kRestartQueue{
+    5043, event_severity::kInfo, "restart_queue", "cell epoch restarts",
+    log_class::kDecision};
+
 inline constexpr event_definition kEvents[] = {kConfigurationInForce,
                                                kRecordRejected,
                                                kStoreLost,
@@ -116,7 +130,9 @@
                                                kWorkerEntryRejected,
                                                kMachinesListed,
                                                kScheduling,
-                                               kCancelDelayed};
+                                               kCancelDelayed,
+                                               kRestartBacklog,
+                                               kRestartQueue};
 
 }  // namespace skylarkbridge::control
 
--- a/include/skylarkbridge/control/fleet_cell.hpp
+++ b/include/skylarkbridge/control/fleet_cell.hpp
@@ -2,11 +2,13 @@
 #define SKYLARKBRIDGE_CONTROL_FLEET_CELL_HPP
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -300,7 +302,11 @@
   /// The same for the end of such a job.
   void LogJobEnded(jobs::job_id job, std::optional<std::uint64_t> offset);
   void LogSchedulingNotes();
-  /// Logs the state of the owner once a second.
+  /// Logs the report on waiting restarts, if there is a new one.
+  void LogRestartReport();
+  void LogQueuedRestarts(std::span<const jobs::queued_restart> restarts);
+  /// Logs the state of the owner once a second, and sets the gauges of the room
+  /// that it keeps.
   void LogState(time_point now);
   std::string FormatCell() const { return absl::StrCat(cell_); }
 
--- a/include/skylarkbridge/control/fleet_cell_lines.hpp
+++ b/include/skylarkbridge/control/fleet_cell_lines.hpp
@@ -45,6 +45,9 @@
       metrics_.Count(*note.restart_cause);
       absl::StrAppend(&detail, " waited_ms ", note.restart_wait->count());
     }
+    if (note.queue_place) {
+      absl::StrAppend(&detail, " ", Format(*note.queue_place));
+    }
     if (note.restart_cause) {
       absl::StrAppend(&detail, " ", Format(*note.restart_cause));
     }
@@ -68,6 +71,41 @@
   metrics_.Count(scheduler_.TakeRestartStages());
 }
 
+template <fleet_platform Platform>
+void fleet_cell<Platform>::LogRestartReport() {
+  const std::optional<jobs::restart_report> report =
+      scheduler_.TakeRestartReport();
+  if (!report) {
+    return;
+  }
+  const jobs::restart_group& all = report->backlog.all;
+  LogEvent(kRestartBacklog,
+           {{"cell", FormatCell()},
+            {"epoch", absl::StrCat(ownership_.OwnEpoch())},
+            {"tasks", absl::StrCat(all.tasks)},
+            {"need_millicores", absl::StrCat(all.need_millicores)},
+            {"smallest_millicores", absl::StrCat(all.smallest_need_millicores)},
+            {"longest_ms", absl::StrCat(all.longest_wait.count())},
+            {"reasons", FormatReasons(report->backlog)}});
+  LogQueuedRestarts(report->others);
+}
+
+template <fleet_platform Platform>
+void fleet_cell<Platform>::LogQueuedRestarts(
+    std::span<const jobs::queued_restart> restarts) {
+  // A longer line could exceed the 4 KB that are written of one.
+  constexpr std::size_t kRestartsPerLine = 24;
+  for (std::size_t first = 0; first < restarts.size();
+       first += kRestartsPerLine) {
+    const std::size_t count =
+        std::min(kRestartsPerLine, restarts.size() - first);
+    LogEvent(kRestartQueue,
+             {{"cell", FormatCell()},
+              {"epoch", absl::StrCat(ownership_.OwnEpoch())},
+              {"restarts", FormatQueue(restarts.subspan(first, count))}});
+  }
+}
+
 template <fleet_platform Platform>
 void fleet_cell<Platform>::LogState(time_point now) {
   if (now < next_state_line_) {
@@ -77,6 +115,7 @@
   const jobs::owner_state state = scheduler_.State(now);
   const jobs::placement_counts counts = state.counts.Since(logged_counts_);
   logged_counts_ = state.counts;
+  metrics_.SetKeptRoom(cell_, state.kept);
   const auto text = [](auto number) { return absl::StrCat(number); };
   LogEvent(kOwnerState,
            {{"cell", FormatCell()},
@@ -105,7 +144,12 @@
             {"at_zero", text(state.runs.at_zero_speed)},
             {"unstored_ends", text(state.runs.unstored_ends)},
             {"restarts", text(state.waiting_restarts)},
-            {"restart_ms", text(state.longest_restart_wait.count())}});
+            {"restart_ms", text(state.longest_restart_wait.count())},
+            {"kept_restarts", text(state.kept.for_restarts)},
+            {"kept_relocations", text(state.kept.for_relocations)},
+            {"kept_others", text(state.kept.for_other_tasks)},
+            {"kept_silent", text(state.kept.for_silent_workers)},
+            {"kept_stops", text(state.kept.by_stops)}});
 }
 
 }  // namespace skylarkbridge::control
--- a/include/skylarkbridge/control/text_format.hpp
+++ b/include/skylarkbridge/control/text_format.hpp
@@ -1,12 +1,14 @@
 #ifndef SKYLARKBRIDGE_CONTROL_TEXT_FORMAT_HPP
 #define SKYLARKBRIDGE_CONTROL_TEXT_FORMAT_HPP
 
+#include <span>
 #include <string>
 #include <string_view>
 
 #include "skylarkbridge/control/ports.hpp"
 #include "skylarkbridge/jobs/owner_state.hpp"
 #include "skylarkbridge/jobs/ownership.hpp"
+#include "skylarkbridge/jobs/restart_backlog.hpp"
 #include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
 
@@ -30,6 +32,14 @@
 
 /// @brief "JOB.OCCURRENCE.STEP.INDEX/RUN"; empty when the run number is zero.
 std::string Format(const jobs::run_ref& run);
+/// @brief "place N of M".
+std::string Format(const jobs::queue_place& place);
+/// @brief "RUN place N of M waited_ms N need_millicores N waited_for OBSTACLE"
+/// for each task, separated by "; ".
+std::string FormatQueue(std::span<const jobs::queued_restart> restarts);
+/// @brief "OBSTACLE tasks N need_millicores N smallest_millicores N longest_ms
+/// N" for each obstacle, separated by "; ".
+std::string FormatReasons(const jobs::restart_backlog& backlog);
 /// @brief "waited_for OBSTACLE", with "released_by RELEASE" where it applies,
 /// and the run that left the worker.
 std::string Format(const jobs::restart_cause& cause);
--- a/include/skylarkbridge/jobs/fleet_scheduler.hpp
+++ b/include/skylarkbridge/jobs/fleet_scheduler.hpp
@@ -23,6 +23,7 @@
 #include "skylarkbridge/jobs/interference_model.hpp"
 #include "skylarkbridge/jobs/job_registry.hpp"
 #include "skylarkbridge/jobs/job_table.hpp"
+#include "skylarkbridge/jobs/kept_room.hpp"
 #include "skylarkbridge/jobs/late_start_watch.hpp"
 #include "skylarkbridge/jobs/late_starts.hpp"
 #include "skylarkbridge/jobs/machine_list.hpp"
@@ -37,6 +38,7 @@
 #include "skylarkbridge/jobs/presumed_crash.hpp"
 #include "skylarkbridge/jobs/relocation.hpp"
 #include "skylarkbridge/jobs/relocation_obstacle.hpp"
+#include "skylarkbridge/jobs/restart_backlog.hpp"
 #include "skylarkbridge/jobs/restart_cause.hpp"
 #include "skylarkbridge/jobs/restart_stages.hpp"
 #include "skylarkbridge/jobs/scheduling_note.hpp"
@@ -223,6 +225,9 @@
   /// @brief Returns the waits by stage that have ended since the last call, and
   /// counts those that have exceeded a limit.
   restart_stage_report TakeRestartStages() { return restart_stages_.Take(); }
+  /// @brief Returns the report on waiting restarts since the last call, if
+  /// there is one.
+  std::optional<restart_report> TakeRestartReport();
   /// @brief Number of workers of an earlier owner that have not sent a report.
   std::size_t UnreportedWorkers() const { return unreported_workers_.size(); }
   /// @brief How long tasks have waited for these; zero without one.
@@ -655,6 +660,9 @@
   /// Counts the placement pass that has ended.
   void CountPass(const placement_summary& pass);
   run_counts CountRuns() const;
+  kept_room KeptRoom(time_point now) const;
+  /// Adds the reservations of the last pass.
+  void AddReservations(kept_room& kept) const;
   /// Whether less than half of the capacity of the usable workers is in use.
   bool IsUnderused(time_point now) const;
   /// Updates waiting_jobs_since_.
@@ -769,11 +777,22 @@
   /// The runs on the worker that can be stopped and started again later.
   std::vector<preemptible_run> PreemptibleRuns(const worker_session& session,
                                                time_point now) const;
-  /// Adds notes on the tasks that have waited long for their restart.
+  /// @param waiting the tasks in the order in which they are placed.
+  std::vector<queued_restart> RestartQueue(
+      const std::vector<waiting_restart>& waiting,
+      time_point now) const;
+  /// The next part of the tasks that are not reported in full.
+  /// @param reported the places of those that are.
+  std::vector<queued_restart> ListOtherRestarts(
+      std::vector<queued_restart> queue,
+      const std::set<std::size_t>& reported);
+  /// Reports the tasks that wait for their restart, once one has waited long,
+  /// and adds notes on some of them.
   void ReportDelayedRestarts(time_point now);
-  /// @param needed by this restart and those of its service that have waited
-  /// longer.
+  /// @param needed by this restart and those of its service that are placed
+  /// before it.
   void ReportDelayedRestart(const waiting_restart& restart,
+                            const queue_place& place,
                             const resources& needed,
                             time_point now);
   /// Why the task has not been moved to another cell.
@@ -1051,6 +1070,9 @@
   std::optional<time_point> other_logs_read_until_;
   start_limit start_limit_;
   time_point next_restart_report_;
+  std::optional<restart_report> restart_report_;
+  /// The last task in restart_report::others.
+  task_ref last_listed_restart_;
   time_point next_cancel_report_;
   permit_cache permits_;
   interference_model interference_;
--- a/src/skylarkbridge/control/text_format_test.cpp
+++ b/src/skylarkbridge/control/text_format_test.cpp
@@ -71,6 +71,45 @@
             "no_relocation_for short_wait");
 }
 
+TEST(TextFormatTest, NamesThePlaceInAQueue) {
+  EXPECT_EQ(Format(jobs::queue_place{.place = 3, .tasks = 57}),
+            "place 3 of 57");
+}
+
+// Guards against a summary whose numbers can't be told apart, or that a tool
+// can't take to pieces.
+TEST(TextFormatTest, ListsTheSumsOfABacklogByReason) {
+  jobs::restart_backlog backlog;
+  backlog.by_obstacle[jobs::restart_obstacle::kRoom] = {
+      .tasks = 41,
+      .need_millicores = 98'250,
+      .smallest_need_millicores = 1200,
+      .longest_wait = std::chrono::milliseconds(12'870)};
+  backlog.by_obstacle[jobs::restart_obstacle::kUnstoredEnd] = {
+      .tasks = 1,
+      .need_millicores = 1800,
+      .smallest_need_millicores = 1800,
+      .longest_wait = std::chrono::milliseconds(640)};
+  EXPECT_EQ(FormatReasons(backlog),
+            "unstored_end tasks 1 need_millicores 1800 smallest_millicores "
+            "1800 longest_ms 640; room tasks 41 need_millicores 98250 "
+            "smallest_millicores 1200 longest_ms 12870");
+}
+
+TEST(TextFormatTest, ListsWaitingTasks) {
+  const jobs::queued_restart restarts[] = {
+      {.run = {.task = kTask, .run = 2},
+       .place = {.place = 41, .tasks = 57},
+       .obstacle = jobs::restart_obstacle::kRoom,
+       .need_millicores = 2200,
+       .waited = std::chrono::milliseconds(13'100)},
+      {.run = {.task = kTask}, .place = {.place = 42, .tasks = 57}}};
+  EXPECT_EQ(FormatQueue(restarts),
+            "000000000000002a.0.0.3/2 place 41 of 57 waited_ms 13100 "
+            "need_millicores 2200 waited_for room; 000000000000002a.0.0.3 "
+            "place 42 of 57 waited_ms 0 need_millicores 0 waited_for nothing");
+}
+
 // Guards against two stages that share a label of the metrics.
 TEST(TextFormatTest, NamesEachRestartStageDifferently) {
   std::set<std::string_view> names;
