Look for a place again before a relocation, and plan each run once

Change: a relocation begins with another search for a place; a run that a move names is not planned again; a restart whose plan lost its target searches after the usual pause.

Measured: jobs_test passes, 444 tests. No directed test of these three.

--- a/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_relocation.cpp
@@ -51,8 +51,17 @@
                                          time_point now) {
   const waiting_restart& restart = waiting.restart;
   const step_ref ref = StepOf(restart.task);
-  const placement_candidate* const reserved_on = ReserveRoomByRelocation(
-      restart, *jobs_.Spec(ref), *Queue(ref.job), pass, now);
+  const step_spec& step = *jobs_.Spec(ref);
+  const queue_configuration& queue = *Queue(ref.job);
+  if (queue.HasPlacementPolicy()) {
+    return;
+  }
+  // Later turns of the pass may have released room.
+  const placement_candidate* reserved_on = ReserveRoom(
+      restart.task, step, CandidatesForStep(ref, step, queue, pass, now), pass);
+  if (reserved_on == nullptr) {
+    reserved_on = ReserveRoomByRelocation(restart, step, queue, pass, now);
+  }
   if (reserved_on != nullptr && waiting.waited >= options_.preemption_delay) {
     PreemptRuns(restart.task, *reserved_on, now);
   }
@@ -179,7 +188,10 @@
       ReserveRoomOnTarget(move->second, pass, now);
     } else {
       relocations_.erase(move);
-      move = relocations_.end();
+      relocation_searches_[restart.task] = {
+          now + options_.relocation_search_interval,
+          {.obstacle = relocation_obstacle::kNoTarget}};
+      return nullptr;
     }
   }
   if (move == relocations_.end()) {
@@ -319,7 +331,10 @@
   if (!movable) {
     return relocation_obstacle::kImmovableRun;
   }
-  if (pass.reserved_workers.contains(run.task)) {
+  const bool moves_for_another = std::any_of(
+      relocations_.begin(), relocations_.end(),
+      [&run](const auto& entry) { return entry.second.run == run; });
+  if (moves_for_another || pass.reserved_workers.contains(run.task)) {
     return relocation_obstacle::kKeptRoom;
   }
   return relocated_until_.contains(run.task) ? relocation_obstacle::kMovedLately
--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -23,8 +23,8 @@
     ReleaseKeptRoom(restart.task, pass);
     all_placed &= PlaceRestart(restart, pass, now);
   }
-  // Now each restart that fits a place has got or reserved it, so that no
-  // relocation takes a place from one of them.
+  // Each restart that fitted a place in its turn has got or reserved it, so
+  // that no relocation takes a place from one of them.
   for (const restart_without_room& restart :
        std::exchange(pass.restarts_without_room, {})) {
     RelocateForRestart(restart, pass, now);
