Bound what a stored beginning of a wait changes

Found in review of, by reading: a successor took the stored time for a task that had run since, also when its worker reported the end of that run; a task that had never run came back from another cell as a restart; and the delays of a task that had left a silent worker counted from a time of another owner.

Change: the reported end of a later run replaces the stored beginning by the time of the takeover; a return leaves waits_for_first_run as it was; the delays count from when this owner learned of the wait.

--- a/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restarts.cpp
@@ -61,8 +61,9 @@
   const bool has_left = known != nullptr && late == nullptr &&
                         known->avoided_from > restart.since;
   const std::chrono::milliseconds waited =
-      waits_for_room ? WaitForRoom(restart, has_left ? restart.since : now, now)
-                     : std::chrono::milliseconds(0);
+      waits_for_room
+          ? WaitForRoom(restart, has_left ? restart.known_since : now, now)
+          : std::chrono::milliseconds(0);
   if (may_restart && PlaceOnCandidates(ranked, *step, *queue,
                                        {restart.task.index}, candidates, now)) {
     if (jobs_.Find(restart.task)->phase == task_phase::kReady) {
--- a/src/skylarkbridge/jobs/job_table.cpp
+++ b/src/skylarkbridge/jobs/job_table.cpp
@@ -261,11 +261,16 @@
       MakeReady(run.task, *task);
     }
   }
+  const bool ends_later_run = run.run > task->last_ended_run;
   RecordLastEndedRun(job, run);
   // The end may be that of a run of an earlier owner, which isn't active here.
   if (EndRun(run, not_before) || !task->last_run_ended_at) {
     task->BeginWait(now, now);
     RecordWait(job, run.task);
+  } else if (ends_later_run) {
+    // The stored wait is older than the run.
+    task->last_run_ended_at = task->wait_known_since;
+    RecordWait(job, run.task);
   }
   return {};
 }
--- a/src/skylarkbridge/jobs/job_table_returns.cpp
+++ b/src/skylarkbridge/jobs/job_table_returns.cpp
@@ -57,7 +57,9 @@
   }
   present->second = {.cell = cell_, .first_run = returned.next_run};
   task->first_run = returned.next_run;
+  const bool waits_for_first_run = task->waits_for_first_run;
   task->BeginWait(BeginOfWait(returned.waiting_since, now), now);
+  task->waits_for_first_run = waits_for_first_run;
   task->not_before = now;
   // Also holds the start back until the new entry is stored.
   RecordLastEndedRun(job, {ref, returned.next_run - 1});
--- a/src/skylarkbridge/jobs/job_table_wait_age_test.cpp
+++ b/src/skylarkbridge/jobs/job_table_wait_age_test.cpp
@@ -118,6 +118,35 @@
   EXPECT_TRUE(successor.stored.progress.steps[0].waiting_since.empty());
 }
 
+// As above, where the run is not known to the successor before its end is
+// reported: the stored wait is that before the run.
+TEST(WaitAgeTest, AReportedEndOfALaterRunEndsTheStoredWait) {
+  const table_of_cell first = CellWithEndedRun();
+  table_of_cell successor(kFirstCell);
+  successor.table.SetEndsStoredFrom(1);
+  successor.Add(first.stored, true, kStart + seconds(60));
+  successor.Pass(kStart + seconds(61));
+  successor.table.RecordEnd({kTask, 2}, run_end::kStopped, "", 3,
+                            kStart + seconds(61));
+  EXPECT_EQ(successor.Waited(kStart + seconds(62)), seconds(2));
+}
+
+// Guards against a task that has never run and comes back from another cell
+// before restarts, as if it had run.
+TEST(WaitAgeTest, AReturnedTaskThatHasNeverRunIsNoRestart) {
+  table_of_cell first(kFirstCell);
+  first.Add(first.stored, false, kStart);
+  first.table.WaitAsRestart(kTask, kStart);
+  first.table.Delegate(kTask, kSecondCell, 1, 1);
+  first.Store();
+  table_of_cell second(kSecondCell);
+  second.Add(first.stored, false, kStart + seconds(1));
+  const returned_task returned = second.table.Return(kTask, 1);
+  ASSERT_TRUE(first.table.TakeBack(kSecondCell, returned, kStart + seconds(2)));
+  ASSERT_EQ(first.table.WaitingRestarts().size(), 1U);
+  EXPECT_FALSE(first.table.WaitingRestarts()[0].has_run);
+}
+
 // Guards against a wait that begins in the future, or long ago, since the time
 // of day of another VM is wrong.
 TEST(WaitAgeTest, AWrongClockOfAnotherVmIsBounded) {
