--- a/src/skylarkbridge/jobs/fleet_scheduler_restart_reports_test.cpp
+++ b/src/skylarkbridge/jobs/fleet_scheduler_restart_reports_test.cpp
@@ -76,6 +76,7 @@
   WaitInOrder(driver);
   const std::vector<scheduling_note> report = LastReport(driver);
   std::vector<std::uint64_t> jobs;
+  jobs.reserve(report.size());
   for (const scheduling_note& note : report) {
     jobs.push_back(note.run.task.job.value);
   }
